--- /dev/null
+++ b/fleet/apply.go
@@ -0,0 +1,302 @@
+package fleet
+
+import (
+	"slices"
+
+	"limehold/catalog"
+	"limehold/journal"
+	"limehold/membership"
+	"limehold/ownership"
+)
+
+// Apply takes the command at a log index. A command whose ID is known changes
+// nothing and returns the first answer.
+func (s *State) Apply(index uint64, command *Command) (Result, Changes) {
+	if index <= s.Revision {
+		return Result{Revision: s.Revision}, Changes{Revision: s.Revision}
+	}
+	s.Revision = index
+	changes := Changes{Revision: index}
+	if command.ID != "" {
+		if record, known := s.Records[command.ID]; known {
+			return record.Result, changes
+		}
+	}
+	application := application{state: s, at: command.At, changes: &changes}
+	result := application.dispatch(command)
+	result.Revision = index
+	if command.ID != "" {
+		s.keepRecord(command.ID, Record{At: command.At, Result: result})
+	}
+	return result, changes
+}
+
+// keepRecord remembers an answer and drops those older than RecordRetention.
+// Age is measured against the newest command, never against a local clock.
+func (s *State) keepRecord(id string, record Record) {
+	s.Records[id] = record
+	s.RecordOrder = append(s.RecordOrder, id)
+	oldest := record.At - RecordRetention.Milliseconds()
+	drop := 0
+	for drop < len(s.RecordOrder) && s.Records[s.RecordOrder[drop]].At < oldest {
+		delete(s.Records, s.RecordOrder[drop])
+		drop++
+	}
+	s.RecordOrder = slices.Delete(s.RecordOrder, 0, drop)
+}
+
+// application is one command being applied.
+type application struct {
+	state   *State
+	at      int64
+	changes *Changes
+}
+
+func (a *application) dispatch(command *Command) Result {
+	switch {
+	case command.ApplyTemplate != nil:
+		return a.applyTemplate(command.ApplyTemplate)
+	case command.RetireTemplate != nil:
+		return a.retireTemplate(command.RetireTemplate)
+	case command.CreateService != nil:
+		return a.createService(command.CreateService)
+	case command.UpdateService != nil:
+		return a.updateService(command.UpdateService)
+	case command.RetireService != nil:
+		return a.retireService(command.RetireService)
+	case command.RemoveService != nil:
+		return a.removeService(command.RemoveService)
+	case command.OpenSession != nil:
+		return a.openSession(command.OpenSession)
+	case command.CloseSessions != nil:
+		return a.closeSessions(command.CloseSessions)
+	case command.SetDraining != nil:
+		return a.setDraining(command.SetDraining)
+	case command.Assign != nil:
+		return a.assign(command.Assign)
+	case command.Transfer != nil:
+		return a.transfer(command.Transfer)
+	case command.Release != nil:
+		return a.release(command.Release)
+	}
+	return Result{Failure: &catalog.Failure{Code: catalog.FailureInvalid, Message: "the command is empty or of a newer version"}}
+}
+
+func (a *application) log(event journal.Event) {
+	event.Revision = a.state.Revision
+	event.At = a.at
+	a.state.Journal.Add(event)
+}
+
+func (a *application) applyTemplate(command *ApplyTemplate) Result {
+	services, failure := a.state.Catalog.ApplyTemplate(command.Template, command.Expected, a.state.Revision)
+	if failure != nil {
+		return Result{Failure: failure}
+	}
+	a.changes.Templates = true
+	a.changes.Services = services
+	a.log(journal.Event{Kind: journal.KindTemplateApplied, To: command.Template.Name, Cause: "operator"})
+	return Result{}
+}
+
+func (a *application) retireTemplate(command *RetireTemplate) Result {
+	if failure := a.state.Catalog.RetireTemplate(command.Name, command.Expected); failure != nil {
+		return Result{Failure: failure}
+	}
+	a.changes.Templates = true
+	a.log(journal.Event{Kind: journal.KindTemplateRetired, From: command.Name, Cause: "operator"})
+	return Result{}
+}
+
+func (a *application) createService(command *CreateService) Result {
+	failure := a.state.Catalog.CreateService(command.Name, command.Template, command.Values, a.state.Revision)
+	if failure != nil {
+		return Result{Failure: failure}
+	}
+	service := a.state.Catalog.Services[command.Name]
+	if service.Spec.Keyed {
+		a.state.Ownership.AddService(command.Name, service.Spec.Shards, a.state.LastEpoch)
+	}
+	a.changes.Services = []string{command.Name}
+	a.log(journal.Event{Kind: journal.KindServiceCreated, Service: command.Name, Cause: "operator, from template " + command.Template})
+	return Result{}
+}
+
+func (a *application) updateService(command *UpdateService) Result {
+	failure := a.state.Catalog.UpdateService(command.Name, command.Values, command.Expected, a.state.Revision)
+	if failure != nil {
+		return Result{Failure: failure}
+	}
+	a.changes.Services = []string{command.Name}
+	a.log(journal.Event{Kind: journal.KindServiceUpdated, Service: command.Name, Cause: "operator"})
+	return Result{}
+}
+
+func (a *application) retireService(command *RetireService) Result {
+	failure := a.state.Catalog.RetireService(command.Name, command.Expected, a.state.Revision)
+	if failure != nil {
+		return Result{Failure: failure}
+	}
+	a.changes.Services = []string{command.Name}
+	for number, shard := range a.state.Ownership.Shards[command.Name] {
+		if shard.Phase == ownership.PhaseFree {
+			continue
+		}
+		key := ownership.Key{Service: command.Name, Shard: uint32(number)}
+		if a.state.Ownership.BeginTransfer(key, shard.Epoch, 0) == nil {
+			a.touch(key, shard.Owner)
+		}
+	}
+	a.log(journal.Event{Kind: journal.KindServiceRetiring, Service: command.Name, Cause: "operator"})
+	return Result{}
+}
+
+func (a *application) removeService(command *RemoveService) Result {
+	service := a.state.Catalog.Services[command.Name]
+	if service == nil || service.State != catalog.ServiceRetiring {
+		return Result{Refused: 1}
+	}
+	for _, shard := range a.state.Ownership.Shards[command.Name] {
+		a.state.LastEpoch = max(a.state.LastEpoch, shard.Epoch)
+	}
+	if !a.state.Ownership.RemoveService(command.Name) {
+		return Result{Refused: 1}
+	}
+	a.state.Catalog.RemoveService(command.Name)
+	a.changes.RemovedServices = []string{command.Name}
+	a.log(journal.Event{Kind: journal.KindServiceRemoved, Service: command.Name, Cause: "retired by an operator, all shards released"})
+	return Result{}
+}
+
+func (a *application) openSession(command *OpenSession) Result {
+	node := command.Node
+	node.Opened = a.at
+	before := a.state.Membership.Current(node.Name)
+	opened, superseded := a.state.Membership.Open(node, a.state.Revision)
+	a.changes.Nodes = []membership.SessionID{opened.Session}
+	a.changes.session(opened.Session)
+	switch {
+	case superseded != nil:
+		a.changes.Nodes = append(a.changes.Nodes, superseded.Session)
+		a.log(journal.Event{Kind: journal.KindNodeReplaced, From: superseded.Name, To: opened.Name, Cause: "another process came up under the same name"})
+	case before == nil:
+		a.log(journal.Event{Kind: journal.KindNodeJoined, To: opened.Name, Cause: "session opened from zone " + opened.Zone})
+	}
+	return Result{Session: opened.Session}
+}
+
+func (a *application) closeSessions(command *CloseSessions) Result {
+	refused := 0
+	for _, session := range command.Sessions {
+		node := a.state.Membership.Close(session)
+		if node == nil {
+			refused++
+			continue
+		}
+		a.changes.RemovedNodes = append(a.changes.RemovedNodes, session)
+		a.changes.session(session)
+		keys := a.state.Ownership.CloseSession(session)
+		a.changes.Shards = append(a.changes.Shards, keys...)
+		a.log(journal.Event{Kind: journal.KindNodeLost, From: node.Name, Cause: command.Cause})
+		a.logShards(journal.KindReleased, keys, node.Name, "", command.Cause)
+	}
+	slices.SortFunc(a.changes.Shards, compareKeys)
+	return Result{Refused: refused}
+}
+
+func (a *application) setDraining(command *SetDraining) Result {
+	node := a.state.Membership.SetDraining(command.Session, command.Draining, command.Cause, a.state.Revision)
+	if node == nil {
+		return Result{Refused: 1}
+	}
+	a.changes.Nodes = []membership.SessionID{node.Session}
+	a.changes.session(node.Session)
+	kind := journal.KindNodeResumed
+	if command.Draining {
+		kind = journal.KindNodeDraining
+	}
+	a.log(journal.Event{Kind: kind, From: node.Name, Cause: command.Cause})
+	return Result{}
+}
+
+func (a *application) assign(command *Assign) Result {
+	refused := 0
+	groups := newEventGroups(journal.KindAssigned, command.Cause)
+	for _, decision := range command.Decisions {
+		if !a.grant(decision) {
+			refused++
+			continue
+		}
+		groups.add(decision.Key, "", a.nodeName(decision.To))
+	}
+	a.logGroups(groups)
+	return Result{Refused: refused}
+}
+
+// grant gives a free shard to a session that is open and may own it.
+func (a *application) grant(decision ShardDecision) bool {
+	target := a.state.Membership.Sessions[decision.To]
+	service := a.state.Catalog.Services[decision.Key.Service]
+	if target == nil || !target.Eligible() || service == nil || service.State != catalog.ServiceActive {
+		return false
+	}
+	if target.Pool != service.Spec.Pool {
+		return false
+	}
+	if a.state.Ownership.Assign(decision.Key, decision.Epoch, decision.To) != nil {
+		return false
+	}
+	a.touch(decision.Key, decision.To)
+	return true
+}
+
+func (a *application) transfer(command *Transfer) Result {
+	refused := 0
+	groups := newEventGroups(journal.KindTransferBegun, command.Cause)
+	for _, decision := range command.Decisions {
+		shard, _ := a.state.Ownership.Get(decision.Key)
+		if a.state.Ownership.BeginTransfer(decision.Key, decision.Epoch, decision.To) != nil {
+			refused++
+			continue
+		}
+		a.touch(decision.Key, shard.Owner)
+		groups.add(decision.Key, a.nodeName(shard.Owner), a.nodeName(decision.To))
+	}
+	a.logGroups(groups)
+	return Result{Refused: refused}
+}
+
+func (a *application) release(command *Release) Result {
+	refused := 0
+	released := newEventGroups(journal.KindReleased, "the owner finished what was in flight and let go")
+	assigned := newEventGroups(journal.KindAssigned, "transfer completed")
+	for _, item := range command.Shards {
+		target, err := a.state.Ownership.Release(item.Key, item.Epoch, command.Session)
+		if err != nil {
+			refused++
+			continue
+		}
+		a.touch(item.Key, command.Session)
+		released.add(item.Key, a.nodeName(command.Session), "")
+		if target != 0 && a.grant(ShardDecision{Key: item.Key, Epoch: item.Epoch, To: target}) {
+			assigned.add(item.Key, a.nodeName(command.Session), a.nodeName(target))
+		}
+	}
+	a.logGroups(released)
+	a.logGroups(assigned)
+	return Result{Refused: refused}
+}
+
+func (a *application) touch(key ownership.Key, session membership.SessionID) {
+	if !slices.Contains(a.changes.Shards[max(0, len(a.changes.Shards)-1):], key) {
+		a.changes.Shards = append(a.changes.Shards, key)
+	}
+	a.changes.session(session)
+}
+
+func (a *application) nodeName(session membership.SessionID) string {
+	if node := a.state.Membership.Sessions[session]; node != nil {
+		return node.Name
+	}
+	return ""
+}
--- /dev/null
+++ b/fleet/command.go
@@ -0,0 +1,145 @@
+// Package fleet is the replicated state machine: catalog, membership, ownership
+// and journal together, changed only by commands taken from the log in order.
+// It is pure and deterministic; every member holds the same State at the same
+// revision.
+package fleet
+
+import (
+	"limehold/catalog"
+	"limehold/codec"
+	"limehold/membership"
+	"limehold/ownership"
+)
+
+// Command is one change. Exactly one of the pointers is set.
+type Command struct {
+	// ID is chosen by whoever sends the command, and sent again with it. Empty
+	// for commands of the leader itself.
+	ID string
+	// At is the leader's wall clock when it took the command, in Unix
+	// milliseconds. It dates the journal and ages command records.
+	At int64
+
+	ApplyTemplate  *ApplyTemplate
+	RetireTemplate *RetireTemplate
+	CreateService  *CreateService
+	UpdateService  *UpdateService
+	RetireService  *RetireService
+	RemoveService  *RemoveService
+	OpenSession    *OpenSession
+	CloseSessions  *CloseSessions
+	SetDraining    *SetDraining
+	Assign         *Assign
+	Transfer       *Transfer
+	Release        *Release
+}
+
+// ApplyTemplate creates or replaces a template and changes its services.
+type ApplyTemplate struct {
+	Template catalog.Template
+	// Expected is the revision the operator saw; 0: must not exist;
+	// catalog.AnyRevision: do not compare.
+	Expected uint64
+}
+
+// RetireTemplate removes an unused template.
+type RetireTemplate struct {
+	Name     string
+	Expected uint64
+}
+
+// CreateService makes a service from a template.
+type CreateService struct {
+	Name     string
+	Template string
+	Values   map[string]string
+}
+
+// UpdateService changes some of a service's values.
+type UpdateService struct {
+	Name     string
+	Values   map[string]string
+	Expected uint64
+}
+
+// RetireService begins the end of a service.
+type RetireService struct {
+	Name     string
+	Expected uint64
+}
+
+// RemoveService ends a retiring service whose shards are all free.
+type RemoveService struct{ Name string }
+
+// OpenSession registers an agent with its back end.
+type OpenSession struct{ Node membership.Node }
+
+// CloseSessions ends sessions whose leases are over.
+type CloseSessions struct {
+	Sessions []membership.SessionID
+	Cause    string
+}
+
+// SetDraining drains a node, or takes it back into service.
+type SetDraining struct {
+	Session  membership.SessionID
+	Draining bool
+	Cause    string
+}
+
+// ShardDecision gives one shard to a session, on the state seen at Epoch.
+type ShardDecision struct {
+	Key   ownership.Key
+	Epoch uint64
+	To    membership.SessionID
+}
+
+// Assign gives free shards to sessions.
+type Assign struct {
+	Decisions []ShardDecision
+	Cause     string
+}
+
+// Transfer asks owners to release shards in favour of others.
+type Transfer struct {
+	Decisions []ShardDecision
+	Cause     string
+}
+
+// ReleasedShard is an owner's word that it runs nothing for a shard any more.
+type ReleasedShard struct {
+	Key   ownership.Key
+	Epoch uint64
+}
+
+// Release frees shards on their owner's word, and hands them to the targets.
+type Release struct {
+	Session membership.SessionID
+	Shards  []ReleasedShard
+}
+
+// Result is the outcome of a command, the same on every member and for every
+// repetition of the command.
+type Result struct {
+	// Revision is the log index at which the command took effect.
+	Revision uint64
+	// Failure is set when the command was refused.
+	Failure *catalog.Failure
+	// Session is set for OpenSession.
+	Session membership.SessionID
+	// Refused counts the decisions of Assign, Transfer or Release that no
+	// longer fitted the state.
+	Refused int
+}
+
+// Encode returns the command as log data.
+func (c *Command) Encode() []byte { return codec.MustMarshal(c) }
+
+// DecodeCommand reads log data.
+func DecodeCommand(data []byte) (*Command, error) {
+	var command Command
+	if err := codec.Unmarshal(data, &command); err != nil {
+		return nil, err
+	}
+	return &command, nil
+}
--- /dev/null
+++ b/fleet/events.go
@@ -0,0 +1,57 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"limehold/journal"
+	"limehold/ownership"
+)
+
+func compareKeys(a, b ownership.Key) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Shard, b.Shard))
+}
+
+// eventGroups gathers the shards that one command moved between the same nodes
+// into one event each, so that the loss of a large node does not flood the journal.
+type eventGroups struct {
+	kind   journal.Kind
+	cause  string
+	groups map[eventGroup][]uint32
+	order  []eventGroup
+}
+
+type eventGroup struct{ service, from, to string }
+
+func newEventGroups(kind journal.Kind, cause string) *eventGroups {
+	return &eventGroups{kind: kind, cause: cause, groups: map[eventGroup][]uint32{}}
+}
+
+func (g *eventGroups) add(key ownership.Key, from, to string) {
+	group := eventGroup{key.Service, from, to}
+	if _, known := g.groups[group]; !known {
+		g.order = append(g.order, group)
+	}
+	g.groups[group] = append(g.groups[group], key.Shard)
+}
+
+func (a *application) logGroups(groups *eventGroups) {
+	for _, group := range groups.order {
+		shards := groups.groups[group]
+		slices.Sort(shards)
+		a.log(journal.Event{
+			Kind: groups.kind, Service: group.service, Shards: shards,
+			From: group.from, To: group.to, Cause: groups.cause,
+		})
+	}
+}
+
+// logShards logs keys, which may come in any order, for one pair of nodes.
+func (a *application) logShards(kind journal.Kind, keys []ownership.Key, from, to, cause string) {
+	slices.SortFunc(keys, compareKeys)
+	groups := newEventGroups(kind, cause)
+	for _, key := range keys {
+		groups.add(key, from, to)
+	}
+	a.logGroups(groups)
+}
--- /dev/null
+++ b/membership/lease.go
@@ -0,0 +1,125 @@
+package membership
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+const permille = 1000
+
+// LeaseTiming holds the lengths that control and nodes agree on.
+type LeaseTiming struct {
+	// Length is how long a node may act after it sent a renewal.
+	Length time.Duration
+	// DriftPermille bounds the relative rate error between two machines' clocks.
+	DriftPermille int
+}
+
+// ControlLength is how long control waits after it received a renewal before it
+// treats the lease as over: longer than any node can believe in it.
+func (t LeaseTiming) ControlLength() time.Duration {
+	return t.Length * time.Duration(permille+t.DriftPermille) / permille
+}
+
+// Leases is the leader's own, volatile knowledge of renewals. A new leader
+// starts with every open session renewed at the moment it became leader, which
+// is later than any renewal that an earlier leader can have acknowledged.
+//
+// Invariant: for each session, expiry >= the end of the lease in the node's
+// belief, both taken on a common clock. Proof in docs/design/0002-ownership.md.
+type Leases struct {
+	timing   LeaseTiming
+	renewals map[SessionID]*lease
+	queue    leaseQueue
+}
+
+type lease struct {
+	session SessionID
+	expiry  time.Duration
+	// queuedExpiry is the expiry under which the lease stands in the queue; it
+	// may lag, which spares the queue one operation a renewal.
+	queuedExpiry time.Duration
+	// closing is set once an end of the session has been proposed: from then
+	// on renewals are refused, whatever becomes of the proposal in this term.
+	closing bool
+}
+
+// NewLeases begins the knowledge of a leader elected at now.
+func NewLeases(timing LeaseTiming, sessions []SessionID, now time.Duration) *Leases {
+	leases := &Leases{timing: timing, renewals: make(map[SessionID]*lease, len(sessions))}
+	for _, session := range sessions {
+		leases.Track(session, now)
+	}
+	return leases
+}
+
+// Track adds a session that was opened or found open at now.
+func (l *Leases) Track(session SessionID, now time.Duration) {
+	if _, known := l.renewals[session]; known {
+		return
+	}
+	expiry := now + l.timing.ControlLength()
+	added := &lease{session: session, expiry: expiry, queuedExpiry: expiry}
+	l.renewals[session] = added
+	heap.Push(&l.queue, added)
+}
+
+// Forget drops a session that has been closed.
+func (l *Leases) Forget(session SessionID) { delete(l.renewals, session) }
+
+// Renew extends the lease of a session whose renewal was received at now. It
+// returns false when the session is unknown or is being closed.
+func (l *Leases) Renew(session SessionID, now time.Duration) bool {
+	renewed, known := l.renewals[session]
+	if !known || renewed.closing {
+		return false
+	}
+	renewed.expiry = max(renewed.expiry, now+l.timing.ControlLength())
+	return true
+}
+
+// Expired returns the sessions whose lease has run out, and marks them as closing.
+func (l *Leases) Expired(now time.Duration) []SessionID {
+	var expired []SessionID
+	for len(l.queue) > 0 && l.queue[0].queuedExpiry <= now {
+		first := heap.Pop(&l.queue).(*lease)
+		if l.renewals[first.session] != first || first.closing {
+			continue
+		}
+		if first.expiry > now {
+			first.queuedExpiry = first.expiry
+			heap.Push(&l.queue, first)
+			continue
+		}
+		first.closing = true
+		expired = append(expired, first.session)
+	}
+	slices.Sort(expired)
+	return expired
+}
+
+// Silence tells how long ago the newest renewal of a session was received.
+func (l *Leases) Silence(session SessionID, now time.Duration) (time.Duration, bool) {
+	known, found := l.renewals[session]
+	if !found {
+		return 0, false
+	}
+	return now - (known.expiry - l.timing.ControlLength()), true
+}
+
+type leaseQueue []*lease
+
+func (q leaseQueue) Len() int           { return len(q) }
+func (q leaseQueue) Less(i, j int) bool { return q[i].queuedExpiry < q[j].queuedExpiry }
+func (q leaseQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *leaseQueue) Push(item any) { *q = append(*q, item.(*lease)) }
+
+// Pop implements heap.Interface.
+func (q *leaseQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
--- /dev/null
+++ b/router/pool.go
@@ -0,0 +1,128 @@
+package router
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"limehold/admission"
+	"limehold/clock"
+	"limehold/wire"
+)
+
+// slowStart is how long a new instance gets less than its share.
+const slowStart = 5 * time.Second
+
+// pool is one pool of instances with its gate.
+type pool struct {
+	name  string
+	mutex sync.Mutex
+	gate  *admission.Gate
+}
+
+func newPool(name string, policy admission.Policy) *pool {
+	return &pool{name: name, gate: admission.NewGate(admission.Options{
+		Policy: policy, SlowStart: slowStart, Random: rand.IntN,
+	})}
+}
+
+// update takes the pool's nodes.
+func (p *pool) update(nodes []*wire.NodeView) {
+	list := make([]admission.Instance, 0, len(nodes))
+	for _, node := range nodes {
+		list = append(list, admission.Instance{
+			ID: admission.InstanceID(node.Session), Zone: node.Zone, Draining: node.Draining,
+			Slots: min(node.Slots, node.Connections),
+		})
+	}
+	p.mutex.Lock()
+	granted := p.gate.Update(clock.Now(), list)
+	p.mutex.Unlock()
+	notify(granted)
+}
+
+func notify(granted []*admission.Waiter) {
+	for _, waiter := range granted {
+		waiter.Notify()
+	}
+}
+
+// acquire waits for a slot until the deadline or until cancelled is closed.
+func (p *pool) acquire(want admission.Want, cancelled <-chan struct{}) (admission.InstanceID, refusal) {
+	ready := make(chan struct{})
+	waiter := &admission.Waiter{Want: want, Notify: func() { close(ready) }}
+	p.mutex.Lock()
+	verdict := p.gate.Acquire(clock.Now(), waiter)
+	p.mutex.Unlock()
+	switch verdict {
+	case admission.Admitted:
+		return waiter.Granted, refusal{}
+	case admission.QueueFull:
+		return 0, refuseQueueFull
+	case admission.NoInstance:
+		return 0, refuseNoInstance
+	}
+	timer := time.NewTimer(want.Deadline - clock.Now())
+	defer timer.Stop()
+	select {
+	case <-ready:
+		return waiter.Granted, refusal{}
+	case <-timer.C:
+		return p.giveUp(waiter, refuseNoSlot)
+	case <-cancelled:
+		return p.giveUp(waiter, refuseCallerGone)
+	}
+}
+
+// giveUp leaves the queue; a slot granted at the last moment is given back.
+func (p *pool) giveUp(waiter *admission.Waiter, reason refusal) (admission.InstanceID, refusal) {
+	p.mutex.Lock()
+	left := p.gate.Cancel(waiter)
+	p.mutex.Unlock()
+	if !left {
+		p.release(waiter.Granted, admission.OutcomeNeutral, 0)
+	}
+	return 0, reason
+}
+
+// release gives a slot back.
+func (p *pool) release(id admission.InstanceID, outcome admission.Outcome, latency time.Duration) {
+	p.mutex.Lock()
+	granted := p.gate.Release(clock.Now(), id, outcome, latency)
+	p.mutex.Unlock()
+	notify(granted)
+}
+
+func (p *pool) waiting() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.gate.Waiting()
+}
+
+// serviceBudget is a retry budget that may be used from several goroutines.
+type serviceBudget struct {
+	mutex  sync.Mutex
+	budget *admission.RetryBudget
+}
+
+func newServiceBudget(percent int) *serviceBudget {
+	return &serviceBudget{budget: admission.NewRetryBudget(percent)}
+}
+
+func (b *serviceBudget) earn() {
+	b.mutex.Lock()
+	b.budget.Earn()
+	b.mutex.Unlock()
+}
+
+func (b *serviceBudget) spend() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.budget.Spend()
+}
+
+func (b *serviceBudget) setPercent(percent int) {
+	b.mutex.Lock()
+	b.budget.SetPercent(percent)
+	b.mutex.Unlock()
+}
--- /dev/null
+++ b/router/proxy.go
@@ -0,0 +1,343 @@
+package router
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"limehold/admission"
+	"limehold/clock"
+	"limehold/logging"
+	"limehold/wire"
+)
+
+const (
+	// ownerRetryMin and ownerRetryMax space the attempts to an owner that says
+	// it does not own the shard yet (its grant is on the way).
+	ownerRetryMin = 5 * time.Millisecond
+	ownerRetryMax = 80 * time.Millisecond
+)
+
+// handle is the callers' handler.
+func (r *Router) handle(request *fasthttp.RequestCtx) {
+	if r.draining.Load() {
+		request.SetConnectionClose()
+	}
+	p, refused := r.prepare(request)
+	if refused.refused() {
+		id := drawID()
+		if p != nil {
+			id = p.id
+		}
+		r.refuse(request, callerID(request, id), p, refused)
+		return
+	}
+	p.service.budget.earn()
+	r.buildOut(request, p)
+	r.hangups.add(p)
+	streaming := r.proxy(request, p)
+	if !streaming {
+		r.finish(p)
+	}
+}
+
+// finish forgets a request once nothing reads its body or answer any more.
+func (r *Router) finish(p *proxied) {
+	r.hangups.remove(p)
+	fasthttp.ReleaseRequest(p.out)
+}
+
+// proxy makes attempts until there is an answer or a reason to stop. It returns
+// true if an answer is still being streamed.
+func (r *Router) proxy(request *fasthttp.RequestCtx, p *proxied) bool {
+	held := newHold(p)
+	open := false // an attempt whose outcome is unknown has been made
+	var avoid admission.InstanceID
+	for number := 1; ; number++ {
+		node, refused := r.choose(p, held, avoid, number > 1)
+		if refused.refused() {
+			r.end(request, p, open, refused)
+			return false
+		}
+		id := admission.InstanceID(node.Session)
+		sent := clock.Now()
+		result := r.send(p, node)
+		if result.state == attemptAnswered {
+			return r.answer(request, p, result, id, sent)
+		}
+		p.service.pool.release(id, instanceOutcome(result), clock.Now()-sent)
+		r.noteAttempt(p, node, result)
+		open = open || result.state == attemptOpen
+		if !r.mayRetry(p, held, result, number) {
+			r.endAfter(request, p, open, result)
+			return false
+		}
+		avoid = id
+	}
+}
+
+func instanceOutcome(result *attempt) admission.Outcome {
+	switch {
+	case result.reason == refuseCallerGone.reason, result.reason == refuseDeadline.reason:
+		return admission.OutcomeNeutral
+	case result.state == attemptNotRun && result.reason == wire.BackendReasonFull:
+		return admission.OutcomeShed
+	case result.state == attemptNotRun:
+		return admission.OutcomeNeutral
+	}
+	return admission.OutcomeFailed
+}
+
+// choose waits for the owner or for an instance, and for a slot there.
+func (r *Router) choose(p *proxied, held *hold, avoid admission.InstanceID, ahead bool) (*wire.NodeView, refusal) {
+	want := admission.Want{
+		Zone: r.options.Settings.Zone, Deadline: p.deadline, Ahead: ahead, Avoid: avoid,
+		Group: p.service.name, GroupLimit: p.service.spec.QueueLength,
+	}
+	for {
+		var node *wire.NodeView
+		if p.service.spec.Keyed {
+			var refused refusal
+			if node, refused = r.waitOwner(p, held); refused.refused() {
+				return nil, refused
+			}
+			want.Instance = admission.InstanceID(node.Session)
+		}
+		id, refused := p.service.pool.acquire(want, p.cancelled)
+		if refused.refused() {
+			if p.service.spec.Keyed && refused.reason == refuseNoInstance.reason && held.remaining() > 0 {
+				// The owner has just gone: wait for the next one.
+				held.pause(r, p, ownerRetryMin)
+				continue
+			}
+			return nil, refused
+		}
+		if !p.service.spec.Keyed {
+			node = r.table.node(wireSession(id))
+		} else if owner, _, _ := r.table.owner(p.service, p.shard); owner.owner != node.Session {
+			// Ownership moved while the request waited for a slot.
+			p.service.pool.release(id, admission.OutcomeNeutral, 0)
+			continue
+		}
+		if node == nil {
+			p.service.pool.release(id, admission.OutcomeNeutral, 0)
+			continue
+		}
+		return node, refusal{}
+	}
+}
+
+// waitOwner returns the owner of the request's shard, waiting for one within
+// the route's hold time.
+func (r *Router) waitOwner(p *proxied, held *hold) (*wire.NodeView, refusal) {
+	for {
+		entry, node, changed := r.table.owner(p.service, p.shard)
+		if node != nil && (!entry.releasing || held.sentToReleasing < entry.epoch) && entry.epoch != held.refusedEpoch {
+			if entry.releasing {
+				// One attempt to an owner that is letting go: it may still run it.
+				held.sentToReleasing = entry.epoch
+			}
+			p.epoch = entry.epoch
+			return node, refusal{}
+		}
+		if node != nil && entry.epoch == held.refusedEpoch && !entry.releasing {
+			// The owner said that it has no grant; it may be on the way.
+			held.pause(r, p, held.backoff())
+			if held.remaining() <= 0 {
+				return nil, refuseNoOwner
+			}
+			p.epoch = entry.epoch
+			return node, refusal{}
+		}
+		remaining := held.remaining()
+		if remaining <= 0 {
+			return nil, refuseNoOwner
+		}
+		timer := time.NewTimer(remaining)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-p.cancelled:
+			timer.Stop()
+			return nil, refuseCallerGone
+		}
+		timer.Stop()
+	}
+}
+
+// mayRetry applies the rules of DESIGN 6: never after an open outcome of a
+// request that may not be repeated.
+func (r *Router) mayRetry(p *proxied, held *hold, result *attempt, number int) bool {
+	if p.bodyUsed || clock.Now()+minimumRemaining >= p.deadline {
+		return false
+	}
+	switch result.state {
+	case attemptNotRun:
+		if result.reason == wire.BackendReasonNotOwner || result.reason == wire.BackendReasonDraining && p.service.spec.Keyed {
+			held.refusedEpoch = p.epoch
+			return held.remaining() > 0
+		}
+	case attemptOpen:
+		if !p.repeatable || result.reason == refuseCallerGone.reason {
+			return false
+		}
+	case attemptNotSent:
+		if result.reason == refuseDeadline.reason {
+			return false
+		}
+	case attemptAnswered:
+		return false
+	}
+	if number >= p.route.MaxAttempts {
+		return false
+	}
+	if !p.service.budget.spend() {
+		r.metrics.budgetEmpty.Inc()
+		return false
+	}
+	r.metrics.retries.Inc()
+	return true
+}
+
+// end refuses a request; after an attempt with an open outcome the truth is
+// that it is unknown whether the request ran.
+func (r *Router) end(request *fasthttp.RequestCtx, p *proxied, open bool, refused refusal) {
+	if open {
+		r.unknown(request, p, reasonNoAnswer)
+		return
+	}
+	r.refuse(request, callerID(request, p.id), p, refused)
+}
+
+func (r *Router) endAfter(request *fasthttp.RequestCtx, p *proxied, open bool, result *attempt) {
+	if open {
+		reason := reasonNoAnswer
+		if result.state == attemptOpen {
+			reason = result.reason
+		}
+		r.unknown(request, p, reason)
+		return
+	}
+	r.refuse(request, callerID(request, p.id), p, refusalOf(result))
+}
+
+func refusalOf(result *attempt) refusal {
+	switch {
+	case result.reason == refuseDeadline.reason:
+		return refuseDeadline
+	case result.state == attemptNotSent:
+		return refuseUnreachable
+	case result.reason == wire.BackendReasonNotOwner:
+		return refuseNoOwner
+	}
+	refused := refuseBackend
+	if result.reason != "" {
+		refused.reason = "back-end-" + result.reason
+	}
+	refused.retryAfter = max(refused.retryAfter, result.retryAfter)
+	return refused
+}
+
+// answer passes an answer on. Small ones are there whole; others are streamed
+// and hold the slot until their end.
+func (r *Router) answer(request *fasthttp.RequestCtx, p *proxied, result *attempt, id admission.InstanceID, sent time.Duration) bool {
+	latency := clock.Now() - sent
+	if p.service.spec.Keyed {
+		r.work.add(p.service.name, p.shard, len(p.service.shards), latency)
+	}
+	response := &request.Response
+	result.response.Header.CopyTo(&response.Header)
+	dropAnswerHeaders(&response.Header)
+	response.Header.Set(wire.HeaderOutcome, wire.OutcomeOK)
+	response.Header.Set(wire.HeaderRequestID, callerID(request, p.id))
+	if r.draining.Load() {
+		request.SetConnectionClose()
+	}
+	r.metrics.count(wire.OutcomeOK, "")
+	r.metrics.latency.Observe((clock.Now() - p.started).Seconds())
+	if result.whole {
+		if p.head {
+			response.Header.SetContentLength(result.response.Header.ContentLength())
+			response.SkipBody = true
+		} else {
+			response.SetBodyRaw(append([]byte(nil), result.response.Body()...))
+		}
+		fasthttp.ReleaseResponse(result.response)
+		p.service.pool.release(id, admission.OutcomeGood, latency)
+		return false
+	}
+	p.track(result.conn)
+	// A body may be longer on its way than the route's timeout.
+	_ = result.conn.raw.SetDeadline(time.Time{})
+	body := &answerBody{router: r, request: p, attempt: result, stream: result.response.BodyStream(), release: func(outcome admission.Outcome) {
+		p.service.pool.release(id, outcome, latency)
+		r.finish(p)
+	}}
+	response.SetBodyStream(body, result.response.Header.ContentLength())
+	return true
+}
+
+func dropAnswerHeaders(header *fasthttp.ResponseHeader) {
+	for _, name := range strings.Split(string(header.Peek("Connection")), ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			header.Del(name)
+		}
+	}
+	for _, name := range hopByHop {
+		header.Del(name)
+	}
+	for _, name := range []string{wire.HeaderAttempt, wire.HeaderEpoch, wire.HeaderShard, wire.HeaderService, wire.HeaderReason} {
+		header.Del(name)
+	}
+}
+
+// refuse answers a request that was not run.
+func (r *Router) refuse(request *fasthttp.RequestCtx, id string, p *proxied, refused refusal) {
+	r.metrics.count(wire.OutcomeNotRun, refused.reason)
+	r.writeOutcome(request, id, wire.OutcomeNotRun, refused.reason, refused.status, refused.advice)
+	if refused.retryAfter > 0 {
+		seconds := int(math.Ceil(refused.retryAfter.Seconds()))
+		request.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(seconds))
+	}
+	if refused.status == fasthttp.StatusRequestEntityTooLarge {
+		// What the caller still sends of the body is not worth reading.
+		request.SetConnectionClose()
+	}
+	service := ""
+	if p != nil {
+		service = p.service.name
+	}
+	r.logger.Debug("request_refused", zap.String("request", id), zap.String("service", service), zap.String("reason", refused.reason))
+}
+
+// unknown answers a request whose outcome is open.
+func (r *Router) unknown(request *fasthttp.RequestCtx, p *proxied, reason string) {
+	r.metrics.count(wire.OutcomeUnknown, reason)
+	r.writeOutcome(request, callerID(request, p.id), wire.OutcomeUnknown, reason, fasthttp.StatusBadGateway,
+		"the request was sent, and it is unknown whether it ran: look before you send it again")
+}
+
+func (r *Router) writeOutcome(request *fasthttp.RequestCtx, id, outcome, reason string, status int, advice string) {
+	request.Response.Reset()
+	request.SetStatusCode(status)
+	request.SetContentType("application/json")
+	request.Response.Header.Set(wire.HeaderOutcome, outcome)
+	request.Response.Header.Set(wire.HeaderReason, reason)
+	request.Response.Header.Set(wire.HeaderRequestID, id)
+	if r.draining.Load() {
+		request.SetConnectionClose()
+	}
+	request.SetBodyString(`{"outcome":"` + outcome + `","reason":"` + reason + `","message":"` + advice + `","request":` + strconv.Quote(id) + "}\n")
+}
+
+func (r *Router) noteAttempt(p *proxied, node *wire.NodeView, result *attempt) {
+	if result.state == attemptOpen || result.state == attemptNotSent {
+		r.logger.Info("attempt_failed", append(logging.Step("attempt", node.Name, result.err),
+			zap.String("request", p.id), zap.String("service", p.service.name), zap.String("reason", result.reason),
+			zap.Bool("sent", result.state == attemptOpen), zap.Int("attempt", p.attempts))...)
+	}
+}
--- /dev/null
+++ b/router/request.go
@@ -0,0 +1,227 @@
+package router
+
+import (
+	"bytes"
+	"encoding/hex"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"limehold/catalog"
+	"limehold/clock"
+	"limehold/wire"
+)
+
+// proxied is one caller's request on its way through the router.
+type proxied struct {
+	id         string
+	attempts   int
+	service    *service
+	route      *catalog.Route
+	repeatable bool
+	head       bool
+	shard      uint32
+	epoch      uint64
+	deadline   time.Duration
+	out        *fasthttp.Request
+	bodyUsed   bool
+	caller     net.Conn
+	started    time.Duration
+
+	mutex     sync.Mutex
+	upstream  *upstream
+	cancelled chan struct{}
+	gone      bool
+}
+
+// track notes the connection on which the request is, so that it can be closed
+// when the caller goes away. It returns false if the caller is gone already.
+func (p *proxied) track(conn *upstream) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.gone {
+		return false
+	}
+	p.upstream = conn
+	return true
+}
+
+func (p *proxied) untrack() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.upstream = nil
+}
+
+// cancel ends the request because its caller is gone. Closing the connection is
+// how the back end hears of it.
+func (p *proxied) cancel() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.gone {
+		return
+	}
+	p.gone = true
+	close(p.cancelled)
+	if p.upstream != nil {
+		p.upstream.close()
+	}
+}
+
+func (p *proxied) nextAttemptID() string {
+	p.attempts++
+	return p.id + "." + strconv.Itoa(p.attempts)
+}
+
+// maxRequestIDLength bounds a caller's own request ID.
+const maxRequestIDLength = 128
+
+// requestID takes the caller's ID for display and draws one of ours for the
+// attempts: a caller may use its own ID twice.
+func drawID() string {
+	var random [16]byte
+	for i := 0; i < len(random); i += 8 {
+		value := rand.Uint64()
+		for j := range 8 {
+			random[i+j] = byte(value >> (8 * j))
+		}
+	}
+	return hex.EncodeToString(random[:])
+}
+
+func callerID(request *fasthttp.RequestCtx, drawn string) string {
+	given := request.Request.Header.Peek(wire.HeaderRequestID)
+	if len(given) == 0 || len(given) > maxRequestIDLength {
+		return drawn
+	}
+	return string(given)
+}
+
+// prepare finds service, route, key and deadline of a request, or refuses it.
+func (r *Router) prepare(request *fasthttp.RequestCtx) (*proxied, refusal) {
+	if !plainPath(request.URI().PathOriginal()) {
+		return nil, refuseBadRequest
+	}
+	path := string(request.Path())
+	found, rest := r.table.find(string(request.Host()), path)
+	if found == nil {
+		return nil, refuseNoService
+	}
+	now := clock.Now()
+	p := &proxied{
+		id: drawID(), service: found, head: request.IsHead(), caller: request.Conn(),
+		started: now, cancelled: make(chan struct{}),
+	}
+	p.route, p.repeatable = found.spec.RouteFor(string(request.Method()), rest)
+	p.deadline = now + p.route.Timeout.Std()
+	if wanted, ok := callerTimeout(request); ok {
+		p.deadline = min(p.deadline, now+wanted)
+	}
+	if found.retiring {
+		return p, refuseRetiring
+	}
+	if !r.freshness.within(now, found.spec.StalenessBound.Std()) {
+		return p, refuseNotCurrent
+	}
+	if int64(request.Request.Header.ContentLength()) > p.route.MaxRequestBytes {
+		return p, refuseBodyTooBig
+	}
+	if found.spec.Keyed {
+		key := findKey(request, found.spec.Key, rest)
+		if len(key) == 0 {
+			return p, refuseNoKey
+		}
+		p.shard = shardOf(found, key)
+	}
+	return p, refusal{}
+}
+
+// plainPath refuses paths that the router and a back end might read differently.
+func plainPath(path []byte) bool {
+	if len(path) == 0 || path[0] != '/' {
+		return false
+	}
+	lower := bytes.ToLower(path)
+	for _, part := range []string{"//", "/./", "/../", "%2f", "%2e", "%5c", "%00", "\\"} {
+		if bytes.Contains(lower, []byte(part)) {
+			return false
+		}
+	}
+	return !bytes.HasSuffix(lower, []byte("/..")) && !bytes.HasSuffix(lower, []byte("/."))
+}
+
+func callerTimeout(request *fasthttp.RequestCtx) (time.Duration, bool) {
+	text := request.Request.Header.Peek(wire.HeaderTimeout)
+	if len(text) == 0 {
+		return 0, false
+	}
+	millis, err := strconv.ParseInt(string(text), 10, 32)
+	if err != nil || millis < 0 {
+		return 0, false
+	}
+	return time.Duration(millis) * time.Millisecond, true
+}
+
+func findKey(request *fasthttp.RequestCtx, rule catalog.KeyRule, rest string) []byte {
+	switch rule.Source {
+	case catalog.KeyFromHeader:
+		return request.Request.Header.Peek(rule.Name)
+	case catalog.KeyFromQuery:
+		return request.QueryArgs().Peek(rule.Name)
+	case catalog.KeyFromPath:
+		segments := strings.Split(strings.TrimPrefix(rest, "/"), "/")
+		if rule.Segment < len(segments) {
+			return []byte(segments[rule.Segment])
+		}
+	}
+	return nil
+}
+
+// hopByHop headers concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// buildOut makes the request that back ends get: the caller's, without
+// hop-by-hop headers and without anything that claims to be ours.
+func (r *Router) buildOut(request *fasthttp.RequestCtx, p *proxied) {
+	out := fasthttp.AcquireRequest()
+	request.Request.Header.CopyTo(&out.Header)
+	dropHeaders(&out.Header, request.Request.Header.Peek("Connection"))
+	out.SetRequestURIBytes(request.Request.RequestURI())
+	out.Header.SetHostBytes(request.Host())
+	out.Header.Set(wire.HeaderRequestID, callerID(request, p.id))
+	out.Header.Set(wire.HeaderService, p.service.name)
+	out.Header.Set(wire.HeaderShard, strconv.FormatUint(uint64(p.shard), 10))
+	if request.Request.IsBodyStream() {
+		out.SetBodyStream(&limitedBody{inner: request.RequestBodyStream(), left: p.route.MaxRequestBytes}, request.Request.Header.ContentLength())
+	} else {
+		out.SetBodyRaw(request.Request.Body())
+	}
+	p.out = out
+}
+
+func dropHeaders(header *fasthttp.RequestHeader, connection []byte) {
+	for _, name := range strings.Split(string(connection), ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			header.Del(name)
+		}
+	}
+	for _, name := range hopByHop {
+		header.Del(name)
+	}
+	var own []string
+	for name := range header.All() {
+		if len(name) >= len(wire.HeaderPrefix) && strings.EqualFold(string(name[:len(wire.HeaderPrefix)]), wire.HeaderPrefix) {
+			own = append(own, string(name))
+		}
+	}
+	for _, name := range own {
+		header.Del(name)
+	}
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,265 @@
+// Package router is the process between callers and back ends: it finds the
+// service, the key's shard and its owner, admits within limits, and passes the
+// answer on, telling truthfully what became of the request.
+package router
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"limehold/admission"
+	"limehold/clock"
+	"limehold/metrics"
+	"limehold/settings"
+	"limehold/transport"
+)
+
+// Options configures a router.
+type Options struct {
+	Settings settings.Settings
+	Logger   *zap.Logger
+	Metrics  *metrics.Registry
+	// TLS secures connections to control; nil: plain TCP.
+	TLS *tls.Config
+}
+
+// Router is one router process.
+type Router struct {
+	options   Options
+	logger    *zap.Logger
+	listener  net.Listener
+	admin     net.Listener
+	server    *fasthttp.Server
+	table     *table
+	upstreams *upstreams
+	hangups   *hangups
+	work      *workTable
+	freshness freshness
+	resync    atomic.Bool
+	draining  atomic.Bool
+	metrics   routerMetrics
+}
+
+type routerMetrics struct {
+	requests    *prometheus.CounterVec
+	retries     prometheus.Counter
+	budgetEmpty prometheus.Counter
+	cutAnswers  prometheus.Counter
+	latency     prometheus.Histogram
+}
+
+func (m *routerMetrics) count(outcome, reason string) {
+	m.requests.WithLabelValues(outcome, reason).Inc()
+}
+
+const (
+	// bufferedBody is the size in bytes up to which a request's body is kept,
+	// so that it can be sent again; longer ones are streamed and sent once.
+	bufferedBody = 256 << 10
+	// lameDuck is how long a stopping router still accepts connections while
+	// it asks callers to close theirs.
+	lameDuck     = time.Second
+	drainPoll    = 10 * time.Millisecond
+	adminTimeout = 5 * time.Second
+)
+
+// New opens the listeners. Run serves them.
+func New(options Options) (*Router, error) {
+	config := options.Settings
+	r := &Router{options: options, logger: options.Logger, upstreams: newUpstreams(), hangups: newHangups(), work: newWorkTable()}
+	policy := policyOf(config.Router.Balance)
+	r.table = newTable(func(name string) *pool { return newPool(name, policy) })
+	r.registerMetrics()
+	var err error
+	if r.listener, err = listen(config.Router); err != nil {
+		return nil, err
+	}
+	if r.admin, err = net.Listen("tcp", config.Admin.Listen); err != nil {
+		return nil, eris.Wrapf(err, "listen for operators on %s (admin.listen)", config.Admin.Listen)
+	}
+	r.server = &fasthttp.Server{
+		Handler: r.handle, ErrorHandler: r.handleBadRequest, NoDefaultServerHeader: true,
+		NoDefaultContentType: true, ReadBufferSize: config.Router.MaxHeaderBytes,
+		MaxRequestBodySize: bufferedBody, StreamRequestBody: true, Concurrency: config.Router.MaxConnections,
+		IdleTimeout: config.Router.IdleTimeout, DisablePreParseMultipartForm: true, CloseOnShutdown: true,
+		Logger: libraryLogger{r.logger},
+	}
+	return r, nil
+}
+
+func listen(config settings.Router) (net.Listener, error) {
+	listener, err := net.Listen("tcp", config.Listen)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen for callers on %s (router.listen)", config.Listen)
+	}
+	if config.Certificate == "" {
+		return listener, nil
+	}
+	secured, err := transport.LoadTLS(transport.Files{Certificate: config.Certificate, Key: config.Key})
+	if err != nil {
+		listener.Close()
+		return nil, err
+	}
+	return tls.NewListener(listener, secured), nil
+}
+
+func policyOf(balance string) admission.Policy {
+	switch balance {
+	case settings.BalanceRoundRobin:
+		return admission.PolicyRoundRobin
+	case settings.BalanceReported:
+		return admission.PolicyReportedLoad
+	}
+	return admission.PolicyOwnObservation
+}
+
+func (r *Router) registerMetrics() {
+	registry := r.options.Metrics
+	r.metrics = routerMetrics{
+		requests:    registry.CounterVec("router", "requests_total", "Requests answered, by outcome and reason.", "outcome", "reason"),
+		retries:     registry.Counter("router", "retries_total", "Attempts after the first of a request."),
+		budgetEmpty: registry.Counter("router", "retry_budget_empty_total", "Retries that were not made because the budget was spent."),
+		cutAnswers:  registry.Counter("router", "cut_answers_total", "Answers that a back end broke off after their head had been passed on."),
+		latency: registry.Histogram("router", "answer_seconds", "Time from a request's arrival to the head of its answer.",
+			[]float64{.0005, .001, .002, .005, .01, .015, .025, .05, .1, .25, .5, 1, 2.5, 5}),
+	}
+	registry.Gauge("router", "in_flight", "Requests under way.", func() float64 { return float64(r.hangups.count()) })
+	registry.Gauge("router", "configuration_age_seconds", "Age of the router's view of the configuration.", func() float64 { return r.freshness.age(clock.Now()).Seconds() })
+	registry.Gauge("router", "configuration_revision", "Revision in force.", func() float64 { return float64(r.table.inForce()) })
+}
+
+// Address is the callers' listener.
+func (r *Router) Address() string { return r.listener.Addr().String() }
+
+// AdminAddress is the operators' listener.
+func (r *Router) AdminAddress() string { return r.admin.Addr().String() }
+
+// Run serves until ctx ends, then finishes what is under way.
+func (r *Router) Run(ctx context.Context) error {
+	serveContext, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, serving := errgroup.WithContext(serveContext)
+	r.logger.Info("listening", zap.String("address", r.Address()), zap.String("admin", r.AdminAddress()),
+		zap.Bool("tls", r.options.Settings.Router.Certificate != ""), zap.Bool("control_tls", r.options.TLS != nil))
+	group.Go(func() error { return r.follow(serving) })
+	group.Go(func() error { return r.hangups.run(serving) })
+	group.Go(func() error { return r.sweep(serving) })
+	group.Go(func() error { return r.serveAdmin(serving) })
+	group.Go(func() error {
+		err := r.server.Serve(r.listener)
+		if r.draining.Load() {
+			return nil
+		}
+		return eris.Wrap(err, "serve callers")
+	})
+	group.Go(func() error {
+		select {
+		case <-serving.Done():
+		case <-ctx.Done():
+			r.drain()
+		}
+		stop()
+		return nil
+	})
+	err := group.Wait()
+	r.logger.Info("stopped")
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// drain asks callers to close their connections, then closes the listener and
+// waits for what is under way.
+func (r *Router) drain() {
+	r.logger.Info("draining", zap.Int("in_flight", r.hangups.count()))
+	r.draining.Store(true)
+	deadline := time.Now().Add(r.options.Settings.Router.DrainTimeout)
+	time.Sleep(lameDuck)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := r.server.ShutdownWithContext(ctx); err != nil {
+		r.logger.Warn("drain_incomplete", zap.Int("in_flight", r.hangups.count()), zap.Error(err))
+	}
+}
+
+func (r *Router) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			r.upstreams.sweep()
+		}
+	}
+}
+
+// handleBadRequest answers what the HTTP library could not read as a request.
+func (r *Router) handleBadRequest(request *fasthttp.RequestCtx, err error) {
+	refused := refuseBadRequest
+	var small *fasthttp.ErrSmallBuffer
+	if errors.As(err, &small) {
+		refused = refuseHeaderBig
+	}
+	r.refuse(request, drawID(), nil, refused)
+	request.SetConnectionClose()
+}
+
+// serveAdmin answers /metrics and /healthz.
+func (r *Router) serveAdmin(ctx context.Context) error {
+	server := &fasthttp.Server{Handler: r.handleAdmin, NoDefaultServerHeader: true, ReadTimeout: adminTimeout, IdleTimeout: adminTimeout}
+	go func() {
+		<-ctx.Done()
+		shutdown, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = server.ShutdownWithContext(shutdown)
+	}()
+	err := server.Serve(r.admin)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return eris.Wrap(err, "serve operators")
+}
+
+func (r *Router) handleAdmin(request *fasthttp.RequestCtx) {
+	switch string(request.Path()) {
+	case "/metrics":
+		text, err := r.options.Metrics.Text()
+		if err != nil {
+			request.Error(err.Error(), fasthttp.StatusInternalServerError)
+			return
+		}
+		request.SetContentType("text/plain; version=0.0.4")
+		request.SetBody(text)
+	case "/healthz":
+		// A balancer in front of the routers takes a draining or stale one out.
+		if r.draining.Load() || r.table.inForce() == 0 {
+			request.Error("draining or not ready\n", fasthttp.StatusServiceUnavailable)
+			return
+		}
+		request.SetBodyString("ok\n")
+	default:
+		request.Error("not found\n", fasthttp.StatusNotFound)
+	}
+}
+
+// libraryLogger passes the HTTP library's own messages on at debug level: they
+// are about single callers' connections.
+type libraryLogger struct{ logger *zap.Logger }
+
+// Printf implements fasthttp.Logger.
+func (l libraryLogger) Printf(format string, arguments ...any) {
+	l.logger.Sugar().Debugf(format, arguments...)
+}
--- /dev/null
+++ b/router/watch.go
@@ -0,0 +1,198 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"limehold/clock"
+	"limehold/codec"
+	"limehold/logging"
+	"limehold/transport"
+	"limehold/wire"
+)
+
+const (
+	watchTimeout   = 2 * time.Second
+	reconnectPause = 50 * time.Millisecond
+	reportEvery    = time.Second
+	// confirmTimeout bounds one question whether the view is current; a member
+	// that cannot answer within it is left for another.
+	confirmTimeout = 1500 * time.Millisecond
+)
+
+// freshness is how old the router's view may be at the most.
+//
+// Invariant: at asOf (a reading of this machine's clock), the table held every
+// change that had been accepted by then. It counts from the sending of the
+// question, so that a slow answer only makes the view older.
+type freshness struct {
+	mutex sync.Mutex
+	asOf  time.Duration
+	known bool
+	// waiting are confirmations whose revision has not arrived yet.
+	waiting []confirmation
+}
+
+type confirmation struct {
+	sentAt   time.Duration
+	revision uint64
+}
+
+func (f *freshness) within(now, bound time.Duration) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.known && now-f.asOf <= bound
+}
+
+func (f *freshness) age(now time.Duration) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if !f.known {
+		return time.Hour
+	}
+	return now - f.asOf
+}
+
+// confirm notes that a view at revision is as current as sentAt.
+func (f *freshness) confirm(next confirmation, inForce uint64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.waiting = append(f.waiting, next)
+	f.settle(inForce)
+}
+
+// arrived takes up a new revision in force.
+func (f *freshness) arrived(inForce uint64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.settle(inForce)
+}
+
+func (f *freshness) settle(inForce uint64) {
+	kept := f.waiting[:0]
+	for _, item := range f.waiting {
+		if item.revision > inForce {
+			kept = append(kept, item)
+			continue
+		}
+		f.asOf = max(f.asOf, item.sentAt)
+		f.known = true
+	}
+	f.waiting = kept
+}
+
+// follow keeps a subscription at one of the members, whichever answers.
+func (r *Router) follow(ctx context.Context) error {
+	addresses := r.options.Settings.Router.Control
+	for turn := 0; ctx.Err() == nil; turn++ {
+		address := addresses[turn%len(addresses)]
+		err := r.followOne(ctx, address)
+		if ctx.Err() != nil {
+			return nil
+		}
+		r.logger.Warn("control_connection_lost", logging.Step("follow configuration", address, err)...)
+		select {
+		case <-ctx.Done():
+		case <-time.After(reconnectPause):
+		}
+	}
+	return nil
+}
+
+func (r *Router) followOne(ctx context.Context, address string) error {
+	dialContext, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	conn, err := transport.Dial(dialContext, address, r, r.transportOptions())
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	request := &wire.Watch{
+		Router: r.options.Settings.Name, Zone: r.options.Settings.Zone,
+		Revision: r.table.inForce(), Services: r.options.Settings.Router.Services,
+	}
+	if r.resync.Swap(false) {
+		request.Revision = 0
+	}
+	if err := conn.Call(dialContext, wire.KindWatch, request, nil); err != nil {
+		return err
+	}
+	r.logger.Info("control_connected", zap.String("peer", conn.Peer.Name), zap.Uint64("revision", request.Revision))
+	return r.confirmLoop(ctx, conn)
+}
+
+// confirmLoop asks again and again whether the view is current, and reports
+// measured work along with it.
+func (r *Router) confirmLoop(ctx context.Context, conn *transport.Conn) error {
+	ticker := time.NewTicker(r.options.Settings.Router.ConfirmEvery)
+	defer ticker.Stop()
+	reported := time.Now()
+	for {
+		request := &wire.Confirm{Router: r.options.Settings.Name, Zone: r.options.Settings.Zone, Revision: r.table.inForce()}
+		if time.Since(reported) >= reportEvery {
+			reported = time.Now()
+			request.Work = r.work.take()
+		}
+		if err := r.confirmOnce(ctx, conn, request); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-conn.Done():
+			return transport.ErrClosed
+		case <-ticker.C:
+		}
+		if r.resync.Load() {
+			return eris.New("an update did not follow the last one: asking for a snapshot")
+		}
+	}
+}
+
+func (r *Router) confirmOnce(ctx context.Context, conn *transport.Conn, request *wire.Confirm) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	sentAt := clock.Now()
+	var reply wire.ConfirmReply
+	if err := conn.Call(ctx, wire.KindConfirm, request, &reply); err != nil {
+		return err
+	}
+	r.freshness.confirm(confirmation{sentAt: sentAt, revision: reply.Revision}, r.table.inForce())
+	return nil
+}
+
+// Inline implements transport.Handler: updates are applied in order.
+func (r *Router) Inline(wire.Kind) bool { return true }
+
+// Handle implements transport.Handler.
+func (r *Router) Handle(_ context.Context, conn *transport.Conn, kind wire.Kind, payload []byte) (any, error) {
+	if kind != wire.KindUpdate {
+		return nil, nil
+	}
+	update := &wire.Update{}
+	if err := codec.Unmarshal(payload, update); err != nil {
+		r.logger.Error("update_unreadable", logging.Step("decode update", conn.Peer.Name, err)...)
+		conn.Close()
+		return nil, err
+	}
+	if !r.table.apply(update) {
+		r.resync.Store(true)
+		return nil, nil
+	}
+	r.freshness.arrived(r.table.inForce())
+	return nil, nil
+}
+
+func (r *Router) transportOptions() transport.Options {
+	return transport.Options{
+		TLS: r.options.TLS,
+		Local: wire.Hello{
+			Version: wire.ProtocolVersion, Cluster: r.options.Settings.Cluster,
+			Role: wire.RoleRouter, Name: r.options.Settings.Name,
+		},
+	}
+}
--- /dev/null
+++ b/settings/validate.go
@@ -0,0 +1,177 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"limehold/catalog"
+)
+
+// Role selects the section that must be complete.
+type Role string
+
+// Roles.
+const (
+	RoleControl    Role = "control"
+	RoleRouter     Role = "router"
+	RoleAgent      Role = "agent"
+	RoleStandalone Role = "standalone"
+)
+
+// problem names a setting, its value and what would be right.
+func problem(path string, value any, want string) error {
+	return fmt.Errorf("setting %s is %q: %s", path, fmt.Sprint(value), want)
+}
+
+// Validate checks what the role needs and returns every problem at once.
+func (s *Settings) Validate(role Role) error {
+	problems := s.validateCommon()
+	switch role {
+	case RoleControl:
+		problems = append(problems, s.validateControl()...)
+	case RoleRouter:
+		problems = append(problems, s.validateRouter()...)
+	case RoleAgent:
+		problems = append(problems, s.validateAgent()...)
+	case RoleStandalone:
+	default:
+		problems = append(problems, problem("role", role, "use control, router, agent or standalone"))
+	}
+	return errors.Join(problems...)
+}
+
+type problemList []error
+
+func (l *problemList) require(ok bool, path string, value any, want string) {
+	if !ok {
+		*l = append(*l, problem(path, value, want))
+	}
+}
+
+func (l *problemList) address(path, value string, allowPortZero bool) {
+	if err := checkAddress(value, allowPortZero); err != nil {
+		*l = append(*l, problem(path, value, err.Error()))
+	}
+}
+
+// checkAddress wants an IP number and a port: names would need a resolver that
+// may be down when the fleet has to repair itself.
+func checkAddress(address string, allowPortZero bool) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return errors.New("use IP:port, for example 10.1.2.3:7000")
+	}
+	if net.ParseIP(host) == nil {
+		return errors.New("use an IP number in place of the host name")
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil || number < 0 || number > 65535 || number == 0 && !allowPortZero {
+		return errors.New("use a port from 1 to 65535")
+	}
+	return nil
+}
+
+func (s *Settings) validateCommon() problemList {
+	var problems problemList
+	problems.require(catalog.ValidName(s.Cluster), "cluster", s.Cluster, "use lower-case letters, digits and hyphens")
+	problems.require(catalog.ValidName(s.Name), "name", s.Name, "use 1 to 63 lower-case letters, digits and hyphens")
+	seen := map[string]bool{}
+	for i, zone := range s.Zones {
+		path := fmt.Sprintf("zones[%d]", i)
+		problems.require(catalog.ValidName(zone), path, zone, "use lower-case letters, digits and hyphens")
+		problems.require(!seen[zone], path, zone, "list each zone once")
+		seen[zone] = true
+	}
+	if s.Zone != "" && len(s.Zones) > 0 {
+		problems.require(slices.Contains(s.Zones, s.Zone), "zone", s.Zone, "use one of the zones: "+strings.Join(s.Zones, ", "))
+	}
+	problems.require(slices.Contains([]string{"debug", "info", "warn", "error"}, s.Log.Level), "log.level", s.Log.Level, "use debug, info, warn or error")
+	problems.address("admin.listen", s.Admin.Listen, true)
+	partial := s.TLS.Certificate != "" || s.TLS.Key != "" || s.TLS.Authorities != ""
+	whole := s.TLS.Certificate != "" && s.TLS.Key != "" && s.TLS.Authorities != ""
+	problems.require(!partial || whole, "tls", "incomplete", "give certificate, key and authorities together, or none of them")
+	return problems
+}
+
+func (s *Settings) validateControl() problemList {
+	var problems problemList
+	problems.require(s.DataFolder != "", "data_folder", s.DataFolder, "name a folder on a disk that survives restarts")
+	problems.address("control.listen", s.Control.Listen, true)
+	if s.Control.Advertise != "" {
+		problems.address("control.advertise", s.Control.Advertise, false)
+	}
+	problems = append(problems, s.validateMembers()...)
+	timing := s.Control.Timing
+	problems.require(timing.Heartbeat > 0, "control.timing.heartbeat", timing.Heartbeat, "use more than 0s")
+	problems.require(timing.ElectionMin >= 3*timing.Heartbeat, "control.timing.election_min", timing.ElectionMin, "use at least three heartbeats")
+	problems.require(timing.ElectionMax > timing.ElectionMin, "control.timing.election_max", timing.ElectionMax, "use more than control.timing.election_min")
+	problems.require(timing.DriftPermille >= 0 && timing.DriftPermille <= 100, "control.timing.drift_permille", timing.DriftPermille, "use 0 to 100")
+	problems.require(s.Control.RenewEvery > 0, "control.renew_every", s.Control.RenewEvery, "use more than 0s")
+	problems.require(s.Control.LeaseLength >= 3*s.Control.RenewEvery, "control.lease_length", s.Control.LeaseLength, "use at least three times control.renew_every")
+	problems.require(s.Control.PlaceEvery > 0, "control.place_every", s.Control.PlaceEvery, "use more than 0s")
+	problems.require(s.Control.SnapshotEvery >= 10, "control.snapshot_every", s.Control.SnapshotEvery, "use at least 10")
+	problems.require(s.Control.SegmentBytes >= 4096, "control.segment_bytes", s.Control.SegmentBytes, "use at least 4096")
+	problems.require(s.Control.PlatformEvery >= 10*time.Millisecond, "control.platform_every", s.Control.PlatformEvery, "use at least 10ms")
+	problems.require(slices.Contains([]string{PlacementWeighted, PlacementHash, PlacementGreedy}, s.Control.Placement), "control.placement", s.Control.Placement, "use weighted, hash or greedy")
+	problems.require(s.Control.LoadHalfLife > 0, "control.load_half_life", s.Control.LoadHalfLife, "use more than 0s")
+	return problems
+}
+
+func (s *Settings) validateMembers() problemList {
+	var problems problemList
+	seen := map[string]bool{}
+	own := s.Control.Join
+	for i, member := range s.Control.Members {
+		path := fmt.Sprintf("control.members[%d]", i)
+		problems.require(catalog.ValidName(member.Name), path+".name", member.Name, "use lower-case letters, digits and hyphens")
+		problems.require(!seen[member.Name], path+".name", member.Name, "list each member once")
+		problems.address(path+".address", member.Address, false)
+		seen[member.Name] = true
+		own = own || member.Name == s.Name
+	}
+	if len(s.Control.Members) > 0 {
+		problems.require(own, "control.members", s.Name, "list this member too, or set control.join: true")
+	}
+	return problems
+}
+
+func (s *Settings) validateControlAddresses(path string, addresses []string) problemList {
+	var problems problemList
+	problems.require(len(addresses) > 0, path, "", "list the addresses of the control members")
+	for i, address := range addresses {
+		problems.address(fmt.Sprintf("%s[%d]", path, i), address, false)
+	}
+	return problems
+}
+
+func (s *Settings) validateRouter() problemList {
+	problems := s.validateControlAddresses("router.control", s.Router.Control)
+	problems.require(catalog.ValidName(s.Zone), "zone", s.Zone, "name the zone in which this process runs")
+	problems.address("router.listen", s.Router.Listen, true)
+	problems.require(s.Router.ConfirmEvery >= 10*time.Millisecond, "router.confirm_every", s.Router.ConfirmEvery, "use at least 10ms")
+	problems.require(s.Router.MaxHeaderBytes >= 1024, "router.max_header_bytes", s.Router.MaxHeaderBytes, "use at least 1024")
+	problems.require(s.Router.MaxConnections >= 1, "router.max_connections", s.Router.MaxConnections, "use at least 1")
+	problems.require(slices.Contains([]string{BalanceOwn, BalanceRoundRobin, BalanceReported}, s.Router.Balance), "router.balance", s.Router.Balance, "use own_observation, round_robin or reported_load")
+	problems.require((s.Router.Certificate == "") == (s.Router.Key == ""), "router.certificate", s.Router.Certificate, "give certificate and key together, or neither")
+	return problems
+}
+
+func (s *Settings) validateAgent() problemList {
+	problems := s.validateControlAddresses("agent.control", s.Agent.Control)
+	problems.require(catalog.ValidName(s.Zone), "zone", s.Zone, "name the zone in which this process runs")
+	problems.address("agent.backend", s.Agent.Backend, false)
+	if s.Agent.Advertise != "" {
+		problems.address("agent.advertise", s.Agent.Advertise, false)
+	}
+	problems.require(catalog.ValidName(s.Agent.Pool), "agent.pool", s.Agent.Pool, "use lower-case letters, digits and hyphens")
+	problems.require(s.Agent.Slots >= 1, "agent.slots", s.Agent.Slots, "use at least 1")
+	problems.require(s.Agent.Connections >= 1, "agent.connections", s.Agent.Connections, "use at least 1")
+	problems.require(s.Agent.StopMode == StopDrain || s.Agent.StopMode == StopRestart, "agent.stop_mode", s.Agent.StopMode, "use drain or restart")
+	problems.require(s.Agent.ProbeEvery >= 10*time.Millisecond, "agent.probe_every", s.Agent.ProbeEvery, "use at least 10ms")
+	return problems
+}
--- /dev/null
+++ b/standalone/standalone.go
@@ -0,0 +1,76 @@
+// Package standalone runs one control member, one router and one agent in one
+// process, over loopback connections, with the same code as the separate ones.
+package standalone
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"limehold/agent"
+	"limehold/control"
+	"limehold/metrics"
+	"limehold/router"
+	"limehold/settings"
+)
+
+// Process is the three of them.
+type Process struct {
+	member *control.Member
+	router *router.Router
+	agent  *agent.Agent
+}
+
+// New completes the settings with the addresses of the parts and builds them.
+func New(config settings.Settings, logger *zap.Logger) (*Process, error) {
+	config.Control.Members = nil
+	if config.Zone == "" {
+		config.Zone = "local"
+	}
+	if err := config.Validate(settings.RoleControl); err != nil {
+		return nil, err
+	}
+	process := &Process{}
+	var err error
+	if process.member, err = control.New(control.Options{Settings: config, Logger: logger.With(zap.String("part", "control")), Metrics: metrics.New()}); err != nil {
+		return nil, err
+	}
+	// The operators' address that the settings name is control's.
+	config.Admin.Listen = settings.Default().Admin.Listen
+	config.Router.Control = []string{process.member.Address()}
+	if err := config.Validate(settings.RoleRouter); err != nil {
+		return nil, err
+	}
+	if process.router, err = router.New(router.Options{Settings: config, Logger: logger.With(zap.String("part", "router")), Metrics: metrics.New()}); err != nil {
+		return nil, err
+	}
+	if config.Agent.Backend == "" {
+		return process, nil
+	}
+	config.Agent.Control = config.Router.Control
+	if err := config.Validate(settings.RoleAgent); err != nil {
+		return nil, err
+	}
+	process.agent, err = agent.New(agent.Options{Settings: config, Logger: logger.With(zap.String("part", "agent")), Metrics: metrics.New()})
+	return process, err
+}
+
+// Run runs the parts until ctx ends; the agent and the router stop before control.
+func (p *Process) Run(ctx context.Context) error {
+	controlContext, stopControl := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopControl()
+	var front errgroup.Group
+	front.Go(func() error { return p.router.Run(ctx) })
+	if p.agent != nil {
+		front.Go(func() error { return p.agent.Run(ctx) })
+	}
+	var back errgroup.Group
+	back.Go(func() error { return p.member.Run(controlContext) })
+	err := front.Wait()
+	stopControl()
+	if controlErr := back.Wait(); err == nil {
+		err = controlErr
+	}
+	return err
+}
--- /dev/null
+++ b/transport/conn.go
@@ -0,0 +1,390 @@
+// Package transport carries frames between limehold's own processes over TCP,
+// or TLS where it is set up. A frame is: length uint32, kind uint8, call uint64
+// (zero for one-way frames), payload. The first frame in each direction is a
+// Hello; a peer of another version or cluster is refused by name.
+package transport
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"limehold/codec"
+	"limehold/wire"
+)
+
+const (
+	frameHeader = 4 + 1 + 8
+	// MaxFrame bounds a frame's payload in bytes; snapshots are the largest.
+	MaxFrame      = 256 << 20
+	queueLength   = 1024
+	bufferSize    = 64 << 10
+	helloPatience = 3 * time.Second
+	writePatience = 5 * time.Second
+	keepAlive     = 5 * time.Second
+)
+
+// Errors of a connection.
+var (
+	ErrClosed    = errors.New("the connection is closed")
+	ErrQueueFull = errors.New("the peer reads too slowly: the send queue is full")
+)
+
+// Handler takes the frames that a peer sends. For a call it returns the reply's
+// payload; for a one-way frame the return values are ignored.
+type Handler interface {
+	// Inline reports whether frames of the kind are handled on the reading
+	// goroutine, in order. Such handlers must not block.
+	Inline(kind wire.Kind) bool
+	// Handle carries out a frame.
+	Handle(ctx context.Context, conn *Conn, kind wire.Kind, payload []byte) (any, error)
+}
+
+// Conn is one connection with the hello done.
+type Conn struct {
+	// Local and Peer are the two sides' hellos.
+	Local wire.Hello
+	Peer  wire.Hello
+
+	raw      net.Conn
+	reader   *bufio.Reader
+	queue    chan frame
+	ctx      context.Context
+	cancel   context.CancelFunc
+	handler  Handler
+	nextCall atomic.Uint64
+	mutex    sync.Mutex
+	calls    map[uint64]chan frame
+	sent     atomic.Uint64
+	received atomic.Uint64
+}
+
+type frame struct {
+	kind    wire.Kind
+	call    uint64
+	payload []byte
+}
+
+func newConn(raw net.Conn, local wire.Hello, handler Handler) *Conn {
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		_ = tcp.SetKeepAlivePeriod(keepAlive)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Conn{
+		Local: local, raw: raw, reader: bufio.NewReaderSize(raw, bufferSize),
+		queue: make(chan frame, queueLength), ctx: ctx, cancel: cancel,
+		handler: handler, calls: map[uint64]chan frame{},
+	}
+}
+
+// greet exchanges hellos. The dialing side speaks first.
+func (c *Conn) greet(dialed bool) error {
+	deadline := time.Now().Add(helloPatience)
+	if err := c.raw.SetDeadline(deadline); err != nil {
+		return eris.Wrap(err, "set hello deadline")
+	}
+	if dialed {
+		if err := c.writeHello(); err != nil {
+			return err
+		}
+	}
+	first, err := c.readFrame()
+	if err != nil {
+		return eris.Wrapf(err, "read hello from %s", c.raw.RemoteAddr())
+	}
+	if first.kind != wire.KindHello {
+		return eris.Errorf("%s sent frame kind %d in place of a hello", c.raw.RemoteAddr(), first.kind)
+	}
+	if err := codec.Unmarshal(first.payload, &c.Peer); err != nil {
+		return eris.Wrapf(err, "hello from %s", c.raw.RemoteAddr())
+	}
+	if !dialed {
+		if err := c.writeHello(); err != nil {
+			return err
+		}
+	}
+	if err := c.checkPeer(); err != nil {
+		return err
+	}
+	return eris.Wrap(c.raw.SetDeadline(time.Time{}), "clear hello deadline")
+}
+
+func (c *Conn) writeHello() error {
+	payload, err := codec.Marshal(&c.Local)
+	if err != nil {
+		return err
+	}
+	var header [frameHeader]byte
+	putHeader(header[:], frame{kind: wire.KindHello, payload: payload})
+	_, err = c.raw.Write(append(header[:], payload...))
+	return eris.Wrapf(err, "write hello to %s", c.raw.RemoteAddr())
+}
+
+func (c *Conn) checkPeer() error {
+	if c.Peer.Version != wire.ProtocolVersion {
+		return eris.Errorf("peer %s (%s) speaks protocol version %d, this process speaks %d", c.Peer.Name, c.raw.RemoteAddr(), c.Peer.Version, wire.ProtocolVersion)
+	}
+	if c.Peer.Cluster != c.Local.Cluster {
+		return eris.Errorf("peer %s (%s) belongs to cluster %q, this process to %q", c.Peer.Name, c.raw.RemoteAddr(), c.Peer.Cluster, c.Local.Cluster)
+	}
+	return checkCertificate(c.raw, c.Peer)
+}
+
+// checkCertificate requires that a TLS peer's certificate carries the name and
+// role that its hello claims: common name "role:name".
+func checkCertificate(raw net.Conn, peer wire.Hello) error {
+	secured, ok := raw.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	certificates := secured.ConnectionState().PeerCertificates
+	if len(certificates) == 0 {
+		return eris.Errorf("peer %s presented no certificate", peer.Name)
+	}
+	claimed := string(peer.Role) + ":" + peer.Name
+	if certified := certificates[0].Subject.CommonName; certified != claimed {
+		return eris.Errorf("peer claims to be %q but its certificate is for %q", claimed, certified)
+	}
+	return nil
+}
+
+func putHeader(header []byte, f frame) {
+	binary.LittleEndian.PutUint32(header[0:4], uint32(len(f.payload)))
+	header[4] = byte(f.kind)
+	binary.LittleEndian.PutUint64(header[5:13], f.call)
+}
+
+func (c *Conn) readFrame() (frame, error) { return readFrame(c.reader) }
+
+// readFrame reads one frame and refuses lengths above MaxFrame. Memory grows
+// with what arrives, not with what the header claims.
+func readFrame(reader io.Reader) (frame, error) {
+	var header [frameHeader]byte
+	if _, err := io.ReadFull(reader, header[:]); err != nil {
+		return frame{}, err
+	}
+	length := binary.LittleEndian.Uint32(header[0:4])
+	if length > MaxFrame {
+		return frame{}, eris.Errorf("frame of %d bytes exceeds the limit of %d", length, MaxFrame)
+	}
+	payload, err := readPayload(reader, int(length))
+	if err != nil {
+		return frame{}, err
+	}
+	return frame{kind: wire.Kind(header[4]), call: binary.LittleEndian.Uint64(header[5:13]), payload: payload}, nil
+}
+
+func readPayload(reader io.Reader, length int) ([]byte, error) {
+	const trusted = 1 << 20
+	payload := make([]byte, min(length, trusted))
+	if _, err := io.ReadFull(reader, payload); err != nil {
+		return nil, err
+	}
+	for len(payload) < length {
+		step := min(length-len(payload), len(payload))
+		start := len(payload)
+		payload = append(payload, make([]byte, step)...)
+		if _, err := io.ReadFull(reader, payload[start:]); err != nil {
+			return nil, err
+		}
+	}
+	return payload, nil
+}
+
+// run serves the connection until it fails or is closed.
+func (c *Conn) run() {
+	go c.writeLoop()
+	c.readLoop()
+	c.Close()
+}
+
+func (c *Conn) readLoop() {
+	for {
+		received, err := c.readFrame()
+		if err != nil {
+			return
+		}
+		c.received.Add(uint64(frameHeader + len(received.payload)))
+		switch {
+		case received.kind == wire.KindReply || received.kind == wire.KindErrorReply:
+			c.deliver(received)
+		case c.handler == nil:
+		case c.handler.Inline(received.kind):
+			c.serve(received)
+		default:
+			go c.serve(received)
+		}
+	}
+}
+
+func (c *Conn) serve(request frame) {
+	reply, err := c.handler.Handle(c.ctx, c, request.kind, request.payload)
+	if request.call == 0 {
+		return
+	}
+	answer := frame{kind: wire.KindReply, call: request.call}
+	if err != nil {
+		answer.kind = wire.KindErrorReply
+		reply = c.wireError(err)
+	}
+	if answer.payload, err = codec.Marshal(reply); err != nil {
+		answer.kind = wire.KindErrorReply
+		answer.payload = codec.MustMarshal(c.wireError(err))
+	}
+	_ = c.enqueue(answer)
+}
+
+func (c *Conn) wireError(err error) *wire.Error {
+	var typed *wire.Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return &wire.Error{Code: wire.CodeInternal, Message: err.Error(), Step: "handle request", Peer: c.Local.Name}
+}
+
+func (c *Conn) deliver(reply frame) {
+	c.mutex.Lock()
+	waiter := c.calls[reply.call]
+	delete(c.calls, reply.call)
+	c.mutex.Unlock()
+	if waiter != nil {
+		waiter <- reply
+	}
+}
+
+func (c *Conn) writeLoop() {
+	writer := bufio.NewWriterSize(c.raw, bufferSize)
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case next := <-c.queue:
+			if err := c.writeBatch(writer, next); err != nil {
+				c.Close()
+				return
+			}
+		}
+	}
+}
+
+// writeBatch writes a frame and all that wait behind it in one go.
+func (c *Conn) writeBatch(writer *bufio.Writer, next frame) error {
+	if err := c.raw.SetWriteDeadline(time.Now().Add(writePatience)); err != nil {
+		return err
+	}
+	for {
+		var header [frameHeader]byte
+		putHeader(header[:], next)
+		if _, err := writer.Write(header[:]); err != nil {
+			return err
+		}
+		if _, err := writer.Write(next.payload); err != nil {
+			return err
+		}
+		c.sent.Add(uint64(frameHeader + len(next.payload)))
+		select {
+		case next = <-c.queue:
+		default:
+			return writer.Flush()
+		}
+	}
+}
+
+func (c *Conn) enqueue(f frame) error {
+	select {
+	case <-c.ctx.Done():
+		return ErrClosed
+	default:
+	}
+	select {
+	case c.queue <- f:
+		return nil
+	default:
+		return ErrQueueFull
+	}
+}
+
+// Send queues a one-way frame. It never blocks; ErrQueueFull drops the frame.
+func (c *Conn) Send(kind wire.Kind, message any) error {
+	payload, err := codec.Marshal(message)
+	if err != nil {
+		return err
+	}
+	return c.SendEncoded(kind, payload)
+}
+
+// SendEncoded is Send for a payload that is already encoded.
+func (c *Conn) SendEncoded(kind wire.Kind, payload []byte) error {
+	return c.enqueue(frame{kind: kind, payload: payload})
+}
+
+// Call sends a request and decodes the reply into reply, a pointer. An error of
+// the peer is a *wire.Error; any other error leaves open whether the peer has
+// carried out the request.
+func (c *Conn) Call(ctx context.Context, kind wire.Kind, request, reply any) error {
+	payload, err := codec.Marshal(request)
+	if err != nil {
+		return err
+	}
+	call := c.nextCall.Add(1)
+	waiter := make(chan frame, 1)
+	c.mutex.Lock()
+	c.calls[call] = waiter
+	c.mutex.Unlock()
+	defer c.forget(call)
+	if err := c.enqueue(frame{kind: kind, call: call, payload: payload}); err != nil {
+		return eris.Wrapf(err, "send request kind %d to %s", kind, c.Peer.Name)
+	}
+	select {
+	case answer := <-waiter:
+		return decodeReply(answer, reply)
+	case <-c.ctx.Done():
+		return eris.Wrapf(ErrClosed, "wait for answer of %s to request kind %d", c.Peer.Name, kind)
+	case <-ctx.Done():
+		return eris.Wrapf(ctx.Err(), "wait for answer of %s to request kind %d", c.Peer.Name, kind)
+	}
+}
+
+func decodeReply(answer frame, reply any) error {
+	if answer.kind == wire.KindErrorReply {
+		failure := &wire.Error{}
+		if err := codec.Unmarshal(answer.payload, failure); err != nil {
+			return err
+		}
+		return failure
+	}
+	if reply == nil {
+		return nil
+	}
+	return codec.Unmarshal(answer.payload, reply)
+}
+
+func (c *Conn) forget(call uint64) {
+	c.mutex.Lock()
+	delete(c.calls, call)
+	c.mutex.Unlock()
+}
+
+// Close ends the connection; waiting calls fail with ErrClosed.
+func (c *Conn) Close() {
+	c.cancel()
+	c.raw.Close()
+}
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.ctx.Done() }
+
+// RemoteAddr is the peer's network address.
+func (c *Conn) RemoteAddr() string { return c.raw.RemoteAddr().String() }
+
+// Bytes returns the payload and header bytes sent and received so far.
+func (c *Conn) Bytes() (sent, received uint64) { return c.sent.Load(), c.received.Load() }
--- /dev/null
+++ b/wal/snapshot.go
@@ -0,0 +1,132 @@
+package wal
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"limehold/codec"
+	"limehold/consensus"
+)
+
+const (
+	snapshotSuffix  = ".snapshot"
+	temporarySuffix = ".tmp"
+	snapshotsKept   = 2
+)
+
+// SaveSnapshot writes a snapshot under a temporary name, syncs it, renames it,
+// and syncs the folder; then it removes all but the newest two.
+func SaveSnapshot(folder string, snapshot consensus.Snapshot) error {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return eris.Wrapf(err, "create snapshot folder %s", folder)
+	}
+	payload, err := codec.Marshal(&snapshot)
+	if err != nil {
+		return eris.Wrap(err, "encode snapshot")
+	}
+	name := fmt.Sprintf("%016x%s", snapshot.Index, snapshotSuffix)
+	if err := WriteFileDurably(filepath.Join(folder, name), checksummed(payload)); err != nil {
+		return err
+	}
+	return removeOldSnapshots(folder)
+}
+
+func checksummed(payload []byte) []byte {
+	data := binary.LittleEndian.AppendUint32(make([]byte, 0, len(payload)+4), crc32.Checksum(payload, castagnoli))
+	return append(data, payload...)
+}
+
+// WriteFileDurably replaces a file so that, after a crash, either the old or
+// the new content is there, whole.
+func WriteFileDurably(path string, data []byte) error {
+	temporary := path + temporarySuffix
+	file, err := os.OpenFile(temporary, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
+	if err != nil {
+		return eris.Wrapf(err, "create %s", temporary)
+	}
+	if _, err := file.Write(data); err != nil {
+		file.Close()
+		return eris.Wrapf(err, "write %s", temporary)
+	}
+	if err := file.Sync(); err != nil {
+		file.Close()
+		return eris.Wrapf(err, "sync %s", temporary)
+	}
+	if err := file.Close(); err != nil {
+		return eris.Wrapf(err, "close %s", temporary)
+	}
+	if err := os.Rename(temporary, path); err != nil {
+		return eris.Wrapf(err, "rename %s", temporary)
+	}
+	return SyncFolder(filepath.Dir(path))
+}
+
+func snapshotNames(folder string) ([]string, error) {
+	files, err := os.ReadDir(folder)
+	if os.IsNotExist(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, eris.Wrapf(err, "list snapshot folder %s", folder)
+	}
+	var names []string
+	for _, file := range files {
+		if strings.HasSuffix(file.Name(), snapshotSuffix) {
+			names = append(names, file.Name())
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func removeOldSnapshots(folder string) error {
+	names, err := snapshotNames(folder)
+	if err != nil {
+		return err
+	}
+	for _, name := range names[:max(0, len(names)-snapshotsKept)] {
+		if err := os.Remove(filepath.Join(folder, name)); err != nil {
+			return eris.Wrapf(err, "remove old snapshot %s", name)
+		}
+	}
+	return nil
+}
+
+// LoadSnapshot returns the newest snapshot; found is false when there is none.
+// A damaged newest snapshot is an error: the log may already have been cut to it.
+func LoadSnapshot(folder string) (snapshot consensus.Snapshot, found bool, err error) {
+	names, err := snapshotNames(folder)
+	if err != nil || len(names) == 0 {
+		return consensus.Snapshot{}, false, err
+	}
+	snapshot, err = ReadSnapshot(filepath.Join(folder, names[len(names)-1]))
+	return snapshot, err == nil, err
+}
+
+// ReadSnapshot reads and checks one snapshot file.
+func ReadSnapshot(path string) (consensus.Snapshot, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return consensus.Snapshot{}, eris.Wrapf(err, "read snapshot %s", path)
+	}
+	const checksumSize = 4
+	if len(data) < checksumSize {
+		return consensus.Snapshot{}, eris.Wrapf(ErrCorrupt, "snapshot %s is %d bytes long", path, len(data))
+	}
+	payload := data[checksumSize:]
+	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(data) {
+		return consensus.Snapshot{}, eris.Wrapf(ErrCorrupt, "snapshot %s has a wrong checksum", path)
+	}
+	var snapshot consensus.Snapshot
+	if err := codec.Unmarshal(payload, &snapshot); err != nil {
+		return consensus.Snapshot{}, eris.Wrapf(ErrCorrupt, "decode snapshot %s: %v", path, err)
+	}
+	return snapshot, nil
+}
--- /dev/null
+++ b/wal/wal.go
@@ -0,0 +1,414 @@
+// Package wal keeps a member's durable state in one folder: the identity file,
+// the segments of the log, and the newest snapshots. A record counts only once
+// Sync has returned; recovery stops with an error rather than go on with less
+// than was acknowledged.
+//
+// Record layout, little endian: length uint32, checksum uint32 (CRC-32C over
+// the payload), payload (msgpack). A record whose bytes end before its length
+// is a torn tail and is cut off if it is the last thing in the last segment;
+// every other mismatch is ErrCorrupt.
+package wal
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"limehold/codec"
+	"limehold/consensus"
+)
+
+const (
+	headerSize         = 8
+	maxRecordSize      = 256 << 20
+	defaultSegmentSize = 64 << 20
+	segmentSuffix      = ".wal"
+	folderMode         = 0o750
+	fileMode           = 0o640
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// ErrCorrupt says that the log holds damage other than a torn tail.
+var ErrCorrupt = errors.New("the log is damaged")
+
+// record is the unit of the log: a hard state, an entry, or a reset.
+type record struct {
+	HardState *consensus.HardState
+	Entry     *consensus.Entry
+	// Reset drops every entry read so far: a snapshot from the leader took the
+	// place of a log that did not agree with it.
+	Reset bool
+}
+
+// Options configures a log.
+type Options struct {
+	// Folder holds the segments; it is created when missing.
+	Folder string
+	// SegmentSize in bytes after which a new segment is begun. Default 64 MiB.
+	SegmentSize int64
+}
+
+// Log is the durable log of one member. It is not safe for concurrent use.
+type Log struct {
+	options  Options
+	file     *os.File
+	size     int64
+	sequence uint64
+	segments []segment
+	buffer   bytes.Buffer
+	hard     consensus.HardState
+	failed   error
+}
+
+type segment struct {
+	sequence  uint64
+	lastIndex uint64
+}
+
+// Recovered is what was found in the folder.
+type Recovered struct {
+	HardState consensus.HardState
+	// Entries follow each other without gaps; they may begin before the snapshot.
+	Entries []consensus.Entry
+	// TornBytes were cut off the end; they had never been acknowledged.
+	TornBytes int64
+}
+
+// Open recovers the folder and returns a log ready for appending.
+func Open(options Options) (*Log, Recovered, error) {
+	if options.SegmentSize <= 0 {
+		options.SegmentSize = defaultSegmentSize
+	}
+	if err := os.MkdirAll(options.Folder, folderMode); err != nil {
+		return nil, Recovered{}, eris.Wrapf(err, "create log folder %s", options.Folder)
+	}
+	log := &Log{options: options}
+	recovered, err := log.recover()
+	if err != nil {
+		return nil, Recovered{}, err
+	}
+	log.hard = recovered.HardState
+	if err := log.startSegment(); err != nil {
+		return nil, Recovered{}, err
+	}
+	return log, recovered, nil
+}
+
+func segmentName(sequence uint64) string { return fmt.Sprintf("%016x%s", sequence, segmentSuffix) }
+
+func (l *Log) recover() (Recovered, error) {
+	names, err := segmentNames(l.options.Folder)
+	if err != nil {
+		return Recovered{}, err
+	}
+	var recovered Recovered
+	for i, name := range names {
+		var sequence uint64
+		if _, err := fmt.Sscanf(name, "%016x"+segmentSuffix, &sequence); err != nil {
+			return Recovered{}, eris.Wrapf(err, "log folder %s holds a file with an unexpected name %q", l.options.Folder, name)
+		}
+		path := filepath.Join(l.options.Folder, name)
+		if err := recoverSegment(path, i == len(names)-1, &recovered); err != nil {
+			return Recovered{}, err
+		}
+		last := segment{sequence: sequence}
+		if count := len(recovered.Entries); count > 0 {
+			last.lastIndex = recovered.Entries[count-1].Index
+		}
+		l.segments = append(l.segments, last)
+		l.sequence = sequence
+	}
+	return recovered, nil
+}
+
+func segmentNames(folder string) ([]string, error) {
+	files, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, eris.Wrapf(err, "list log folder %s", folder)
+	}
+	var names []string
+	for _, file := range files {
+		if strings.HasSuffix(file.Name(), segmentSuffix) {
+			names = append(names, file.Name())
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func recoverSegment(path string, last bool, recovered *Recovered) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return eris.Wrapf(err, "open log segment %s", path)
+	}
+	defer file.Close()
+	info, err := file.Stat()
+	if err != nil {
+		return eris.Wrapf(err, "inspect log segment %s", path)
+	}
+	reader := bufio.NewReaderSize(file, 1<<20)
+	var offset int64
+	for {
+		payload, err := readRecord(reader, info.Size()-offset)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if errors.Is(err, io.ErrUnexpectedEOF) && last {
+			recovered.TornBytes = info.Size() - offset
+			return cutTail(path, offset)
+		}
+		if err != nil {
+			return eris.Wrapf(ErrCorrupt, "log segment %s at byte %d: %v; replace this member, do not copy files", path, offset, err)
+		}
+		if err := recovered.take(payload); err != nil {
+			return eris.Wrapf(err, "log segment %s at byte %d", path, offset)
+		}
+		offset += headerSize + int64(len(payload))
+	}
+}
+
+// readRecord returns io.ErrUnexpectedEOF for a torn record, io.EOF at the end.
+// Records are written in one write, in order: a tail that is torn is short, or
+// is filled with zeros by the file system. A complete record with a wrong
+// checksum is damage, not a torn write.
+func readRecord(reader io.Reader, remaining int64) ([]byte, error) {
+	if remaining == 0 {
+		return nil, io.EOF
+	}
+	var header [headerSize]byte
+	if _, err := io.ReadFull(reader, header[:]); err != nil {
+		return nil, io.ErrUnexpectedEOF
+	}
+	length := binary.LittleEndian.Uint32(header[0:4])
+	checksum := binary.LittleEndian.Uint32(header[4:8])
+	if length == 0 && checksum == 0 {
+		return nil, zeroTail(reader)
+	}
+	if length == 0 || length > maxRecordSize {
+		return nil, fmt.Errorf("record length %d is outside 1..%d", length, maxRecordSize)
+	}
+	if int64(length) > remaining-headerSize {
+		return nil, io.ErrUnexpectedEOF
+	}
+	payload := make([]byte, length)
+	if _, err := io.ReadFull(reader, payload); err != nil {
+		return nil, err
+	}
+	if found := crc32.Checksum(payload, castagnoli); found != checksum {
+		return nil, fmt.Errorf("checksum is %08x, the record says %08x", found, checksum)
+	}
+	return payload, nil
+}
+
+// zeroTail returns io.ErrUnexpectedEOF when only zero bytes follow.
+func zeroTail(reader io.Reader) error {
+	rest, err := io.ReadAll(reader)
+	if err != nil {
+		return err
+	}
+	if bytes.Count(rest, []byte{0}) != len(rest) {
+		return errors.New("a record header of zeros stands before further records")
+	}
+	return io.ErrUnexpectedEOF
+}
+
+func cutTail(path string, offset int64) error {
+	file, err := os.OpenFile(path, os.O_WRONLY, fileMode)
+	if err != nil {
+		return eris.Wrapf(err, "open log segment %s to cut its torn tail", path)
+	}
+	defer file.Close()
+	if err := file.Truncate(offset); err != nil {
+		return eris.Wrapf(err, "cut torn tail of log segment %s", path)
+	}
+	return eris.Wrapf(file.Sync(), "sync log segment %s", path)
+}
+
+func (r *Recovered) take(payload []byte) error {
+	var decoded record
+	if err := codec.Unmarshal(payload, &decoded); err != nil {
+		return eris.Wrapf(ErrCorrupt, "decode record: %v", err)
+	}
+	if decoded.HardState != nil {
+		r.HardState = *decoded.HardState
+	}
+	if decoded.Reset {
+		r.Entries = nil
+	}
+	if decoded.Entry == nil {
+		return nil
+	}
+	return r.takeEntry(*decoded.Entry)
+}
+
+// takeEntry appends, or replaces from the entry's index on.
+func (r *Recovered) takeEntry(entry consensus.Entry) error {
+	if len(r.Entries) > 0 {
+		first := r.Entries[0].Index
+		next := r.Entries[len(r.Entries)-1].Index + 1
+		switch {
+		case entry.Index > next:
+			return eris.Wrapf(ErrCorrupt, "entry %d follows entry %d", entry.Index, next-1)
+		case entry.Index < first:
+			r.Entries = r.Entries[:0]
+		case entry.Index < next:
+			r.Entries = r.Entries[:entry.Index-first]
+		}
+	}
+	r.Entries = append(r.Entries, entry)
+	return nil
+}
+
+func (l *Log) startSegment() error {
+	if l.file != nil {
+		if err := l.file.Close(); err != nil {
+			return l.fail(eris.Wrap(err, "close log segment"))
+		}
+	}
+	l.sequence++
+	path := filepath.Join(l.options.Folder, segmentName(l.sequence))
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, fileMode)
+	if err != nil {
+		return l.fail(eris.Wrapf(err, "create log segment %s", path))
+	}
+	l.file = file
+	l.size = 0
+	l.segments = append(l.segments, segment{sequence: l.sequence})
+	// Each segment begins with the hard state, so that older ones can go.
+	if err := l.write(record{HardState: &l.hard}); err != nil {
+		return err
+	}
+	if err := l.flush(); err != nil {
+		return err
+	}
+	return l.fail(SyncFolder(l.options.Folder))
+}
+
+// SyncFolder makes the creation, renaming and removal of files in a folder durable.
+func SyncFolder(folder string) error {
+	handle, err := os.Open(folder)
+	if err != nil {
+		return eris.Wrapf(err, "open folder %s", folder)
+	}
+	defer handle.Close()
+	return eris.Wrapf(handle.Sync(), "sync folder %s", folder)
+}
+
+// Append writes a hard state (may be nil) and entries, and returns once they
+// are synced. After an error the log refuses all further work: what reached
+// the disk is unknown until the folder is recovered.
+func (l *Log) Append(hard *consensus.HardState, entries []consensus.Entry) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	if hard != nil {
+		l.hard = *hard
+		if err := l.write(record{HardState: hard}); err != nil {
+			return err
+		}
+	}
+	for i := range entries {
+		if err := l.write(record{Entry: &entries[i]}); err != nil {
+			return err
+		}
+		l.segments[len(l.segments)-1].lastIndex = entries[i].Index
+	}
+	if err := l.flush(); err != nil {
+		return err
+	}
+	if l.size >= l.options.SegmentSize {
+		return l.startSegment()
+	}
+	return nil
+}
+
+// Reset voids all entries written so far, after a snapshot from the leader has
+// become durable in their place.
+func (l *Log) Reset() error {
+	if l.failed != nil {
+		return l.failed
+	}
+	if err := l.write(record{Reset: true}); err != nil {
+		return err
+	}
+	return l.flush()
+}
+
+// RemoveBefore removes segments that hold only entries before index.
+func (l *Log) RemoveBefore(index uint64) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	return l.removeBefore(index)
+}
+
+func (l *Log) removeBefore(keepFrom uint64) error {
+	kept := l.segments[:0]
+	removed := false
+	prefix := true
+	for i, old := range l.segments {
+		prefix = prefix && old.lastIndex < keepFrom && i < len(l.segments)-1
+		if !prefix {
+			kept = append(kept, old)
+			continue
+		}
+		path := filepath.Join(l.options.Folder, segmentName(old.sequence))
+		if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return l.fail(eris.Wrapf(err, "remove log segment %s", path))
+		}
+		removed = true
+	}
+	l.segments = kept
+	if !removed {
+		return nil
+	}
+	return l.fail(SyncFolder(l.options.Folder))
+}
+
+func (l *Log) write(item record) error {
+	payload, err := codec.Marshal(&item)
+	if err != nil {
+		return l.fail(eris.Wrap(err, "encode log record"))
+	}
+	var header [headerSize]byte
+	binary.LittleEndian.PutUint32(header[0:4], uint32(len(payload)))
+	binary.LittleEndian.PutUint32(header[4:8], crc32.Checksum(payload, castagnoli))
+	l.buffer.Write(header[:])
+	l.buffer.Write(payload)
+	return nil
+}
+
+func (l *Log) flush() error {
+	written, err := l.file.Write(l.buffer.Bytes())
+	l.buffer.Reset()
+	if err != nil {
+		return l.fail(eris.Wrapf(err, "write log segment %s (disk full?)", l.file.Name()))
+	}
+	l.size += int64(written)
+	if err := l.file.Sync(); err != nil {
+		return l.fail(eris.Wrapf(err, "sync log segment %s", l.file.Name()))
+	}
+	return nil
+}
+
+// fail remembers the first error; nil passes through.
+func (l *Log) fail(err error) error {
+	if err != nil && l.failed == nil {
+		l.failed = err
+	}
+	return err
+}
+
+// Close closes the current segment. Everything appended is already synced.
+func (l *Log) Close() error { return eris.Wrap(l.file.Close(), "close log segment") }
--- /dev/null
+++ b/wire/backend.go
@@ -0,0 +1,100 @@
+package wire
+
+// The protocol between limehold and back ends is HTTP/1.1 with JSON bodies; see
+// docs/BACKEND-PROTOCOL.md. Paths and headers of it:
+const (
+	BackendPathHealth  = "/limehold/v1/health"
+	BackendPathLoad    = "/limehold/v1/load"
+	BackendPathLease   = "/limehold/v1/lease"
+	BackendPathGrants  = "/limehold/v1/grants"
+	BackendPathRelease = "/limehold/v1/release"
+	BackendPathDrain   = "/limehold/v1/drain"
+
+	// HeaderPrefix is reserved; callers' headers with it are dropped.
+	HeaderPrefix = "Limehold-"
+	// HeaderAttempt names one attempt; the answer must carry it back.
+	HeaderAttempt  = "Limehold-Attempt"
+	HeaderService  = "Limehold-Service"
+	HeaderShard    = "Limehold-Shard"
+	HeaderEpoch    = "Limehold-Epoch"
+	HeaderDeadline = "Limehold-Deadline-Ms"
+	// HeaderOutcome on an answer is ok, not-run or unknown.
+	HeaderOutcome = "Limehold-Outcome"
+	HeaderReason  = "Limehold-Reason"
+	// HeaderTimeout is set by callers who want less than the route's timeout.
+	HeaderTimeout = "Limehold-Timeout-Ms"
+	// HeaderRequestID is passed through, or drawn when missing.
+	HeaderRequestID = "X-Request-Id"
+)
+
+// Outcomes in HeaderOutcome.
+const (
+	OutcomeOK      = "ok"
+	OutcomeNotRun  = "not-run"
+	OutcomeUnknown = "unknown"
+)
+
+// Reasons that back ends give with not-run.
+const (
+	BackendReasonNotOwner = "not-owner"
+	BackendReasonFull     = "full"
+	BackendReasonDraining = "draining"
+	BackendReasonDeadline = "deadline"
+	BackendReasonStarting = "starting"
+)
+
+// BackendHealth is the answer to BackendPathHealth.
+type BackendHealth struct {
+	// Status is ok, starting or draining.
+	Status string `json:"status"`
+	// Incarnation is drawn by each process when it starts.
+	Incarnation string `json:"incarnation"`
+	InFlight    int    `json:"in_flight"`
+}
+
+// States in BackendHealth.
+const (
+	BackendOK       = "ok"
+	BackendStarting = "starting"
+	BackendDraining = "draining"
+)
+
+// BackendLoad is the answer to BackendPathLoad.
+type BackendLoad struct {
+	InFlight int `json:"in_flight"`
+	Slots    int `json:"slots"`
+	// Utilization from 0 (idle) to 1 (full).
+	Utilization float64 `json:"utilization"`
+}
+
+// BackendLease tells the back end until when its grants hold.
+type BackendLease struct {
+	Session uint64 `json:"session"`
+	// ExpiresBootNanos is a reading of this machine's CLOCK_BOOTTIME.
+	ExpiresBootNanos int64 `json:"expires_boot_ns"`
+}
+
+// BackendGrants is the whole list of shards that the back end owns.
+type BackendGrants struct {
+	Session  uint64         `json:"session"`
+	Revision uint64         `json:"revision"`
+	Grants   []BackendGrant `json:"grants"`
+}
+
+// BackendGrant is one owned shard.
+type BackendGrant struct {
+	Service string `json:"service"`
+	Shard   uint32 `json:"shard"`
+	Epoch   uint64 `json:"epoch"`
+}
+
+// BackendRelease asks to finish what is in flight for shards and to let go.
+type BackendRelease struct {
+	Session uint64         `json:"session"`
+	Shards  []BackendGrant `json:"shards"`
+}
+
+// BackendReleased lists the shards that are let go and idle.
+type BackendReleased struct {
+	Shards []BackendGrant `json:"shards"`
+}
--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,285 @@
+// Package wire defines the messages between limehold's own processes. Each kind
+// has one typed payload, encoded by package codec. Fields are only ever added,
+// at the end.
+package wire
+
+import (
+	"fmt"
+	"time"
+
+	"limehold/catalog"
+	"limehold/consensus"
+	"limehold/fleet"
+	"limehold/membership"
+	"limehold/ownership"
+)
+
+// Kind names the payload of a frame.
+type Kind uint8
+
+// Kinds of frames. Numbers are part of the protocol.
+const (
+	KindReply      Kind = 1
+	KindErrorReply Kind = 2
+	KindHello      Kind = 3
+
+	// Between control members.
+	KindConsensus  Kind = 10
+	KindFormation  Kind = 11
+	KindForward    Kind = 12
+	KindReadIndex  Kind = 13
+	KindRouterList Kind = 14
+	KindLoadRelay  Kind = 15
+
+	// From agents to the leader.
+	KindOpenSession Kind = 20
+	KindRenew       Kind = 21
+	KindReleased    Kind = 22
+	KindDrainSelf   Kind = 23
+	// From the leader to agents.
+	KindAssignments Kind = 24
+
+	// From routers to any member.
+	KindWatch   Kind = 30
+	KindConfirm Kind = 31
+	// From members to routers.
+	KindUpdate Kind = 32
+)
+
+// ProtocolVersion is compared at the start of each connection.
+const ProtocolVersion = 1
+
+// Role says what kind of process is at the other end.
+type Role string
+
+// Roles.
+const (
+	RoleControl Role = "control"
+	RoleRouter  Role = "router"
+	RoleAgent   Role = "agent"
+)
+
+// Hello is the first frame in each direction.
+type Hello struct {
+	Version int
+	Cluster string
+	Role    Role
+	Name    string
+	// Member is set by control members.
+	Member consensus.MemberID
+}
+
+// ErrorCode classifies an error for the caller's program.
+type ErrorCode string
+
+// Codes.
+const (
+	CodeNotLeader      ErrorCode = "not_leader"
+	CodeNotReady       ErrorCode = "not_ready"
+	CodeUnknownSession ErrorCode = "unknown_session"
+	CodeInvalid        ErrorCode = "invalid"
+	CodeNotFound       ErrorCode = "not_found"
+	CodeTimeout        ErrorCode = "timeout"
+	CodeInternal       ErrorCode = "internal"
+)
+
+// Error travels in place of a reply.
+type Error struct {
+	Code    ErrorCode
+	Message string
+	// Step that failed, and the process at which it failed.
+	Step string
+	Peer string
+	// Leader is the address of the leader's peer listener, if known.
+	Leader string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s at %s: %s (%s)", e.Step, e.Peer, e.Message, e.Code)
+}
+
+// Formation is exchanged by members that come up with empty data folders.
+type Formation struct {
+	Name     string
+	ID       consensus.MemberID
+	Address  string
+	Formed   bool
+	Existing consensus.Configuration
+}
+
+// Forward carries a command to the leader.
+type Forward struct{ Command fleet.Command }
+
+// ForwardReply carries its result.
+type ForwardReply struct{ Result fleet.Result }
+
+// ReadIndexReply tells up to which index a member must have applied the log for
+// a read that begins now.
+type ReadIndexReply struct{ Index uint64 }
+
+// RouterStatus is what a member knows of a router.
+type RouterStatus struct {
+	Name string
+	Zone string
+	// Revision in force at the router.
+	Revision uint64
+	// Age of the newest confirmation.
+	Age time.Duration
+	// Member that the router is connected to.
+	Member string
+}
+
+// RouterListReply lists the routers connected to a member.
+type RouterListReply struct{ Routers []RouterStatus }
+
+// OpenSession registers an agent's back end.
+type OpenSession struct{ Node membership.Node }
+
+// OpenSessionReply gives the session. The agent opens with a Renew.
+type OpenSessionReply struct {
+	Session membership.SessionID
+	// LeaseLength counts from the sending of a renewal.
+	LeaseLength time.Duration
+	RenewEvery  time.Duration
+}
+
+// Renew extends the session's lease.
+type Renew struct {
+	Session membership.SessionID
+	// Revision of the newest Assignments that the agent has carried out.
+	Revision uint64
+	// InFlight and Health are the back end's, as the agent last saw them.
+	InFlight int
+	Healthy  bool
+}
+
+// RenewReply grants the lease from the moment the renewal was sent.
+type RenewReply struct {
+	LeaseLength time.Duration
+	// Revision of the newest Assignments for the session.
+	Revision uint64
+}
+
+// Assignment is one shard of a session.
+type Assignment struct {
+	Service string
+	Shard   uint32
+	Epoch   uint64
+	// Release asks the owner to finish what is in flight and let go.
+	Release bool
+}
+
+// Assignments is the whole list of a session's shards at a revision. An agent
+// ignores lists that are older than the newest one it has seen.
+type Assignments struct {
+	Session  membership.SessionID
+	Revision uint64
+	Draining bool
+	Shards   []Assignment
+}
+
+// Released is an owner's word that it runs nothing for the shards any more.
+type Released struct {
+	Session membership.SessionID
+	Shards  []fleet.ReleasedShard
+}
+
+// ReleasedReply tells the revision at which the release took effect.
+type ReleasedReply struct{ Revision uint64 }
+
+// DrainSelf asks control to move everything off the sender's node.
+type DrainSelf struct {
+	Session membership.SessionID
+	Resume  bool
+	Cause   string
+}
+
+// Watch asks for everything that changed after a revision, and for all later
+// changes. Services limits it to some services; empty means all.
+type Watch struct {
+	Router   string
+	Zone     string
+	Revision uint64
+	Services []string
+}
+
+// ServiceView is a service as routers see it.
+type ServiceView struct {
+	Name     string
+	Revision uint64
+	Retiring bool
+	Spec     catalog.Spec
+}
+
+// NodeView is a node as routers see it.
+type NodeView struct {
+	Session  membership.SessionID
+	Name     string
+	Zone     string
+	Address  string
+	Pool     string
+	Slots    int
+	Draining bool
+	// Connections that the back end accepts.
+	Connections int
+}
+
+// ShardView is a shard as routers see it; Owner zero means none.
+type ShardView struct {
+	Shard     uint32
+	Owner     membership.SessionID
+	Epoch     uint64
+	Releasing bool
+}
+
+// ServiceShards lists changed shards of one service.
+type ServiceShards struct {
+	Service string
+	Shards  []ShardView
+}
+
+// Update carries a snapshot or the changes up to Revision.
+type Update struct {
+	// From is the revision that the changes build on; zero for a snapshot.
+	From     uint64
+	Revision uint64
+	Snapshot bool
+
+	Services        []ServiceView
+	RemovedServices []string
+	Nodes           []NodeView
+	RemovedNodes    []membership.SessionID
+	Shards          []ServiceShards
+}
+
+// Confirm asks whether the router's view is current. The router counts its
+// freshness from the moment at which it sent this.
+type Confirm struct {
+	Router string
+	Zone   string
+	// Revision in force at the router.
+	Revision uint64
+	// Work done for shards since the last report.
+	Work []ShardWork
+}
+
+// ShardWork is the work that a router sent to the shards of one service.
+type ShardWork struct {
+	Service string
+	Shards  []uint32
+	// Work in milliseconds of service time, parallel to Shards.
+	Work []float32
+}
+
+// ConfirmReply tells the revision that a router must have in force to be as
+// current as the moment at which it sent its Confirm.
+type ConfirmReply struct{ Revision uint64 }
+
+// AssignmentOf builds the agent's view of a shard.
+func AssignmentOf(key ownership.Key, shard ownership.Shard) Assignment {
+	return Assignment{
+		Service: key.Service, Shard: key.Shard, Epoch: shard.Epoch,
+		Release: shard.Phase == ownership.PhaseReleasing,
+	}
+}
