--- a/admission/choose.go
+++ b/admission/choose.go
@@ -74,9 +74,6 @@
 
 // cost estimates how long the instance would take.
 func (g *Gate) cost(known *instance, now time.Duration) float64 {
-	if g.options.Policy == PolicyReportedLoad {
-		return known.reported
-	}
 	warmth := 1.0
 	if g.options.SlowStart > 0 {
 		warmth = math.Min(1, math.Max(slowStartFloor, float64(now-known.since)/float64(g.options.SlowStart)))
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -14,14 +14,12 @@
 // Policy chooses among instances.
 type Policy uint8
 
-// Policies. The last two are baselines.
+// Policies. The last one is a baseline.
 const (
 	// PolicyOwnObservation compares two random instances by what this router
 	// has seen itself: requests in flight and answer times.
 	PolicyOwnObservation Policy = iota
 	PolicyRoundRobin
-	// PolicyReportedLoad believes the load that instances report.
-	PolicyReportedLoad
 )
 
 // Options configures a gate.
@@ -29,6 +27,8 @@
 	Policy Policy
 	// SlowStart is how long a new instance gets less than its share.
 	SlowStart time.Duration
+	// FixedLimits leaves every limit at the instance's slots; a baseline.
+	FixedLimits bool
 	// Random returns a value in [0, bound).
 	Random func(bound int) int
 }
@@ -60,7 +60,6 @@
 	limit       float64
 	since       time.Duration
 	latency     float64 // smoothed, milliseconds
-	reported    float64
 	failures    int
 	ejectedTill time.Duration
 	ejections   int
@@ -123,13 +122,6 @@
 	return g.grant(now)
 }
 
-// Report takes an instance's own word on its load, from 0 (idle) to 1 (full).
-func (g *Gate) Report(id InstanceID, load float64) {
-	if known := g.instances[id]; known != nil {
-		known.reported = load
-	}
-}
-
 // Want says what a request may be given.
 type Want struct {
 	// Instance that owns the request's key; zero: any.
@@ -265,7 +257,9 @@
 		known.limit = math.Min(float64(known.slots), known.limit+growStep/known.limit)
 		known.latency = latencyKeep*known.latency + (1-latencyKeep)*float64(latency)/float64(time.Millisecond)
 	case OutcomeShed:
-		known.limit = math.Max(1, known.limit*shedFactor)
+		if !g.options.FixedLimits {
+			known.limit = math.Max(1, known.limit*shedFactor)
+		}
 	case OutcomeFailed:
 		known.failures++
 		if known.failures >= ejectAfter {
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -47,10 +47,9 @@
 	// favourite is the link that led to the last answer.
 	favourite int
 	// lease is this node's own belief; see membership.HeldLease.
-	lease    membership.HeldLease
-	session  membership.SessionID
-	draining bool
-	wake     chan struct{}
+	lease   membership.HeldLease
+	session membership.SessionID
+	wake    chan struct{}
 
 	renewals prometheus.Counter
 	failures prometheus.Counter
--- a/bench/command/up.go
+++ b/bench/command/up.go
@@ -62,7 +62,7 @@
 func printUp(running *fleet.Fleet, limehold string) {
 	deployment := running.Options.Shape
 	fmt.Printf("%s is up: %d control members, %d routers, %d agents with stand-in back ends in %d zones (plain TCP on loopback, logs in %s/logs)\n",
-		deployment.Name, len(running.Members), len(running.Routers), len(running.Nodes), len(deployment.Zones), running.Options.Folder)
+		deployment.Name, len(running.Members), len(running.Routers), len(running.AllNodes()), len(deployment.Zones), running.Options.Folder)
 	stream := deployment.Streams[0]
 	fmt.Printf("\nTry:\n  curl -i http://%s%s/my-key\n", running.Routers[0].Callers.Address(), stream.Prefixes[0])
 	fmt.Printf("  %s status --admin %s\n", limehold, running.Members[0].Field("admin"))
--- /dev/null
+++ b/bench/experiment/inject.go
@@ -0,0 +1,520 @@
+package experiment
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"encoding/json"
+
+	"limehold/adminapi"
+	"limehold/bench/faultproxy"
+	"limehold/bench/fleet"
+	"limehold/bench/standin"
+)
+
+// injector brings one fault about and ends it; it returns once the fault is
+// over. target is what the fault struck.
+type injector func(r *run, fault Fault) (target string, err error)
+
+var injectors map[FaultKind]injector
+
+func init() {
+	injectors = map[FaultKind]injector{
+		KillNode: killNode, KillBackend: killBackend, KillAgent: killAgent,
+		FreezeNode: freezeNode, FreezeBackend: freezeBackend,
+		KillLeader: killLeader, FreezeLeader: freezeLeader, CutLeader: cutLeader(true), CutLeaderOneWay: cutLeader(false),
+		KillLeaderNode: killLeaderAndNode, WipeMember: wipeMember, KillRouter: killRouter,
+		CutRouterControl: cutRouterControl, CutNodeControl: cutNodeControl, CutNodeRouters: cutNodeRouters,
+		ResetConnections: resetConnections,
+		CutBefore:        misbehave(standin.Knobs{CutBeforePercent: 30}),
+		CutWithin:        misbehave(standin.Knobs{CutWithinPercent: 30}),
+		CrossedAnswers:   misbehave(standin.Knobs{CrossedPercent: 30}),
+		DoubleAnswers:    misbehave(standin.Knobs{DoublePercent: 30}),
+		LateAnswers:      misbehave(standin.Knobs{LatePercent: 20, LateByMs: 4000}),
+		LyingLoad:        misbehave(standin.Knobs{SlowFactor: 1}),
+		SlowNode:         misbehave(standin.Knobs{SlowFactor: 6}),
+		FailingNode:      misbehave(standin.Knobs{FailAll: true}),
+		RestartRouters:   restartRouters, RestartBackend: restartBackend, RestartAgent: restartAgent,
+		RestartControl: restartControl, DrainNode: drainNode, ListLeaving: listSays("leaving"), ListGone: listSays("gone"),
+		AddNode: addNode,
+	}
+}
+
+const (
+	stopLimit  = 25 * time.Second
+	patience   = 20 * time.Second
+	knobsLimit = 2 * time.Second
+)
+
+var errNoTarget = eris.New("there is nothing to strike")
+
+// loseNode notes that a node's owner is lost now.
+func (r *run) loseNode(node *fleet.Node) {
+	r.noteLoss(node.Name)
+}
+
+func signalled(ok bool) error {
+	if !ok {
+		return eris.New("the process was not running")
+	}
+	return nil
+}
+
+func killNode(r *run, fault Fault) (string, error) {
+	node, free := r.takeNode(fault.Target)
+	if node == nil {
+		return "", errNoTarget
+	}
+	defer free()
+	return node.Name, r.killNode(node, fault.For)
+}
+
+// killNode ends back end and agent without notice and starts them again later.
+func (r *run) killNode(node *fleet.Node, length time.Duration) error {
+	r.loseNode(node)
+	killed := node.Backend.Kill()
+	node.Agent.Kill()
+	time.Sleep(length)
+	if err := r.fleet.StartBackend(node); err != nil {
+		return err
+	}
+	if err := node.Agent.Start(); err != nil {
+		return err
+	}
+	return signalled(killed)
+}
+
+func killBackend(r *run, fault Fault) (string, error) {
+	node, free := r.takeNode(fault.Target)
+	if node == nil {
+		return "", errNoTarget
+	}
+	defer free()
+	r.loseNode(node)
+	killed := node.Backend.Kill()
+	time.Sleep(fault.For)
+	if err := r.fleet.StartBackend(node); err != nil {
+		return node.Name, err
+	}
+	return node.Name, signalled(killed)
+}
+
+func killAgent(r *run, fault Fault) (string, error) {
+	node, free := r.takeNode(fault.Target)
+	if node == nil {
+		return "", errNoTarget
+	}
+	defer free()
+	r.loseNode(node)
+	killed := node.Agent.Kill()
+	time.Sleep(fault.For)
+	if err := node.Agent.Start(); err != nil {
+		return node.Name, err
+	}
+	return node.Name, signalled(killed)
+}
+
+func freezeNode(r *run, fault Fault) (string, error) {
+	node, free := r.takeNode(fault.Target)
+	if node == nil {
+		return "", errNoTarget
+	}
+	defer free()
+	r.loseNode(node)
+	frozen := node.Backend.Freeze() && node.Agent.Freeze()
+	time.Sleep(fault.For)
+	node.Backend.Thaw()
+	node.Agent.Thaw()
+	return node.Name, signalled(frozen)
+}
+
+func freezeBackend(r *run, fault Fault) (string, error) {
+	node, free := r.takeNode(fault.Target)
+	if node == nil {
+		return "", errNoTarget
+	}
+	defer free()
+	r.loseNode(node)
+	frozen := node.Backend.Freeze()
+	time.Sleep(fault.For)
+	node.Backend.Thaw()
+	return node.Name, signalled(frozen)
+}
+
+func killLeader(r *run, fault Fault) (string, error) {
+	member, free := r.takeLeader()
+	if member == nil {
+		return "", errNoTarget
+	}
+	defer free()
+	killed := member.Kill()
+	time.Sleep(fault.For)
+	if err := r.fleet.StartMember(member); err != nil {
+		return member.Name, err
+	}
+	return member.Name, signalled(killed)
+}
+
+func freezeLeader(r *run, fault Fault) (string, error) {
+	member, free := r.takeLeader()
+	if member == nil {
+		return "", errNoTarget
+	}
+	defer free()
+	frozen := member.Freeze()
+	time.Sleep(fault.For)
+	member.Thaw()
+	return member.Name, signalled(frozen)
+}
+
+// cutLeader holds back what the leader sends (one way) or all that passes.
+func cutLeader(bothWays bool) injector {
+	return func(r *run, fault Fault) (string, error) {
+		member, free := r.takeLeader()
+		if member == nil {
+			return "", errNoTarget
+		}
+		defer free()
+		r.cutMember(member, true, bothWays)
+		time.Sleep(fault.For)
+		r.cutMember(member, false, false)
+		return member.Name, nil
+	}
+}
+
+// cutMember stalls a member's paths. Away from the member is forward on the
+// paths that it dialed, and backward on those that others dialed.
+func (r *run) cutMember(member *fleet.Member, outgoing, incoming bool) {
+	for _, other := range r.fleet.Members {
+		if path := other.FromMember[member.Name]; path != nil {
+			path.Stall(outgoing, incoming)
+		}
+	}
+	inbound := []*faultproxy.Proxy{member.Into}
+	for _, path := range member.FromMember {
+		inbound = append(inbound, path)
+	}
+	for _, node := range r.fleet.AllNodes() {
+		inbound = append(inbound, node.Control[member.Name])
+	}
+	for _, router := range r.fleet.Routers {
+		inbound = append(inbound, router.Control[member.Name])
+	}
+	for _, path := range inbound {
+		if path != nil {
+			path.Stall(incoming, outgoing)
+		}
+	}
+}
+
+func killLeaderAndNode(r *run, fault Fault) (string, error) {
+	member, freeMember := r.takeLeader()
+	if member == nil {
+		return "", errNoTarget
+	}
+	defer freeMember()
+	node, freeNode := r.takeNode(fault.Target)
+	if node == nil {
+		return member.Name, errNoTarget
+	}
+	defer freeNode()
+	killed := member.Kill()
+	err := r.killNode(node, fault.For)
+	if startErr := r.fleet.StartMember(member); startErr != nil {
+		return member.Name, startErr
+	}
+	if err == nil {
+		err = signalled(killed)
+	}
+	return member.Name + "+" + node.Name, err
+}
+
+// wipeMember takes a follower's disk away; an operator puts the member that
+// comes back empty in the place of the old one.
+func wipeMember(r *run, _ Fault) (string, error) {
+	member, free := r.takeFollower()
+	if member == nil {
+		return "", errNoTarget
+	}
+	defer free()
+	killed := member.Kill()
+	if err := os.RemoveAll(member.Data); err != nil {
+		return member.Name, err
+	}
+	if err := r.fleet.StartMember(member); err != nil {
+		return member.Name, err
+	}
+	err := r.untilDone(func() error {
+		leader := r.fleet.Leader()
+		if leader == nil {
+			return errNoTarget
+		}
+		client := adminapi.NewClient([]string{leader.Field("admin")}, "", patience)
+		return client.Do(adminapi.Request{
+			Method: http.MethodPost, Path: adminapi.PathMembers + "/replace", Body: adminapi.MemberChange{Name: member.Name},
+		}, nil)
+	})
+	if err != nil {
+		return member.Name, err
+	}
+	return member.Name, signalled(killed)
+}
+
+func killRouter(r *run, fault Fault) (string, error) {
+	router, free := r.takeRouter(fault.Target)
+	if router == nil {
+		return "", errNoTarget
+	}
+	defer free()
+	killed := router.Kill()
+	time.Sleep(fault.For)
+	if err := r.fleet.StartRouter(router); err != nil {
+		return router.Name, err
+	}
+	return router.Name, signalled(killed)
+}
+
+func cutRouterControl(r *run, fault Fault) (string, error) {
+	router, free := r.takeRouter(fault.Target)
+	if router == nil {
+		return "", errNoTarget
+	}
+	defer free()
+	stall(router.Control, true)
+	time.Sleep(fault.For)
+	stall(router.Control, false)
+	return router.Name, nil
+}
+
+func stall(paths map[string]*faultproxy.Proxy, shut bool) {
+	for _, path := range paths {
+		path.Stall(shut, shut)
+	}
+}
+
+func cutNodeControl(r *run, fault Fault) (string, error) {
+	node, free := r.takeNode(fault.Target)
+	if node == nil {
+		return "", errNoTarget
+	}
+	defer free()
+	r.loseNode(node)
+	stall(node.Control, true)
+	time.Sleep(fault.For)
+	stall(node.Control, false)
+	return node.Name, nil
+}
+
+func cutNodeRouters(r *run, fault Fault) (string, error) {
+	node, free := r.takeNode(fault.Target)
+	if node == nil {
+		return "", errNoTarget
+	}
+	defer free()
+	node.Requests.Stall(true, true)
+	time.Sleep(fault.For)
+	node.Requests.Stall(false, false)
+	return node.Name, nil
+}
+
+// resetConnections cuts every connection to a node, again and again.
+func resetConnections(r *run, fault Fault) (string, error) {
+	node, free := r.takeNode(fault.Target)
+	if node == nil {
+		return "", errNoTarget
+	}
+	defer free()
+	const every = 100 * time.Millisecond
+	cut := 0
+	for end := time.Now().Add(fault.For); time.Now().Before(end); time.Sleep(every) {
+		cut += node.Requests.CutAll()
+	}
+	if cut == 0 {
+		return node.Name, eris.New("there was no connection to cut")
+	}
+	return node.Name, nil
+}
+
+// misbehave turns a back end's knobs for a while.
+func misbehave(knobs standin.Knobs) injector {
+	return func(r *run, fault Fault) (string, error) {
+		node, free := r.takeNode(fault.Target)
+		if node == nil {
+			return "", errNoTarget
+		}
+		defer free()
+		knobs.ReportedLoad = -1
+		if fault.Kind == LyingLoad {
+			knobs.ReportedLoad = 0
+		}
+		if err := setKnobs(node, knobs); err != nil {
+			return node.Name, err
+		}
+		time.Sleep(fault.For)
+		return node.Name, setKnobs(node, standin.Knobs{ReportedLoad: -1})
+	}
+}
+
+func setKnobs(node *fleet.Node, knobs standin.Knobs) error {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	body, err := json.Marshal(knobs)
+	if err != nil {
+		return eris.Wrap(err, "encode knobs")
+	}
+	request.SetRequestURI("http://" + node.Backend.Field("address") + standin.PathKnobs)
+	request.Header.SetMethod(http.MethodPost)
+	request.SetBody(body)
+	if err := fasthttp.DoTimeout(request, response, knobsLimit); err != nil {
+		return eris.Wrapf(err, "set knobs of %s", node.Name)
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		return eris.Errorf("set knobs of %s: status %d", node.Name, response.StatusCode())
+	}
+	return nil
+}
+
+// restartRouters stops and starts the routers one after the other.
+func restartRouters(r *run, _ Fault) (string, error) {
+	for _, router := range r.fleet.Routers {
+		if !router.Stop(stopLimit) {
+			return router.Name, eris.New("the router did not stop by itself")
+		}
+		if err := r.fleet.StartRouter(router); err != nil {
+			return router.Name, err
+		}
+	}
+	return "all routers", nil
+}
+
+func restartBackend(r *run, fault Fault) (string, error) {
+	node, free := r.takeNode(fault.Target)
+	if node == nil {
+		return "", errNoTarget
+	}
+	defer free()
+	if !node.Backend.Stop(stopLimit) {
+		return node.Name, eris.New("the back end did not stop by itself")
+	}
+	return node.Name, r.fleet.StartBackend(node)
+}
+
+func restartAgent(r *run, fault Fault) (string, error) {
+	node, free := r.takeNode(fault.Target)
+	if node == nil {
+		return "", errNoTarget
+	}
+	defer free()
+	if !node.Agent.Stop(stopLimit) {
+		return node.Name, eris.New("the agent did not stop by itself")
+	}
+	return node.Name, node.Agent.Start()
+}
+
+// restartControl stops and starts the control members one after the other.
+func restartControl(r *run, _ Fault) (string, error) {
+	for _, member := range r.fleet.Members {
+		if !member.Stop(stopLimit) {
+			return member.Name, eris.New("the member did not stop by itself")
+		}
+		if err := r.fleet.StartMember(member); err != nil {
+			return member.Name, err
+		}
+		if err := r.untilDone(r.allMembersAlive); err != nil {
+			return member.Name, err
+		}
+	}
+	return "all members", nil
+}
+
+func (r *run) allMembersAlive() error {
+	var status adminapi.Status
+	if err := r.fleet.Admin().Do(adminapi.Request{Method: http.MethodGet, Path: adminapi.PathStatus}, &status); err != nil {
+		return err
+	}
+	for _, member := range status.Members {
+		if !member.Alive {
+			return eris.Errorf("member %s does not answer the leader", member.Name)
+		}
+	}
+	return nil
+}
+
+// drainNode has an operator move everything off a node and take it back.
+func drainNode(r *run, fault Fault) (string, error) {
+	node, free := r.takeNode(fault.Target)
+	if node == nil {
+		return "", errNoTarget
+	}
+	defer free()
+	if err := r.nodeAction(node, "drain"); err != nil {
+		return node.Name, err
+	}
+	if err := r.untilDone(func() error { return r.nodeIs(node, "drained") }); err != nil {
+		return node.Name, err
+	}
+	time.Sleep(fault.For)
+	return node.Name, r.nodeAction(node, "resume")
+}
+
+func (r *run) nodeAction(node *fleet.Node, action string) error {
+	return r.fleet.Admin().Do(adminapi.Request{
+		Method: http.MethodPost, Path: adminapi.PathNodes + "/" + node.Name + "/" + action,
+		CommandID: fmt.Sprintf("%s-%s-%d", action, node.Name, time.Now().UnixNano()),
+	}, nil)
+}
+
+func (r *run) nodeIs(node *fleet.Node, state string) error {
+	var list []adminapi.Node
+	if err := r.fleet.Admin().Do(adminapi.Request{Method: http.MethodGet, Path: adminapi.PathNodes}, &list); err != nil {
+		return err
+	}
+	for _, view := range list {
+		if view.Name == node.Name && view.State == state {
+			return nil
+		}
+	}
+	return eris.Errorf("node %s is not %s", node.Name, state)
+}
+
+// listSays has the platform's list tell something about a live machine.
+func listSays(state string) injector {
+	return func(r *run, fault Fault) (string, error) {
+		node, free := r.takeNode(fault.Target)
+		if node == nil {
+			return "", errNoTarget
+		}
+		defer free()
+		r.fleet.Platform.Set(node.Name, state)
+		time.Sleep(fault.For)
+		r.fleet.Platform.Set(node.Name, "live")
+		return node.Name, nil
+	}
+}
+
+// addNode brings in a new, cold instance of the first pool.
+func addNode(r *run, _ Fault) (string, error) {
+	pool := r.options.Shape.Pools[0]
+	name := pool.Name + "-new"
+	if _, err := r.fleet.AddNode(pool, name, r.options.Shape.Zones[0]); err != nil {
+		return name, err
+	}
+	return name, nil
+}
+
+func (r *run) untilDone(try func() error) error {
+	deadline := time.Now().Add(patience)
+	for {
+		err := try()
+		if err == nil || time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/bench/faultproxy/proxy.go
+++ b/bench/faultproxy/proxy.go
@@ -129,14 +129,39 @@
 
 func (p *Proxy) serve(client net.Conn) {
 	defer client.Close()
+	server, err := p.reach()
+	if err != nil {
+		return
+	}
+	p.join(client, server)
+}
+
+// reach dials the target.
+func (p *Proxy) reach() (net.Conn, error) {
 	target := p.target.Load()
 	if target == nil || p.refuse.Load() {
-		return
+		return nil, eris.New("the path is shut")
 	}
-	server, err := net.DialTimeout("tcp", *target, dialTimeout)
+	return net.DialTimeout("tcp", *target, dialTimeout)
+}
+
+// Dial connects to the target through the proxy from within this process. Other
+// than over the listener, the caller learns at once when the target refuses.
+func (p *Proxy) Dial() (net.Conn, error) {
+	server, err := p.reach()
 	if err != nil {
-		return
+		return nil, eris.Wrap(err, "dial through the proxy")
 	}
+	near, far := net.Pipe()
+	go func() {
+		defer far.Close()
+		p.join(far, server)
+	}()
+	return near, nil
+}
+
+// join copies between the two ends until one of them closes.
+func (p *Proxy) join(client, server net.Conn) {
 	defer server.Close()
 	if !p.add(client, server) {
 		return
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -34,6 +36,8 @@
 	NoDelays bool
 	// ColdStart of back ends.
 	ColdStart time.Duration
+	// TemplateSuffix is added to every template file.
+	TemplateSuffix string
 }
 
 // Fleet is a running deployment.
@@ -42,7 +46,17 @@
 	Platform *platform.List
 	Members  []*Member
 	Routers  []*Router
-	Nodes    []*Node
+
+	// mutex guards nodes: some are added while the deployment runs.
+	mutex sync.Mutex
+	nodes []*Node
+}
+
+// AllNodes lists the back ends with their agents.
+func (f *Fleet) AllNodes() []*Node {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.Clone(f.nodes)
 }
 
 // Member is a control member with the paths to it.
@@ -204,7 +218,7 @@
 	for _, path := range member.FromMember {
 		path.SetTarget(address)
 	}
-	for _, node := range f.Nodes {
+	for _, node := range f.AllNodes() {
 		if path := node.Control[member.Name]; path != nil {
 			path.SetTarget(address)
 		}
@@ -252,16 +266,20 @@
 	if err != nil {
 		return nil, err
 	}
-	node := &Node{Name: name, Zone: zone, Pool: pool, Requests: requests, Records: filepath.Join(f.Options.Folder, "records", name+".jsonl")}
-	f.Nodes = append(f.Nodes, node)
-	if err := f.StartBackend(node); err != nil {
-		return nil, err
-	}
 	paths, addresses, err := f.controlPaths()
 	if err != nil {
 		return nil, err
 	}
-	node.Control = paths
+	node := &Node{
+		Name: name, Zone: zone, Pool: pool, Requests: requests, Control: paths,
+		Records: filepath.Join(f.Options.Folder, "records", name+".jsonl"),
+	}
+	if err := f.StartBackend(node); err != nil {
+		return nil, err
+	}
+	f.mutex.Lock()
+	f.nodes = append(f.nodes, node)
+	f.mutex.Unlock()
 	f.Platform.Set(name, "live")
 	return node, f.StartAgent(node, addresses)
 }
@@ -366,6 +384,7 @@
 		if err != nil {
 			return err
 		}
+		text = append(text, f.Options.TemplateSuffix...)
 		if err := retryUntil(servingTimeout, func() error {
 			return client.Do(adminapi.Request{Method: http.MethodPost, Path: adminapi.PathTemplates, Body: text, CommandID: "setup-template-" + name}, nil)
 		}); err != nil {
@@ -389,8 +408,9 @@
 		if err := f.Admin().Do(adminapi.Request{Method: http.MethodGet, Path: adminapi.PathStatus}, &status); err != nil {
 			return err
 		}
-		if len(status.Nodes) < len(f.Nodes) || status.Shards["free"]+status.Shards["releasing"] > 0 {
-			return eris.Errorf("%d of %d nodes are there, %v shards", len(status.Nodes), len(f.Nodes), status.Shards)
+		nodes := len(f.AllNodes())
+		if len(status.Nodes) < nodes || status.Shards["free"]+status.Shards["releasing"] > 0 {
+			return eris.Errorf("%d of %d nodes are there, %v shards", len(status.Nodes), nodes, status.Shards)
 		}
 		if len(status.Routers) < len(f.Routers) {
 			return eris.Errorf("%d of %d routers are there", len(status.Routers), len(f.Routers))
@@ -433,7 +453,7 @@
 	for _, router := range f.Routers {
 		list = append(list, router.Process)
 	}
-	for _, node := range f.Nodes {
+	for _, node := range f.AllNodes() {
 		for _, process := range []*Process{node.Agent, node.Backend} {
 			if process != nil {
 				list = append(list, process)
@@ -457,7 +477,7 @@
 		router.Callers.Close()
 		closeAll(router.Control)
 	}
-	for _, node := range f.Nodes {
+	for _, node := range f.AllNodes() {
 		node.Requests.Close()
 		closeAll(node.Control)
 	}
--- a/bench/shape/shape.go
+++ b/bench/shape/shape.go
@@ -5,6 +5,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -91,6 +93,26 @@
 	return names
 }
 
+// KeyedShards counts the shards of all keyed services, and the keys in each.
+func (s *Shape) KeyedShards() (shards int, keysPerShard float64) {
+	for _, service := range s.Services {
+		count, _ := strconv.Atoi(service.Values["shards"])
+		shards += count
+	}
+	keys := 0
+	for i := range s.Streams {
+		if s.Streams[i].Keys > 0 {
+			keys = s.Streams[i].Keys * len(s.Streams[i].Prefixes)
+			break
+		}
+	}
+	return shards, float64(keys) / float64(max(1, shards))
+}
+
+// PoolOf returns the pool that serves a path prefix of an unkeyed service: its
+// template is named for the pool.
+func (s *Shape) PoolOf(prefix string) string { return strings.TrimPrefix(prefix, "/") }
+
 const (
 	shardsOfService = "16"
 	keysOfService   = 200
--- a/catalog/spec.go
+++ b/catalog/spec.go
@@ -130,6 +130,8 @@
 	// cannot confirm that it is current.
 	minStaleness = time.Second
 	maxStaleness = 15 * time.Second
+	// maxRetryBudget amounts to no bound at all: ten retries for each request.
+	maxRetryBudget = 1000
 )
 
 // FieldError names the field that is wrong, its value, and what would be right.
@@ -255,7 +257,7 @@
 func (s *Spec) validateNumbers() error {
 	for _, number := range []bounded{
 		{"spec.queue_length", int64(s.QueueLength), 0, 1_000_000},
-		{"spec.retry_budget_percent", int64(s.RetryBudgetPercent), 0, 100},
+		{"spec.retry_budget_percent", int64(s.RetryBudgetPercent), 0, maxRetryBudget},
 		{"spec.moves_per_minute", int64(s.MovesPerMinute), 0, 100_000},
 	} {
 		if err := number.check(); err != nil {
--- a/control/routers.go
+++ b/control/routers.go
@@ -193,9 +193,3 @@
 	})
 	return bound
 }
-
-// serviceRevision is the revision that watchers must have for a change at
-// revision to be in force: the newest change at or before it.
-func (m *Member) serviceRevision(revision uint64) uint64 {
-	return min(revision, m.hub.lastRevision())
-}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -127,8 +127,9 @@
 
 func newBoard(input Input) *board {
 	b := &board{bySession: map[membership.SessionID]*nodeLoad{}}
+	warmest := warmestOf(input.Nodes)
 	for _, node := range input.Nodes {
-		warmth := min(1, max(minimumWarmth, node.Warmth))
+		warmth := min(1, max(minimumWarmth, node.Warmth/warmest))
 		entry := &nodeLoad{Node: node, capacity: max(node.Capacity, 1) * warmth}
 		b.nodes = append(b.nodes, entry)
 		b.bySession[node.Session] = entry
@@ -146,6 +147,16 @@
 	return b
 }
 
+// warmestOf is the largest warmth in the pool: when all nodes have just started,
+// none is colder than the others.
+func warmestOf(nodes []Node) float64 {
+	warmest := minimumWarmth
+	for _, node := range nodes {
+		warmest = max(warmest, node.Warmth)
+	}
+	return warmest
+}
+
 func baseLoad(shards []Shard) float64 {
 	sum := 0.0
 	for i := range shards {
--- a/router/pool.go
+++ b/router/pool.go
@@ -20,9 +20,9 @@
 	gate  *admission.Gate
 }
 
-func newPool(name string, policy admission.Policy) *pool {
+func newPool(name string, policy admission.Policy, fixedLimits bool) *pool {
 	return &pool{name: name, gate: admission.NewGate(admission.Options{
-		Policy: policy, SlowStart: slowStart, Random: rand.IntN,
+		Policy: policy, SlowStart: slowStart, FixedLimits: fixedLimits, Random: rand.IntN,
 	})}
 }
 
@@ -93,12 +93,6 @@
 	notify(granted)
 }
 
-func (p *pool) waiting() int {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return p.gate.Waiting()
-}
-
 // serviceBudget is a retry budget that may be used from several goroutines.
 type serviceBudget struct {
 	mutex  sync.Mutex
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -254,6 +254,7 @@
 	dropAnswerHeaders(&response.Header)
 	response.Header.Set(wire.HeaderOutcome, wire.OutcomeOK)
 	response.Header.Set(wire.HeaderRequestID, callerID(request, p.id))
+	setRevision(response, p)
 	if r.draining.Load() {
 		request.SetConnectionClose()
 	}
@@ -290,7 +291,7 @@
 	for _, name := range hopByHop {
 		header.Del(name)
 	}
-	for _, name := range []string{wire.HeaderAttempt, wire.HeaderEpoch, wire.HeaderShard, wire.HeaderService, wire.HeaderReason} {
+	for _, name := range []string{wire.HeaderAttempt, wire.HeaderEpoch, wire.HeaderShard, wire.HeaderService, wire.HeaderReason, wire.HeaderRevision} {
 		header.Del(name)
 	}
 }
@@ -299,6 +300,7 @@
 func (r *Router) refuse(request *fasthttp.RequestCtx, id string, p *proxied, refused refusal) {
 	r.metrics.count(wire.OutcomeNotRun, refused.reason)
 	r.writeOutcome(request, id, wire.OutcomeNotRun, refused.reason, refused.status, refused.advice)
+	setRevision(&request.Response, p)
 	if refused.retryAfter > 0 {
 		seconds := int(math.Ceil(refused.retryAfter.Seconds()))
 		request.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(seconds))
@@ -319,6 +321,15 @@
 	r.metrics.count(wire.OutcomeUnknown, reason)
 	r.writeOutcome(request, callerID(request, p.id), wire.OutcomeUnknown, reason, fasthttp.StatusBadGateway,
 		"the request was sent, and it is unknown whether it ran: look before you send it again")
+	setRevision(&request.Response, p)
+}
+
+// setRevision tells the caller which revision of the service's configuration
+// the request was handled under.
+func setRevision(response *fasthttp.Response, p *proxied) {
+	if p != nil {
+		response.Header.Set(wire.HeaderRevision, strconv.FormatUint(p.service.revision, 10))
+	}
 }
 
 func (r *Router) writeOutcome(request *fasthttp.RequestCtx, id, outcome, reason string, status int, advice string) {
--- a/router/router.go
+++ b/router/router.go
@@ -78,7 +78,7 @@
 	config := options.Settings
 	r := &Router{options: options, logger: options.Logger, upstreams: newUpstreams(), hangups: newHangups(), work: newWorkTable()}
 	policy := policyOf(config.Router.Balance)
-	r.table = newTable(func(name string) *pool { return newPool(name, policy) })
+	r.table = newTable(func(name string) *pool { return newPool(name, policy, config.Router.Limits == settings.LimitsFixed) })
 	r.registerMetrics()
 	var err error
 	if r.listener, err = listen(config.Router); err != nil {
@@ -114,11 +114,8 @@
 }
 
 func policyOf(balance string) admission.Policy {
-	switch balance {
-	case settings.BalanceRoundRobin:
+	if balance == settings.BalanceRoundRobin {
 		return admission.PolicyRoundRobin
-	case settings.BalanceReported:
-		return admission.PolicyReportedLoad
 	}
 	return admission.PolicyOwnObservation
 }
--- a/router/watch.go
+++ b/router/watch.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
@@ -88,7 +89,9 @@
 // follow keeps a subscription at one of the members, whichever answers.
 func (r *Router) follow(ctx context.Context) error {
 	addresses := r.options.Settings.Router.Control
-	for turn := 0; ctx.Err() == nil; turn++ {
+	// Routers begin at different members, so that these share the load.
+	first := int(xxhash.Sum64String(r.options.Settings.Name) % uint64(len(addresses)))
+	for turn := first; ctx.Err() == nil; turn++ {
 		address := addresses[turn%len(addresses)]
 		err := r.followOne(ctx, address)
 		if ctx.Err() != nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -127,9 +127,12 @@
 	IdleTimeout time.Duration `yaml:"idle_timeout"`
 	// DrainTimeout bounds how long a stopping router finishes requests. Default 30s.
 	DrainTimeout time.Duration `yaml:"drain_timeout"`
-	// Balance is own_observation, round_robin or reported_load; the latter two
-	// are baselines. Default own_observation.
+	// Balance is own_observation or round_robin; the latter is a baseline.
+	// Default own_observation.
 	Balance string `yaml:"balance"`
+	// Limits is adaptive (a shed answer lowers an instance's limit) or fixed (the
+	// instance's slots at each router; a baseline). Default adaptive.
+	Limits string `yaml:"limits"`
 	// Certificate and Key secure callers' connections. Empty: plain HTTP.
 	Certificate string `yaml:"certificate"`
 	// Key of the certificate.
@@ -180,7 +183,7 @@
 		Router: Router{
 			Listen: "127.0.0.1:0", ConfirmEvery: 250 * time.Millisecond,
 			MaxHeaderBytes: 16 << 10, MaxConnections: 20_000,
-			IdleTimeout: time.Minute, DrainTimeout: 30 * time.Second, Balance: BalanceOwn,
+			IdleTimeout: time.Minute, DrainTimeout: 30 * time.Second, Balance: BalanceOwn, Limits: LimitsAdaptive,
 		},
 		Agent: Agent{Slots: 18, Connections: 100, StopMode: StopDrain, ProbeEvery: 100 * time.Millisecond, StopTimeout: 20 * time.Second},
 	}
@@ -199,9 +202,14 @@
 	StopRestart = "restart"
 )
 
+// Values of Router.Limits.
+const (
+	LimitsAdaptive = "adaptive"
+	LimitsFixed    = "fixed"
+)
+
 // Values of Router.Balance.
 const (
 	BalanceOwn        = "own_observation"
 	BalanceRoundRobin = "round_robin"
-	BalanceReported   = "reported_load"
 )
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -21,6 +21,9 @@
 	// HeaderOutcome on an answer is ok, not-run or unknown.
 	HeaderOutcome = "Limehold-Outcome"
 	HeaderReason  = "Limehold-Reason"
+	// HeaderRevision on an answer is the revision of the service's configuration
+	// under which the router handled the request.
+	HeaderRevision = "Limehold-Service-Revision"
 	// HeaderTimeout is set by callers who want less than the route's timeout.
 	HeaderTimeout = "Limehold-Timeout-Ms"
 	// HeaderRequestID is passed through, or drawn when missing.
