Repair of a member that lost its disk works; status on any member knows who is alive

Routers that had just started answered 404 no-service before their first configuration. Change: a member answers over the connection that the leader has opened when it has no link of its own; followers ask the leader for its view; a router takes callers once its view is confirmed, and says no-service only while it is.

--- a/adminapi/types.go
+++ b/adminapi/types.go
@@ -122,8 +122,10 @@
 
 // Status is an overview.
 type Status struct {
-	Cluster  string         `json:"cluster"`
-	Member   string         `json:"member"`
+	Cluster string `json:"cluster"`
+	Member  string `json:"member"`
+	// Leader that answered; empty when none could be asked: then nothing is
+	// known of who is alive.
 	Leader   string         `json:"leader"`
 	Term     uint64         `json:"term"`
 	Revision uint64         `json:"revision"`
--- a/bench/experiment/targets.go
+++ b/bench/experiment/targets.go
@@ -5,6 +5,7 @@
 
 	"limehold/bench/fleet"
 	"limehold/bench/judge"
+
 	"limehold/clock"
 )
 
--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -14,7 +14,6 @@
 
 	"limehold/adminapi"
 	"limehold/catalog"
-	"limehold/clock"
 	"limehold/consensus"
 	"limehold/fleet"
 	"limehold/journal"
@@ -150,7 +149,8 @@
 func (m *Member) routeNodes(ctx context.Context, request *fasthttp.RequestCtx, method, name, action string) (any, error) {
 	if method == http.MethodGet {
 		var list []adminapi.Node
-		err := m.read(ctx, request, func(state *fleet.State) { list = m.nodeViews(state) })
+		leader := m.leaderView(ctx)
+		err := m.read(ctx, request, func(state *fleet.State) { list = nodeViews(state, &leader) })
 		return list, err
 	}
 	if method != http.MethodPost || action != "drain" && action != "resume" {
@@ -170,14 +170,17 @@
 	return m.change(ctx, request, fleet.Command{SetDraining: &fleet.SetDraining{Session: session, Draining: action == "drain", Cause: "operator"}})
 }
 
-func (m *Member) nodeViews(state *fleet.State) []adminapi.Node {
-	now := clock.Now()
+func nodeViews(state *fleet.State, leader *wire.LeaderView) []adminapi.Node {
+	silences := map[membership.SessionID]time.Duration{}
+	for _, node := range leader.Nodes {
+		silences[node.Session] = node.Silence
+	}
 	list := []adminapi.Node{}
 	for _, node := range state.Membership.Sorted() {
 		view := adminapi.Node{
 			Name: node.Name, Session: uint64(node.Session), Zone: node.Zone, Address: node.Address, Pool: node.Pool,
 			Slots: node.Slots, State: "live", DrainCause: node.DrainCause,
-			Shards: state.Ownership.OwnedCount(node.Session), SilenceMillis: m.sessions.silence(node.Session, now).Milliseconds(),
+			Shards: state.Ownership.OwnedCount(node.Session), SilenceMillis: silences[node.Session].Milliseconds(),
 		}
 		switch {
 		case node.Superseded:
@@ -194,7 +197,8 @@
 
 func (m *Member) routeMembers(ctx context.Context, request *fasthttp.RequestCtx, method, action string) (any, error) {
 	if method == http.MethodGet {
-		return m.memberViews(), nil
+		leader := m.leaderView(ctx)
+		return m.memberViews(&leader), nil
 	}
 	if m.replica.status.Load().Role != consensus.RoleLeader {
 		return nil, &wire.Error{Code: wire.CodeNotLeader, Step: "change members", Peer: m.options.Settings.Name,
@@ -218,20 +222,29 @@
 	if err != nil {
 		return nil, err
 	}
-	return m.memberViews(), nil
+	leader := m.leaderView(ctx)
+	return m.memberViews(&leader), nil
 }
 
-func (m *Member) memberViews() []adminapi.Member {
+// memberViews lists the members of the newest configuration with what the
+// leader knows of them.
+func (m *Member) memberViews(leader *wire.LeaderView) []adminapi.Member {
+	health := map[consensus.MemberID]wire.MemberHealth{}
+	for _, member := range leader.Members {
+		health[member.ID] = member
+	}
+	status := m.replica.status.Load()
 	list := []adminapi.Member{}
-	for _, status := range m.memberStatuses() {
+	for _, member := range status.Configuration.Members {
+		known := health[member.ID]
 		view := adminapi.Member{
-			Name: status.Name, ID: status.ID.String(), Address: status.Address, Role: "follower",
-			Alive: status.Alive, Match: status.Match, LostLog: status.LostLog,
+			Name: member.Name, ID: member.ID.String(), Address: member.Address, Role: "follower",
+			Alive: known.Alive, Match: known.Match, LostLog: known.LostLog,
 		}
 		switch {
-		case status.Leader:
+		case member.ID == status.Leader:
 			view.Role = "leader"
-		case status.Learner:
+		case member.Learner:
 			view.Role = "learner"
 		}
 		list = append(list, view)
@@ -248,14 +261,15 @@
 
 func (m *Member) adminStatus(ctx context.Context, request *fasthttp.RequestCtx) (any, error) {
 	status := m.replica.status.Load()
+	leader := m.leaderView(ctx)
 	answer := &adminapi.Status{
-		Cluster: m.options.Settings.Cluster, Member: m.options.Settings.Name, Leader: m.leaderName(),
-		Term: status.Term, Shards: map[string]int{}, Members: m.memberViews(),
+		Cluster: m.options.Settings.Cluster, Member: m.options.Settings.Name, Leader: leader.Leader,
+		Term: status.Term, Shards: map[string]int{}, Members: m.memberViews(&leader),
 	}
 	err := m.read(ctx, request, func(state *fleet.State) {
 		answer.Revision = state.Revision
 		answer.Services = len(state.Catalog.Services)
-		answer.Nodes = m.nodeViews(state)
+		answer.Nodes = nodeViews(state, &leader)
 		for _, shards := range state.Ownership.Shards {
 			for phase, count := range countPhases(shards) {
 				answer.Shards[phase] += count
@@ -268,24 +282,19 @@
 	for _, router := range m.allRouters(ctx) {
 		answer.Routers = append(answer.Routers, routerView(router))
 	}
-	answer.ToleratedLosses = m.toleratedLosses(status)
+	answer.ToleratedLosses = toleratedLosses(answer.Members, status.Configuration.Quorum())
 	return answer, nil
 }
 
-// toleratedLosses counts how many more voters may be lost now. Only the leader
-// knows who answers; elsewhere it is the group's design value.
-func (m *Member) toleratedLosses(status *replicaStatus) int {
-	voters := len(status.Configuration.Voters())
-	if status.Role != consensus.RoleLeader {
-		return (voters - 1) / 2
-	}
+// toleratedLosses counts how many more voters may be lost now.
+func toleratedLosses(members []adminapi.Member, quorum int) int {
 	alive := 0
-	for _, member := range m.memberStatuses() {
-		if !member.Learner && member.Alive && !member.LostLog {
+	for _, member := range members {
+		if member.Role != "learner" && member.Alive && !member.LostLog {
 			alive++
 		}
 	}
-	return max(0, alive-status.Configuration.Quorum())
+	return max(0, alive-quorum)
 }
 
 func eventView(event journal.Event) adminapi.Event {
--- a/control/member.go
+++ b/control/member.go
@@ -225,6 +225,7 @@
 var allowedRoles = map[wire.Kind]wire.Role{
 	wire.KindConsensus: wire.RoleControl, wire.KindForward: wire.RoleControl,
 	wire.KindReadIndex: wire.RoleControl, wire.KindRouterList: wire.RoleControl, wire.KindLoadRelay: wire.RoleControl,
+	wire.KindLeaderView:  wire.RoleControl,
 	wire.KindOpenSession: wire.RoleAgent, wire.KindRenew: wire.RoleAgent,
 	wire.KindReleased: wire.RoleAgent, wire.KindDrainSelf: wire.RoleAgent,
 	wire.KindWatch: wire.RoleRouter, wire.KindConfirm: wire.RoleRouter,
@@ -241,6 +242,8 @@
 		return &wire.ReadIndexReply{Index: index}, err
 	case wire.KindRouterList:
 		return &wire.RouterListReply{Routers: m.routers.list(m.options.Settings.Name)}, nil
+	case wire.KindLeaderView:
+		return m.leaderViewHere()
 	case wire.KindLoadRelay:
 		return decoded(payload, func(r *wire.Confirm) (any, error) { m.addLoads(r.Work); return nil, nil })
 	case wire.KindOpenSession:
@@ -278,6 +281,7 @@
 	if message.From != conn.Peer.Member {
 		return &wire.Error{Code: wire.CodeInvalid, Message: "the message is signed by another member", Step: "take consensus message", Peer: conn.Peer.Name}
 	}
+	m.peers.heard(conn)
 	m.replica.step(message)
 	return nil
 }
--- a/control/members.go
+++ b/control/members.go
@@ -8,7 +8,9 @@
 	"go.uber.org/zap"
 
 	"limehold/catalog"
+	"limehold/clock"
 	"limehold/consensus"
+	"limehold/wire"
 )
 
 const (
@@ -19,41 +21,46 @@
 	memberPollEvery = 20 * time.Millisecond
 )
 
-// MemberStatus is a member as the leader sees it.
-type MemberStatus struct {
-	Name    string             `json:"name"`
-	ID      consensus.MemberID `json:"id"`
-	Address string             `json:"address"`
-	Learner bool               `json:"learner"`
-	Leader  bool               `json:"leader"`
-	// Alive is true when the member answered the leader within the last second.
-	Alive bool `json:"alive"`
-	// Match is the last log index that the member is known to hold durably.
-	Match   uint64 `json:"match"`
-	LostLog bool   `json:"lost_log"`
+// memberHealth tells how the other members stand, as this leader sees them.
+func (m *Member) memberHealth() []wire.MemberHealth {
+	status := m.replica.status.Load()
+	list := []wire.MemberHealth{{ID: m.storage.identity.ID, Alive: true, Match: status.LastIndex}}
+	for _, peer := range status.Progress {
+		list = append(list, wire.MemberHealth{
+			ID: peer.ID, Alive: peer.Heard && peer.Silence < aliveWithin, Match: peer.Match, LostLog: peer.LostLog,
+		})
+	}
+	return list
+}
+
+// leaderViewHere answers on the leader.
+func (m *Member) leaderViewHere() (*wire.LeaderView, error) {
+	if m.replica.status.Load().Role != consensus.RoleLeader {
+		return nil, m.notLeader("tell who answers the leader")
+	}
+	return &wire.LeaderView{
+		Leader: m.options.Settings.Name, Members: m.memberHealth(), Nodes: m.sessions.silences(clock.Now()),
+	}, nil
 }
 
-// memberStatuses lists the members as this leader sees them.
-func (m *Member) memberStatuses() []MemberStatus {
+// leaderView asks the leader who answers it; an empty view when there is no
+// leader to ask.
+func (m *Member) leaderView(ctx context.Context) wire.LeaderView {
 	status := m.replica.status.Load()
-	progress := map[consensus.MemberID]consensus.PeerProgress{}
-	for _, peer := range status.Progress {
-		progress[peer.ID] = peer
-	}
-	list := make([]MemberStatus, 0, len(status.Configuration.Members))
-	for _, member := range status.Configuration.Members {
-		peer, known := progress[member.ID]
-		entry := MemberStatus{
-			Name: member.Name, ID: member.ID, Address: member.Address, Learner: member.Learner,
-			Leader: member.ID == status.Leader, Match: peer.Match, LostLog: peer.LostLog,
-			Alive: known && peer.Heard && peer.Silence < aliveWithin,
+	if status.Role == consensus.RoleLeader {
+		if view, err := m.leaderViewHere(); err == nil {
+			return *view
 		}
-		if member.ID == m.storage.identity.ID {
-			entry.Alive, entry.Match = true, status.LastIndex
+	}
+	var view wire.LeaderView
+	if link := m.peers.link(status.Leader); link != nil {
+		ctx, cancel := context.WithTimeout(ctx, aliveWithin)
+		defer cancel()
+		if err := link.Call(ctx, wire.KindLeaderView, &struct{}{}, &view); err != nil {
+			return wire.LeaderView{}
 		}
-		list = append(list, entry)
 	}
-	return list
+	return view
 }
 
 func invalid(format string, arguments ...any) error {
@@ -196,8 +203,8 @@
 // checkQuorumAfter refuses a configuration whose living voters are no quorum.
 func (m *Member) checkQuorumAfter(next consensus.Configuration) error {
 	alive := map[consensus.MemberID]bool{}
-	for _, status := range m.memberStatuses() {
-		alive[status.ID] = status.Alive && !status.LostLog
+	for _, health := range m.memberHealth() {
+		alive[health.ID] = health.Alive && !health.LostLog
 	}
 	living := 0
 	for _, voter := range next.Voters() {
--- a/control/peers.go
+++ b/control/peers.go
@@ -18,7 +18,10 @@
 	overrides map[string]string
 	mutex     sync.Mutex
 	links     map[consensus.MemberID]*peerLink
-	ctx       context.Context
+	// incoming holds the newest connection that each member has opened. A
+	// member that has no configuration yet answers the leader over it.
+	incoming map[consensus.MemberID]*transport.Conn
+	ctx      context.Context
 }
 
 type peerLink struct {
@@ -28,7 +31,7 @@
 }
 
 func newPeers(own consensus.MemberID, overrides map[string]string, handler transport.Handler, options transport.Options) *peers {
-	return &peers{own: own, options: options, handler: handler, overrides: overrides, links: map[consensus.MemberID]*peerLink{}}
+	return &peers{own: own, options: options, handler: handler, overrides: overrides, links: map[consensus.MemberID]*peerLink{}, incoming: map[consensus.MemberID]*transport.Conn{}}
 }
 
 // start lets links be dialed until ctx ends.
@@ -77,15 +80,34 @@
 // send implements replica.send.
 func (p *peers) send(messages []consensus.Message) {
 	for i := range messages {
-		link := p.link(messages[i].To)
-		if link == nil {
+		conn := p.conn(messages[i].To)
+		if conn == nil {
 			continue
 		}
 		// A frame that cannot be queued is lost, as the protocol allows.
-		_ = link.SendEncoded(wire.KindConsensus, codec.MustMarshal(&messages[i]))
+		_ = conn.SendEncoded(wire.KindConsensus, codec.MustMarshal(&messages[i]))
 	}
 }
 
+// conn is the link to a member, or else the connection that it has opened.
+func (p *peers) conn(id consensus.MemberID) *transport.Conn {
+	if link := p.link(id); link != nil {
+		if conn := link.Conn(); conn != nil {
+			return conn
+		}
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.incoming[id]
+}
+
+// heard notes the connection over which a member has sent a message.
+func (p *peers) heard(conn *transport.Conn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.incoming[conn.Peer.Member] = conn
+}
+
 func (p *peers) link(id consensus.MemberID) *peerLink {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -109,15 +109,19 @@
 	return min(1, float64(now-opened)/float64(warmUp))
 }
 
-// silence tells how long ago a session's newest renewal came; zero when unknown.
-func (s *sessions) silence(session membership.SessionID, now time.Duration) time.Duration {
+// silences tells how long ago each session's newest renewal came.
+func (s *sessions) silences(now time.Duration) []wire.NodeSilence {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.leases == nil {
-		return 0
+		return nil
+	}
+	list := make([]wire.NodeSilence, 0, len(s.opened))
+	for session := range s.leases.All() {
+		silence, _ := s.leases.Silence(session, now)
+		list = append(list, wire.NodeSilence{Session: session, Silence: silence})
 	}
-	silence, _ := s.leases.Silence(session, now)
-	return silence
+	return list
 }
 
 // openSession is the answer to an agent that presents its back end.
--- a/membership/lease.go
+++ b/membership/lease.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/heap"
+	"iter"
+	"maps"
 	"slices"
 	"time"
 )
@@ -108,6 +110,9 @@
 	return now - (known.expiry - l.timing.ControlLength()), true
 }
 
+// All iterates over the tracked sessions, in no order.
+func (l *Leases) All() iter.Seq[SessionID] { return maps.Keys(l.renewals) }
+
 type leaseQueue []*lease
 
 func (q leaseQueue) Len() int           { return len(q) }
--- a/router/request.go
+++ b/router/request.go
@@ -109,7 +109,7 @@
 	path := string(request.Path())
 	found, rest := r.table.find(string(request.Host()), path)
 	if found == nil {
-		return nil, refuseNoService
+		return nil, r.refuseUnmatched()
 	}
 	now := clock.Now()
 	p := &proxied{
@@ -140,6 +140,19 @@
 	return p, refusal{}
 }
 
+// refuseUnmatched says that there is no such service only if the router's view
+// is known to be current.
+func (r *Router) refuseUnmatched() refusal {
+	if !r.freshness.within(clock.Now(), unmatchedBound) {
+		return refuseNotCurrent
+	}
+	return refuseNoService
+}
+
+// unmatchedBound is the age of the router's view up to which it may say that a
+// service does not exist.
+const unmatchedBound = 5 * time.Second
+
 // plainPath refuses paths that the router and a back end might read differently.
 func plainPath(path []byte) bool {
 	if len(path) == 0 || path[0] != '/' {
--- a/router/router.go
+++ b/router/router.go
@@ -71,6 +71,9 @@
 	lameDuck     = time.Second
 	drainPoll    = 10 * time.Millisecond
 	adminTimeout = 5 * time.Second
+	// startPatience bounds the wait for a first configuration before callers
+	// are taken.
+	startPatience = 2 * time.Second
 )
 
 // New opens the listeners. Run serves them.
@@ -153,6 +156,10 @@
 	group.Go(func() error { return r.sweep(serving) })
 	group.Go(func() error { return r.serveAdmin(serving) })
 	group.Go(func() error {
+		// Callers are not taken before there is something to tell them. After
+		// startPatience they are refused truthfully instead.
+		r.awaitConfiguration(serving)
+		r.logger.Info("serving", zap.Uint64("revision", r.table.inForce()))
 		err := r.server.Serve(r.listener)
 		if r.draining.Load() {
 			return nil
@@ -176,6 +183,21 @@
 	return err
 }
 
+// awaitConfiguration waits until the router's view is confirmed as current.
+func (r *Router) awaitConfiguration(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, startPatience)
+	defer cancel()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for !r.freshness.within(clock.Now(), startPatience) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // drain asks callers to close their connections, then closes the listener and
 // waits for what is under way.
 func (r *Router) drain() {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -30,6 +30,7 @@
 	KindReadIndex  Kind = 13
 	KindRouterList Kind = 14
 	KindLoadRelay  Kind = 15
+	KindLeaderView Kind = 16
 
 	// From agents to the leader.
 	KindOpenSession Kind = 20
@@ -130,6 +131,29 @@
 	Member string
 }
 
+// MemberHealth is a control member as the leader sees it.
+type MemberHealth struct {
+	ID consensus.MemberID
+	// Alive is true when the member answered the leader within the last second.
+	Alive bool
+	// Match is the last log index that the member is known to hold durably.
+	Match   uint64
+	LostLog bool
+}
+
+// NodeSilence is how long ago a session's newest renewal came.
+type NodeSilence struct {
+	Session membership.SessionID
+	Silence time.Duration
+}
+
+// LeaderView is what only the leader knows: who answers it.
+type LeaderView struct {
+	Leader  string
+	Members []MemberHealth
+	Nodes   []NodeSilence
+}
+
 // RouterListReply lists the routers connected to a member.
 type RouterListReply struct{ Routers []RouterStatus }
 
