Simulation of the real cores in virtual time, with linearizability check

Cause: what control and nodes promise under crashes, freezes, cuts and lost disks was only seen in a few runs of real processes. Change: limebench simulate drives consensus, fleet, membership, ownership, placement and assignment (the agent's list of shards, now a pure package) with drawn clocks, network, disks and 21 kinds of fault; after every step it checks one leader a term, one lease holder, committed entries, equal results, one owner per key, rising epochs; at the end recovery, acknowledged commands and a linearizable history (porcupine). On the way: a proposal to end sessions that is lost is made again (before, such a session's shards had no owner for as long as the leader led), and leases of an earlier leadership of the same member cannot be renewed.

--- a/agent/shards.go
+++ b/agent/shards.go
@@ -3,65 +3,50 @@
 import (
 	"sync"
 
+	"limehold/assignment"
 	"limehold/fleet"
 	"limehold/membership"
 	"limehold/ownership"
 	"limehold/wire"
 )
 
-// shardSet is the newest list of this node's shards.
+// shardSet is this node's list of shards, for use by several goroutines.
 type shardSet struct {
-	mutex   sync.Mutex
-	session membership.SessionID
-	newest  uint64
-	shards  map[ownership.Key]wire.Assignment
-	// done holds the epochs under which shards have been let go and reported.
-	done    map[ownership.Key]uint64
-	version uint64
-	change  chan struct{}
+	mutex  sync.Mutex
+	set    *assignment.Set
+	change chan struct{}
 }
 
 func newShardSet() *shardSet {
-	return &shardSet{shards: map[ownership.Key]wire.Assignment{}, done: map[ownership.Key]uint64{}, change: make(chan struct{})}
+	return &shardSet{set: assignment.NewSet(), change: make(chan struct{})}
 }
 
 // begin forgets everything that belongs to another session.
 func (s *shardSet) begin(session membership.SessionID) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.session == session {
-		return
+	if s.set.Begin(session) {
+		s.wake()
 	}
-	s.session, s.newest = session, 0
-	s.shards = map[ownership.Key]wire.Assignment{}
-	s.done = map[ownership.Key]uint64{}
-	s.bump()
 }
 
-func (s *shardSet) bump() {
-	s.version++
+func (s *shardSet) wake() {
 	close(s.change)
 	s.change = make(chan struct{})
 }
 
-// take accepts a list of this session that is newer than the newest one seen.
+// take accepts a list that is newer than the newest one seen.
 func (s *shardSet) take(list *wire.Assignments) bool {
+	shards := make(map[ownership.Key]assignment.Shard, len(list.Shards))
+	for _, item := range list.Shards {
+		shards[ownership.Key{Service: item.Service, Shard: item.Shard}] = assignment.Shard{Epoch: item.Epoch, Release: item.Release}
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if list.Session != s.session || list.Revision <= s.newest {
+	if !s.set.Take(list.Session, list.Revision, shards) {
 		return false
 	}
-	s.newest = list.Revision
-	s.shards = make(map[ownership.Key]wire.Assignment, len(list.Shards))
-	for _, item := range list.Shards {
-		s.shards[ownership.Key{Service: item.Service, Shard: item.Shard}] = item
-	}
-	for key := range s.done {
-		if _, listed := s.shards[key]; !listed {
-			delete(s.done, key)
-		}
-	}
-	s.bump()
+	s.wake()
 	return true
 }
 
@@ -69,38 +54,35 @@
 func (s *shardSet) grants() (*wire.BackendGrants, uint64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	list := &wire.BackendGrants{Session: uint64(s.session), Revision: s.newest, Grants: []wire.BackendGrant{}}
-	for _, item := range s.shards {
-		if !item.Release {
-			list.Grants = append(list.Grants, wire.BackendGrant{Service: item.Service, Shard: item.Shard, Epoch: item.Epoch})
-		}
-	}
-	return list, s.version
+	return &wire.BackendGrants{
+		Session: uint64(s.set.Session()), Revision: s.set.Revision(), Grants: backendGrants(s.set.Granted()),
+	}, s.set.Version()
 }
 
 // releasing lists the shards that have to be let go.
 func (s *shardSet) releasing() (membership.SessionID, []wire.BackendGrant) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	var list []wire.BackendGrant
-	for key, item := range s.shards {
-		if item.Release && s.done[key] < item.Epoch {
-			list = append(list, wire.BackendGrant{Service: item.Service, Shard: item.Shard, Epoch: item.Epoch})
-		}
+	return s.set.Session(), backendGrants(s.set.Releasing())
+}
+
+func backendGrants(shards []assignment.Released) []wire.BackendGrant {
+	list := make([]wire.BackendGrant, 0, len(shards))
+	for _, item := range shards {
+		list = append(list, wire.BackendGrant{Service: item.Key.Service, Shard: item.Key.Shard, Epoch: item.Epoch})
 	}
-	return s.session, list
+	return list
 }
 
 // released notes that control has taken a release.
 func (s *shardSet) released(session membership.SessionID, shards []fleet.ReleasedShard) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if session != s.session {
-		return
-	}
+	list := make([]assignment.Released, 0, len(shards))
 	for _, item := range shards {
-		s.done[item.Key] = max(s.done[item.Key], item.Epoch)
+		list = append(list, assignment.Released{Key: item.Key, Epoch: item.Epoch})
 	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.set.Reported(session, list)
 }
 
 func (s *shardSet) changed() <-chan struct{} {
@@ -112,11 +94,11 @@
 func (s *shardSet) revision() uint64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.newest
+	return s.set.Revision()
 }
 
 func (s *shardSet) count() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return len(s.shards)
+	return s.set.Count()
 }
--- /dev/null
+++ b/bench/simulate/duties.go
@@ -0,0 +1,170 @@
+package simulate
+
+import (
+	"maps"
+	"slices"
+
+	"limehold/assignment"
+	"limehold/catalog"
+	"limehold/fleet"
+	"limehold/membership"
+	"limehold/ownership"
+	"limehold/placement"
+)
+
+// duty runs what a leader has to do, as package control does.
+func (m *member) duty() {
+	if !m.status.ready {
+		m.duties.leases = nil
+		return
+	}
+	now := m.world.clock(m.process)
+	if m.duties.leases == nil || m.duties.term != m.status.term {
+		m.beginDuties()
+	}
+	if expired := m.duties.leases.Expired(now); len(expired) > 0 {
+		m.lead(fleet.Command{CloseSessions: &fleet.CloseSessions{Sessions: expired, Cause: "no renewal"}})
+	}
+	if now >= m.duties.placeDue {
+		m.duties.placeDue = now + placeEvery
+		m.place()
+	}
+}
+
+// beginDuties starts a leadership: every open session counts as renewed now.
+func (m *member) beginDuties() {
+	sessions := slices.Sorted(maps.Keys(m.state.Membership.Sessions))
+	m.duties = duties{
+		leases: membership.NewLeases(leaseTiming, sessions, m.world.clock(m.process)), term: m.status.term,
+		revision: map[membership.SessionID]uint64{}, baseRevision: m.state.Revision, budget: map[string]*placement.Budget{},
+	}
+}
+
+// lead proposes a leader's own command; it comes round again if it is lost.
+func (m *member) lead(command fleet.Command) {
+	m.propose(&command, func(fleet.Result, bool) {})
+}
+
+// place plans as package control does, with loads drawn at random.
+func (m *member) place() {
+	inputs := map[string]*placement.Input{}
+	for _, name := range slices.Sorted(maps.Keys(m.state.Catalog.Services)) {
+		service := m.state.Catalog.Services[name]
+		if service.State == catalog.ServiceRetiring {
+			m.removeIfFree(name)
+			continue
+		}
+		input := inputs[service.Spec.Pool]
+		if input == nil {
+			input = &placement.Input{Services: map[string]placement.Service{}}
+			inputs[service.Spec.Pool] = input
+		}
+		input.Services[name] = placement.Service{Imbalance: 10, Churn: 1, Unavailable: 1, Moves: 2}
+		for number, shard := range m.state.Ownership.Shards[name] {
+			owner := shard.Owner
+			if shard.Phase == ownership.PhaseReleasing {
+				owner = shard.Target
+			}
+			input.Shards = append(input.Shards, placement.Shard{
+				Key: ownership.Key{Service: name, Shard: uint32(number)}, Epoch: shard.Epoch, Phase: shard.Phase, Owner: owner,
+				Load: m.world.random.Float64(),
+			})
+		}
+	}
+	for _, node := range m.state.Membership.Sorted() {
+		if input := inputs[node.Pool]; input != nil && node.Eligible() {
+			input.Nodes = append(input.Nodes, placement.Node{Session: node.Session, Name: node.Name, Zone: node.Zone, Capacity: 18, Warmth: 1})
+		}
+	}
+	for _, pool := range slices.Sorted(maps.Keys(inputs)) {
+		m.proposePlan(placement.Compute(*inputs[pool]))
+	}
+}
+
+func (m *member) removeIfFree(service string) {
+	for _, shard := range m.state.Ownership.Shards[service] {
+		if shard.Phase != ownership.PhaseFree {
+			return
+		}
+	}
+	m.lead(fleet.Command{RemoveService: &fleet.RemoveService{Name: service}})
+}
+
+func (m *member) proposePlan(plan placement.Plan) {
+	if len(plan.Assign) > 0 {
+		m.lead(fleet.Command{Assign: &fleet.Assign{Decisions: decisions(plan.Assign), Cause: "placement"}})
+	}
+	if len(plan.Transfer) > 0 {
+		m.world.counts["transfers begun"] += len(plan.Transfer)
+		m.lead(fleet.Command{Transfer: &fleet.Transfer{Decisions: decisions(plan.Transfer), Cause: "placement"}})
+	}
+}
+
+func decisions(list []placement.Decision) []fleet.ShardDecision {
+	converted := make([]fleet.ShardDecision, 0, len(list))
+	for _, decision := range list {
+		converted = append(converted, fleet.ShardDecision{Key: decision.Key, Epoch: decision.Epoch, To: decision.To})
+	}
+	return converted
+}
+
+// noteChanges keeps the leases and tells nodes their new lists.
+func (m *member) noteChanges(changes *fleet.Changes) {
+	if m.duties.leases == nil {
+		return
+	}
+	now := m.world.clock(m.process)
+	for _, session := range changes.Nodes {
+		m.duties.leases.Track(session, now)
+	}
+	for session := range changes.Sessions {
+		m.duties.revision[session] = changes.Revision
+	}
+	for _, session := range changes.RemovedNodes {
+		m.duties.leases.Forget(session)
+		delete(m.duties.revision, session)
+	}
+	for _, session := range slices.Sorted(maps.Keys(changes.Sessions)) {
+		m.push(session)
+	}
+}
+
+func (m *member) newestRevision(session membership.SessionID) uint64 {
+	if revision, known := m.duties.revision[session]; known {
+		return revision
+	}
+	return m.duties.baseRevision
+}
+
+// push sends a session its whole list.
+func (m *member) push(session membership.SessionID) {
+	open := m.state.Membership.Sessions[session]
+	if open == nil {
+		return
+	}
+	list := map[ownership.Key]assignment.Shard{}
+	for _, key := range m.state.Ownership.Owned(session) {
+		shard, _ := m.state.Ownership.Get(key)
+		list[key] = assignment.Shard{Epoch: shard.Epoch, Release: shard.Phase == ownership.PhaseReleasing}
+	}
+	revision := m.state.Revision
+	for _, n := range m.world.nodes {
+		if n.name == open.Name || n.name == open.Name+rivalSuffix {
+			m.world.send(m.process, n.process, "assignments", func() { n.takeList(session, revision, maps.Clone(list)) })
+		}
+	}
+}
+
+// renew is the leader's answer to a renewal.
+func (m *member) renew(session membership.SessionID, seen uint64) (granted, known bool) {
+	if m.duties.leases == nil || m.status.term != m.duties.term || !m.holdsLease() {
+		return false, true
+	}
+	if !m.duties.leases.Renew(session, m.world.clock(m.process)) {
+		return false, false
+	}
+	if seen < m.newestRevision(session) {
+		m.push(session)
+	}
+	return true, true
+}
--- /dev/null
+++ b/bench/simulate/history.go
@@ -0,0 +1,117 @@
+package simulate
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"limehold/catalog"
+	"limehold/fleet"
+)
+
+// history is what operators did and saw; each service is a register with
+// compare-and-set.
+type history struct {
+	reads    []porcupine.Operation
+	attempts []*commandAttempt
+}
+
+func newHistory() *history { return &history{} }
+
+// operation is the input of one step of the register.
+type operation struct {
+	service  string
+	write    bool
+	expected uint64
+	value    string
+}
+
+// outcome is its output.
+type outcome struct {
+	view     catalogView
+	conflict bool
+}
+
+func (h *history) read(client int, service string, called, returned time.Duration, view catalogView) {
+	h.reads = append(h.reads, porcupine.Operation{
+		ClientId: client, Input: operation{service: service}, Call: int64(called), Output: outcome{view: view}, Return: int64(returned),
+	})
+}
+
+func (h *history) begin(attempt *commandAttempt) { h.attempts = append(h.attempts, attempt) }
+
+// operations completes the commands without an answer: whether they took effect
+// is read from the group's own records at the end, when is left open.
+func (h *history) operations(final *fleet.State) []porcupine.Operation {
+	all := append([]porcupine.Operation(nil), h.reads...)
+	for _, attempt := range h.attempts {
+		result, ended := attempt.answer, int64(attempt.ended)
+		if !attempt.answered {
+			record, kept := final.Records[attempt.command.ID]
+			if !kept {
+				continue
+			}
+			result, ended = record.Result, int64(1)<<60
+		}
+		if code := failureCode(result); code != "" && code != catalog.FailureConflict {
+			continue
+		}
+		all = append(all, porcupine.Operation{
+			ClientId: attempt.operator.number, Call: int64(attempt.called), Return: ended,
+			Input:  operation{service: attempt.service, write: true, expected: attempt.expected, value: attempt.value},
+			Output: outcome{view: catalogView{Revision: result.Revision, Value: attempt.value}, conflict: failureCode(result) != ""},
+		})
+	}
+	return all
+}
+
+// register is the sequential specification of one service.
+var register = porcupine.Model{
+	Partition: func(all []porcupine.Operation) [][]porcupine.Operation {
+		parts := map[string][]porcupine.Operation{}
+		for _, item := range all {
+			service := item.Input.(operation).service
+			parts[service] = append(parts[service], item)
+		}
+		var list [][]porcupine.Operation
+		for _, part := range parts {
+			list = append(list, part)
+		}
+		return list
+	},
+	Init: func() any { return catalogView{} },
+	Step: func(state, input, output any) (bool, any) {
+		current, asked, seen := state.(catalogView), input.(operation), output.(outcome)
+		if current == (catalogView{}) {
+			// The first thing seen of a service tells how it was set up.
+			if !asked.write {
+				return true, seen.view
+			}
+			current = catalogView{Revision: asked.expected}
+		}
+		switch {
+		case !asked.write:
+			return seen.view == current, current
+		case seen.conflict:
+			return asked.expected != current.Revision, current
+		}
+		return asked.expected == current.Revision && seen.view.Revision > current.Revision, seen.view
+	},
+	DescribeOperation: func(input, output any) string { return fmt.Sprintf("%+v -> %+v", input, output) },
+}
+
+const linearizeLimit = 5 * time.Second
+
+// check looks for an order of all operations that explains what was seen.
+func (h *history) check(w *world, final *fleet.State) {
+	all := h.operations(final)
+	w.counts["operations checked for linearizability"] += len(all)
+	switch porcupine.CheckOperationsTimeout(register, all, linearizeLimit) {
+	case porcupine.Illegal:
+		w.fail("reads and changes are linearizable", "%d operations on %d services have no order that explains them", len(all), services)
+	case porcupine.Unknown:
+		w.counts["histories too long to check"]++
+	case porcupine.Ok:
+	}
+}
--- /dev/null
+++ b/bench/simulate/run.go
@@ -0,0 +1,253 @@
+package simulate
+
+import (
+	"fmt"
+	"runtime"
+	"sync"
+	"time"
+
+	"limehold/catalog"
+	"limehold/consensus"
+	"limehold/fleet"
+)
+
+const (
+	services = 2
+	shards   = 4
+)
+
+func serviceName(number int) string { return fmt.Sprintf("service-%d", number) }
+
+// Options configures one simulated run.
+type Options struct {
+	Seed uint64
+	// Members of the control group. Default 3, or 5 for every fourth seed.
+	Members int
+	// Nodes that own shards. Default 4.
+	Nodes int
+	// Length of the run in virtual time. Default 14s.
+	Length time.Duration
+	// Trace keeps a description of the last events.
+	Trace bool
+	// Without leaves out the faults with these numbers.
+	Without map[int]bool
+
+	settle         time.Duration
+	meanGap        time.Duration
+	lossPermille   int
+	repeatPermille int
+	latePermille   int
+}
+
+func (o *Options) applyDefaults() {
+	if o.Members == 0 {
+		o.Members = 3
+		if o.Seed%4 == 3 {
+			o.Members = 5
+		}
+	}
+	if o.Nodes == 0 {
+		o.Nodes = 4
+	}
+	if o.Length == 0 {
+		o.Length = 14 * time.Second
+	}
+	o.settle = 5 * time.Second
+	o.meanGap = 400 * time.Millisecond
+	// Some seeds have a quiet network, some a bad one.
+	switch o.Seed % 3 {
+	case 1:
+		o.lossPermille, o.repeatPermille, o.latePermille = 5, 10, 10
+	case 2:
+		o.lossPermille, o.repeatPermille, o.latePermille = 40, 60, 60
+	}
+}
+
+// faultsUntil leaves time at the end for everything to be repaired.
+func (o *Options) faultsUntil() time.Duration { return o.Length - o.settle - 2*time.Second }
+
+func (o *Options) workUntil() time.Duration { return o.Length - 2*time.Second }
+
+// Failure is a broken promise.
+type Failure struct {
+	Seed    uint64        `json:"seed"`
+	Promise string        `json:"promise"`
+	Message string        `json:"message"`
+	At      time.Duration `json:"at"`
+	// Faults are those without which the failure does not come about.
+	Faults []string `json:"faults"`
+	Trace  []string `json:"trace"`
+}
+
+// Error implements error.
+func (f *Failure) Error() string {
+	return fmt.Sprintf("seed %d after %s: %s: %s", f.Seed, f.At, f.Promise, f.Message)
+}
+
+// Result of one run.
+type Result struct {
+	Steps   int
+	Virtual time.Duration
+	Counts  map[string]int
+	Failure *Failure
+}
+
+// Run simulates one seed.
+func Run(options Options) *Result {
+	options.applyDefaults()
+	w := newWorld(options)
+	w.build()
+	for number, fault := range schedule(&options) {
+		if options.Without[number] {
+			continue
+		}
+		w.later(fault.At, func() { w.strike(fault) })
+	}
+	w.later(options.Length-options.settle, w.heal)
+	w.run(options.Length)
+	if w.failure == nil {
+		w.checker.final()
+	}
+	return &Result{Steps: w.steps, Virtual: w.now, Counts: w.counts, Failure: w.failure}
+}
+
+// build creates a formed group, its services and nodes.
+func (w *world) build() {
+	first := consensus.Snapshot{Index: 1, Term: 1}
+	for i := range w.options.Members {
+		first.Configuration.Members = append(first.Configuration.Members, consensus.Member{ID: consensus.MemberID(i + 1), Name: fmt.Sprintf("control-%d", i+1)})
+	}
+	state := fleet.NewState()
+	for _, command := range setup() {
+		state.Apply(state.Revision+1, &command)
+	}
+	data, err := state.Encode()
+	if err != nil {
+		w.fail("set-up", "%v", err)
+		return
+	}
+	first.Index, first.Data = state.Revision, data
+	for _, member := range first.Configuration.Members {
+		w.members = append(w.members, w.newMember(member.Name, member.ID, first))
+	}
+	for i := range w.options.Nodes {
+		name := fmt.Sprintf("node-%d", i+1)
+		w.nodes = append(w.nodes, w.newNode(name, name))
+	}
+	for i := range 3 {
+		w.operators = append(w.operators, w.newOperator(i+1))
+	}
+}
+
+func setup() []fleet.Command {
+	timeout := "1s"
+	template := catalog.Template{
+		Name: "keyed",
+		Parameters: []catalog.Parameter{
+			{Name: "prefix", Type: catalog.ParameterName},
+			{Name: "timeout", Type: catalog.ParameterDuration, Default: &timeout},
+		},
+		SpecText: fmt.Sprintf("match: {path_prefix: \"/${prefix}\"}\npool: %s\nkeyed: true\nkey: {source: path, segment: 0}\nshards: %d\nroutes:\n  - {timeout: \"${timeout}\"}\n", nodePool, shards),
+	}
+	commands := []fleet.Command{{ApplyTemplate: &fleet.ApplyTemplate{Template: template, Expected: catalog.AnyRevision}}}
+	for number := range services {
+		name := serviceName(number)
+		commands = append(commands, fleet.Command{CreateService: &fleet.CreateService{Name: name, Template: "keyed", Values: map[string]string{"prefix": name}}})
+	}
+	return commands
+}
+
+// heal ends all faults; from here on everything must come right by itself.
+func (w *world) heal() {
+	w.options.lossPermille, w.options.latePermille = 0, 0
+	for _, p := range w.processes {
+		*w.reaches[p] = reach{outgoing: true, incoming: true}
+		w.thaw(p)
+	}
+	for _, m := range w.members {
+		m.disk.slowUntil = 0
+	}
+}
+
+// Minimize leaves out faults for as long as the same promise stays broken, and
+// returns the failure with the faults that are needed, and a trace.
+func Minimize(failure *Failure) *Failure {
+	options := Options{Seed: failure.Seed}
+	options.applyDefaults()
+	faults := schedule(&options)
+	without := map[int]bool{}
+	for number := range faults {
+		without[number] = true
+		found := Run(Options{Seed: failure.Seed, Without: without}).Failure
+		if found == nil || found.Promise != failure.Promise {
+			delete(without, number)
+		}
+	}
+	minimal := Run(Options{Seed: failure.Seed, Without: without, Trace: true}).Failure
+	if minimal == nil {
+		return failure
+	}
+	for number, fault := range faults {
+		if !without[number] {
+			minimal.Faults = append(minimal.Faults, fault.String())
+		}
+	}
+	return minimal
+}
+
+// Summary of many runs.
+type Summary struct {
+	Schedules      int            `json:"schedules"`
+	FirstSeed      uint64         `json:"first_seed"`
+	Steps          int            `json:"steps"`
+	VirtualSeconds float64        `json:"virtual_seconds"`
+	WallSeconds    float64        `json:"wall_seconds"`
+	Events         map[string]int `json:"events_per_kind"`
+	Failures       []*Failure     `json:"failures"`
+}
+
+// RunMany simulates seeds on all processors. It goes on after a failure, up to
+// maxFailures of them.
+func RunMany(first uint64, count int, maxFailures int) *Summary {
+	summary := &Summary{Schedules: count, FirstSeed: first, Events: map[string]int{}}
+	started := time.Now()
+	seeds := make(chan uint64)
+	var mutex sync.Mutex
+	var workers sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		workers.Add(1)
+		go func() {
+			defer workers.Done()
+			for seed := range seeds {
+				result := Run(Options{Seed: seed})
+				mutex.Lock()
+				summary.add(result)
+				mutex.Unlock()
+			}
+		}()
+	}
+	for i := range count {
+		mutex.Lock()
+		failed := len(summary.Failures)
+		mutex.Unlock()
+		if failed >= maxFailures {
+			break
+		}
+		seeds <- first + uint64(i)
+	}
+	close(seeds)
+	workers.Wait()
+	summary.WallSeconds = time.Since(started).Seconds()
+	return summary
+}
+
+func (s *Summary) add(result *Result) {
+	s.Steps += result.Steps
+	s.VirtualSeconds += result.Virtual.Seconds()
+	for kind, count := range result.Counts {
+		s.Events[kind] += count
+	}
+	if result.Failure != nil {
+		s.Failures = append(s.Failures, result.Failure)
+	}
+}
--- a/control/leader.go
+++ b/control/leader.go
@@ -79,7 +79,7 @@
 			open = append(open, session)
 		}
 	})
-	m.sessions.lead(m.options.leaseTiming(), open, revision, clock.Now())
+	m.sessions.lead(status.Term, m.options.leaseTiming(), open, revision, clock.Now())
 	m.logger.Info("leading", zap.Uint64("term", status.Term), zap.Int("sessions", len(open)))
 	return &leaderState{term: status.Term, budgets: map[string]*placement.Budget{}, oversize: map[ownership.Key]bool{}}
 }
--- a/control/replica.go
+++ b/control/replica.go
@@ -37,7 +37,7 @@
 	state      *fleet.State
 	waiters    map[uint64]waiter
 	status     atomic.Pointer[replicaStatus]
-	leaseUntil atomic.Int64
+	lease      atomic.Pointer[leaderLease]
 
 	appliedIndex  uint64
 	snapshotIndex uint64
@@ -51,6 +51,12 @@
 	commandCount interface{ Inc() }
 }
 
+// leaderLease says until when the leader of a term may answer for the group.
+type leaderLease struct {
+	term  uint64
+	until time.Duration
+}
+
 // replicaStatus is what other goroutines may know of the core.
 type replicaStatus struct {
 	Role          consensus.Role
@@ -356,12 +362,16 @@
 	if r.core.Role() == consensus.RoleLeader && r.appliedIndex >= r.core.TermStart() {
 		until = r.core.LeaseUntil(clock.Now())
 	}
-	r.leaseUntil.Store(int64(until))
+	r.lease.Store(&leaderLease{term: r.core.Term(), until: until})
 }
 
 // holdsLease reports whether this member may answer for the group at now.
-func (r *replica) holdsLease(now time.Duration) bool {
-	return now < time.Duration(r.leaseUntil.Load())
+func (r *replica) holdsLease(now time.Duration) bool { return now < r.lease.Load().until }
+
+// holdsLeaseOf is holdsLease for the leader of one term only.
+func (r *replica) holdsLeaseOf(term uint64, now time.Duration) bool {
+	lease := r.lease.Load()
+	return lease.term == term && now < lease.until
 }
 
 // submit proposes a command and waits until it is applied.
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -21,8 +21,10 @@
 // leases run, and which list of shards each agent has to be told.
 type sessions struct {
 	mutex sync.Mutex
-	// leases is nil while this member does not lead.
+	// leases is nil while this member does not lead; term is that of the
+	// leadership that they belong to.
 	leases *membership.Leases
+	term   uint64
 	conns  map[membership.SessionID]*transport.Conn
 	// listRevision is the revision of each session's newest list of shards.
 	listRevision map[membership.SessionID]uint64
@@ -41,9 +43,10 @@
 }
 
 // lead begins a leadership: every open session counts as renewed now.
-func (s *sessions) lead(timing membership.LeaseTiming, open []membership.SessionID, revision uint64, now time.Duration) {
+func (s *sessions) lead(term uint64, timing membership.LeaseTiming, open []membership.SessionID, revision uint64, now time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.term = term
 	s.leases = membership.NewLeases(timing, open, now)
 	s.baseRevision = revision
 	s.listRevision = map[membership.SessionID]uint64{}
@@ -156,12 +159,10 @@
 // that a renewal is acknowledged only at a moment at which this member led.
 func (m *Member) renew(conn *transport.Conn, request *wire.Renew) (*wire.RenewReply, error) {
 	now := clock.Now()
-	if !m.replica.holdsLease(now) {
-		return nil, m.notLeader("renew lease")
-	}
 	s := m.sessions
 	s.mutex.Lock()
-	if s.leases == nil {
+	// The leases of an earlier leadership of this member must not be renewed.
+	if s.leases == nil || !m.replica.holdsLeaseOf(s.term, now) {
 		s.mutex.Unlock()
 		return nil, m.notLeader("renew lease")
 	}
--- a/membership/lease.go
+++ b/membership/lease.go
@@ -81,21 +81,25 @@
 	return true
 }
 
-// Expired returns the sessions whose lease has run out, and marks them as closing.
+// Expired returns the sessions whose lease has run out, and marks them as
+// closing. A session that is still tracked a lease later is returned again: the
+// proposal to end it may have been lost.
 func (l *Leases) Expired(now time.Duration) []SessionID {
 	var expired []SessionID
 	for len(l.queue) > 0 && l.queue[0].queuedExpiry <= now {
 		first := heap.Pop(&l.queue).(*lease)
-		if l.renewals[first.session] != first || first.closing {
+		if l.renewals[first.session] != first {
 			continue
 		}
-		if first.expiry > now {
+		if first.expiry > now && !first.closing {
 			first.queuedExpiry = first.expiry
 			heap.Push(&l.queue, first)
 			continue
 		}
 		first.closing = true
 		expired = append(expired, first.session)
+		first.queuedExpiry = now + l.timing.ControlLength()
+		heap.Push(&l.queue, first)
 	}
 	slices.Sort(expired)
 	return expired
