An interrupted repair of a member goes on where it stopped

Two faults: 'promote' was computed from a configuration that was not the newest (the status lags the log), was refused, and the repetition took the newcomer, the only member of that name by now, for the one to be replaced. Ruled out: the network (the newcomer had caught up), a lost log. Change: edits of the members run on the replica's goroutine on the newest configuration, and are confirmed at their own index; the predecessor is never the newcomer.

--- a/control/members.go
+++ b/control/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -74,7 +75,7 @@
 	if member, exists := configuration.FindName(name); exists && !member.Learner {
 		return invalid("member %s is in the group already; use 'limehold member replace %s' when it has lost its disk", name, name)
 	}
-	return m.admit(ctx, name, address, nil)
+	return m.admit(ctx, name, address, false)
 }
 
 // ReplaceMember puts the member that now listens under the name in the place of
@@ -88,13 +89,26 @@
 	if address == "" {
 		address = old.Address
 	}
-	return m.admit(ctx, name, address, &old)
+	return m.admit(ctx, name, address, true)
 }
 
-// admit brings in a learner, removes the old member if there is one, and makes
-// the learner a voter once it holds everything. It returns only then: the word
-// "repaired" is not given before.
-func (m *Member) admit(ctx context.Context, name, address string, old *consensus.Member) error {
+// predecessor is the member that one under the same name replaces. A repair that
+// was interrupted after the removal of the old member has none any more: the
+// newcomer itself must not be taken for it.
+func predecessor(configuration consensus.Configuration, newcomer consensus.Member) (consensus.Member, bool) {
+	for _, member := range configuration.Members {
+		if member.Name == newcomer.Name && member.ID != newcomer.ID {
+			return member, true
+		}
+	}
+	return consensus.Member{}, false
+}
+
+// admit brings in a learner, removes the old member if it replaces one, and
+// makes the learner a voter once it holds everything. It returns only then: the
+// word "repaired" is not given before. A repetition goes on where an interrupted
+// one stopped.
+func (m *Member) admit(ctx context.Context, name, address string, replaces bool) error {
 	identity, err := m.askFormationAt(ctx, address)
 	if err != nil {
 		return invalid("member %s at %s does not answer: %v; start it with control.join: true or an empty data folder first", name, address, err)
@@ -118,7 +132,7 @@
 	if err := m.waitCaughtUp(ctx, learner); err != nil {
 		return err
 	}
-	if old != nil {
+	if old, there := predecessor(m.replica.status.Load().Configuration, learner); replaces && there {
 		if err := m.changeMembers(ctx, "remove the old "+name, without(old.ID)); err != nil {
 			return err
 		}
@@ -136,7 +150,9 @@
 func with(added consensus.Member) configurationEdit {
 	return func(current consensus.Configuration) consensus.Configuration {
 		next := current.Clone()
-		next.Members = append(next.Members, added)
+		if _, there := next.Find(added.ID); !there {
+			next.Members = append(next.Members, added)
+		}
 		return next
 	}
 }
@@ -177,13 +193,12 @@
 // changeMembers proposes one change and waits until it is committed.
 func (m *Member) changeMembers(ctx context.Context, step string, change configurationEdit) error {
 	for {
-		next := change(m.replica.status.Load().Configuration)
-		if err := m.checkQuorumAfter(next); err != nil {
-			return err
-		}
-		err := m.replica.proposeConfiguration(ctx, next)
+		index, err := m.replica.proposeConfiguration(ctx, func(current consensus.Configuration) (consensus.Configuration, error) {
+			next := change(current)
+			return next, m.checkQuorumAfter(next)
+		})
 		if err == nil {
-			break
+			return m.confirmMembers(ctx, step, index, change)
 		}
 		if err != consensus.ErrChangePending && err != consensus.ErrNotReady {
 			return err
@@ -192,10 +207,18 @@
 			return invalid("%s: %v", step, consensus.ErrChangePending)
 		}
 	}
-	index := m.replica.status.Load().LastIndex
+}
+
+// confirmMembers waits until a change is committed. Another leader may have put
+// something else in its place.
+func (m *Member) confirmMembers(ctx context.Context, step string, index uint64, change configurationEdit) error {
 	if err := m.replica.waitApplied(ctx, index); err != nil {
 		return err
 	}
+	current := m.replica.status.Load().Configuration
+	if !slices.Equal(change(current).Members, current.Members) {
+		return m.notLeader(step)
+	}
 	m.logger.Info("members_changed", zap.String("step", step))
 	return nil
 }
--- a/control/replica.go
+++ b/control/replica.go
@@ -95,9 +95,15 @@
 	done chan outcome
 }
 
+// configurationChange edits the newest configuration, on the replica's goroutine.
 type configurationChange struct {
-	next consensus.Configuration
-	done chan error
+	edit func(consensus.Configuration) (consensus.Configuration, error)
+	done chan configurationOutcome
+}
+
+type configurationOutcome struct {
+	index uint64
+	err   error
 }
 
 type snapshotOutcome struct {
@@ -186,8 +192,7 @@
 	case next.proposal != nil:
 		r.propose(now, next.proposal)
 	case next.configuration != nil:
-		_, err := r.core.ProposeConfiguration(now, next.configuration.next)
-		next.configuration.done <- err
+		next.configuration.done <- r.changeMembers(now, next.configuration.edit)
 	case next.transfer != nil:
 		moved := r.core.TransferLeadership()
 		r.publishLease()
@@ -390,20 +395,29 @@
 	}
 }
 
-// proposeConfiguration changes the members; it returns once the change is in
-// the leader's log. Commit is seen in the status.
-func (r *replica) proposeConfiguration(ctx context.Context, next consensus.Configuration) error {
-	change := &configurationChange{next: next, done: make(chan error, 1)}
+func (r *replica) changeMembers(now time.Duration, edit func(consensus.Configuration) (consensus.Configuration, error)) configurationOutcome {
+	next, err := edit(r.core.Configuration())
+	if err != nil {
+		return configurationOutcome{err: err}
+	}
+	index, err := r.core.ProposeConfiguration(now, next)
+	return configurationOutcome{index: index, err: err}
+}
+
+// proposeConfiguration changes the members; it returns the index of the change
+// once that is in the leader's log.
+func (r *replica) proposeConfiguration(ctx context.Context, edit func(consensus.Configuration) (consensus.Configuration, error)) (uint64, error) {
+	change := &configurationChange{edit: edit, done: make(chan configurationOutcome, 1)}
 	select {
 	case r.inbox <- event{configuration: change}:
 	case <-ctx.Done():
-		return ctx.Err()
+		return 0, ctx.Err()
 	}
 	select {
-	case err := <-change.done:
-		return err
+	case outcome := <-change.done:
+		return outcome.index, outcome.err
 	case <-ctx.Done():
-		return ctx.Err()
+		return 0, ctx.Err()
 	}
 }
 
