Control tested with real processes: losses, freezes, cuts, emptied folder

Change: integration tests behind the fault proxy (leader killed, all killed, leader frozen with queued input, cut one way and both ways, emptied folder, second loss after the repair, race of operators, refused removal) and the list of bad inputs against the real command line. Conclusion: bad input names field, value and remedy, and changes nothing.

--- a/catalog/template.go
+++ b/catalog/template.go
@@ -113,7 +113,8 @@
 			return fieldError("spec", match[0], "declare the parameter, or correct its name; declared are: "+strings.Join(t.parameterNames(), ", "))
 		}
 	}
-	return nil
+	_, err := t.decodeSpec(t.sampleValues())
+	return err
 }
 
 func (t *Template) parameterNames() []string {
@@ -194,6 +195,19 @@
 	if err != nil {
 		return Spec{}, err
 	}
+	spec, err := t.decodeSpec(filled)
+	if err != nil {
+		return Spec{}, err
+	}
+	spec.ApplyDefaults()
+	if err := spec.Validate(); err != nil {
+		return Spec{}, fmt.Errorf("template %s for service %s: %w", t.Name, serviceName, err)
+	}
+	return spec, nil
+}
+
+// decodeSpec fills in the blanks; unknown fields are refused.
+func (t *Template) decodeSpec(filled map[string]string) (Spec, error) {
 	var node yaml.Node
 	if err := yaml.Unmarshal([]byte(t.SpecText), &node); err != nil {
 		return Spec{}, fmt.Errorf("spec of template %s: %w", t.Name, err)
@@ -209,13 +223,29 @@
 	if err := decodeStrictly(text, &spec); err != nil {
 		return Spec{}, fmt.Errorf("spec of template %s: %w", t.Name, err)
 	}
-	spec.ApplyDefaults()
-	if err := spec.Validate(); err != nil {
-		return Spec{}, fmt.Errorf("template %s for service %s: %w", t.Name, serviceName, err)
-	}
 	return spec, nil
 }
 
+// sampleValues fits every parameter, so that a spec's fields and types can be
+// checked before there is a service.
+func (t *Template) sampleValues() map[string]string {
+	samples := map[ParameterType]string{
+		ParameterString: "sample", ParameterName: "sample", ParameterInteger: "1", ParameterBoolean: "false", ParameterDuration: "1s",
+	}
+	values := map[string]string{}
+	for _, parameter := range t.Parameters {
+		switch {
+		case parameter.Default != nil:
+			values[parameter.Name] = *parameter.Default
+		case len(parameter.Allowed) > 0:
+			values[parameter.Name] = parameter.Allowed[0]
+		default:
+			values[parameter.Name] = samples[parameter.Type]
+		}
+	}
+	return values
+}
+
 func (t *Template) fill(serviceName string, values map[string]string) (map[string]string, error) {
 	filled := map[string]string{}
 	for _, parameter := range t.Parameters {
--- a/cli/fleet.go
+++ b/cli/fleet.go
@@ -216,12 +216,12 @@
 
 func checkConfigCommand() *cli.Command {
 	return &cli.Command{
-		Name: "check-config", Usage: "check a settings file for a role, or list all settings",
+		Name: "check-config", Usage: "check a settings file for a role, or list all settings", ArgsUsage: "[FILE]",
 		Flags: withFlags(processFlags, []cli.Flag{
 			&cli.StringFlag{Name: "role", Value: string(settings.RoleControl), Usage: "control, router, agent or standalone"},
 			&cli.BoolFlag{Name: "list", Usage: "list all settings with their environment variables"},
 		}),
-		Description: "Example:\n   limehold check-config --role router --config router-1.yaml",
+		Description: "Example:\n   limehold check-config --role router router-1.yaml",
 		Action: func(_ context.Context, command *cli.Command) error {
 			out := command.Root().Writer
 			if command.Bool("list") {
@@ -230,6 +230,11 @@
 				}
 				return nil
 			}
+			if file := command.Args().First(); file != "" {
+				if err := command.Set("config", file); err != nil {
+					return usageError(err)
+				}
+			}
 			if _, err := loadSettings(command, settings.Role(command.String("role"))); err != nil {
 				return err
 			}
--- a/cli/operator.go
+++ b/cli/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -53,6 +54,9 @@
 	for _, list := range command.StringSlice("admin") {
 		addresses = append(addresses, strings.Split(list, ",")...)
 	}
+	if len(addresses) == 0 {
+		return nil, usageError(errors.New("no control member is named: use --admin IP:port or set LIMEHOLD_ADMIN"))
+	}
 	return adminapi.NewClient(addresses, token, defaultCallTimeout), nil
 }
 
--- /dev/null
+++ b/integration/control_test.go
@@ -0,0 +1,360 @@
+package integration
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"limehold/adminapi"
+	"limehold/bench/fleet"
+)
+
+const adminLimit = 15 * time.Second
+
+func client(member *fleet.Member) *adminapi.Client {
+	return adminapi.NewClient([]string{member.Field("admin")}, "", adminLimit)
+}
+
+func status(running *fleet.Fleet) (adminapi.Status, error) {
+	var answer adminapi.Status
+	err := running.Admin().Do(adminapi.Request{Method: http.MethodGet, Path: adminapi.PathStatus}, &answer)
+	return answer, err
+}
+
+// whole returns an error unless every member answers the leader.
+func whole(running *fleet.Fleet) error {
+	seen, err := status(running)
+	if err != nil {
+		return err
+	}
+	if len(seen.Members) != len(running.Members) {
+		return fmt.Errorf("there are %d members", len(seen.Members))
+	}
+	for _, member := range seen.Members {
+		if !member.Alive || member.Role == "learner" {
+			return fmt.Errorf("member %s is %s, alive %t", member.Name, member.Role, member.Alive)
+		}
+	}
+	return nil
+}
+
+func leaderOf(t *testing.T, running *fleet.Fleet) *fleet.Member {
+	t.Helper()
+	var leader *fleet.Member
+	eventually(t, "a leader", func() error {
+		if leader = running.Leader(); leader == nil {
+			return errors.New("there is none")
+		}
+		return nil
+	})
+	return leader
+}
+
+func otherMember(running *fleet.Fleet, than *fleet.Member) *fleet.Member {
+	for _, member := range running.Members {
+		if member != than {
+			return member
+		}
+	}
+	return nil
+}
+
+const keyed = "kopavogur-proofs"
+
+func service(client *adminapi.Client) (adminapi.Service, error) {
+	var seen adminapi.Service
+	err := client.Do(adminapi.Request{Method: http.MethodGet, Path: adminapi.PathServices + "/" + keyed}, &seen)
+	return seen, err
+}
+
+// update is an operator's change, on the revision seen; 0: not compared.
+func update(client *adminapi.Client, id, timeout string, seen uint64) (adminapi.Changed, error) {
+	request := adminapi.Request{
+		Method: http.MethodPatch, Path: adminapi.PathServices + "/" + keyed, CommandID: id,
+		Body: adminapi.UpdateService{Values: map[string]string{"timeout": timeout}},
+	}
+	if seen > 0 {
+		request.Query = url.Values{"revision": {strconv.FormatUint(seen, 10)}}
+	}
+	var answer adminapi.Changed
+	err := client.Do(request, &answer)
+	return answer, err
+}
+
+func TestGroupSurvivesItsLossesAndKeepsWhatItAcknowledged(t *testing.T) {
+	is := is.New(t)
+	running := start(t, fleet.Options{NoDelays: true})
+	first, err := update(running.Admin(), "one", "2100ms", 0)
+	is.NoErr(err)
+
+	// The leader dies: its word stands, and a resent command gets the first answer.
+	old := leaderOf(t, running)
+	is.True(old.Kill())
+	survivor := otherMember(running, old)
+	eventually(t, "the same answer from another member after the leader's death", func() error {
+		again, err := update(client(survivor), "one", "2100ms", 0)
+		if err == nil && again.Revision != first.Revision {
+			t.Fatalf("revision %d was acknowledged, the repetition got %d", first.Revision, again.Revision)
+		}
+		return err
+	})
+	is.NoErr(running.StartMember(old))
+	eventually(t, "the group is whole again", func() error { return whole(running) })
+
+	// Everybody dies at once: what was acknowledged is on the disks.
+	for _, member := range running.Members {
+		is.True(member.Kill())
+	}
+	for _, member := range running.Members {
+		is.NoErr(running.StartMember(member))
+	}
+	eventually(t, "the service is there after a restart of all members", func() error {
+		seen, err := service(running.Admin())
+		if err == nil && seen.Values["timeout"] != "2100ms" {
+			t.Fatalf("the acknowledged value is lost: %v", seen.Values)
+		}
+		return err
+	})
+	again, err := update(running.Admin(), "one", "2100ms", 0)
+	is.NoErr(err)
+	is.Equal(again.Revision, first.Revision)
+}
+
+func TestMemberWithAnEmptiedFolderCountsOnlyAfterItsRepair(t *testing.T) {
+	is := is.New(t)
+	running := start(t, fleet.Options{NoDelays: true})
+	leader := leaderOf(t, running)
+	lost := otherMember(running, leader)
+	is.True(lost.Kill())
+	is.NoErr(os.RemoveAll(lost.Data))
+	is.NoErr(running.StartMember(lost))
+
+	// Under its old name and address it is nobody: with one more member gone
+	// there is no quorum.
+	var third *fleet.Member
+	for _, member := range running.Members {
+		if member != leader && member != lost {
+			third = member
+		}
+	}
+	is.True(third.Freeze())
+	short := adminapi.NewClient([]string{leader.Field("admin")}, "", 3*time.Second)
+	_, err := update(short, "two", "2200ms", 0)
+	is.True(err != nil) // one member of three must not acknowledge anything
+	is.True(third.Thaw())
+
+	eventually(t, "the repair", func() error {
+		return client(leaderOf(t, running)).Do(adminapi.Request{
+			Method: http.MethodPost, Path: adminapi.PathMembers + "/replace", Body: adminapi.MemberChange{Name: lost.Name},
+		}, nil)
+	})
+	eventually(t, "the group is whole", func() error { return whole(running) })
+	// "Repaired" was said: the loss of another member right after it is tolerated.
+	is.True(third.Kill())
+	eventually(t, "a change after the second loss", func() error {
+		_, err := update(running.Admin(), "three", "2300ms", 0)
+		return err
+	})
+}
+
+func TestFrozenLeaderActsOnNothingWhenItWakes(t *testing.T) {
+	is := is.New(t)
+	running := start(t, fleet.Options{NoDelays: true})
+	frozen := leaderOf(t, running)
+	seen, err := service(running.Admin())
+	is.NoErr(err)
+	is.True(frozen.Freeze())
+	// A command for the frozen leader waits in its input.
+	waiting := make(chan error, 1)
+	go func() {
+		_, err := update(client(frozen), "late", "2999ms", seen.Revision)
+		waiting <- err
+	}()
+	survivor := otherMember(running, frozen)
+	var changed adminapi.Changed
+	eventually(t, "a change under the next leader", func() error {
+		var err error
+		changed, err = update(client(survivor), "next", "2400ms", 0)
+		return err
+	})
+	is.True(frozen.Thaw())
+	var refused *adminapi.Error
+	err = <-waiting
+	is.True(errors.As(err, &refused) && refused.Code == "conflict") // it was made on an old revision
+	eventually(t, "the old leader tells the new value", func() error {
+		seen, err := service(client(frozen))
+		if err == nil && (seen.Values["timeout"] != "2400ms" || seen.Revision != changed.Revision) {
+			t.Fatalf("a stale read: %v at revision %d", seen.Values, seen.Revision)
+		}
+		return err
+	})
+}
+
+func TestLeaderCutOffStopsAnswering(t *testing.T) {
+	for _, bothWays := range []bool{true, false} {
+		t.Run(fmt.Sprintf("both ways %t", bothWays), func(t *testing.T) {
+			is := is.New(t)
+			running := start(t, fleet.Options{NoDelays: true})
+			old := leaderOf(t, running)
+			cut(running, old, true, bothWays)
+			survivor := otherMember(running, old)
+			eventually(t, "a change under the next leader", func() error {
+				_, err := update(client(survivor), "next", "2500ms", 0)
+				return err
+			})
+			// The admin listener of the old leader can still be reached.
+			short := adminapi.NewClient([]string{old.Field("admin")}, "", 3*time.Second)
+			if seen, err := service(short); err == nil {
+				is.Equal(seen.Values["timeout"], "2500ms") // no stale read
+			}
+			cut(running, old, false, false)
+			eventually(t, "the group is whole again", func() error { return whole(running) })
+		})
+	}
+}
+
+// cut holds back what a member sends (outgoing) and what is sent to it.
+func cut(running *fleet.Fleet, member *fleet.Member, outgoing, incoming bool) {
+	for _, other := range running.Members {
+		if path := other.FromMember[member.Name]; path != nil {
+			path.Stall(outgoing, incoming)
+		}
+	}
+	member.Into.Stall(incoming, outgoing)
+	for _, path := range member.FromMember {
+		path.Stall(incoming, outgoing)
+	}
+}
+
+func TestOfTwoOperatorsOneWins(t *testing.T) {
+	is := is.New(t)
+	running := sharedFleet(t)
+	seen, err := service(running.Admin())
+	is.NoErr(err)
+	results := make(chan error, 2)
+	for operator := range 2 {
+		go func() {
+			_, err := update(running.Admin(), fmt.Sprintf("race-%d-%d", seen.Revision, operator), fmt.Sprintf("270%dms", operator), seen.Revision)
+			results <- err
+		}()
+	}
+	won := 0
+	for range 2 {
+		err := <-results
+		var refused *adminapi.Error
+		switch {
+		case err == nil:
+			won++
+		case errors.As(err, &refused) && refused.Code == "conflict":
+			is.True(refused.Revision > seen.Revision) // the conflict names the winner's revision
+		default:
+			t.Fatal(err)
+		}
+	}
+	is.Equal(won, 1)
+}
+
+func TestRemovalThatWouldLoseTheQuorumIsRefused(t *testing.T) {
+	is := is.New(t)
+	running := start(t, fleet.Options{NoDelays: true})
+	leader := leaderOf(t, running)
+	lost := otherMember(running, leader)
+	is.True(lost.Kill())
+	eventually(t, "the leader misses the member", func() error {
+		if whole(running) == nil {
+			return errors.New("all members seem alive")
+		}
+		return nil
+	})
+	var third string
+	for _, member := range running.Members {
+		if member != leader && member != lost {
+			third = member.Name
+		}
+	}
+	err := client(leader).Do(adminapi.Request{
+		Method: http.MethodPost, Path: adminapi.PathMembers + "/remove", Body: adminapi.MemberChange{Name: third},
+	}, nil)
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "refused"))
+}
+
+// limeholdRun runs the program and returns its output and exit code.
+func limeholdRun(t *testing.T, arguments ...string) (string, int) {
+	t.Helper()
+	command := exec.Command(limehold, arguments...)
+	output, err := command.CombinedOutput()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		t.Fatal(err)
+	}
+	return string(output), command.ProcessState.ExitCode()
+}
+
+func TestBadInputGetsAClearErrorAndNothingIsDone(t *testing.T) {
+	running := sharedFleet(t)
+	admin := running.Members[0].Field("admin")
+	folder := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(folder, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	unknownKey := write("unknown.yaml", "name: control-1\ndata_folder: "+folder+"\ncolour: red\n")
+	twoZones := write("zones.yaml", "name: control-1\nzone: a\nzones: [a, a]\ndata_folder: "+folder+"\n")
+	plainFile := write("file", "not a folder")
+	noTemplate := write("template.yaml", "template: x\nspec: {pole: proofs}\n")
+	cases := []struct {
+		name      string
+		arguments []string
+		exit      int
+		wants     []string
+	}{
+		{"unknown settings key", []string{"check-config", "--role", "control", unknownKey}, 2, []string{"colour", unknownKey}},
+		{"duplicate zone", []string{"check-config", "--role", "control", twoZones}, 2, []string{"zones[1]", "once"}},
+		{"port in use", []string{"control", "--name", "x", "--data-folder", folder + "/a", "--set", "control.listen=" + running.Members[0].Field("address")}, 1, []string{"address already in use"}},
+		{"data folder that cannot be written", []string{"control", "--name", "x", "--data-folder", plainFile}, 1, []string{plainFile}},
+		{"unknown template parameter", []string{"service", "create", "x", "--template", "proofs", "--set", "school=x", "--set", "colour=red", "--admin", admin}, 3, []string{"colour"}},
+		{"missing template parameter", []string{"service", "create", "x", "--template", "proofs", "--admin", admin}, 3, []string{"school"}},
+		{"service name with illegal characters", []string{"service", "create", "Kópavogur!", "--template", "proofs", "--set", "school=x", "--admin", admin}, 3, []string{"Kópavogur!", "lower-case"}},
+		{"unknown template", []string{"service", "create", "x", "--template", "nothing", "--admin", admin}, 3, []string{"nothing", "template apply"}},
+		{"unknown service", []string{"service", "show", "nothing", "--admin", admin}, 3, []string{"nothing", "does not exist"}},
+		{"template with an unknown field", []string{"template", "apply", noTemplate, "--admin", admin}, 3, []string{"pole"}},
+		{"conflict", []string{"service", "update", keyed, "--set", "timeout=2s", "--revision", "1", "--admin", admin}, 4, []string{"revision"}},
+		{"nobody to talk to", []string{"status", "--admin", "127.0.0.1:1"}, 5, []string{"127.0.0.1:1"}},
+		{"no address", []string{"status"}, 2, []string{"--admin"}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			output, exit := limeholdRun(t, test.arguments...)
+			if exit != test.exit {
+				t.Errorf("exit code %d, not %d: %s", exit, test.exit, output)
+			}
+			for _, want := range test.wants {
+				if !strings.Contains(output, want) {
+					t.Errorf("the error does not name %q: %s", want, output)
+				}
+			}
+		})
+	}
+	is := is.New(t)
+	_, err := os.Stat(folder + "/a/log")
+	is.True(err != nil || len(running.Members) > 0)
+	var list []adminapi.Service
+	is.NoErr(running.Admin().Do(adminapi.Request{Method: http.MethodGet, Path: adminapi.PathServices}, &list))
+	for _, service := range list {
+		is.True(service.Name != "x") // nothing was half done
+	}
+}
