--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,187 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func gate(options Options, instances ...Instance) *Gate {
+	next := 0
+	options.Random = func(bound int) int { next++; return next % bound }
+	g := NewGate(options)
+	g.Update(0, instances)
+	return g
+}
+
+func node(id InstanceID, zone string, slots int) Instance {
+	return Instance{ID: id, Zone: zone, Slots: slots}
+}
+
+func acquire(g *Gate, want Want) (*Waiter, Verdict) {
+	if want.GroupLimit == 0 {
+		want.GroupLimit = 10
+	}
+	waiter := &Waiter{Want: want, Notify: func() {}}
+	return waiter, g.Acquire(0, waiter)
+}
+
+func TestNoMoreInFlightThanSlots(t *testing.T) {
+	is := is.New(t)
+	g := gate(Options{}, node(1, "a", 2))
+	for range 2 {
+		_, verdict := acquire(g, Want{})
+		is.Equal(verdict, Admitted)
+	}
+	waiting, verdict := acquire(g, Want{})
+	is.Equal(verdict, Queued)
+	granted := g.Release(0, 1, OutcomeGood, time.Millisecond)
+	is.Equal(len(granted), 1)
+	is.Equal(granted[0], waiting)
+}
+
+func TestQueueIsBoundedForEachService(t *testing.T) {
+	is := is.New(t)
+	g := gate(Options{}, node(1, "a", 1))
+	acquire(g, Want{})
+	_, verdict := acquire(g, Want{Group: "x", GroupLimit: 1})
+	is.Equal(verdict, Queued)
+	_, verdict = acquire(g, Want{Group: "x", GroupLimit: 1})
+	is.Equal(verdict, QueueFull)
+	_, verdict = acquire(g, Want{Group: "y", GroupLimit: 1})
+	is.Equal(verdict, Queued) // one service's queue does not shut out another
+}
+
+func TestRequestUnderWayGoesBeforeNewOnes(t *testing.T) {
+	is := is.New(t)
+	g := gate(Options{}, node(1, "a", 1))
+	acquire(g, Want{})
+	acquire(g, Want{})
+	ahead, _ := acquire(g, Want{Ahead: true})
+	is.Equal(g.Release(0, 1, OutcomeGood, 0)[0], ahead)
+}
+
+func TestWaiterPastItsDeadlineIsNotGranted(t *testing.T) {
+	is := is.New(t)
+	g := gate(Options{}, node(1, "a", 1))
+	acquire(g, Want{})
+	late, _ := acquire(g, Want{Deadline: time.Second})
+	is.Equal(len(g.Release(2*time.Second, 1, OutcomeGood, 0)), 0)
+	is.True(g.Cancel(late))
+	is.Equal(g.Cancel(late), false)
+}
+
+func TestShedAnswersLowerTheLimitAndGoodOnesRaiseIt(t *testing.T) {
+	is := is.New(t)
+	g := gate(Options{}, node(1, "a", 10))
+	shed := func(outcome Outcome) float64 {
+		acquire(g, Want{})
+		g.Release(0, 1, outcome, time.Millisecond)
+		_, limit := g.InFlight(1)
+		return limit
+	}
+	lowered := shed(OutcomeShed)
+	is.True(lowered < 10)
+	for range 200 {
+		shed(OutcomeGood)
+	}
+	_, limit := g.InFlight(1)
+	is.Equal(limit, 10.0)
+}
+
+func TestBadInstanceIsEjectedButNeverHalfOfThem(t *testing.T) {
+	is := is.New(t)
+	g := gate(Options{}, node(1, "a", 10), node(2, "a", 10), node(3, "a", 10), node(4, "a", 10))
+	fail := func(id InstanceID) {
+		for range 2 * ejectAfter {
+			_, _ = acquire(g, Want{Instance: id})
+			g.Release(0, id, OutcomeFailed, 0)
+		}
+	}
+	for id := InstanceID(1); id <= 4; id++ {
+		fail(id)
+	}
+	out := 0
+	for id := InstanceID(1); id <= 4; id++ {
+		if g.Ejected(id, time.Millisecond) {
+			out++
+		}
+	}
+	is.Equal(out, 2)
+	is.Equal(g.Ejected(1, time.Minute), false) // it gets another chance
+}
+
+func TestOwnZoneFirstThenSpillOver(t *testing.T) {
+	is := is.New(t)
+	g := gate(Options{}, node(1, "a", 1), node(2, "b", 5))
+	first, _ := acquire(g, Want{Zone: "a"})
+	is.Equal(first.Granted, InstanceID(1))
+	second, _ := acquire(g, Want{Zone: "a"})
+	is.Equal(second.Granted, InstanceID(2))
+}
+
+func TestKeyGoesToItsOwnerOnly(t *testing.T) {
+	is := is.New(t)
+	g := gate(Options{}, node(1, "a", 1), node(2, "a", 5))
+	acquire(g, Want{Instance: 1})
+	_, verdict := acquire(g, Want{Instance: 1})
+	is.Equal(verdict, Queued)
+	_, verdict = acquire(g, Want{Instance: 9})
+	is.Equal(verdict, NoInstance)
+}
+
+func TestLeavingInstanceGetsNoNewRequests(t *testing.T) {
+	is := is.New(t)
+	g := gate(Options{}, node(1, "a", 5), node(2, "a", 5))
+	g.Update(0, []Instance{{ID: 1, Zone: "a", Slots: 5, Draining: true}, node(2, "a", 5)})
+	for range 5 {
+		waiter, _ := acquire(g, Want{})
+		is.Equal(waiter.Granted, InstanceID(2))
+	}
+}
+
+func TestNewInstanceIsRampedUp(t *testing.T) {
+	is := is.New(t)
+	g := gate(Options{SlowStart: 10 * time.Second}, node(1, "a", 20))
+	g.Update(time.Minute, []Instance{node(1, "a", 20), node(2, "a", 20)})
+	admitted := func(now time.Duration) int {
+		count := 0
+		for range 60 {
+			waiter := &Waiter{Want: Want{GroupLimit: 100}, Notify: func() {}}
+			if g.Acquire(now, waiter) == Admitted && waiter.Granted == 2 {
+				count++
+			}
+		}
+		return count
+	}
+	is.True(admitted(time.Minute) <= 3)
+}
+
+func TestRetryBudgetBoundsTheAddedLoad(t *testing.T) {
+	is := is.New(t)
+	budget := NewRetryBudget(10)
+	retries := 0
+	for range 1000 {
+		budget.Earn()
+		for range 3 {
+			if budget.Spend() {
+				retries++
+			}
+		}
+	}
+	is.True(retries >= 100 && retries <= 105)
+	none := NewRetryBudget(0)
+	none.Earn()
+	is.Equal(none.Spend(), false)
+}
+
+func BenchmarkAcquireRelease(b *testing.B) {
+	g := gate(Options{SlowStart: time.Second}, node(1, "a", 18), node(2, "a", 18), node(3, "b", 18), node(4, "b", 18))
+	for b.Loop() {
+		waiter := &Waiter{Want: Want{Zone: "a", GroupLimit: 64}}
+		if g.Acquire(time.Minute, waiter) == Admitted {
+			g.Release(time.Minute, waiter.Granted, OutcomeGood, time.Millisecond)
+		}
+	}
+}
--- a/bench/judge/judge.go
+++ b/bench/judge/judge.go
@@ -281,6 +281,7 @@
 	}
 	violations.RacesWonTwice += j.input.RacesWonTwice
 	j.judgeReverted()
+	j.judgeOutdated()
 	for _, change := range j.input.Changes {
 		if change.InForce == 0 || change.InForce-change.Accepted > j.input.InForceBound {
 			j.evidence(&violations.ConfigNotInForce, "revision %d of service %s was not in force at all routers within %s", change.Revision, change.Service, j.input.InForceBound)
@@ -288,6 +289,27 @@
 	}
 }
 
+// judgeOutdated looks for requests that were handled under an older revision
+// long after a change had been accepted.
+func (j *judge) judgeOutdated() {
+	for i := range j.input.Results {
+		result := &j.input.Results[i]
+		if result.Revision == 0 || result.Reason == reasonNotCurrent {
+			continue
+		}
+		for _, change := range j.input.Changes {
+			if change.Prefix == result.Prefix && result.Revision < change.Revision && result.Sent > change.Accepted+j.input.InForceBound {
+				j.evidence(&j.report.Violations.ConfigNotInForce, "%s handled request %s to %s under revision %d, %s after revision %d had been accepted",
+					result.Router, result.Run, result.Prefix, result.Revision, result.Sent-change.Accepted, change.Revision)
+			}
+		}
+	}
+}
+
+// reasonNotCurrent is the refusal of a router that admits nothing because it
+// cannot confirm its configuration (docs/CALLERS.md).
+const reasonNotCurrent = "not-current"
+
 // judgeReverted compares requests to the same service at the same router of
 // which one began after the other had ended.
 func (j *judge) judgeReverted() {
--- a/control/leader.go
+++ b/control/leader.go
@@ -21,6 +21,8 @@
 	term     uint64
 	budgets  map[string]*placement.Budget
 	oversize map[ownership.Key]bool
+	// loads of each pool's nodes under the newest plan.
+	loads map[string]*placement.Loads
 }
 
 // lead runs the leader's duties whenever this member leads: ending sessions,
@@ -81,7 +83,7 @@
 	})
 	m.sessions.lead(status.Term, m.options.leaseTiming(), open, revision, clock.Now())
 	m.logger.Info("leading", zap.Uint64("term", status.Term), zap.Int("sessions", len(open)))
-	return &leaderState{term: status.Term, budgets: map[string]*placement.Budget{}, oversize: map[ownership.Key]bool{}}
+	return &leaderState{term: status.Term, budgets: map[string]*placement.Budget{}, oversize: map[ownership.Key]bool{}, loads: map[string]*placement.Loads{}}
 }
 
 // endExpiredSessions proposes the end of sessions whose leases are over.
--- a/control/place.go
+++ b/control/place.go
@@ -20,10 +20,24 @@
 // next round.
 const maxDecisions = 2000
 
-// place computes and proposes moves for every pool.
+// place computes and proposes moves for every pool. With rebalance all shards
+// are looked at; otherwise only those that need a place, which is what has to be
+// quick after a loss.
 func (m *Member) place(ctx context.Context, leader *leaderState, now time.Duration, rebalance bool) {
-	for pool, input := range m.placementInputs(leader, now, rebalance) {
-		plan := m.plan(input)
+	builder := &inputBuilder{member: m, leader: leader, now: now, inputs: map[string]*placement.Input{}}
+	m.loadMutex.Lock()
+	m.replica.view(func(state *fleet.State) {
+		if rebalance {
+			builder.addAll(state)
+		} else {
+			builder.addNeedy(state)
+		}
+		builder.addNodes(state)
+	})
+	m.loadMutex.Unlock()
+	for pool, input := range builder.inputs {
+		plan := m.plan(*input)
+		leader.loads[pool] = plan.Loads
 		m.reportOversized(leader, plan.Oversized)
 		m.proposeAssignments(ctx, pool, plan.Assign)
 		m.proposeTransfers(ctx, leader, pool, plan.Transfer)
@@ -41,41 +55,6 @@
 	return placement.Compute(input)
 }
 
-// placementInputs reads the state into one input for each pool that has
-// something to decide.
-func (m *Member) placementInputs(leader *leaderState, now time.Duration, rebalance bool) map[string]placement.Input {
-	inputs := map[string]placement.Input{}
-	m.loadMutex.Lock()
-	defer m.loadMutex.Unlock()
-	m.replica.view(func(state *fleet.State) {
-		for name, service := range state.Catalog.Services {
-			if !service.Spec.Keyed || service.State != catalog.ServiceActive {
-				continue
-			}
-			input := inputs[service.Spec.Pool]
-			if input.Services == nil {
-				input.Services = map[string]placement.Service{}
-				input.NoRebalance = !rebalance
-			}
-			input.Services[name] = m.serviceInput(leader, service, now)
-			input.Shards = m.appendShards(input.Shards, state, name)
-			inputs[service.Spec.Pool] = input
-		}
-		for _, node := range state.Membership.Sorted() {
-			input, used := inputs[node.Pool]
-			if !used || !node.Eligible() {
-				continue
-			}
-			input.Nodes = append(input.Nodes, placement.Node{
-				Session: node.Session, Name: node.Name, Zone: node.Zone, Capacity: float64(node.Slots),
-				Warmth: m.sessions.warmth(node.Session, now, m.options.Settings.Control.WarmUp),
-			})
-			inputs[node.Pool] = input
-		}
-	})
-	return inputs
-}
-
 func (m *Member) serviceInput(leader *leaderState, service *catalog.Service, now time.Duration) placement.Service {
 	budget := leader.budgets[service.Name]
 	if budget == nil {
@@ -89,20 +68,6 @@
 	}
 }
 
-func (m *Member) appendShards(shards []placement.Shard, state *fleet.State, service string) []placement.Shard {
-	for number, shard := range state.Ownership.Shards[service] {
-		key := ownership.Key{Service: service, Shard: uint32(number)}
-		owner := shard.Owner
-		if shard.Phase == ownership.PhaseReleasing {
-			owner = shard.Target
-		}
-		shards = append(shards, placement.Shard{
-			Key: key, Epoch: shard.Epoch, Phase: shard.Phase, Owner: owner, Load: m.loads.Rate(key),
-		})
-	}
-	return shards
-}
-
 func (m *Member) reportOversized(leader *leaderState, keys []ownership.Key) {
 	for _, key := range keys {
 		if !leader.oversize[key] {
--- a/control/watch.go
+++ b/control/watch.go
@@ -112,7 +112,9 @@
 	}
 	// A new service's shards go along with it, so that routers have them all.
 	for _, name := range changes.Services {
-		update.Shards = append(update.Shards, allShards(state, name))
+		if service := state.Catalog.Services[name]; service != nil && service.Created == changes.Revision {
+			update.Shards = append(update.Shards, allShards(state, name))
+		}
 	}
 	byService := map[string]int{}
 	for _, key := range changes.Shards {
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -5,6 +5,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -61,13 +63,15 @@
 //     force, or by the end of the owner's session.
 type Table struct {
 	Shards map[string][]Shard
-	// owned lists the shards of each session; derived, see Reindex.
+	// owned lists the shards of each session, free those of nobody; derived, see
+	// Reindex.
 	owned map[membership.SessionID]map[Key]struct{}
+	free  map[Key]struct{}
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{Shards: map[string][]Shard{}, owned: map[membership.SessionID]map[Key]struct{}{}}
+	return &Table{Shards: map[string][]Shard{}, owned: map[membership.SessionID]map[Key]struct{}{}, free: map[Key]struct{}{}}
 }
 
 // Reindex rebuilds what is derived from the exported fields, after decoding.
@@ -76,15 +80,22 @@
 		t.Shards = map[string][]Shard{}
 	}
 	t.owned = map[membership.SessionID]map[Key]struct{}{}
+	t.free = map[Key]struct{}{}
 	for service, shards := range t.Shards {
 		for number, shard := range shards {
-			if shard.Phase != PhaseFree {
-				t.own(shard.Owner, Key{service, uint32(number)})
+			key := Key{service, uint32(number)}
+			if shard.Phase == PhaseFree {
+				t.free[key] = struct{}{}
+				continue
 			}
+			t.own(shard.Owner, key)
 		}
 	}
 }
 
+// Free lists the shards without an owner, in no particular order.
+func (t *Table) Free() []Key { return slices.Collect(maps.Keys(t.free)) }
+
 func (t *Table) own(session membership.SessionID, key Key) {
 	keys := t.owned[session]
 	if keys == nil {
@@ -108,6 +119,7 @@
 	list := make([]Shard, shards)
 	for i := range list {
 		list[i].Epoch = firstEpoch
+		t.free[Key{service, uint32(i)}] = struct{}{}
 	}
 	t.Shards[service] = list
 }
@@ -120,6 +132,9 @@
 			return false
 		}
 	}
+	for number := range t.Shards[service] {
+		delete(t.free, Key{service, uint32(number)})
+	}
 	delete(t.Shards, service)
 	return true
 }
@@ -172,6 +187,7 @@
 		return refuse(key, "its epoch is %d, the decision was made at %d", shard.Epoch, expected)
 	}
 	t.Shards[key.Service][key.Shard] = Shard{Owner: to, Epoch: shard.Epoch + 1, Phase: PhaseGranted}
+	delete(t.free, key)
 	t.own(to, key)
 	return nil
 }
@@ -204,6 +220,7 @@
 	}
 	t.Shards[key.Service][key.Shard] = Shard{Epoch: shard.Epoch}
 	t.disown(from, key)
+	t.free[key] = struct{}{}
 	return shard.Target, nil
 }
 
@@ -214,6 +231,7 @@
 	for _, key := range keys {
 		shard := &t.Shards[key.Service][key.Shard]
 		*shard = Shard{Epoch: shard.Epoch}
+		t.free[key] = struct{}{}
 	}
 	delete(t.owned, session)
 	return keys
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -71,6 +71,30 @@
 	is.NoErr(owners.Assign(shard0, 1, 2)) // the epoch goes on rising
 }
 
+func TestIndexOfFreeShardsFollowsEveryStep(t *testing.T) {
+	is := is.New(t)
+	owners := table()
+	check := func() {
+		t.Helper()
+		kept := len(owners.Free())
+		owners.Reindex()
+		is.Equal(len(owners.Free()), kept)
+	}
+	is.Equal(len(owners.Free()), 4)
+	is.NoErr(owners.Assign(shard0, 0, 1))
+	is.NoErr(owners.Assign(Key{"proofs", 1}, 0, 2))
+	check()
+	_, err := owners.Release(shard0, 1, 1)
+	is.NoErr(err)
+	check()
+	owners.CloseSession(2)
+	check()
+	is.Equal(len(owners.Free()), 4)
+	is.True(owners.RemoveService("proofs"))
+	check()
+	is.Equal(len(owners.Free()), 0)
+}
+
 func TestServiceWithOwnersIsNotRemoved(t *testing.T) {
 	is := is.New(t)
 	owners := table()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -54,6 +54,18 @@
 	Services map[string]Service
 	// NoRebalance leaves owned shards where they are.
 	NoRebalance bool
+	// Partial is set when Shards holds only those that need a place: it says what
+	// the nodes carry already.
+	Partial *Loads
+}
+
+// Loads is what the nodes of a pool carry under a plan.
+type Loads struct {
+	ByNode map[membership.SessionID]float64
+	// Base is what a shard without measured load counts for, Total the sum over
+	// all shards.
+	Base  float64
+	Total float64
 }
 
 // Decision moves one shard.
@@ -76,6 +88,8 @@
 	// Oversized lists shards whose load alone exceeds the mean of a node: moving
 	// them cannot restore balance.
 	Oversized []ownership.Key
+	// Loads under the plan, for partial plans that follow.
+	Loads *Loads
 }
 
 const (
@@ -101,10 +115,13 @@
 	var plan Plan
 	plan.Assign = board.assignFree(input.Shards)
 	plan.Transfer = board.evacuate(input.Shards)
-	plan.Oversized = board.oversized(input.Shards)
+	if input.Partial == nil {
+		plan.Oversized = board.oversized(input.Shards)
+	}
 	if !input.NoRebalance {
 		plan.Transfer = append(plan.Transfer, board.rebalance(input)...)
 	}
+	plan.Loads = board.loads()
 	return plan
 }
 
@@ -136,6 +153,10 @@
 		b.capacity += entry.capacity
 	}
 	slices.SortFunc(b.nodes, func(x, y *nodeLoad) int { return cmp.Compare(x.Session, y.Session) })
+	if input.Partial != nil {
+		b.startFrom(input.Partial)
+		return b
+	}
 	b.base = baseLoad(input.Shards)
 	for i := range input.Shards {
 		load := b.weight(&input.Shards[i])
@@ -147,6 +168,22 @@
 	return b
 }
 
+// startFrom takes what the nodes carry from an earlier plan.
+func (b *board) startFrom(loads *Loads) {
+	b.base, b.total = loads.Base, loads.Total
+	for _, node := range b.nodes {
+		node.load = loads.ByNode[node.Session]
+	}
+}
+
+func (b *board) loads() *Loads {
+	loads := &Loads{ByNode: make(map[membership.SessionID]float64, len(b.nodes)), Base: b.base, Total: b.total}
+	for _, node := range b.nodes {
+		loads.ByNode[node.Session] = node.load
+	}
+	return loads
+}
+
 // warmestOf is the largest warmth in the pool: when all nodes have just started,
 // none is colder than the others.
 func warmestOf(nodes []Node) float64 {
@@ -173,47 +210,6 @@
 // mean utilization of the pool.
 func (b *board) mean() float64 { return b.total / b.capacity }
 
-// assignFree places heavy shards first, each on the node that is least utilized
-// afterwards; ties go to the node that a hash of shard and name prefers, so that
-// the same nodes get the same shards again.
-func (b *board) assignFree(shards []Shard) []Decision {
-	var free []*Shard
-	for i := range shards {
-		if shards[i].Phase == ownership.PhaseFree {
-			free = append(free, &shards[i])
-		}
-	}
-	slices.SortStableFunc(free, func(x, y *Shard) int { return cmp.Compare(y.Load, x.Load) })
-	decisions := make([]Decision, 0, len(free))
-	for _, shard := range free {
-		target := b.leastUtilized(shard, 0)
-		target.load += b.weight(shard)
-		decisions = append(decisions, Decision{Key: shard.Key, Epoch: shard.Epoch, To: target.Session})
-	}
-	return decisions
-}
-
-func (b *board) leastUtilized(shard *Shard, except membership.SessionID) *nodeLoad {
-	var best *nodeLoad
-	var bestAfter float64
-	var bestHash uint64
-	for _, node := range b.nodes {
-		if node.Session == except {
-			continue
-		}
-		after := (node.load + b.weight(shard)) / node.capacity
-		switch {
-		case best == nil || after < bestAfter:
-			best, bestAfter, bestHash = node, after, affinity(shard.Key, node.Name)
-		case after == bestAfter:
-			if hash := affinity(shard.Key, node.Name); hash > bestHash {
-				best, bestHash = node, hash
-			}
-		}
-	}
-	return best
-}
-
 // affinity is the rendezvous hash of a shard and a node.
 func affinity(key ownership.Key, node string) uint64 {
 	var digest xxhash.Digest
@@ -226,22 +222,6 @@
 	return digest.Sum64()
 }
 
-// evacuate moves shards off nodes that are no candidates (draining, superseded).
-// Such moves are not held back by any budget.
-func (b *board) evacuate(shards []Shard) []Decision {
-	var decisions []Decision
-	for i := range shards {
-		shard := &shards[i]
-		if shard.Phase != ownership.PhaseGranted || b.bySession[shard.Owner] != nil {
-			continue
-		}
-		target := b.leastUtilized(shard, 0)
-		target.load += b.weight(shard)
-		decisions = append(decisions, Decision{Key: shard.Key, Epoch: shard.Epoch, From: shard.Owner, To: target.Session})
-	}
-	return decisions
-}
-
 func (b *board) oversized(shards []Shard) []ownership.Key {
 	mean := b.total / float64(len(b.nodes))
 	var found []ownership.Key
@@ -253,62 +233,6 @@
 	return found
 }
 
-// rebalance takes the best move again and again, while its gain exceeds its
-// price and the service's budget allows it.
-func (b *board) rebalance(input Input) []Decision {
-	allowed := map[string]int{}
-	for name, service := range input.Services {
-		allowed[name] = service.Moves
-	}
-	byOwner := map[membership.SessionID][]*Shard{}
-	for i := range input.Shards {
-		shard := &input.Shards[i]
-		if shard.Phase == ownership.PhaseGranted && b.bySession[shard.Owner] != nil {
-			byOwner[shard.Owner] = append(byOwner[shard.Owner], shard)
-		}
-	}
-	var decisions []Decision
-	for {
-		shard, from, to, gain := b.bestMove(byOwner, input.Services, allowed)
-		if shard == nil {
-			return decisions
-		}
-		from.load -= b.weight(shard)
-		to.load += b.weight(shard)
-		allowed[shard.Key.Service]--
-		byOwner[from.Session] = slices.DeleteFunc(byOwner[from.Session], func(other *Shard) bool { return other == shard })
-		decisions = append(decisions, Decision{Key: shard.Key, Epoch: shard.Epoch, From: from.Session, To: to.Session, Gain: gain})
-	}
-}
-
-// bestMove looks at moves from the nodes above the mean to the least utilized
-// node: other moves gain less.
-func (b *board) bestMove(byOwner map[membership.SessionID][]*Shard, services map[string]Service, allowed map[string]int) (*Shard, *nodeLoad, *nodeLoad, float64) {
-	mean := b.mean()
-	if mean <= 0 || len(b.nodes) < 2 {
-		return nil, nil, nil, 0
-	}
-	to := slices.MinFunc(b.nodes, func(x, y *nodeLoad) int { return cmp.Compare(x.utilization(), y.utilization()) })
-	var best *Shard
-	var bestFrom *nodeLoad
-	bestGain := 0.0
-	for _, from := range b.nodes {
-		if from == to || from.utilization() <= mean {
-			continue
-		}
-		for _, shard := range byOwner[from.Session] {
-			if allowed[shard.Key.Service] <= 0 {
-				continue
-			}
-			gain := b.gain(shard, from, to, mean, services[shard.Key.Service])
-			if gain > bestGain {
-				best, bestFrom, bestGain = shard, from, gain
-			}
-		}
-	}
-	return best, bestFrom, to, bestGain
-}
-
 // gain is the drop in the squared coefficient of variation of utilization,
 // weighed, minus the price of the move.
 func (b *board) gain(shard *Shard, from, to *nodeLoad, mean float64, service Service) float64 {
--- /dev/null
+++ b/transport/transport_test.go
@@ -0,0 +1,182 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"limehold/wire"
+)
+
+// echo answers calls with their payload, after a pause for the kind slow.
+type echo struct{}
+
+const (
+	kindEcho wire.Kind = 100
+	kindFail wire.Kind = 101
+	kindHang wire.Kind = 102
+)
+
+func (echo) Inline(wire.Kind) bool { return false }
+
+func (e echo) Handle(ctx context.Context, _ *Conn, kind wire.Kind, payload []byte) (any, error) {
+	switch kind {
+	case kindFail:
+		return nil, &wire.Error{Code: wire.CodeInvalid, Message: "no", Step: "test", Peer: "server"}
+	case kindHang:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return string(payload), nil
+}
+
+func hello(role wire.Role, name string) wire.Hello {
+	return wire.Hello{Version: wire.ProtocolVersion, Cluster: "test", Role: role, Name: name}
+}
+
+func serve(t *testing.T, options Options) *Server {
+	t.Helper()
+	server, err := Listen("127.0.0.1:0", echo{}, options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = server.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return server
+}
+
+func dial(t *testing.T, address string, options Options) (*Conn, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	conn, err := Dial(ctx, address, echo{}, options)
+	if err == nil {
+		t.Cleanup(conn.Close)
+	}
+	return conn, err
+}
+
+func TestCallsAndErrors(t *testing.T) {
+	is := is.New(t)
+	server := serve(t, Options{Local: hello(wire.RoleControl, "control-1")})
+	conn, err := dial(t, server.Address(), Options{Local: hello(wire.RoleAgent, "a")})
+	is.NoErr(err)
+	is.Equal(conn.Peer.Name, "control-1")
+	var answer string
+	is.NoErr(conn.Call(context.Background(), kindEcho, "hello", &answer))
+	is.True(strings.Contains(answer, "hello"))
+	err = conn.Call(context.Background(), kindFail, "x", nil)
+	var refused *wire.Error
+	is.True(errors.As(err, &refused))
+	is.Equal(refused.Step+refused.Peer, "testserver") // the error says where it arose
+}
+
+func TestCallEndsWithItsContextAndWithTheConnection(t *testing.T) {
+	is := is.New(t)
+	server := serve(t, Options{Local: hello(wire.RoleControl, "control-1")})
+	conn, err := dial(t, server.Address(), Options{Local: hello(wire.RoleAgent, "a")})
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.True(errors.Is(conn.Call(ctx, kindHang, "x", nil), context.Canceled))
+	ended := make(chan error, 1)
+	go func() { ended <- conn.Call(context.Background(), kindHang, "x", nil) }()
+	conn.Close()
+	is.True(errors.Is(<-ended, ErrClosed))
+}
+
+func TestForeignPeersAreRefusedByName(t *testing.T) {
+	cases := []struct {
+		name  string
+		alter func(*wire.Hello)
+		want  string
+	}{
+		{"another cluster", func(h *wire.Hello) { h.Cluster = "other" }, "cluster"},
+		{"another version", func(h *wire.Hello) { h.Version = 99 }, "version"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			rejected := make(chan error, 1)
+			server := serve(t, Options{Local: hello(wire.RoleControl, "control-1"), Rejected: func(_ string, err error) { rejected <- err }})
+			local := hello(wire.RoleAgent, "a")
+			test.alter(&local)
+			_, _ = dial(t, server.Address(), Options{Local: local})
+			is.True(strings.Contains((<-rejected).Error(), test.want))
+		})
+	}
+}
+
+// A caller that only claims a large frame must not make the reader reserve it.
+func TestFrameLengthIsBounded(t *testing.T) {
+	is := is.New(t)
+	header := make([]byte, frameHeader)
+	binary.LittleEndian.PutUint32(header, MaxFrame+1)
+	binary.BigEndian.PutUint32(header, MaxFrame+1)
+	_, err := readFrame(bytes.NewReader(header))
+	is.True(err != nil)
+}
+
+func FuzzReadFrame(f *testing.F) {
+	seed := make([]byte, frameHeader)
+	putHeader(seed, frame{kind: wire.KindRenew, call: 7, payload: []byte("abc")})
+	f.Add(append(seed, "abc"...))
+	f.Add([]byte{})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1, 0, 0, 0, 0, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		read, err := readFrame(bytes.NewReader(data))
+		if err != nil {
+			return
+		}
+		written := make([]byte, frameHeader)
+		putHeader(written, read)
+		written = append(written, read.payload...)
+		if !bytes.Equal(written, data[:len(written)]) {
+			t.Fatalf("frame %x is written as %x", data, written)
+		}
+	})
+}
+
+func TestLinkDialsAgain(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := NewServer(listener, echo{}, Options{Local: hello(wire.RoleControl, "control-1")})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = server.Run(ctx) }()
+	link := NewLink(server.Address(), echo{}, Options{Local: hello(wire.RoleAgent, "a")})
+	go link.Run(ctx)
+	for range 2 {
+		conn := waitConn(t, link)
+		conn.Close()
+		<-conn.Done()
+	}
+	waitConn(t, link)
+}
+
+func waitConn(t *testing.T, link *Link) *Conn {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for time.Now().Before(deadline) {
+		if conn := link.Conn(); conn != nil {
+			select {
+			case <-conn.Done():
+			default:
+				return conn
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("the link is not dialed")
+	return nil
+}
