--- a/bench/fleet/knobs.go
+++ b/bench/fleet/knobs.go
@@ -47,6 +47,8 @@
 	request.SetRequestURI("http://" + n.Backend.Field("address") + path)
 	request.Header.SetMethod(method)
 	request.SetBody(body)
+	// A kept connection may belong to an earlier process at the same address.
+	request.SetConnectionClose()
 	if err := fasthttp.DoTimeout(request, response, backendTimeout); err != nil {
 		return nil, eris.Wrapf(err, "%s %s at back end %s", method, path, n.Name)
 	}
--- a/cli/fleet.go
+++ b/cli/fleet.go
@@ -11,7 +11,6 @@
 
 	"limehold/adminapi"
 	"limehold/settings"
-	"limehold/wal"
 )
 
 func nodeCommand() *cli.Command {
@@ -194,26 +193,6 @@
 	}
 }
 
-func snapshotCommand() *cli.Command {
-	return &cli.Command{
-		Name: "snapshot", Usage: "look at snapshot files",
-		Commands: []*cli.Command{{
-			Name: "inspect", Usage: "check a snapshot file and sum up what it holds", ArgsUsage: "FILE", Flags: []cli.Flag{outputFlag},
-			Action: func(_ context.Context, command *cli.Command) error {
-				file, err := argument(command, 0, "snapshot file")
-				if err != nil {
-					return err
-				}
-				snapshot, err := wal.ReadSnapshot(file)
-				if err != nil {
-					return cli.Exit(err.Error(), exitFailure)
-				}
-				return showSnapshot(command, snapshot)
-			},
-		}},
-	}
-}
-
 func checkConfigCommand() *cli.Command {
 	return &cli.Command{
 		Name: "check-config", Usage: "check a settings file for a role, or list all settings", ArgsUsage: "[FILE]",
--- a/cli/snapshot.go
+++ b/cli/snapshot.go
@@ -1,12 +1,95 @@
 package cli
 
 import (
+	"context"
+
 	"github.com/urfave/cli/v3"
 
+	"limehold/adminapi"
 	"limehold/consensus"
+	"limehold/control"
 	"limehold/fleet"
+	"limehold/wal"
 )
 
+func snapshotCommand() *cli.Command {
+	return &cli.Command{
+		Name: "snapshot", Usage: "save, look at and restore snapshots",
+		Commands: []*cli.Command{
+			{
+				Name: "save", Usage: "write the group's present state to a file", ArgsUsage: "FILE",
+				Flags:       withFlags(clientFlags, []cli.Flag{staleFlag}),
+				Description: "Example:\n   limehold snapshot save backup.snapshot --admin 10.0.0.1:7100",
+				Action:      saveSnapshot,
+			},
+			{
+				Name: "inspect", Usage: "check a snapshot file and sum up what it holds", ArgsUsage: "FILE", Flags: []cli.Flag{outputFlag},
+				Action: inspectSnapshot,
+			},
+			{
+				Name: "restore", Usage: "begin a new group of one member, after the loss of a majority", ArgsUsage: "SOURCE FOLDER",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "name", Required: true, Usage: "`NAME` of the member"},
+					&cli.StringFlag{Name: "address", Required: true, Usage: "`IP:PORT` of its control listener"},
+					outputFlag,
+				},
+				Description: "SOURCE is a snapshot file or the data folder of a member of the old group.\nWhat the old group acknowledged and SOURCE does not hold is lost.\n" +
+					"Example:\n   limehold snapshot restore /var/lib/limehold/control-1 /var/lib/limehold/control-1-new --name control-1 --address 10.0.0.1:7000",
+				Action: restoreSnapshot,
+			},
+		},
+	}
+}
+
+func saveSnapshot(_ context.Context, command *cli.Command) error {
+	file, err := argument(command, 0, "file")
+	if err != nil {
+		return err
+	}
+	var data []byte
+	if err := get(command, adminapi.PathSnapshot, nil, &data); err != nil {
+		return err
+	}
+	if err := wal.WriteFileDurably(file, data); err != nil {
+		return cli.Exit(err.Error(), exitFailure)
+	}
+	snapshot, err := wal.ReadSnapshot(file)
+	if err != nil {
+		return cli.Exit(err.Error(), exitFailure)
+	}
+	return showSnapshot(command, snapshot)
+}
+
+func inspectSnapshot(_ context.Context, command *cli.Command) error {
+	file, err := argument(command, 0, "snapshot file")
+	if err != nil {
+		return err
+	}
+	snapshot, err := wal.ReadSnapshot(file)
+	if err != nil {
+		return cli.Exit(err.Error(), exitFailure)
+	}
+	return showSnapshot(command, snapshot)
+}
+
+func restoreSnapshot(_ context.Context, command *cli.Command) error {
+	source, err := argument(command, 0, "source")
+	if err != nil {
+		return err
+	}
+	folder, err := argument(command, 1, "folder")
+	if err != nil {
+		return err
+	}
+	restored, err := control.Restore(source, folder, command.String("name"), command.String("address"))
+	if err != nil {
+		return cli.Exit(err.Error(), exitFailure)
+	}
+	rows := &table{header: []string{"IDENTITY", "LAST REVISION", "TERM", "LOST"}}
+	rows.add(restored.Identity, restored.Revision, restored.Term, "what was acknowledged after the last revision")
+	return show(command, restored, rows)
+}
+
 // snapshotSummary is what 'snapshot inspect' tells.
 type snapshotSummary struct {
 	Index     uint64   `json:"index"`
--- a/control/admin.go
+++ b/control/admin.go
@@ -78,9 +78,17 @@
 		m.writeFailure(request, err)
 		return
 	}
+	if file, ok := answer.(rawFile); ok {
+		request.SetContentType("application/octet-stream")
+		request.SetBody(file)
+		return
+	}
 	writeJSON(request, fasthttp.StatusOK, answer)
 }
 
+// rawFile is an answer that is not JSON.
+type rawFile []byte
+
 func (m *Member) authorized(request *fasthttp.RequestCtx) bool {
 	if m.options.Token == "" {
 		return true
@@ -124,6 +132,8 @@
 		return m.adminExplain(ctx, request)
 	case "journal":
 		return m.adminJournal(ctx, request)
+	case "snapshot":
+		return m.adminSnapshot(ctx, request)
 	}
 	return nil, notFound("path " + path)
 }
--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -19,6 +19,7 @@
 	"limehold/journal"
 	"limehold/membership"
 	"limehold/ownership"
+	"limehold/wal"
 	"limehold/wire"
 )
 
@@ -375,3 +376,22 @@
 	}
 	return fmt.Sprintf("%s owns shard %d under epoch %d; the event that assigned it is older than the journal", answer.Owner, answer.Shard, answer.Epoch)
 }
+
+// adminSnapshot returns the current state as a snapshot file.
+func (m *Member) adminSnapshot(ctx context.Context, request *fasthttp.RequestCtx) (any, error) {
+	status := m.replica.status.Load()
+	snapshot := consensus.Snapshot{Term: status.Term, Configuration: status.Configuration}
+	var encodeErr error
+	err := m.read(ctx, request, func(state *fleet.State) {
+		snapshot.Index = state.Revision
+		snapshot.Data, encodeErr = state.Encode()
+	})
+	if err != nil {
+		return nil, err
+	}
+	if encodeErr != nil {
+		return nil, encodeErr
+	}
+	file, err := wal.EncodeSnapshot(snapshot)
+	return rawFile(file), err
+}
--- a/integration/control_test.go
+++ b/integration/control_test.go
@@ -358,3 +358,44 @@
 		is.True(service.Name != "x") // nothing was half done
 	}
 }
+
+func TestGroupComesBackFromOneFolderAfterTheLossOfAMajority(t *testing.T) {
+	is := is.New(t)
+	running := start(t, fleet.Options{NoDelays: true})
+	first, err := update(running.Admin(), "before", "2600ms", 0)
+	is.NoErr(err)
+	survivor := leaderOf(t, running)
+	for _, member := range running.Members {
+		is.True(member.Kill())
+	}
+	saved := survivor.Data + ".new"
+	output, exit := limeholdRun(t, "snapshot", "restore", survivor.Data, saved, "--name", survivor.Name, "--address", survivor.Into.Address())
+	if exit != 0 {
+		t.Fatal(output)
+	}
+	is.NoErr(os.Rename(survivor.Data, survivor.Data+".old"))
+	is.NoErr(os.Rename(saved, survivor.Data))
+	is.NoErr(running.StartMember(survivor))
+	eventually(t, "the new group of one", func() error {
+		again, err := update(client(survivor), "before", "2600ms", 0)
+		if err == nil && again.Revision != first.Revision {
+			t.Fatalf("the answer was revision %d, it is %d now", first.Revision, again.Revision)
+		}
+		return err
+	})
+	// A member of the old group is nobody to the new one until it is admitted.
+	other := otherMember(running, survivor)
+	is.NoErr(os.RemoveAll(other.Data))
+	is.NoErr(running.StartMember(other))
+	eventually(t, "another member", func() error {
+		return client(survivor).Do(adminapi.Request{
+			Method: http.MethodPost, Path: adminapi.PathMembers + "/add",
+			Body: adminapi.MemberChange{Name: other.Name, Address: other.Into.Address()},
+		}, nil)
+	})
+	file := filepath.Join(t.TempDir(), "backup")
+	output, exit = limeholdRun(t, "snapshot", "save", file, "--admin", survivor.Field("admin"))
+	if exit != 0 || !strings.Contains(output, "SERVICES") {
+		t.Fatalf("exit code %d: %s", exit, output)
+	}
+}
--- a/wal/snapshot.go
+++ b/wal/snapshot.go
@@ -27,17 +27,26 @@
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return eris.Wrapf(err, "create snapshot folder %s", folder)
 	}
-	payload, err := codec.Marshal(&snapshot)
+	data, err := EncodeSnapshot(snapshot)
 	if err != nil {
-		return eris.Wrap(err, "encode snapshot")
+		return err
 	}
 	name := fmt.Sprintf("%016x%s", snapshot.Index, snapshotSuffix)
-	if err := WriteFileDurably(filepath.Join(folder, name), checksummed(payload)); err != nil {
+	if err := WriteFileDurably(filepath.Join(folder, name), data); err != nil {
 		return err
 	}
 	return removeOldSnapshots(folder)
 }
 
+// EncodeSnapshot returns the content of a snapshot file.
+func EncodeSnapshot(snapshot consensus.Snapshot) ([]byte, error) {
+	payload, err := codec.Marshal(&snapshot)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode snapshot")
+	}
+	return checksummed(payload), nil
+}
+
 func checksummed(payload []byte) []byte {
 	data := binary.LittleEndian.AppendUint32(make([]byte, 0, len(payload)+4), crc32.Checksum(payload, castagnoli))
 	return append(data, payload...)
