Requests with a body wait for a new owner like all others

Change: bodies up to 64 KiB are read before the first attempt; longer ones are streamed and sent once. Conclusion: a transfer costs waiting, no refusal.

--- a/router/proxy.go
+++ b/router/proxy.go
@@ -38,6 +38,11 @@
 	}
 	p.service.budget.earn()
 	r.buildOut(request, p)
+	if refused := p.takeBody(request); refused.refused() {
+		r.refuse(request, callerID(request, p.id), p, refused)
+		fasthttp.ReleaseRequest(p.out)
+		return
+	}
 	r.hangups.add(p)
 	streaming := r.proxy(request, p)
 	if !streaming {
--- a/router/request.go
+++ b/router/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/hex"
+	"io"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -216,15 +217,39 @@
 	out.Header.Set(wire.HeaderRequestID, callerID(request, p.id))
 	out.Header.Set(wire.HeaderService, p.service.name)
 	out.Header.Set(wire.HeaderShard, strconv.FormatUint(uint64(p.shard), 10))
-	if request.Request.IsBodyStream() {
-		p.body = &limitedBody{inner: request.RequestBodyStream(), left: p.route.MaxRequestBytes}
-		out.SetBodyStream(p.body, request.Request.Header.ContentLength())
-	} else {
-		out.SetBodyRaw(request.Request.Body())
-	}
 	p.out = out
 }
 
+// takeBody reads a short body into memory, so that the request can be sent again
+// after a refusal; a longer one is streamed and sent once. It fails when the
+// caller's body breaks off or exceeds the limit before anything has been sent.
+func (p *proxied) takeBody(request *fasthttp.RequestCtx) refusal {
+	if !request.Request.IsBodyStream() {
+		p.out.SetBodyRaw(request.Request.Body())
+		return refusal{}
+	}
+	p.body = &limitedBody{inner: request.RequestBodyStream(), left: p.route.MaxRequestBytes}
+	length := request.Request.Header.ContentLength()
+	if length > bufferedBody {
+		p.out.SetBodyStream(p.body, length)
+		return refusal{}
+	}
+	begun := bytes.NewBuffer(make([]byte, 0, max(0, length)))
+	_, err := io.CopyN(begun, p.body, bufferedBody+1)
+	switch {
+	case err == io.EOF:
+		p.body = nil
+		p.out.SetBodyRaw(begun.Bytes())
+		return refusal{}
+	case p.body.exceeded:
+		return refuseBodyTooBig
+	case err != nil:
+		return refuseBadRequest
+	}
+	p.out.SetBodyStream(io.MultiReader(begun, p.body), length)
+	return refusal{}
+}
+
 func dropHeaders(header *fasthttp.RequestHeader, connection []byte) {
 	for _, name := range strings.Split(string(connection), ",") {
 		if name = strings.TrimSpace(name); name != "" {
--- a/router/router.go
+++ b/router/router.go
@@ -66,7 +66,7 @@
 const (
 	// bufferedBody is the size in bytes up to which a request's body is kept,
 	// so that it can be sent again; longer ones are streamed and sent once.
-	bufferedBody = 256 << 10
+	bufferedBody = 64 << 10
 	drainPoll    = 10 * time.Millisecond
 	adminTimeout = 5 * time.Second
 	// startPatience bounds the wait for a first configuration before callers
--- /dev/null
+++ b/router/table_test.go
@@ -0,0 +1,202 @@
+package router
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"limehold/admission"
+	"limehold/catalog"
+	"limehold/wire"
+)
+
+func testTable() *table {
+	return newTable(func(name string) *pool { return newPool(name, admission.PolicyOwnObservation, false) })
+}
+
+func view(name string, revision uint64, prefix string) wire.ServiceView {
+	spec := catalog.Spec{Match: catalog.Match{PathPrefix: prefix}, Pool: "p", Keyed: true, Shards: 2}
+	spec.ApplyDefaults()
+	return wire.ServiceView{Name: name, Revision: revision, Spec: spec}
+}
+
+func shards(service string, list ...wire.ShardView) []wire.ServiceShards {
+	return []wire.ServiceShards{{Service: service, Shards: list}}
+}
+
+// A router that reconnects to a member that lags must not go back.
+func TestOlderUpdateIsNeverApplied(t *testing.T) {
+	is := is.New(t)
+	known := testTable()
+	is.True(known.apply(&wire.Update{Snapshot: true, Revision: 10, Services: []wire.ServiceView{view("a", 10, "/new")}}))
+	is.True(known.apply(&wire.Update{Snapshot: true, Revision: 8, Services: []wire.ServiceView{view("a", 8, "/old")}}))
+	is.True(known.apply(&wire.Update{From: 7, Revision: 8, RemovedServices: []string{"a"}}))
+	is.Equal(known.inForce(), uint64(10))
+	found, _ := known.find("", "/new/x")
+	is.True(found != nil)
+	found, _ = known.find("", "/old/x")
+	is.True(found == nil)
+}
+
+func TestGapAsksForASnapshot(t *testing.T) {
+	is := is.New(t)
+	known := testTable()
+	is.True(known.apply(&wire.Update{Snapshot: true, Revision: 10}))
+	is.Equal(known.apply(&wire.Update{From: 12, Revision: 13}), false)
+	is.Equal(known.inForce(), uint64(10))
+	is.True(known.apply(&wire.Update{From: 10, Revision: 13}))
+	is.Equal(known.inForce(), uint64(13))
+}
+
+func TestEpochsOfShardsOnlyRise(t *testing.T) {
+	is := is.New(t)
+	known := testTable()
+	known.apply(&wire.Update{Snapshot: true, Revision: 1, Services: []wire.ServiceView{view("a", 1, "/a")}, Shards: shards("a", wire.ShardView{Shard: 0, Owner: 5, Epoch: 7})})
+	known.apply(&wire.Update{From: 1, Revision: 2, Shards: shards("a", wire.ShardView{Shard: 0, Owner: 4, Epoch: 6})})
+	entry, _, _ := known.owner(known.services["a"], 0)
+	is.Equal(int(entry.owner), 5)
+}
+
+func TestSnapshotRemovesWhatItDoesNotName(t *testing.T) {
+	is := is.New(t)
+	known := testTable()
+	known.apply(&wire.Update{Snapshot: true, Revision: 1, Services: []wire.ServiceView{view("a", 1, "/a"), view("b", 1, "/b")}, Nodes: []wire.NodeView{{Session: 1, Pool: "p", Slots: 1, Connections: 1}}})
+	known.apply(&wire.Update{Snapshot: true, Revision: 5, Services: []wire.ServiceView{view("b", 1, "/b")}})
+	found, _ := known.find("", "/a")
+	is.True(found == nil)
+	is.True(known.node(1) == nil)
+}
+
+func TestLongestPrefixOfWholeSegmentsWins(t *testing.T) {
+	known := testTable()
+	hosted := view("hosted", 1, "/shop")
+	hosted.Spec.Match.Host = "a.example"
+	known.apply(&wire.Update{Snapshot: true, Revision: 1, Services: []wire.ServiceView{view("shop", 1, "/shop"), view("orders", 1, "/shop/orders"), hosted}})
+	cases := []struct{ host, path, service, rest string }{
+		{"", "/shop/orders/1", "orders", "/1"},
+		{"", "/shop/ordersx", "shop", "/ordersx"},
+		{"", "/shop", "shop", ""},
+		{"", "/shop/", "shop", "/"},
+		{"A.example:80", "/shop/1", "hosted", "/1"},
+		{"", "/shopx", "", ""},
+		{"", "/", "", ""},
+	}
+	for _, test := range cases {
+		t.Run(test.host+test.path, func(t *testing.T) {
+			is := is.New(t)
+			found, rest := known.find(test.host, test.path)
+			if test.service == "" {
+				is.True(found == nil)
+				return
+			}
+			is.True(found != nil)
+			is.Equal(found.name, test.service)
+			is.Equal(rest, test.rest)
+		})
+	}
+}
+
+// The age counts from the sending of the question, and only once the revision
+// that the answer named has arrived.
+func TestFreshnessCountsFromTheQuestion(t *testing.T) {
+	is := is.New(t)
+	var fresh freshness
+	is.Equal(fresh.within(0, time.Hour), false)
+	fresh.confirm(confirmation{sentAt: 10 * time.Second, revision: 5}, 4)
+	is.Equal(fresh.within(10*time.Second, time.Hour), false) // revision 5 is still on its way
+	fresh.arrived(5)
+	is.True(fresh.within(12*time.Second, 2*time.Second))
+	is.Equal(fresh.within(13*time.Second, 2*time.Second), false)
+	fresh.confirm(confirmation{sentAt: 9 * time.Second, revision: 5}, 5) // an older answer comes late
+	is.True(fresh.within(12*time.Second, 2*time.Second))
+}
+
+func TestHopByHopAndInternalHeadersAreDropped(t *testing.T) {
+	is := is.New(t)
+	var header fasthttp.RequestHeader
+	for name, value := range map[string]string{
+		"X-Kept": "1", "X-Named": "1", "Te": "trailers", "Upgrade": "h2c", "limehold-epoch": "9", "Limehold-Anything": "x", "Keep-Alive": "1",
+	} {
+		header.Set(name, value)
+	}
+	dropHeaders(&header, []byte("X-Named, keep-alive"))
+	is.Equal(string(header.Peek("X-Kept")), "1")
+	for _, name := range []string{"X-Named", "Te", "Upgrade", "Limehold-Epoch", "Limehold-Anything", "Keep-Alive"} {
+		is.Equal(len(header.Peek(name)), 0)
+	}
+}
+
+func FuzzUnambiguous(f *testing.F) {
+	f.Add([]byte("Host: a\r\nContent-Length: 5\r\n\r\n"))
+	f.Add([]byte("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n"))
+	f.Add([]byte("A: b\r\n c\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if !unambiguous(raw) {
+			return
+		}
+		// What is unambiguous has at most one field that frames the body
+		if countFold(raw, "content-length:")+countFold(raw, "transfer-encoding:") > 1 {
+			t.Fatalf("two framings in %q", raw)
+		}
+	})
+}
+
+// countFold counts lines of the head that begin with a name, whatever its case.
+func countFold(raw []byte, name string) int {
+	count := 0
+	for start := 0; start < len(raw); {
+		end := start
+		for end < len(raw) && raw[end] != '\n' {
+			end++
+		}
+		line := raw[start:end]
+		if len(line) <= 1 {
+			return count
+		}
+		if len(line) >= len(name) && equalFold(line[:len(name)], name) {
+			count++
+		}
+		start = end + 1
+	}
+	return count
+}
+
+func equalFold(line []byte, name string) bool {
+	for i := range line {
+		c := line[i]
+		if c >= 'A' && c <= 'Z' {
+			c += 'a' - 'A'
+		}
+		if c != name[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Connections that nobody has accepted yet are not reset by a planned stop.
+func TestStoppedListenerAcceptsWhatWaits(t *testing.T) {
+	is := is.New(t)
+	opened, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	listener := &drainListener{TCPListener: opened.(*net.TCPListener)}
+	const waiting = 5
+	for range waiting {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		is.NoErr(err)
+		defer conn.Close()
+	}
+	listener.stop()
+	for range waiting {
+		conn, err := listener.Accept()
+		is.NoErr(err)
+		conn.Close()
+	}
+	_, err = listener.Accept()
+	is.True(err != nil)
+	_, err = net.Dial("tcp", listener.Addr().String())
+	is.True(err != nil) // later callers are refused and go elsewhere
+}
