--- a/bench/hollow/slopes.go
+++ b/bench/hollow/slopes.go
@@ -20,6 +20,7 @@
 	FollowersCPU              float64 `json:"followers_cpu_cores"`
 	LeaderSentPerSecond       float64 `json:"leader_sent_bytes_per_s"`
 	LeaderReceivedPerSecond   float64 `json:"leader_received_bytes_per_s"`
+	SessionsLostInSetUp       int64   `json:"sessions_lost_in_set_up"`
 	SessionsLostInSteadyState int64   `json:"sessions_lost_in_steady_state"`
 	PeakRSSMB                 float64 `json:"peak_rss_mb"`
 
--- a/control/leader.go
+++ b/control/leader.go
@@ -74,14 +74,13 @@
 		return current
 	}
 	var open []membership.SessionID
-	var revision uint64
 	m.replica.view(func(state *fleet.State) {
-		revision = state.Revision
 		for session := range state.Membership.Sessions {
 			open = append(open, session)
 		}
+		// Within the view, so that no change of sessions falls in between.
+		m.sessions.lead(status.Term, m.options.leaseTiming(), open, state.Revision, clock.Now())
 	})
-	m.sessions.lead(status.Term, m.options.leaseTiming(), open, revision, clock.Now())
 	m.logger.Info("leading", zap.Uint64("term", status.Term), zap.Int("sessions", len(open)))
 	return &leaderState{term: status.Term, budgets: map[string]*placement.Budget{}, oversize: map[ownership.Key]bool{}, loads: map[string]*placement.Loads{}}
 }
--- a/control/member.go
+++ b/control/member.go
@@ -32,6 +32,7 @@
 	peers      *peers
 	replica    *replica
 	sessions   *sessions
+	pusher     *pusher
 	hub        *hub
 	routers    *routerTable
 	reads      readBatcher
@@ -57,7 +58,7 @@
 	}
 	m := &Member{
 		options: options, logger: options.Logger, storage: disk, recovered: recovered,
-		sessions: newSessions(), routers: newRouterTable(), placeNow: make(chan struct{}, 1),
+		sessions: newSessions(), pusher: newPusher(), routers: newRouterTable(), placeNow: make(chan struct{}, 1),
 		loads: placement.NewLoadTable(config.Control.LoadHalfLife), started: make(chan struct{}),
 	}
 	m.formed.Store(disk.identity.Formed)
@@ -130,6 +131,8 @@
 	close(m.started)
 	group, running := errgroup.WithContext(serving)
 	group.Go(func() error { return replica.run(running) })
+	group.Go(func() error { return replica.runApplier(running) })
+	group.Go(func() error { return m.runPusher(running) })
 	group.Go(func() error { return m.watchConfiguration(running) })
 	group.Go(func() error { return m.lead(running) })
 	group.Go(func() error { return m.relayLoads(running) })
--- a/control/place.go
+++ b/control/place.go
@@ -141,7 +141,7 @@
 	for session := range changes.Sessions {
 		touched = append(touched, session)
 	}
-	m.pushAssignments(touched)
+	m.pusher.add(touched)
 	if needsPlacement(&changes) {
 		select {
 		case m.placeNow <- struct{}{}:
--- a/control/replica.go
+++ b/control/replica.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,41 +12,25 @@
 	"limehold/clock"
 	"limehold/consensus"
 	"limehold/fleet"
-	"limehold/logging"
 )
 
-// replica drives one consensus.Core: it owns the core, the data folder and the
-// state machine, and is the only goroutine that changes them.
+// replica drives one consensus.Core: its goroutine owns the core and the log, and
+// does nothing that takes long but syncing: heartbeats must not wait. What is
+// committed goes to the applier.
 type replica struct {
+	*applier
 	options Options
 	logger  *zap.Logger
 	storage *storage
 	core    *consensus.Core
 	// send carries messages to peers; it must not block.
 	send func([]consensus.Message)
-	// applied is told of each command that took effect, in order.
-	applied func(fleet.Changes, *fleet.State)
-	// reset is told that the state was replaced by a snapshot.
-	reset func(*fleet.State)
 
-	inbox chan event
-	// stateMutex guards state; only the replica's goroutine writes.
-	stateMutex sync.RWMutex
-	state      *fleet.State
-	waiters    map[uint64]waiter
-	status     atomic.Pointer[replicaStatus]
-	lease      atomic.Pointer[leaderLease]
+	inbox  chan event
+	status atomic.Pointer[replicaStatus]
+	lease  atomic.Pointer[leaderLease]
 
-	appliedIndex  uint64
-	snapshotIndex uint64
-	snapshotting  bool
-	snapshotDone  chan snapshotOutcome
-	appliedMutex  sync.Mutex
-	appliedCond   *sync.Cond
-	stopped       bool
-
-	syncSeconds  interface{ Observe(float64) }
-	commandCount interface{ Inc() }
+	syncSeconds interface{ Observe(float64) }
 }
 
 // leaderLease says until when the leader of a term may answer for the group.
@@ -72,11 +54,6 @@
 	Ready bool
 }
 
-type waiter struct {
-	term uint64
-	done chan outcome
-}
-
 type outcome struct {
 	result fleet.Result
 	err    error
@@ -106,23 +83,15 @@
 	err   error
 }
 
-type snapshotOutcome struct {
-	snapshot consensus.Snapshot
-	err      error
-}
-
 func newReplica(options Options, disk *storage, state loaded) (*replica, error) {
 	machine, err := fleet.DecodeState(state.snapshot.Data)
 	if err != nil {
 		return nil, eris.Wrap(err, "restore the snapshot")
 	}
 	r := &replica{
-		options: options, logger: options.Logger, storage: disk,
-		inbox: make(chan event, maxBatch), state: machine, waiters: map[uint64]waiter{},
-		appliedIndex: state.snapshot.Index, snapshotIndex: state.snapshot.Index,
-		snapshotDone: make(chan snapshotOutcome, 1),
+		applier: newApplier(options, disk, machine, state.snapshot),
+		options: options, logger: options.Logger, storage: disk, inbox: make(chan event, maxBatch),
 	}
-	r.appliedCond = sync.NewCond(&r.appliedMutex)
 	r.core = consensus.New(consensus.Options{
 		ID: disk.identity.ID, Timing: options.consensusTiming(), Random: rand.Int64N,
 		HardState: state.hardState, Snapshot: state.snapshot, Entries: state.entries,
@@ -137,7 +106,6 @@
 	registry := r.options.Metrics
 	r.syncSeconds = registry.Histogram("log", "sync_seconds", "Time to write and sync one batch of log records.",
 		[]float64{.0002, .0005, .001, .002, .005, .01, .02, .05, .1, .5})
-	r.commandCount = registry.Counter("log", "commands_total", "Commands applied from the replicated log.")
 	registry.Gauge("log", "applied_index", "Log index applied to the state.", func() float64 { return float64(r.status.Load().Applied) })
 	registry.Gauge("log", "term", "Current term.", func() float64 { return float64(r.status.Load().Term) })
 	registry.Gauge("log", "is_leader", "1 while this member leads and is ready.", func() float64 {
@@ -152,7 +120,7 @@
 func (r *replica) run(ctx context.Context) error {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
-	defer r.failWaiters(errors.New("this member is stopping"))
+	defer r.stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -206,7 +174,7 @@
 		request.done <- outcome{err: err}
 		return
 	}
-	r.waiters[index] = waiter{term: r.core.Term(), done: request.done}
+	r.expect(index, waiter{term: r.core.Term(), done: request.done})
 }
 
 // carryOut does what the core asks for, in the order that consensus.Output
@@ -229,15 +197,7 @@
 		// time anybody hears of what was persisted.
 		r.publishLease()
 		r.send(output.Messages)
-		if output.Snapshot != nil {
-			if err := r.restore(*output.Snapshot); err != nil {
-				return err
-			}
-		}
-		if err := r.apply(output.Committed); err != nil {
-			return err
-		}
-		r.maybeSnapshot()
+		r.enqueue(applyItem{snapshot: output.Snapshot, entries: output.Committed})
 	}
 }
 
@@ -261,86 +221,16 @@
 	return nil
 }
 
-func (r *replica) restore(snapshot consensus.Snapshot) error {
-	state, err := fleet.DecodeState(snapshot.Data)
-	if err != nil {
-		return eris.Wrap(err, "restore a snapshot from the leader")
-	}
-	r.stateMutex.Lock()
-	r.state = state
-	r.stateMutex.Unlock()
-	r.snapshotIndex = snapshot.Index
-	r.setApplied(snapshot.Index)
-	r.reset(state)
-	r.logger.Info("snapshot_installed", zap.Uint64("index", snapshot.Index))
-	return nil
-}
-
-func (r *replica) apply(entries []consensus.Entry) error {
-	for i := range entries {
-		entry := &entries[i]
-		if entry.Kind == consensus.EntryCommand {
-			if err := r.applyCommand(entry); err != nil {
-				return err
-			}
-		}
-		r.appliedIndex = entry.Index
-	}
-	if len(entries) > 0 {
-		r.setApplied(r.appliedIndex)
-	}
-	return nil
-}
-
-func (r *replica) applyCommand(entry *consensus.Entry) error {
-	command, err := fleet.DecodeCommand(entry.Data)
-	if err != nil {
-		return eris.Wrapf(err, "apply log entry %d (was it written by a newer version?)", entry.Index)
-	}
-	r.stateMutex.Lock()
-	result, changes := r.state.Apply(entry.Index, command)
-	r.stateMutex.Unlock()
-	r.commandCount.Inc()
-	r.applied(changes, r.state)
-	if waiting, found := r.waiters[entry.Index]; found {
-		delete(r.waiters, entry.Index)
-		if waiting.term == entry.Term {
-			waiting.done <- outcome{result: result}
-		} else {
-			waiting.done <- outcome{err: consensus.ErrNotLeader}
-		}
-	}
-	return nil
-}
-
-func (r *replica) setApplied(index uint64) {
-	r.appliedMutex.Lock()
-	r.appliedIndex = index
-	r.appliedMutex.Unlock()
-	r.appliedCond.Broadcast()
-}
-
-func (r *replica) failWaiters(err error) {
-	for index, waiting := range r.waiters {
-		delete(r.waiters, index)
-		waiting.done <- outcome{err: err}
-	}
-	r.appliedMutex.Lock()
-	r.stopped = true
-	r.appliedMutex.Unlock()
-	r.appliedCond.Broadcast()
-}
-
 // publish lets other goroutines see where the core stands. Waiters of a lost
 // leadership are told at once: whether their entries will commit is unknown.
 func (r *replica) publish() {
 	status := &replicaStatus{
 		Role: r.core.Role(), Term: r.core.Term(), Leader: r.core.Leader(),
-		Commit: r.core.CommitIndex(), Applied: r.appliedIndex,
+		Commit: r.core.CommitIndex(), Applied: r.appliedTo(),
 		LastIndex: r.core.LastIndex(), FirstIndex: r.core.FirstIndex(),
 		Configuration: r.core.Configuration(), Progress: r.core.Progress(),
 	}
-	status.Ready = status.Role == consensus.RoleLeader && r.appliedIndex >= r.core.TermStart()
+	status.Ready = status.Role == consensus.RoleLeader && status.Applied >= r.core.TermStart()
 	previous := r.status.Swap(status)
 	r.publishLease()
 	if previous == nil {
@@ -350,21 +240,14 @@
 		r.logger.Info("role_changed", zap.String("state", status.Role.String()), zap.Uint64("term", status.Term), zap.Stringer("leader", status.Leader))
 	}
 	if previous.Role == consensus.RoleLeader && (status.Role != consensus.RoleLeader || status.Term != previous.Term) {
-		r.abandonWaiters()
-	}
-}
-
-func (r *replica) abandonWaiters() {
-	for index, waiting := range r.waiters {
-		delete(r.waiters, index)
-		waiting.done <- outcome{err: consensus.ErrNotLeader}
+		r.failWaiters(consensus.ErrNotLeader)
 	}
 }
 
 // publishLease stores the end of the leader lease; zero unless the leader is ready.
 func (r *replica) publishLease() {
 	until := time.Duration(0)
-	if r.core.Role() == consensus.RoleLeader && r.appliedIndex >= r.core.TermStart() {
+	if r.core.Role() == consensus.RoleLeader && r.appliedTo() >= r.core.TermStart() {
 		until = r.core.LeaseUntil(clock.Now())
 	}
 	r.lease.Store(&leaderLease{term: r.core.Term(), until: until})
@@ -446,61 +329,10 @@
 	}
 }
 
-// waitApplied waits until the state reflects a log index.
-func (r *replica) waitApplied(ctx context.Context, index uint64) error {
-	stop := context.AfterFunc(ctx, r.appliedCond.Broadcast)
-	defer stop()
-	r.appliedMutex.Lock()
-	defer r.appliedMutex.Unlock()
-	for r.appliedIndex < index {
-		if ctx.Err() != nil || r.stopped {
-			return eris.Errorf("wait for log index %d: only %d has been applied", index, r.appliedIndex)
-		}
-		r.appliedCond.Wait()
-	}
-	return nil
-}
-
-// maybeSnapshot encodes the state here and writes it in the background.
-func (r *replica) maybeSnapshot() {
-	if r.snapshotting || r.appliedIndex < r.snapshotIndex+uint64(r.options.Settings.Control.SnapshotEvery) {
-		return
-	}
-	term, held := r.core.EntryTerm(r.appliedIndex)
-	if !held {
-		return
-	}
-	data, err := r.state.Encode()
-	if err != nil {
-		r.logger.Error("snapshot_failed", logging.Step("encode state", "", err)...)
-		return
-	}
-	r.snapshotting = true
-	snapshot := consensus.Snapshot{
-		Index: r.appliedIndex, Term: term, Data: data,
-		Configuration: r.core.ConfigurationAt(r.appliedIndex),
-	}
-	go func() {
-		r.snapshotDone <- snapshotOutcome{snapshot, r.storage.saveSnapshot(snapshot)}
-	}()
-}
-
 func (r *replica) finishSnapshot(done snapshotOutcome) error {
-	r.snapshotting = false
 	if done.err != nil {
 		return eris.Wrap(done.err, "write snapshot")
 	}
-	if done.snapshot.Index <= r.snapshotIndex {
-		return nil
-	}
-	r.snapshotIndex = done.snapshot.Index
 	r.core.Compact(done.snapshot, compactKeep)
 	return r.storage.log.RemoveBefore(r.core.FirstIndex())
 }
-
-// view runs a function on the state; it must not keep references.
-func (r *replica) view(read func(*fleet.State)) {
-	r.stateMutex.RLock()
-	defer r.stateMutex.RUnlock()
-	read(r.state)
-}
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"limehold/catalog"
 	"limehold/clock"
-	"limehold/codec"
 	"limehold/fleet"
 	"limehold/membership"
 	"limehold/transport"
@@ -177,61 +173,11 @@
 		return nil, &wire.Error{Code: wire.CodeUnknownSession, Message: "the session is closed or being closed: open a new one", Step: "renew lease", Peer: m.options.Settings.Name}
 	}
 	if request.Revision < newest {
-		m.pushAssignments([]membership.SessionID{request.Session})
+		m.pusher.add([]membership.SessionID{request.Session})
 	}
 	return &wire.RenewReply{LeaseLength: m.options.Settings.Control.LeaseLength, Revision: newest}, nil
 }
 
-// pushAssignments sends sessions their whole list of shards.
-func (m *Member) pushAssignments(targets []membership.SessionID) {
-	for _, session := range targets {
-		m.sessions.mutex.Lock()
-		conn := m.sessions.conns[session]
-		m.sessions.mutex.Unlock()
-		if conn == nil {
-			continue
-		}
-		list, open := m.assignments(session)
-		if !open {
-			continue
-		}
-		if err := conn.SendEncoded(wire.KindAssignments, codec.MustMarshal(list)); err != nil {
-			m.logger.Warn("assignments_not_sent", zap.String("peer", conn.Peer.Name), zap.Error(err))
-		}
-	}
-}
-
-// assignments reads a session's list out of the state.
-func (m *Member) assignments(session membership.SessionID) (*wire.Assignments, bool) {
-	list := &wire.Assignments{Session: session}
-	open := false
-	m.replica.view(func(state *fleet.State) {
-		node := state.Membership.Sessions[session]
-		if node == nil {
-			return
-		}
-		open = true
-		list.Revision = state.Revision
-		list.Draining = node.Draining
-		for _, key := range state.Ownership.Owned(session) {
-			shard, _ := state.Ownership.Get(key)
-			list.Shards = append(list.Shards, wire.AssignmentOf(key, shard))
-		}
-	})
-	slices.SortFunc(list.Shards, compareAssignments)
-	return list, open
-}
-
-func compareAssignments(a, b wire.Assignment) int {
-	if a.Service != b.Service {
-		if a.Service < b.Service {
-			return -1
-		}
-		return 1
-	}
-	return int(a.Shard) - int(b.Shard)
-}
-
 // released frees shards on their owner's word.
 func (m *Member) released(ctx context.Context, request *wire.Released) (*wire.ReleasedReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -26,8 +26,8 @@
 	frameHeader = 4 + 1 + 8
 	// MaxFrame bounds a frame's payload in bytes; snapshots are the largest.
 	MaxFrame      = 256 << 20
-	queueLength   = 1024
-	bufferSize    = 64 << 10
+	queueLength   = 256
+	bufferSize    = 8 << 10
 	helloPatience = 3 * time.Second
 	writePatience = 5 * time.Second
 	keepAlive     = 5 * time.Second
