One admin listener for all processes; standalone wants the token; locality

Cause: the admin listeners of control, router and agent stood three times; 'limehold standalone' ignored admin.token_file (found by its first test): anyone could change it. With more instances than zones, choosing the own zone first loads instances unevenly. Conclusion: the token now guards every process that takes commands.

--- /dev/null
+++ b/adminserver/adminserver.go
@@ -0,0 +1,87 @@
+// Package adminserver is the HTTP listener that each process has for operators:
+// metrics, health, and whatever the process adds.
+package adminserver
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"limehold/metrics"
+)
+
+// Options configures a listener.
+type Options struct {
+	Listener net.Listener
+	Metrics  *metrics.Registry
+	// Healthy returns why a balancer should leave the process out; nil: it is fine.
+	Healthy func() error
+	// Other answers every path but /metrics and /healthz. Optional.
+	Other fasthttp.RequestHandler
+}
+
+const (
+	readTimeout  = 10 * time.Second
+	shutdownWait = 2 * time.Second
+	// maxBody bounds an operator's request in bytes.
+	maxBody = 1 << 20
+)
+
+// Run answers until ctx ends, and finishes what is under way then.
+func Run(ctx context.Context, options Options) error {
+	server := &fasthttp.Server{
+		Handler: options.handle, MaxRequestBodySize: maxBody, ReadTimeout: readTimeout, NoDefaultServerHeader: true,
+	}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		<-ctx.Done()
+		shutdown, cancel := context.WithTimeout(context.Background(), shutdownWait)
+		defer cancel()
+		_ = server.ShutdownWithContext(shutdown)
+	}()
+	err := server.Serve(options.Listener)
+	if ctx.Err() != nil {
+		<-stopped
+		return nil
+	}
+	return eris.Wrap(err, "serve operators")
+}
+
+func (o *Options) handle(request *fasthttp.RequestCtx) {
+	switch string(request.Path()) {
+	case "/metrics":
+		o.writeMetrics(request)
+	case "/healthz":
+		o.writeHealth(request)
+	default:
+		if o.Other == nil {
+			request.Error("not found: this process answers /metrics and /healthz\n", fasthttp.StatusNotFound)
+			return
+		}
+		o.Other(request)
+	}
+}
+
+func (o *Options) writeMetrics(request *fasthttp.RequestCtx) {
+	text, err := o.Metrics.Text()
+	if err != nil {
+		request.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	request.SetContentType("text/plain; version=0.0.4")
+	request.SetBody(text)
+}
+
+func (o *Options) writeHealth(request *fasthttp.RequestCtx) {
+	if o.Healthy != nil {
+		if err := o.Healthy(); err != nil {
+			request.Error(err.Error()+"\n", fasthttp.StatusServiceUnavailable)
+			return
+		}
+	}
+	request.SetBodyString("ok\n")
+}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,10 +12,10 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"limehold/adminserver"
 	"limehold/clock"
 	"limehold/logging"
 	"limehold/membership"
@@ -64,7 +64,6 @@
 	openTimeout    = 2 * time.Second
 	retryPause     = 20 * time.Millisecond
 	drainPoll      = 20 * time.Millisecond
-	adminTimeout   = 5 * time.Second
 )
 
 // New opens the operators' listener. Run connects to control.
@@ -117,7 +116,9 @@
 	group.Go(func() error { return a.tellBackend(serving) })
 	group.Go(func() error { return a.releaseLoop(serving) })
 	group.Go(func() error { return a.followBackendDrain(serving) })
-	group.Go(func() error { return a.serveAdmin(serving) })
+	group.Go(func() error {
+		return adminserver.Run(serving, adminserver.Options{Listener: a.admin, Metrics: a.options.Metrics, Healthy: a.healthy})
+	})
 	group.Go(func() error {
 		select {
 		case <-serving.Done():
@@ -276,42 +277,15 @@
 	}
 }
 
-// serveAdmin answers /metrics and /healthz.
-func (a *Agent) serveAdmin(ctx context.Context) error {
-	server := &fasthttp.Server{Handler: a.handleAdmin, NoDefaultServerHeader: true, ReadTimeout: adminTimeout, IdleTimeout: adminTimeout}
-	go func() {
-		<-ctx.Done()
-		shutdown, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		_ = server.ShutdownWithContext(shutdown)
-	}()
-	err := server.Serve(a.admin)
-	if ctx.Err() != nil {
-		return nil
+// healthy fails while the node has no lease.
+func (a *Agent) healthy() error {
+	if clock.Now() >= a.leaseExpiry() {
+		return errNoLease
 	}
-	return eris.Wrap(err, "serve operators")
+	return nil
 }
 
-func (a *Agent) handleAdmin(request *fasthttp.RequestCtx) {
-	switch string(request.Path()) {
-	case "/metrics":
-		text, err := a.options.Metrics.Text()
-		if err != nil {
-			request.Error(err.Error(), fasthttp.StatusInternalServerError)
-			return
-		}
-		request.SetContentType("text/plain; version=0.0.4")
-		request.SetBody(text)
-	case "/healthz":
-		if clock.Now() >= a.leaseExpiry() {
-			request.Error("no lease\n", fasthttp.StatusServiceUnavailable)
-			return
-		}
-		request.SetBodyString("ok\n")
-	default:
-		request.Error("not found\n", fasthttp.StatusNotFound)
-	}
-}
+var errNoLease = errors.New("no lease")
 
 func pause(ctx context.Context, length time.Duration) error {
 	timer := time.NewTimer(length)
--- a/bench/hollow/hollow.go
+++ b/bench/hollow/hollow.go
@@ -49,6 +49,7 @@
 	lossesMeasured  = 3
 	changesMeasured = 20
 	restartShare    = 0.05
+	lostZone        = "zone-1"
 )
 
 // Fleet is a control group with hollow nodes and routers.
@@ -89,7 +90,7 @@
 	f.noteAddresses()
 	size := &Size{Nodes: options.Nodes, Shards: options.Shards, Routers: options.Routers}
 	steps := []func(context.Context, *Size) error{
-		f.startNodes, f.createServices, f.startRouters, f.steadyState, f.changeConfiguration, f.loseNodes, f.restartMany, f.loseLeader,
+		f.startNodes, f.createServices, f.startRouters, f.steadyState, f.changeConfiguration, f.loseNodes, f.restartMany, f.loseZone, f.loseLeader,
 	}
 	for _, step := range steps {
 		if err := step(ctx, size); err != nil {
--- a/bench/hollow/phases.go
+++ b/bench/hollow/phases.go
@@ -166,10 +166,25 @@
 	return err
 }
 
+// loseZone loses a quarter of the nodes at once.
+func (f *Fleet) loseZone(ctx context.Context, size *Size) error {
+	time.Sleep(settleTime)
+	var lost []*node
+	for _, n := range f.nodes {
+		if n.zone == lostZone {
+			lost = append(lost, n)
+		}
+	}
+	times, err := f.loseAndWait(ctx, lost)
+	size.ZoneLossNodes = len(lost)
+	size.ZoneLossMsMedian, size.ZoneLossMsMax = middleAndMax(times)
+	return err
+}
+
 // loseLeader ends the leader and a node together: the new leader waits a whole
 // lease before it takes anything from anybody.
 func (f *Fleet) loseLeader(ctx context.Context, size *Size) error {
-	time.Sleep(time.Second) // let the restarted nodes settle
+	time.Sleep(settleTime)
 	leader, err := f.leader()
 	if err != nil {
 		return err
--- a/bench/hollow/slopes.go
+++ b/bench/hollow/slopes.go
@@ -35,6 +35,9 @@
 	MassRestartNodes            int     `json:"mass_restart_nodes"`
 	MassRestartMsMedian         float64 `json:"mass_restart_ms_median"`
 	MassRestartMsMax            float64 `json:"mass_restart_ms_max"`
+	ZoneLossNodes               int     `json:"zone_loss_nodes"`
+	ZoneLossMsMedian            float64 `json:"zone_loss_ms_median"`
+	ZoneLossMsMax               float64 `json:"zone_loss_ms_max"`
 	LeaderAndNodeLossMsMax      float64 `json:"leader_and_node_loss_ms_max"`
 	AllRenewedAfterLeaderLossMs float64 `json:"all_renewed_after_leader_loss_ms"`
 	SessionsLostWithLeader      int64   `json:"sessions_lost_with_leader"`
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -84,6 +84,7 @@
 		{"default out of bounds", "default: \"16\"", "default: \"99\"", "shards"},
 		{"no match", "match: {path_prefix: \"/${school}/proofs\"}", "match: {}", "spec.match"},
 		{"keyed without key", "key: {source: path, segment: 0}", "key: {}", "key"},
+		{"unknown locality", "pool: proofs", "pool: proofs\n  locality: moon", "spec.locality"},
 		{"trailing slash", "/${school}/proofs", "/${school}/proofs/", "path_prefix"},
 	}
 	for _, test := range cases {
--- a/catalog/spec.go
+++ b/catalog/spec.go
@@ -90,6 +90,15 @@
 	Unavailable float64 `yaml:"unavailable" json:"unavailable"`
 }
 
+// Locality says which instances of an undivided service are preferred.
+type Locality string
+
+// Localities.
+const (
+	LocalityZone Locality = "zone"
+	LocalityAny  Locality = "any"
+)
+
 // Spec is what a template says of each of its services, parameters filled in.
 type Spec struct {
 	Match Match `yaml:"match" json:"match"`
@@ -101,6 +110,10 @@
 	// Shards is the fixed number of parts of the key space. Default 64 when keyed.
 	Shards int     `yaml:"shards" json:"shards"`
 	Routes []Route `yaml:"routes" json:"routes"`
+	// Locality is zone (instances in the router's own zone first, others when those
+	// are full) or any (all instances alike: even load for a longer way). Services
+	// divided by key go to the owner in any case. Default zone.
+	Locality Locality `yaml:"locality" json:"locality,omitempty"`
 	// QueueLength bounds the requests that wait for a slot at one router. Default 64.
 	QueueLength int `yaml:"queue_length" json:"queue_length"`
 	// RetryBudgetPercent bounds retries as a share of requests. Default 10.
@@ -155,6 +168,7 @@
 	if s.Keyed {
 		setDefault(&s.Shards, defaultShards)
 	}
+	setDefault(&s.Locality, LocalityZone)
 	setDefault(&s.QueueLength, defaultQueueLength)
 	setDefault(&s.RetryBudgetPercent, defaultRetryBudget)
 	setDefault(&s.StalenessBound, Duration(defaultStaleness))
@@ -211,6 +225,9 @@
 }
 
 func (s *Spec) validateMatch() error {
+	if s.Locality != LocalityZone && s.Locality != LocalityAny {
+		return fieldError("spec.locality", string(s.Locality), "use zone or any")
+	}
 	if s.Match.Host == "" && s.Match.PathPrefix == "" {
 		return fieldError("spec.match", "", "give host, path_prefix or both")
 	}
--- a/control/admin.go
+++ b/control/admin.go
@@ -11,7 +11,6 @@
 	"strings"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"limehold/adminapi"
@@ -21,46 +20,13 @@
 )
 
 const (
-	maxAdminBody      = 1 << 20
-	adminShutdownWait = 2 * time.Second
 	maxInForceWait    = 30 * time.Second
-	adminReadTimeout  = 10 * time.Second
 	adminCallPatience = 40 * time.Second
 )
 
-// serveAdmin answers operators until ctx ends.
-func (m *Member) serveAdmin(ctx context.Context) error {
-	server := &fasthttp.Server{
-		Handler: m.handleAdmin, Name: "limehold", MaxRequestBodySize: maxAdminBody,
-		ReadTimeout: adminReadTimeout, NoDefaultServerHeader: true,
-	}
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		<-ctx.Done()
-		shutdown, cancel := context.WithTimeout(context.Background(), adminShutdownWait)
-		defer cancel()
-		_ = server.ShutdownWithContext(shutdown)
-	}()
-	err := server.Serve(m.admin)
-	if ctx.Err() != nil {
-		<-stopped
-		return nil
-	}
-	return eris.Wrap(err, "serve operators")
-}
-
 // handleAdmin checks the token and hands the request to its route.
 func (m *Member) handleAdmin(request *fasthttp.RequestCtx) {
 	path := string(request.Path())
-	switch path {
-	case "/healthz":
-		request.SetBodyString("ok\n")
-		return
-	case "/metrics":
-		m.writeMetrics(request)
-		return
-	}
 	if !m.authorized(request) {
 		writeError(request, fasthttp.StatusUnauthorized, &adminapi.Error{Code: "unauthorized", Message: "present the operator's token: Authorization: Bearer TOKEN"})
 		return
@@ -97,16 +63,6 @@
 	return subtle.ConstantTimeCompare([]byte(presented), []byte(m.options.Token)) == 1
 }
 
-func (m *Member) writeMetrics(request *fasthttp.RequestCtx) {
-	text, err := m.options.Metrics.Text()
-	if err != nil {
-		writeError(request, fasthttp.StatusInternalServerError, &adminapi.Error{Code: "internal", Message: err.Error()})
-		return
-	}
-	request.SetContentType("text/plain; version=0.0.4")
-	request.SetBody(text)
-}
-
 func (m *Member) route(ctx context.Context, request *fasthttp.RequestCtx, path string) (any, error) {
 	parts := strings.Split(strings.TrimPrefix(path, "/v1/"), "/")
 	resource, name, action := parts[0], "", ""
--- a/control/member.go
+++ b/control/member.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"limehold/adminserver"
 	"limehold/codec"
 	"limehold/consensus"
 	"limehold/fleet"
@@ -94,7 +95,9 @@
 	m.logger.Info("listening", zap.String("address", m.Address()), zap.String("admin", m.AdminAddress()),
 		zap.Stringer("member", m.storage.identity.ID), zap.Bool("tls", m.options.TLS != nil), zap.Bool("operator_token", m.options.Token != ""))
 	group.Go(func() error { return m.server.Run(serving) })
-	group.Go(func() error { return m.serveAdmin(serving) })
+	group.Go(func() error {
+		return adminserver.Run(serving, adminserver.Options{Listener: m.admin, Metrics: m.options.Metrics, Other: m.handleAdmin})
+	})
 	group.Go(func() error {
 		err := m.runReplica(ctx, serving)
 		stopServing()
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"limehold/admission"
+	"limehold/catalog"
 	"limehold/clock"
 	"limehold/logging"
 	"limehold/wire"
@@ -97,10 +98,18 @@
 	return admission.OutcomeFailed
 }
 
+// preferredZone is the router's own, unless the service is spread over all zones.
+func (r *Router) preferredZone(p *proxied) string {
+	if p.service.spec.Locality == catalog.LocalityAny {
+		return ""
+	}
+	return r.options.Settings.Zone
+}
+
 // choose waits for the owner or for an instance, and for a slot there.
 func (r *Router) choose(p *proxied, held *hold, avoid admission.InstanceID, ahead bool) (*wire.NodeView, refusal) {
 	want := admission.Want{
-		Zone: r.options.Settings.Zone, Deadline: p.deadline, Ahead: ahead, Avoid: avoid,
+		Zone: r.preferredZone(p), Deadline: p.deadline, Ahead: ahead, Avoid: avoid,
 		Group: p.service.name, GroupLimit: p.service.spec.QueueLength,
 	}
 	for {
--- a/router/router.go
+++ b/router/router.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"limehold/adminserver"
 	"limehold/admission"
 	"limehold/clock"
 	"limehold/metrics"
@@ -68,7 +69,6 @@
 	// so that it can be sent again; longer ones are streamed and sent once.
 	bufferedBody = 64 << 10
 	drainPoll    = 10 * time.Millisecond
-	adminTimeout = 5 * time.Second
 	// startPatience bounds the wait for a first configuration before callers
 	// are taken.
 	startPatience = 2 * time.Second
@@ -156,7 +156,9 @@
 	group.Go(func() error { return r.follow(serving) })
 	group.Go(func() error { return r.hangups.run(serving) })
 	group.Go(func() error { return r.sweep(serving) })
-	group.Go(func() error { return r.serveAdmin(serving) })
+	group.Go(func() error {
+		return adminserver.Run(serving, adminserver.Options{Listener: r.admin, Metrics: r.options.Metrics, Healthy: r.healthy})
+	})
 	group.Go(func() error {
 		// Callers are not taken before there is something to tell them. After
 		// startPatience they are refused truthfully instead.
@@ -240,43 +242,15 @@
 	request.SetConnectionClose()
 }
 
-// serveAdmin answers /metrics and /healthz.
-func (r *Router) serveAdmin(ctx context.Context) error {
-	server := &fasthttp.Server{Handler: r.handleAdmin, NoDefaultServerHeader: true, ReadTimeout: adminTimeout, IdleTimeout: adminTimeout}
-	go func() {
-		<-ctx.Done()
-		shutdown, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		_ = server.ShutdownWithContext(shutdown)
-	}()
-	err := server.Serve(r.admin)
-	if ctx.Err() != nil {
-		return nil
+// healthy fails while a balancer in front of the routers should leave this one out.
+func (r *Router) healthy() error {
+	if r.draining.Load() || r.table.inForce() == 0 {
+		return errNotServing
 	}
-	return eris.Wrap(err, "serve operators")
+	return nil
 }
 
-func (r *Router) handleAdmin(request *fasthttp.RequestCtx) {
-	switch string(request.Path()) {
-	case "/metrics":
-		text, err := r.options.Metrics.Text()
-		if err != nil {
-			request.Error(err.Error(), fasthttp.StatusInternalServerError)
-			return
-		}
-		request.SetContentType("text/plain; version=0.0.4")
-		request.SetBody(text)
-	case "/healthz":
-		// A balancer in front of the routers takes a draining or stale one out.
-		if r.draining.Load() || r.table.inForce() == 0 {
-			request.Error("draining or not ready\n", fasthttp.StatusServiceUnavailable)
-			return
-		}
-		request.SetBodyString("ok\n")
-	default:
-		request.Error("not found\n", fasthttp.StatusNotFound)
-	}
-}
+var errNotServing = errors.New("draining, or without a configuration yet")
 
 // libraryLogger passes the HTTP library's own messages on at debug level: they
 // are about single callers' connections.
--- a/standalone/standalone.go
+++ b/standalone/standalone.go
@@ -23,7 +23,8 @@
 }
 
 // New completes the settings with the addresses of the parts and builds them.
-func New(config settings.Settings, logger *zap.Logger) (*Process, error) {
+// Operators must present the token, unless it is empty.
+func New(config settings.Settings, logger *zap.Logger, token string) (*Process, error) {
 	config.Control.Members = nil
 	if config.Zone == "" {
 		config.Zone = "local"
@@ -33,7 +34,7 @@
 	}
 	process := &Process{}
 	var err error
-	if process.member, err = control.New(control.Options{Settings: config, Logger: logger.With(zap.String("part", "control")), Metrics: metrics.New()}); err != nil {
+	if process.member, err = control.New(control.Options{Settings: config, Logger: logger.With(zap.String("part", "control")), Metrics: metrics.New(), Token: token}); err != nil {
 		return nil, err
 	}
 	// The operators' address that the settings name is control's.
@@ -49,6 +50,8 @@
 		return process, nil
 	}
 	config.Agent.Control = config.Router.Control
+	// There is no other node to which the shards could be moved before a stop.
+	config.Agent.StopMode = settings.StopRestart
 	if err := config.Validate(settings.RoleAgent); err != nil {
 		return nil, err
 	}
