--- a/bench/command/experiment.go
+++ b/bench/command/experiment.go
@@ -13,6 +13,7 @@
 
 	"limehold/bench/experiment"
 	"limehold/bench/figures"
+	"limehold/bench/load"
 	"limehold/bench/report"
 	"limehold/bench/shape"
 )
@@ -26,7 +27,7 @@
 func experimentCommand() *cli.Command {
 	return &cli.Command{
 		Name: "experiment", Usage: "compare limehold with its baselines on both shapes, and write table and plots",
-		Description: "Keys become hot, other keys become hot, a node of the keyed pool is lost and comes back,\na node joins cold, a node of another pool is slow.\nExample:\n   limebench experiment --seeds 2 --duration 40s --folder docs/experiments",
+		Description: "A stretch of coast fills, a school goes to press, single keys become hot, a node of the keyed pool is lost and comes back,\na node joins cold, a node of another pool is slow.\nExample:\n   limebench experiment --seeds 2 --duration 40s --folder docs/experiments",
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "seeds", Value: 2},
 			&cli.DurationFlag{Name: "duration", Value: 40 * time.Second},
@@ -67,6 +68,9 @@
 	return figures.Write(command.String("folder"), "limebench "+strings.Join(os.Args[1:], " "), groups)
 }
 
+// workloadOf says what makes the keys of each shape hot.
+var workloadOf = map[string]string{"arbok": "press-slot", "acampadas": "holiday"}
+
 func policyName(policy experiment.Baseline) string {
 	if policy == experiment.BaselineNone {
 		return "limehold"
@@ -87,10 +91,14 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "create run folder")
 	}
+	workload, err := load.WorkloadByName(workloadOf[name])
+	if err != nil {
+		return nil, err
+	}
 	duration := command.Duration("duration")
 	result, err := experiment.Run(ctx, experiment.Options{
 		Shape: deployment, Seed: seed, Duration: duration, Rate: command.Float("rate"), Skew: command.Float("skew"),
-		HotShift: duration / 2, FaultsSet: "experiment", Faults: experimentFaults(deployment, duration),
+		Workload: workload, FaultsSet: "experiment", Faults: experimentFaults(deployment, duration),
 		Baseline: policy, Limehold: limehold, Limebench: limebench, Folder: folder,
 	})
 	if err != nil {
--- a/bench/command/run.go
+++ b/bench/command/run.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"limehold/bench/experiment"
+	"limehold/bench/load"
 	"limehold/bench/report"
 	"limehold/bench/shape"
 )
@@ -35,6 +36,7 @@
 			&cli.StringFlag{Name: "baseline", Usage: "plainer policy to run in place of limehold's own"},
 			&cli.IntFlag{Name: "members", Value: 3, Usage: "control members"},
 			&cli.FloatFlag{Name: "skew", Value: defaultSkew, Usage: "exponent of the keys' popularity"},
+			&cli.StringFlag{Name: "workload", Value: "steady", Usage: "steady, holiday, press-slot, diurnal or shifts"},
 			&cli.DurationFlag{Name: "hot-shift", Usage: "time at which other keys become popular; 0: never"},
 			&cli.StringFlag{Name: "report", Usage: "`FILE` for the report (JSON)"},
 			&cli.StringFlag{Name: "folder", Usage: "keep data, logs and records in this `FOLDER`"},
@@ -67,6 +69,9 @@
 	if options.Rate == 0 {
 		options.Rate = options.Shape.Rate
 	}
+	if options.Workload, err = load.WorkloadByName(command.String("workload")); err != nil {
+		return options, err
+	}
 	if options.Baseline, err = experiment.ParseBaseline(command.String("baseline")); err != nil {
 		return options, err
 	}
--- a/bench/experiment/run.go
+++ b/bench/experiment/run.go
@@ -45,7 +45,7 @@
 	NoOperators bool
 	Skew        float64
 	HotShift    time.Duration
-	Profile     func(since time.Duration) float64
+	Workload    *load.Workload
 }
 
 const (
@@ -124,7 +124,7 @@
 func (r *run) runCallers(ctx context.Context) []load.Result {
 	options := load.Options{
 		Shape: r.options.Shape, Rate: r.options.Rate, Duration: r.options.Duration, Seed: r.options.Seed,
-		RunPrefix: "run-", Skew: r.options.Skew, HotShift: r.options.HotShift, Profile: r.options.Profile,
+		RunPrefix: "run-", Skew: r.options.Skew, HotShift: r.options.HotShift, Workload: r.options.Workload,
 	}
 	for _, router := range r.fleet.Routers {
 		options.Targets = append(options.Targets, load.Target{Name: router.Name, Dial: router.Callers.Dial})
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -6,7 +6,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -141,189 +140,6 @@
 	return arguments
 }
 
-func (f *Fleet) startControl() error {
-	for i := range f.Options.ControlMembers {
-		member, err := f.prepareMember(i)
-		if err != nil {
-			return err
-		}
-		f.Members = append(f.Members, member)
-	}
-	for _, member := range f.Members {
-		if err := f.connectMembers(member); err != nil {
-			return err
-		}
-		f.Platform.Set(member.Name, "live")
-	}
-	for _, member := range f.Members {
-		member.Process = f.memberProcess(member)
-		if err := f.StartMember(member); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (f *Fleet) prepareMember(number int) (*Member, error) {
-	name := fmt.Sprintf("control-%d", number+1)
-	into, err := faultproxy.New(f.zoneDelay())
-	if err != nil {
-		return nil, err
-	}
-	return &Member{
-		Process: &Process{Name: name, Role: "control"}, Zone: f.zone(number), Into: into,
-		FromMember: map[string]*faultproxy.Proxy{}, Data: filepath.Join(f.Options.Folder, "data", name),
-	}, nil
-}
-
-// connectMembers makes a path of its own from every other member.
-func (f *Fleet) connectMembers(member *Member) error {
-	for _, other := range f.Members {
-		if other == member {
-			continue
-		}
-		path, err := faultproxy.New(f.zoneDelay())
-		if err != nil {
-			return err
-		}
-		member.FromMember[other.Name] = path
-	}
-	return nil
-}
-
-func (f *Fleet) memberProcess(member *Member) *Process {
-	var members, overrides []string
-	for _, other := range f.Members {
-		members = append(members, fmt.Sprintf("{name: %s, address: %q}", other.Name, other.Into.Address()))
-		if path := other.FromMember[member.Name]; path != nil {
-			overrides = append(overrides, fmt.Sprintf("%s: %q", other.Name, path.Address()))
-		}
-	}
-	arguments := f.settings("control",
-		"name="+member.Name, "zone="+member.Zone, "data_folder="+member.Data,
-		"control.advertise="+member.Into.Address(),
-		"control.members=["+strings.Join(members, ", ")+"]",
-		"control.dial_overrides={"+strings.Join(overrides, ", ")+"}",
-		"control.platform_url="+f.Platform.URL())
-	return newProcess(member.Name, "control", f.Options.Limehold, logPath(f.Options.Folder, member.Name), arguments)
-}
-
-// StartMember starts a member's process and points the paths to it.
-func (f *Fleet) StartMember(member *Member) error {
-	if err := member.Start(); err != nil {
-		return err
-	}
-	address := member.Field("address")
-	member.Into.SetTarget(address)
-	for _, path := range member.FromMember {
-		path.SetTarget(address)
-	}
-	for _, node := range f.AllNodes() {
-		if path := node.Control[member.Name]; path != nil {
-			path.SetTarget(address)
-		}
-	}
-	for _, router := range f.Routers {
-		if path := router.Control[member.Name]; path != nil {
-			path.SetTarget(address)
-		}
-	}
-	return nil
-}
-
-// controlPaths makes paths to all members, and the setting that names them.
-func (f *Fleet) controlPaths() (map[string]*faultproxy.Proxy, string, error) {
-	paths := map[string]*faultproxy.Proxy{}
-	var addresses []string
-	for _, member := range f.Members {
-		path, err := faultproxy.New(f.zoneDelay())
-		if err != nil {
-			return nil, "", err
-		}
-		path.SetTarget(member.Field("address"))
-		paths[member.Name] = path
-		addresses = append(addresses, path.Address())
-	}
-	return paths, strings.Join(addresses, ","), nil
-}
-
-func (f *Fleet) startNodes() error {
-	number := 0
-	for _, pool := range f.Options.Shape.Pools {
-		for i := range pool.Instances {
-			if _, err := f.AddNode(pool, fmt.Sprintf("%s-%d", pool.Name, i+1), f.zone(number)); err != nil {
-				return err
-			}
-			number++
-		}
-	}
-	return nil
-}
-
-// AddNode starts a back end with its agent.
-func (f *Fleet) AddNode(pool shape.Pool, name, zone string) (*Node, error) {
-	requests, err := faultproxy.New(f.zoneDelay())
-	if err != nil {
-		return nil, err
-	}
-	paths, addresses, err := f.controlPaths()
-	if err != nil {
-		return nil, err
-	}
-	node := &Node{
-		Name: name, Zone: zone, Pool: pool, Requests: requests, Control: paths,
-		Records: filepath.Join(f.Options.Folder, "records", name+".jsonl"),
-	}
-	if err := f.StartBackend(node); err != nil {
-		return nil, err
-	}
-	f.mutex.Lock()
-	f.nodes = append(f.nodes, node)
-	f.mutex.Unlock()
-	f.Platform.Set(name, "live")
-	return node, f.StartAgent(node, addresses)
-}
-
-// StartBackend starts a node's back end, again if need be, at the same address.
-func (f *Fleet) StartBackend(node *Node) error {
-	listen := "127.0.0.1:0"
-	if node.Backend != nil {
-		listen = node.Backend.Field("address")
-	}
-	node.Backend = f.inheritUsage(node.Backend, newProcess(node.Name, "backend", f.Options.Limebench, logPath(f.Options.Folder, "backend-"+node.Name), []string{
-		"backend", "--name", node.Name, "--listen", listen, "--records", node.Records,
-		"--slots", fmt.Sprint(node.Pool.Slots), "--service-time", node.Pool.ServiceTime.String(),
-		"--cold-start", f.Options.ColdStart.String(),
-	}))
-	if err := node.Backend.Start(); err != nil {
-		return err
-	}
-	node.Requests.SetTarget(node.Backend.Field("address"))
-	return nil
-}
-
-func (f *Fleet) inheritUsage(before, after *Process) *Process {
-	if before != nil {
-		before.mutex.Lock()
-		after.usage = before.usage
-		before.mutex.Unlock()
-	}
-	return after
-}
-
-// StartAgent starts a node's agent. An empty list of addresses keeps the old one.
-func (f *Fleet) StartAgent(node *Node, controlAddresses string) error {
-	if node.Agent != nil {
-		return node.Agent.Start()
-	}
-	node.Agent = newProcess(node.Name, "agent", f.Options.Limehold, logPath(f.Options.Folder, "agent-"+node.Name), f.settings("agent",
-		"name="+node.Name, "zone="+node.Zone, "agent.backend="+node.Backend.Field("address"),
-		"agent.advertise="+node.Requests.Address(), "agent.pool="+node.Pool.Name,
-		fmt.Sprintf("agent.slots=%d", node.Pool.Slots), fmt.Sprintf("agent.connections=%d", node.Pool.Connections),
-		"agent.control="+controlAddresses))
-	return node.Agent.Start()
-}
-
 func (f *Fleet) startRouters() error {
 	delay := f.Options.Shape.ClientDelay
 	if f.Options.NoDelays {
@@ -430,20 +246,6 @@
 	}
 }
 
-// Leader returns the member that leads, or nil.
-func (f *Fleet) Leader() *Member {
-	var status adminapi.Status
-	if f.Admin().Do(adminapi.Request{Method: http.MethodGet, Path: adminapi.PathStatus}, &status) != nil {
-		return nil
-	}
-	for _, member := range f.Members {
-		if member.Name == status.Leader {
-			return member
-		}
-	}
-	return nil
-}
-
 // Processes lists all processes.
 func (f *Fleet) Processes() []*Process {
 	var list []*Process
@@ -491,14 +293,3 @@
 		path.Close()
 	}
 }
-
-// NodesOf lists the nodes of a pool.
-func (f *Fleet) NodesOf(pool string) []*Node {
-	var list []*Node
-	for _, node := range f.AllNodes() {
-		if node.Pool.Name == pool {
-			list = append(list, node)
-		}
-	}
-	return list
-}
--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -26,8 +26,8 @@
 	Skew float64
 	// HotShift is when the popular keys become others; 0: never.
 	HotShift time.Duration
-	// Profile multiplies the rate by the time since the start. Optional.
-	Profile func(since time.Duration) float64
+	// Workload changes demand during the run. Default steady.
+	Workload *Workload
 }
 
 // Run sends requests until the duration is over and returns all results once
@@ -43,12 +43,18 @@
 	random  *rand.Rand
 	weights float64
 	keys    *keyPicker
-	mutex   sync.Mutex
-	results []Result
-	pending sync.WaitGroup
+	// shifted counts the shifts of popularity so far.
+	shifted    int
+	shiftedAll bool
+	mutex      sync.Mutex
+	results    []Result
+	pending    sync.WaitGroup
 }
 
 func newRunner(options Options) *runner {
+	if options.Workload == nil {
+		options.Workload, _ = WorkloadByName("steady")
+	}
 	r := &runner{options: options, random: rand.New(rand.NewPCG(options.Seed, 1))}
 	for _, target := range options.Targets {
 		r.callers = append(r.callers, newCaller(target))
@@ -74,16 +80,29 @@
 			time.Sleep(wait)
 		}
 		r.launch(number, since)
-		rate := r.options.Rate
-		if r.options.Profile != nil {
-			rate *= r.options.Profile(since)
-		}
+		rate := r.options.Rate * r.options.Workload.rate(r.share(since))
 		next = next.Add(time.Duration(r.random.ExpFloat64() / math.Max(rate, 0.1) * float64(time.Second)))
 	}
 	r.pending.Wait()
 	return r.results
 }
 
+func (r *runner) share(since time.Duration) float64 {
+	return since.Seconds() / r.options.Duration.Seconds()
+}
+
+// shiftKeys changes the popularity of keys as far as it is due.
+func (r *runner) shiftKeys(since time.Duration) {
+	for float64(r.shifted) < since.Minutes()*r.options.Workload.shiftRate(len(r.keys.ranks)) {
+		r.keys.shift(r.random)
+		r.shifted++
+	}
+	if r.options.HotShift > 0 && since >= r.options.HotShift && !r.shiftedAll {
+		r.shiftedAll = true
+		r.keys.shiftAll()
+	}
+}
+
 func (r *runner) launch(number int, since time.Duration) {
 	a := r.draw(number, since)
 	first := r.random.IntN(len(r.callers))
@@ -113,10 +132,10 @@
 func (r *runner) draw(number int, since time.Duration) *ask {
 	stream := r.stream()
 	a := &ask{run: fmt.Sprintf("%s%d-%d", r.options.RunPrefix, r.options.Seed, number), stream: stream}
-	a.prefix = stream.Prefixes[r.random.IntN(len(stream.Prefixes))]
+	a.prefix = r.options.Workload.prefix(r.random, stream, r.share(since))
 	if stream.Keys > 0 {
-		shifted := r.options.HotShift > 0 && since >= r.options.HotShift
-		a.key = r.keys.pick(r.random, stream.Keys, shifted)
+		r.shiftKeys(since)
+		a.key = r.keys.pick(r.random, stream.Keys)
 	}
 	return a
 }
@@ -132,31 +151,3 @@
 	}
 	return &streams[len(streams)-1]
 }
-
-// keyPicker draws keys whose popularity falls with their rank.
-type keyPicker struct {
-	cumulative []float64
-}
-
-func newKeyPicker(keys int, skew float64) *keyPicker {
-	picker := &keyPicker{}
-	sum := 0.0
-	for rank := 1; rank <= keys; rank++ {
-		sum += math.Pow(float64(rank), -skew)
-		picker.cumulative = append(picker.cumulative, sum)
-	}
-	return picker
-}
-
-// pick draws one of the first count keys; shifted makes other keys popular.
-func (p *keyPicker) pick(random *rand.Rand, count int, shifted bool) string {
-	at := random.Float64() * p.cumulative[count-1]
-	rank := 0
-	for p.cumulative[rank] < at {
-		rank++
-	}
-	if shifted {
-		rank = (rank + count/2) % count
-	}
-	return fmt.Sprintf("key-%d", rank)
-}
--- a/integration/main_test.go
+++ b/integration/main_test.go
@@ -9,8 +9,12 @@
 	"testing"
 	"time"
 
+	// The programs are built and run, not linked: without these imports a cached
+	// result would be taken for theirs.
+	_ "limehold/bench/command"
 	"limehold/bench/fleet"
 	"limehold/bench/shape"
+	_ "limehold/cli"
 )
 
 var limehold, limebench string
