In force means every router, also one that no member knows of yet

Cause: '--wait' looked only at the routers that members knew of at the moment: one that had just lost its member was overlooked and could still serve the older configuration for the staleness bound. Change: unless every member answers and has been running for longer than the bound, silence is taken for consent only after the bound.

--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -310,3 +310,26 @@
 	_, err = leader.ReadIndex(g.now + time.Second)
 	is.Equal(err, ErrNotReady)
 }
+
+// An entry of an earlier term is not committed by being on a majority, only along
+// with one of the leader's own term (Raft paper, figure 8).
+func TestEntryOfAnEarlierTermDoesNotCountByItself(t *testing.T) {
+	is := is.New(t)
+	configuration := Configuration{Members: []Member{{ID: 1}, {ID: 2}, {ID: 3}}}
+	core := New(Options{
+		ID: 1, Timing: testTiming, Random: func(int64) int64 { return 0 }, HardState: HardState{Term: 3},
+		Snapshot: Snapshot{Index: 1, Term: 1, Configuration: configuration}, Entries: []Entry{{Index: 2, Term: 2}},
+		MaxAppendEntries: 10, MaxAppendBytes: 1 << 10,
+	}, 0)
+	now := time.Second
+	core.Tick(now)
+	core.Step(now, Message{Kind: MessagePreVoteResponse, From: 2, To: 1, Term: 4})
+	core.Step(now, Message{Kind: MessageVoteResponse, From: 2, To: 1, Term: 4})
+	is.Equal(core.Role(), RoleLeader)
+	output := core.TakeOutput()
+	core.Persisted(output.Entries[len(output.Entries)-1].Index)
+	core.Step(now, Message{Kind: MessageAppendResponse, From: 2, To: 1, Term: 4, Match: 2, Hint: 2, SentAt: now})
+	is.Equal(core.CommitIndex(), uint64(1)) // entry 2 is on two of three, and may still be replaced
+	core.Step(now, Message{Kind: MessageAppendResponse, From: 2, To: 1, Term: 4, Match: 3, Hint: 3, SentAt: now})
+	is.Equal(core.CommitIndex(), uint64(3))
+}
--- a/control/admin.go
+++ b/control/admin.go
@@ -150,10 +150,11 @@
 	if err := m.replica.waitApplied(waitContext, result.Revision); err != nil {
 		return answer, nil
 	}
-	for _, behind := range m.waitInForce(waitContext, result.Revision) {
-		answer.Behind = append(answer.Behind, routerView(behind))
+	behind, everywhere := m.waitInForce(waitContext, result.Revision)
+	for _, router := range behind {
+		answer.Behind = append(answer.Behind, routerView(router))
 	}
-	answer.InForce = len(answer.Behind) == 0
+	answer.InForce = everywhere
 	return answer, nil
 }
 
--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -280,7 +280,7 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, router := range m.allRouters(ctx) {
+	for _, router := range m.allRouters(ctx).routers {
 		answer.Routers = append(answer.Routers, routerView(router))
 	}
 	answer.ToleratedLosses = toleratedLosses(answer.Members, status.Configuration.Quorum())
--- a/control/member.go
+++ b/control/member.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
@@ -13,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"limehold/adminserver"
+	"limehold/clock"
 	"limehold/codec"
 	"limehold/consensus"
 	"limehold/fleet"
@@ -48,8 +50,12 @@
 	renewals prometheus.Counter
 	moves    *prometheus.CounterVec
 	started  chan struct{}
+	born     time.Duration
 }
 
+// up is how long this process has been running.
+func (m *Member) up() time.Duration { return clock.Now() - m.born }
+
 // New opens the data folder and the listeners. It does not answer yet; Run does.
 func New(options Options) (*Member, error) {
 	config := options.Settings
@@ -60,7 +66,7 @@
 	m := &Member{
 		options: options, logger: options.Logger, storage: disk, recovered: recovered,
 		sessions: newSessions(), pusher: newPusher(), routers: newRouterTable(), placeNow: make(chan struct{}, 1),
-		loads: placement.NewLoadTable(config.Control.LoadHalfLife), started: make(chan struct{}),
+		loads: placement.NewLoadTable(config.Control.LoadHalfLife), started: make(chan struct{}), born: clock.Now(),
 	}
 	m.formed.Store(disk.identity.Formed)
 	m.renewals = options.Metrics.Counter("control", "lease_renewals_total", "Lease renewals that reached this member while it led.")
@@ -247,7 +253,7 @@
 		index, err := m.currentIndexHere()
 		return &wire.ReadIndexReply{Index: index}, err
 	case wire.KindRouterList:
-		return &wire.RouterListReply{Routers: m.routers.list(m.options.Settings.Name)}, nil
+		return &wire.RouterListReply{Routers: m.routers.list(m.options.Settings.Name), Up: m.up()}, nil
 	case wire.KindLeaderView:
 		return m.leaderViewHere()
 	case wire.KindLoadRelay:
--- a/control/routers.go
+++ b/control/routers.go
@@ -129,8 +129,18 @@
 	}
 }
 
+// routerList is what the members together know of the routers.
+type routerList struct {
+	routers []wire.RouterStatus
+	// knownFor is how long every router that admits requests must have been known:
+	// the shortest time for which a member has been running, zero if one of them
+	// did not answer.
+	knownFor time.Duration
+}
+
 // allRouters asks every member for its routers and keeps the freshest word on each.
-func (m *Member) allRouters(ctx context.Context) []wire.RouterStatus {
+func (m *Member) allRouters(ctx context.Context) routerList {
+	known := routerList{knownFor: m.up()}
 	newest := map[string]wire.RouterStatus{}
 	take := func(list []wire.RouterStatus) {
 		for _, status := range list {
@@ -146,14 +156,14 @@
 		if link.Call(callCtx, wire.KindRouterList, &struct{}{}, &reply) == nil {
 			take(reply.Routers)
 		}
+		known.knownFor = min(known.knownFor, reply.Up)
 		cancel()
 	}
-	list := make([]wire.RouterStatus, 0, len(newest))
 	for _, status := range newest {
-		list = append(list, status)
+		known.routers = append(known.routers, status)
 	}
-	slices.SortFunc(list, func(a, b wire.RouterStatus) int { return cmp.Compare(a.Name, b.Name) })
-	return list
+	slices.SortFunc(known.routers, func(a, b wire.RouterStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return known
 }
 
 // inForce reports whether a revision is in force at a router: it has it, or it
@@ -163,18 +173,23 @@
 }
 
 // waitInForce waits until a revision is in force at every router, and returns
-// those at which it is not when ctx ends.
-func (m *Member) waitInForce(ctx context.Context, revision uint64) []wire.RouterStatus {
+// those at which it is not when ctx ends. A router that no member knows of, as one
+// of them has just been started or does not answer, admits requests for the
+// staleness bound at most: only after that time is its silence taken for consent.
+func (m *Member) waitInForce(ctx context.Context, revision uint64) (behind []wire.RouterStatus, everywhere bool) {
+	began := clock.Now()
 	for {
-		var behind []wire.RouterStatus
+		behind = nil
 		bound := m.stalenessBound()
-		for _, status := range m.allRouters(ctx) {
+		known := m.allRouters(ctx)
+		for _, status := range known.routers {
 			if !inForce(status, revision, bound) {
 				behind = append(behind, status)
 			}
 		}
-		if len(behind) == 0 || ctx.Err() != nil {
-			return behind
+		everywhere = len(behind) == 0 && (known.knownFor > bound || clock.Now()-began > bound)
+		if everywhere || ctx.Err() != nil {
+			return behind, everywhere
 		}
 		select {
 		case <-ctx.Done():
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -155,7 +155,12 @@
 }
 
 // RouterListReply lists the routers connected to a member.
-type RouterListReply struct{ Routers []RouterStatus }
+type RouterListReply struct {
+	Routers []RouterStatus
+	// Up is how long the member has been running: it does not know of routers that
+	// have not connected since.
+	Up time.Duration
+}
 
 // OpenSession registers an agent's back end.
 type OpenSession struct{ Node membership.Node }
