--- a/bench/command/experiment.go
+++ b/bench/command/experiment.go
@@ -27,7 +27,7 @@
 func experimentCommand() *cli.Command {
 	return &cli.Command{
 		Name: "experiment", Usage: "compare limehold with its baselines on both shapes, and write table and plots",
-		Description: "A stretch of coast fills, a school goes to press, single keys become hot, a node of the keyed pool is lost and comes back,\na node joins cold, a node of another pool is slow.\nExample:\n   limebench experiment --seeds 2 --duration 40s --folder docs/experiments",
+		Description: "A stretch of coast fills, a school goes to press, single keys become hot, a node of the keyed pool is lost and comes back,\na node of another pool is slow, all instances of a\nthird pool break off their answers, a node joins cold.\nExample:\n   limebench experiment --seeds 2 --duration 40s --folder docs/experiments",
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "seeds", Value: 2},
 			&cli.DurationFlag{Name: "duration", Value: 40 * time.Second},
@@ -114,6 +114,7 @@
 	return []experiment.Fault{
 		{Kind: experiment.KillNode, Target: keyed + "-2", At: duration / 5, For: duration / 10},
 		{Kind: experiment.SlowNode, Target: other + "-1", At: duration * 3 / 8, For: duration / 8},
+		{Kind: experiment.FailingPool, Target: deployment.Pools[len(deployment.Pools)-1].Name, At: duration * 11 / 20, For: duration / 10},
 		{Kind: experiment.AddNode, At: duration * 7 / 10},
 	}
 }
--- a/bench/experiment/faults.go
+++ b/bench/experiment/faults.go
@@ -44,6 +44,10 @@
 	LyingLoad        FaultKind = "lying-load"
 	SlowNode         FaultKind = "slow-node"
 	FailingNode      FaultKind = "failing-node"
+	// FailingPool has every instance of a pool break off most of its answers: what
+	// retries can do is add load. Its target is the pool; it is not part of the
+	// standard set.
+	FailingPool FaultKind = "failing-pool"
 )
 
 // Planned stops and changes.
--- a/bench/experiment/inject.go
+++ b/bench/experiment/inject.go
@@ -35,6 +35,7 @@
 		LyingLoad:        misbehave(standin.Knobs{SlowFactor: 1}),
 		SlowNode:         misbehave(standin.Knobs{SlowFactor: 6}),
 		FailingNode:      misbehave(standin.Knobs{FailAll: true}),
+		FailingPool:      failPool,
 		RestartRouters:   restartRouters, RestartBackend: restartBackend, RestartAgent: restartAgent,
 		RestartControl: restartControl, DrainNode: drainNode, ListLeaving: listSays("leaving"), ListGone: listSays("gone"),
 		AddNode: addNode,
@@ -355,6 +356,26 @@
 	}
 }
 
+func failPool(r *run, fault Fault) (string, error) {
+	const mostAnswers = 80
+	nodes := r.fleet.NodesOf(fault.Target)
+	if len(nodes) == 0 {
+		return fault.Target, errNoTarget
+	}
+	for _, node := range nodes {
+		if err := node.SetKnobs(standin.Knobs{ReportedLoad: -1, CutBeforePercent: mostAnswers}); err != nil {
+			return fault.Target, err
+		}
+	}
+	time.Sleep(fault.For)
+	for _, node := range nodes {
+		if err := node.SetKnobs(standin.Knobs{ReportedLoad: -1}); err != nil {
+			return fault.Target, err
+		}
+	}
+	return fault.Target, nil
+}
+
 func (r *run) untilDone(try func() error) error {
 	deadline := time.Now().Add(patience)
 	for {
--- a/bench/load/workload.go
+++ b/bench/load/workload.go
@@ -24,10 +24,10 @@
 }
 
 const (
-	// letterShifts and letterKeys are the size of letter 1, of which a run takes the
+	// targetShifts and targetKeys are the size in docs/CAPACITY.md, of which a run takes the
 	// share of the keys that it has.
-	letterShifts = 580
-	letterKeys   = 1_300_000
+	targetShifts = 580
+	targetKeys   = 1_300_000
 	// leastShifts lets a small deployment see some shifts at all.
 	leastShifts = 6
 	stagesOfDay = 2 * math.Pi
@@ -115,11 +115,11 @@
 	return fmt.Sprintf("key-%d", p.ranks[rank]%count)
 }
 
-// shiftRate is the number of marked shifts a minute: what the size of letter 1
+// shiftRate is the number of marked shifts a minute: what the target size
 // means for so many keys, or more if the workload says so.
 func (w *Workload) shiftRate(keys int) float64 {
 	if w.shiftsPerMinute == 0 {
 		return 0
 	}
-	return max(w.shiftsPerMinute, letterShifts*float64(keys)/letterKeys)
+	return max(w.shiftsPerMinute, targetShifts*float64(keys)/targetKeys)
 }
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -183,7 +183,7 @@
 	}
 }
 
-// mayRetry applies the rules of DESIGN 6: never after an open outcome of a
+// mayRetry applies the rules of docs/design/0004-requests.md: never after an open outcome of a
 // request that may not be repeated.
 func (r *Router) mayRetry(p *proxied, held *hold, result *attempt, number int) bool {
 	if p.bodyUsed || clock.Now()+minimumRemaining >= p.deadline {
