A back end that is gone is noticed at once; nothing left behind by a port in use

A control member whose port was taken had made its data folder already; the test that should have seen it could not fail. Change: a refused connection ends the renewals at once (the lease still runs to its end); listeners are opened before the folder; the test looks at the folder.

--- a/agent/backend.go
+++ b/agent/backend.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -32,6 +34,8 @@
 	latest  wire.BackendHealth
 	seen    time.Duration
 	everSet bool
+	// refused is set while nobody listens at the back end's address.
+	refused bool
 }
 
 func newBackend(address string) *backend {
@@ -60,12 +64,19 @@
 func (b *backend) probe() {
 	sentAt := clock.Now()
 	var health wire.BackendHealth
-	if err := b.call(fasthttp.MethodGet, wire.BackendPathHealth, nil, &health, probeTimeout); err != nil || health.Incarnation == "" {
-		return
+	err := b.call(fasthttp.MethodGet, wire.BackendPathHealth, nil, &health, probeTimeout)
+	if errors.Is(err, fasthttp.ErrConnectionClosed) {
+		// A kept connection ended: a new one tells whether anybody is there.
+		err = b.call(fasthttp.MethodGet, wire.BackendPathHealth, nil, &health, probeTimeout)
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.latest, b.seen, b.everSet = health, sentAt, true
+	// A refused connection is a surer sign than silence: its process is gone. The
+	// lease still runs to its end, in case it is not.
+	b.refused = errors.Is(err, syscall.ECONNREFUSED)
+	if err == nil && health.Incarnation != "" {
+		b.latest, b.seen, b.everSet = health, sentAt, true
+	}
 }
 
 // alive returns the back end's incarnation and whether it answered lately. A
@@ -73,7 +84,7 @@
 func (b *backend) alive(now time.Duration) (incarnation string, healthy bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	fresh := b.everSet && now-b.seen < unhealthyAfter
+	fresh := b.everSet && !b.refused && now-b.seen < unhealthyAfter
 	return b.latest.Incarnation, fresh && b.latest.Status != wire.BackendStarting
 }
 
--- a/control/member.go
+++ b/control/member.go
@@ -19,6 +19,7 @@
 	"limehold/consensus"
 	"limehold/fleet"
 	"limehold/placement"
+	"limehold/settings"
 	"limehold/transport"
 	"limehold/wire"
 )
@@ -56,35 +57,46 @@
 // up is how long this process has been running.
 func (m *Member) up() time.Duration { return clock.Now() - m.born }
 
-// New opens the data folder and the listeners. It does not answer yet; Run does.
+// New opens the listeners and the data folder. It does not answer yet; Run does. A
+// listener that cannot be opened leaves the folder as it was.
 func New(options Options) (*Member, error) {
 	config := options.Settings
-	disk, recovered, err := openStorage(config.DataFolder, config.Name, config.Control.SegmentBytes)
+	listener, admin, err := listen(config)
 	if err != nil {
 		return nil, err
 	}
+	disk, recovered, err := openStorage(config.DataFolder, config.Name, config.Control.SegmentBytes)
+	if err != nil {
+		return nil, errors.Join(err, listener.Close(), admin.Close())
+	}
 	m := &Member{
-		options: options, logger: options.Logger, storage: disk, recovered: recovered,
+		options: options, logger: options.Logger, storage: disk, recovered: recovered, admin: admin,
 		sessions: newSessions(), pusher: newPusher(), routers: newRouterTable(), placeNow: make(chan struct{}, 1),
 		loads: placement.NewLoadTable(config.Control.LoadHalfLife), started: make(chan struct{}), born: clock.Now(),
 	}
 	m.formed.Store(disk.identity.Formed)
 	m.renewals = options.Metrics.Counter("control", "lease_renewals_total", "Lease renewals that reached this member while it led.")
 	m.moves = options.Metrics.CounterVec("control", "shard_moves_total", "Shards that this member proposed to move, by kind of decision.", "kind")
-	if m.server, err = transport.Listen(config.Control.Listen, m, m.transportOptions()); err != nil {
-		return nil, err
-	}
+	m.server = transport.NewServer(listener, m, m.transportOptions())
 	m.advertised = config.Control.Advertise
 	if m.advertised == "" {
 		m.advertised = m.server.Address()
 	}
-	if m.admin, err = net.Listen("tcp", config.Admin.Listen); err != nil {
-		return nil, eris.Wrapf(err, "listen for operators on %s (admin.listen)", config.Admin.Listen)
-	}
 	m.peers = newPeers(disk.identity.ID, config.Control.DialOverrides, m, m.transportOptions())
 	return m, nil
 }
 
+func listen(config settings.Settings) (listener, admin net.Listener, err error) {
+	if listener, err = net.Listen("tcp", config.Control.Listen); err != nil {
+		return nil, nil, eris.Wrapf(err, "listen for members, agents and routers on %s (control.listen)", config.Control.Listen)
+	}
+	if admin, err = net.Listen("tcp", config.Admin.Listen); err != nil {
+		listener.Close()
+		return nil, nil, eris.Wrapf(err, "listen for operators on %s (admin.listen)", config.Admin.Listen)
+	}
+	return listener, admin, nil
+}
+
 // Address is the member's listener for other processes.
 func (m *Member) Address() string { return m.server.Address() }
 
--- a/integration/control_test.go
+++ b/integration/control_test.go
@@ -350,8 +350,8 @@
 		})
 	}
 	is := is.New(t)
-	_, err := os.Stat(folder + "/a/log")
-	is.True(err != nil || len(running.Members) > 0)
+	_, err := os.Stat(folder + "/a")
+	is.True(os.IsNotExist(err)) // the member whose port was taken has left no folder
 	var list []adminapi.Service
 	is.NoErr(running.Admin().Do(adminapi.Request{Method: http.MethodGet, Path: adminapi.PathServices}, &list))
 	for _, service := range list {
