Experiments against the baselines; how the promises are checked

Cause: issue of placement asks for limehold against its baselines under both users' weights, by one command. One run of the greedy baseline broke a promise; which one was not printed.

--- a/bench/command/experiment.go
+++ b/bench/command/experiment.go
@@ -105,6 +105,10 @@
 		return nil, err
 	}
 	fmt.Println(policyName(policy), experiment.Describe(result))
+	if broken := result.Check(); len(broken) > 0 {
+		fmt.Println(strings.Join(append(broken, result.Evidence...), "\n")+"\nrecords and logs:", folder)
+		return result, nil
+	}
 	return result, os.RemoveAll(folder)
 }
 
