The judge reads records only after everything has stopped

The record files were read while shards still moved: the old owner's before its release at 30.726 s, the new owner's after its grant at 30.733 s. Change: all processes are stopped before their records are read.

--- a/bench/experiment/run.go
+++ b/bench/experiment/run.go
@@ -207,6 +207,10 @@
 		files[node.Name] = node.Records
 		input.Pools[node.Name] = node.Pool.Name
 	}
+	used := r.usage()
+	// Records that are still being written would be read at different times: a shard
+	// that moves just then would seem to have two owners.
+	r.fleet.Stop()
 	var err error
 	if input.Records, err = judge.ReadAll(files); err != nil {
 		return nil, err
@@ -216,7 +220,7 @@
 	result := &report.Report{
 		Shape: r.options.Shape.Name, Seed: r.options.Seed, DurationS: r.options.Duration.Seconds(), Rate: r.options.Rate,
 		Baseline: string(r.options.Baseline), Version: version.Text(), FaultsSet: r.options.FaultsSet,
-		Faults: r.faults, Processes: r.usage(),
+		Faults: r.faults, Processes: used,
 	}
 	judge.Judge(input, result)
 	r.compareDirect(results, direct, result)
