A zone's loss: nothing is given to nodes that may be gone, proposals side by side

Leases of a lost zone end within 100 ms of each other; shards of the first sessions to end were given to nodes that were gone as well, and the commands of one plan waited for each other. Change: nodes that have been silent for half a lease keep what they own and get nothing new (unless that were more than half of all); commands of one plan are proposed together.

--- a/control/inputs.go
+++ b/control/inputs.go
@@ -83,16 +83,22 @@
 	})
 }
 
+// silentShare is the part of a lease after which a node that has not renewed is
+// given nothing new: of the nodes of a zone that is lost, some leases end later
+// than others, and a shard given to such a node would wait a second time.
+const silentShare = 2
+
 // addNodes takes the nodes that may own shards.
 func (b *inputBuilder) addNodes(state *fleet.State) {
 	warmUp := b.member.options.Settings.Control.WarmUp
+	silent := b.member.sessions.silent(b.now, b.member.options.Settings.Control.LeaseLength/silentShare)
 	for _, node := range state.Membership.Sessions {
 		input := b.inputs[node.Pool]
 		if input == nil || !node.Eligible() {
 			continue
 		}
 		input.Nodes = append(input.Nodes, placement.Node{
-			Session: node.Session, Name: node.Name, Zone: node.Zone, Capacity: float64(node.Slots),
+			Session: node.Session, Name: node.Name, Zone: node.Zone, Capacity: float64(node.Slots), Silent: silent[node.Session],
 			Warmth: b.member.sessions.warmth(node.Session, b.now, warmUp),
 		})
 	}
--- a/control/place.go
+++ b/control/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -80,12 +81,26 @@
 
 func (m *Member) proposeAssignments(ctx context.Context, pool string, decisions []placement.Decision) {
 	cause := "free shards of pool " + pool + " go to the least utilized nodes"
+	var commands []fleet.Command
 	for _, chunk := range chunks(decisions) {
-		if !m.propose(ctx, "assign shards", fleet.Command{Assign: &fleet.Assign{Decisions: shardDecisions(chunk), Cause: cause}}) {
-			return
-		}
-		m.moves.WithLabelValues("assign").Add(float64(len(chunk)))
+		commands = append(commands, fleet.Command{Assign: &fleet.Assign{Decisions: shardDecisions(chunk), Cause: cause}})
+	}
+	m.proposeAll(ctx, "assign shards", commands)
+	m.moves.WithLabelValues("assign").Add(float64(len(decisions)))
+}
+
+// proposeAll proposes commands side by side, so that they share their syncs and
+// round trips; it returns once all are applied or have failed.
+func (m *Member) proposeAll(ctx context.Context, step string, commands []fleet.Command) {
+	var all sync.WaitGroup
+	for _, command := range commands {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			m.propose(ctx, step, command)
+		}()
 	}
+	all.Wait()
 }
 
 // proposeTransfers writes one command for each cause, so that the journal says
@@ -100,14 +115,14 @@
 		}
 		byCause[cause] = append(byCause[cause], decision)
 	}
+	var commands []fleet.Command
 	for cause, list := range byCause {
 		for _, chunk := range chunks(list) {
-			if !m.propose(ctx, "transfer shards", fleet.Command{Transfer: &fleet.Transfer{Decisions: shardDecisions(chunk), Cause: cause}}) {
-				return
-			}
-			m.moves.WithLabelValues("transfer").Add(float64(len(chunk)))
+			commands = append(commands, fleet.Command{Transfer: &fleet.Transfer{Decisions: shardDecisions(chunk), Cause: cause}})
 		}
 	}
+	m.proposeAll(ctx, "transfer shards", commands)
+	m.moves.WithLabelValues("transfer").Add(float64(len(decisions)))
 }
 
 func chunks(decisions []placement.Decision) [][]placement.Decision {
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -108,6 +108,22 @@
 	return min(1, float64(now-opened)/float64(warmUp))
 }
 
+// silent lists the sessions that have not renewed for longer than limit; none when
+// that would be more than half of them, as the fault is rather on this side then.
+func (s *sessions) silent(now, limit time.Duration) map[membership.SessionID]bool {
+	found := map[membership.SessionID]bool{}
+	all := s.silences(now)
+	for _, node := range all {
+		if node.Silence > limit {
+			found[node.Session] = true
+		}
+	}
+	if 2*len(found) > len(all) {
+		return nil
+	}
+	return found
+}
+
 // silences tells how long ago each session's newest renewal came.
 func (s *sessions) silences(now time.Duration) []wire.NodeSilence {
 	s.mutex.Lock()
--- a/placement/assign.go
+++ b/placement/assign.go
@@ -64,7 +64,7 @@
 	if len(shards) == 0 {
 		return nil
 	}
-	nodes := nodeHeap(slices.Clone(b.nodes))
+	nodes := nodeHeap(slices.Clone(b.targets))
 	heap.Init(&nodes)
 	decisions := make([]Decision, 0, len(shards))
 	taken := make([]*nodeLoad, 0, candidates)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -24,6 +24,9 @@
 	// Warmth is 1 for a node in full service and lower for one that has just
 	// started: it counts as that much less capacity.
 	Warmth float64
+	// Silent nodes keep what they own and are given nothing new: their lease may be
+	// about to end.
+	Silent bool
 }
 
 // Shard is what has to be placed.
@@ -135,7 +138,10 @@
 func (n *nodeLoad) utilization() float64 { return n.load / n.capacity }
 
 type board struct {
-	nodes     []*nodeLoad
+	nodes []*nodeLoad
+	// targets are the nodes that may be given shards: those that are not silent, or
+	// all when all are.
+	targets   []*nodeLoad
 	bySession map[membership.SessionID]*nodeLoad
 	base      float64
 	total     float64
@@ -153,6 +159,7 @@
 		b.capacity += entry.capacity
 	}
 	slices.SortFunc(b.nodes, func(x, y *nodeLoad) int { return cmp.Compare(x.Session, y.Session) })
+	b.chooseTargets()
 	if input.Partial != nil {
 		b.startFrom(input.Partial)
 		return b
@@ -168,6 +175,17 @@
 	return b
 }
 
+func (b *board) chooseTargets() {
+	for _, node := range b.nodes {
+		if !node.Silent {
+			b.targets = append(b.targets, node)
+		}
+	}
+	if len(b.targets) == 0 {
+		b.targets = b.nodes
+	}
+}
+
 // startFrom takes what the nodes carry from an earlier plan.
 func (b *board) startFrom(loads *Loads) {
 	b.base, b.total = loads.Base, loads.Total
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -92,6 +92,22 @@
 	}
 }
 
+func TestSilentNodeKeepsItsShardsAndGetsNoNewOnes(t *testing.T) {
+	is := is.New(t)
+	input := pool(3, equal(12), func(i int) membership.SessionID { return membership.SessionID(i % 4) }, Service{Imbalance: 10, Churn: 1, Unavailable: 1, Moves: 10})
+	input.Nodes[0].Silent = true
+	plan := Compute(input)
+	is.Equal(len(plan.Assign), 3)
+	is.Equal(counts(plan.Assign)[1], 0)
+	for _, decision := range plan.Transfer {
+		is.True(decision.To != 1)
+	}
+	for i := range input.Nodes {
+		input.Nodes[i].Silent = true
+	}
+	is.Equal(len(Compute(input).Assign), 3) // somebody has to own them
+}
+
 func TestMoveMustRepayItsPrice(t *testing.T) {
 	is := is.New(t)
 	loads := equal(12)
--- a/placement/rebalance.go
+++ b/placement/rebalance.go
@@ -55,7 +55,7 @@
 	if mean <= 0 || len(b.nodes) < 2 {
 		return nil, nil, nil, 0
 	}
-	to := slices.MinFunc(b.nodes, func(x, y *nodeLoad) int { return cmp.Compare(x.utilization(), y.utilization()) })
+	to := slices.MinFunc(b.targets, func(x, y *nodeLoad) int { return cmp.Compare(x.utilization(), y.utilization()) })
 	var best *Shard
 	var bestFrom *nodeLoad
 	bestGain := 0.0
