--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build run test bench clean
+.PHONY: build run test bench fuzz clean
 
 build:
 	$(GO) build -o $(BIN)/limehold ./cmd/limehold
@@ -14,5 +14,16 @@
 test:
 	$(GO) test ./...
 
+# Slopes for docs/CAPACITY.md, beside 'limebench hollow'.
+bench:
+	$(GO) test ./fleet ./wal ./membership ./placement ./admission ./router -run XXX -bench .
+
+FUZZ_TIME ?= 30s
+fuzz:
+	$(GO) test ./wal -run XXX -fuzz FuzzRecover -fuzztime $(FUZZ_TIME)
+	$(GO) test ./transport -run XXX -fuzz FuzzReadFrame -fuzztime $(FUZZ_TIME)
+	$(GO) test ./settings -run XXX -fuzz FuzzLoad -fuzztime $(FUZZ_TIME)
+	$(GO) test ./router -run XXX -fuzz FuzzUnambiguous -fuzztime $(FUZZ_TIME)
+
 clean:
 	rm -rf $(BIN)
