--- a/bench/simulate/checker.go
+++ b/bench/simulate/checker.go
@@ -25,8 +25,10 @@
 	highest    map[ownership.Key]uint64
 	invariants int
 	repairing  bool
-	removed    map[*member]bool
-	nextID     consensus.MemberID
+	// repairTarget is the log index that a replacement must hold.
+	repairTarget uint64
+	removed      map[*member]bool
+	nextID       consensus.MemberID
 }
 
 type entryDigest struct {
