A leader that commits its own removal no longer crashes

The answer that committed the removal made it step down, and the same call went on to send to a peer that it no longer kept: nil pointer, the process ends. Ruled out: the simulation (the stack is all in consensus). Change: after a commit that ends the leadership nothing more is sent.

--- a/bench/simulate/simulate_test.go
+++ b/bench/simulate/simulate_test.go
@@ -14,6 +14,7 @@
 	3740: "two commands under one ID",
 
 	100229: "a repair waited for a log that kept growing",
+	108845: "a leader that committed its own removal went on sending, and crashed",
 	107585: "a node let go of its shards when a lost end of its session was refused",
 }
 
--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -333,3 +333,30 @@
 	core.Step(now, Message{Kind: MessageAppendResponse, From: 2, To: 1, Term: 4, Match: 3, Hint: 3, SentAt: now})
 	is.Equal(core.CommitIndex(), uint64(3))
 }
+
+// The answer that commits a leader's own removal is the last thing it handles as a
+// leader; it crashed when it went on to send what was left to send.
+func TestLeaderCommitsItsOwnRemoval(t *testing.T) {
+	is := is.New(t)
+	g, leader := elected(t, 3)
+	var without Configuration
+	for _, member := range leader.Configuration().Members {
+		if member.ID != leader.ID() {
+			without.Members = append(without.Members, member)
+		}
+	}
+	index, err := leader.ProposeConfiguration(g.now, without)
+	is.NoErr(err)
+	_, err = leader.Propose(g.now, []byte("after"))
+	is.NoErr(err)
+	leader.Persisted(leader.LastIndex())
+	for _, member := range without.Members {
+		if leader.Role() != RoleLeader {
+			break
+		}
+		leader.progress[member.ID].next = index // more is left to send
+		leader.Step(g.now, Message{Kind: MessageAppendResponse, From: member.ID, To: leader.ID(), Term: leader.Term(), Match: index, Hint: index, SentAt: g.now})
+	}
+	is.Equal(leader.Role(), RoleFollower)
+	is.True(leader.CommitIndex() >= index)
+}
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -145,6 +145,10 @@
 		peer.match = message.Match
 		peer.matchKnownAt = c.now
 		c.advanceCommit()
+		if c.role != RoleLeader {
+			// What was committed is this leader's own removal.
+			return
+		}
 	}
 	peer.next = max(peer.next, peer.match+1)
 	if peer.next <= c.log.lastIndex() {
