--- a/bench/simulate/faults.go
+++ b/bench/simulate/faults.go
@@ -294,6 +294,9 @@
 		for i := range next.Members {
 			next.Members[i].Learner = next.Members[i].Learner && next.Members[i].ID != m.disk.id
 		}
+	case !promotionCommitted(leader, m.disk.id):
+		again()
+		return
 	default:
 		w.checker.repairing, w.checker.repairTarget = false, 0
 		w.counts["members replaced"]++
@@ -303,6 +306,13 @@
 	again()
 }
 
+// promotionCommitted reports whether the member votes in what is committed: a
+// configuration that is only in the leader's log may yet be lost with it.
+func promotionCommitted(leader *member, id consensus.MemberID) bool {
+	committed, admitted := leader.core.ConfigurationAt(leader.core.CommitIndex()).Find(id)
+	return admitted && !committed.Learner
+}
+
 // proposeMembers hands a leader a change of members. A leader that is frozen
 // takes it up later, if the operator has not given up by then.
 func (w *world) proposeMembers(leader *member, next consensus.Configuration) {
--- a/bench/simulate/simulate_test.go
+++ b/bench/simulate/simulate_test.go
@@ -15,6 +15,10 @@
 
 	100229: "a repair waited for a log that kept growing",
 	108845: "a leader that committed its own removal went on sending, and crashed",
+	205676: "a lost snapshot was sent again only after seconds",
+	210305: "a lost snapshot was sent again only after seconds",
+	102968: "a repair was called done before the promotion was committed",
+	109853: "a repair was called done before the promotion was committed",
 	107585: "a node let go of its shards when a lost end of its session was refused",
 }
 
--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -19,6 +19,8 @@
 	// stored is what each member has made durable.
 	stored map[MemberID][]Entry
 	hard   map[MemberID]HardState
+	// loseSnapshots drops as many snapshots on their way.
+	loseSnapshots int
 }
 
 func newGroup(count int) *group {
@@ -59,7 +61,7 @@
 				g.hard[id] = *output.HardState
 			}
 			for _, message := range append(output.Early, output.Messages...) {
-				if to := g.members[message.To]; to != nil && !g.cut[id] && !g.cut[message.To] {
+				if to := g.members[message.To]; to != nil && g.delivers(message) {
 					to.Step(g.now, message)
 				}
 			}
@@ -67,6 +69,14 @@
 	}
 }
 
+func (g *group) delivers(message Message) bool {
+	if message.Kind == MessageSnapshot && g.loseSnapshots > 0 {
+		g.loseSnapshots--
+		return false
+	}
+	return !g.cut[message.From] && !g.cut[message.To]
+}
+
 func (g *group) store(id MemberID, entry Entry) {
 	kept := slices.DeleteFunc(g.stored[id], func(old Entry) bool { return old.Index >= entry.Index })
 	g.stored[id] = append(kept, entry)
@@ -250,21 +260,41 @@
 
 func TestMemberFarBehindGetsASnapshot(t *testing.T) {
 	is := is.New(t)
-	g, leader := elected(t, 3)
-	away := leader.ID()%3 + 1
+	g, leader, away, index := farBehind(t)
+	g.pass(time.Second)
+	is.Equal(g.members[away].LastIndex(), leader.LastIndex())
+	is.Equal(g.members[away].FirstIndex(), index+1)
+}
+
+// A connection that breaks takes the snapshot with it. Waiting for its answer
+// would keep a repaired member out for seconds.
+func TestLostSnapshotIsSentAgainAtOnce(t *testing.T) {
+	is := is.New(t)
+	g, leader, away, _ := farBehind(t)
+	g.loseSnapshots = 1
+	g.pass(4 * testTiming.Heartbeat)
+	is.Equal(g.loseSnapshots, 0)
+	is.Equal(g.members[away].LastIndex(), leader.LastIndex())
+}
+
+// farBehind returns a group in which one member needs what the leader has
+// compacted up to an index.
+func farBehind(t *testing.T) (g *group, leader *Core, away MemberID, index uint64) {
+	t.Helper()
+	is := is.New(t)
+	g, leader = elected(t, 3)
+	away = leader.ID()%3 + 1
 	g.cut[away] = true
 	for range 10 {
 		_, err := leader.Propose(g.now, []byte("x"))
 		is.NoErr(err)
 		g.pass(40 * time.Millisecond)
 	}
-	index := leader.CommitIndex()
+	index = leader.CommitIndex()
 	term, _ := leader.EntryTerm(index)
 	leader.Compact(Snapshot{Index: index, Term: term, Data: []byte("state"), Configuration: leader.Configuration()}, 0)
 	g.cut[away] = false
-	g.pass(time.Second)
-	is.Equal(g.members[away].LastIndex(), leader.LastIndex())
-	is.Equal(g.members[away].FirstIndex(), index+1)
+	return g, leader, away, index
 }
 
 // A voter whose own configuration is older than the candidate's votes all the
@@ -347,14 +377,17 @@
 	}
 	index, err := leader.ProposeConfiguration(g.now, without)
 	is.NoErr(err)
-	_, err = leader.Propose(g.now, []byte("after"))
-	is.NoErr(err)
+	// More than one message carries, so that some is left to send at the end.
+	for range 3 * leader.maxSend {
+		_, err = leader.Propose(g.now, []byte("after"))
+		is.NoErr(err)
+	}
 	leader.Persisted(leader.LastIndex())
 	for _, member := range without.Members {
 		if leader.Role() != RoleLeader {
 			break
 		}
-		leader.progress[member.ID].next = index // more is left to send
+		leader.progress[member.ID].next = index
 		leader.Step(g.now, Message{Kind: MessageAppendResponse, From: member.ID, To: leader.ID(), Term: leader.Term(), Match: index, Hint: index, SentAt: g.now})
 	}
 	is.Equal(leader.Role(), RoleFollower)
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -16,8 +16,10 @@
 	joinedAt    time.Duration
 	// matchKnownAt is the leader's clock reading when match last rose.
 	matchKnownAt time.Duration
-	// snapshotUntil suppresses appends while a snapshot is on its way.
-	snapshotUntil time.Duration
+	// snapshotUntil suppresses appends while a snapshot is on its way, which was
+	// sent at snapshotSentAt.
+	snapshotUntil  time.Duration
+	snapshotSentAt time.Duration
 	// lostLog marks a peer that came back with less than it had acknowledged.
 	lostLog bool
 }
@@ -112,6 +114,7 @@
 		})
 		return
 	}
+	peer.snapshotSentAt = c.now
 	peer.snapshotUntil = c.now + snapshotPatience
 	snapshot := c.latestSnapshot
 	c.early = append(c.early, Message{
@@ -157,9 +160,12 @@
 }
 
 func (c *Core) handleRefusedAppend(message Message, peer *progress) {
-	if c.now < peer.snapshotUntil {
+	// Messages arrive in the order of their sending, or not at all: a peer that
+	// refuses what was sent after the snapshot has not received the snapshot.
+	if c.now < peer.snapshotUntil && message.SentAt <= peer.snapshotSentAt {
 		return
 	}
+	peer.snapshotUntil = 0
 	// Refusals of appends that were overtaken by a newer one change nothing.
 	if message.LogIndex >= peer.next || message.LogIndex <= peer.match {
 		return
--- a/control/members.go
+++ b/control/members.go
@@ -71,10 +71,6 @@
 // AddMember admits the member that listens at address: as a learner until it
 // holds everything that is committed, then as a voter.
 func (m *Member) AddMember(ctx context.Context, name, address string) error {
-	configuration := m.replica.status.Load().Configuration
-	if member, exists := configuration.FindName(name); exists && !member.Learner {
-		return invalid("member %s is in the group already; use 'limehold member replace %s' when it has lost its disk", name, name)
-	}
 	return m.admit(ctx, name, address, false)
 }
 
@@ -116,14 +112,18 @@
 	if identity.Name != name {
 		return invalid("the process at %s calls itself %s, not %s", address, identity.Name, name)
 	}
-	known, admitted := m.replica.status.Load().Configuration.Find(identity.ID)
+	learner := consensus.Member{ID: identity.ID, Name: name, Address: address, Learner: true}
+	configuration := m.replica.status.Load().Configuration
+	if old, there := predecessor(configuration, learner); there && !old.Learner && !replaces {
+		return invalid("member %s is in the group already; use 'limehold member replace %s' when it has lost its disk", name, name)
+	}
+	known, admitted := configuration.Find(identity.ID)
 	if admitted && !known.Learner {
-		return invalid("member %s (%s) is a voter already", name, identity.ID)
+		return m.confirmAdmitted(ctx, learner)
 	}
 	if identity.Formed && !admitted {
 		return invalid("the data folder of the process at %s has already belonged to a group (identity %s); start it with an empty folder", address, identity.ID)
 	}
-	learner := consensus.Member{ID: identity.ID, Name: name, Address: address, Learner: true}
 	if !admitted {
 		if err := m.changeMembers(ctx, "add learner "+name, with(learner)); err != nil {
 			return err
@@ -140,8 +140,22 @@
 	if err := m.changeMembers(ctx, "promote "+name, promoting(learner.ID)); err != nil {
 		return err
 	}
-	// The promotion itself must be on the newcomer's disk as well.
-	return m.waitCaughtUp(ctx, learner)
+	return m.confirmAdmitted(ctx, learner)
+}
+
+// confirmAdmitted answers for a member that votes in the newest configuration.
+// That one may not be committed yet, and be lost with its leader: it has to be,
+// and to be on the newcomer's disk as well, before anything is called repaired.
+func (m *Member) confirmAdmitted(ctx context.Context, newcomer consensus.Member) error {
+	last := m.replica.status.Load().LastIndex
+	if err := m.replica.waitApplied(ctx, last); err != nil {
+		return err
+	}
+	current, admitted := m.replica.status.Load().Configuration.Find(newcomer.ID)
+	if !admitted || current.Learner {
+		return m.notLeader("confirm that " + newcomer.Name + " was admitted")
+	}
+	return m.waitCaughtUp(ctx, newcomer)
 }
 
 // configurationEdit makes the next configuration out of the current one.
--- a/integration/control_test.go
+++ b/integration/control_test.go
@@ -153,11 +153,14 @@
 	is.True(err != nil) // one member of three must not acknowledge anything
 	is.True(third.Thaw())
 
-	eventually(t, "the repair", func() error {
+	repair := func() error {
 		return client(leaderOf(t, running)).Do(adminapi.Request{
 			Method: http.MethodPost, Path: adminapi.PathMembers + "/replace", Body: adminapi.MemberChange{Name: lost.Name},
 		}, nil)
-	})
+	}
+	eventually(t, "the repair", repair)
+	// An operator whose answer was lost sends the command again.
+	eventually(t, "the repair sent again", repair)
 	eventually(t, "the group is whole", func() error { return whole(running) })
 	// "Repaired" was said: the loss of another member right after it is tolerated.
 	is.True(third.Kill())
