Nodes are told what has changed of their shards, not the whole list

Cause: after a zone's loss each survivor was sent its whole list for every batch of shards, and again for every renewal that came before the list had been taken (docs/CAPACITY.md: seconds at 1,250 nodes and more, the leader and the receivers busy with lists). Ways weighed: docs/design/0002-ownership.md. Change: assignment.Outbox, a pure core used by control and by the simulation, keeps for each session what was queued on which connection and what has changed since; wire.Assignments may be a difference; agents take one only on what it builds on. Protocol version 2.

--- a/agent/shards.go
+++ b/agent/shards.go
@@ -35,7 +35,8 @@
 	s.change = make(chan struct{})
 }
 
-// take accepts a list that is newer than the newest one seen.
+// take accepts a list that is newer than the newest one seen, and a difference
+// to a list that was seen.
 func (s *shardSet) take(list *wire.Assignments) bool {
 	shards := make(map[ownership.Key]assignment.Shard, len(list.Shards))
 	for _, item := range list.Shards {
@@ -43,7 +44,13 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if !s.set.Take(list.Session, list.Revision, shards) {
+	taken := false
+	if list.From == 0 {
+		taken = s.set.Take(list.Session, list.Revision, shards)
+	} else {
+		taken = s.set.Change(list.Session, list.From, list.Revision, shards, list.Removed)
+	}
+	if !taken {
 		return false
 	}
 	s.wake()
--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -26,6 +26,8 @@
 // Invariants:
 //   - Only lists of the session that is open are taken, and only newer ones: a
 //     list that was delayed or repeated changes nothing.
+//   - A difference is taken only on a list that is not older than the one it
+//     builds on.
 //   - A release is reported until control's list no longer names the shard.
 type Set struct {
 	session membership.SessionID
@@ -68,6 +70,25 @@
 	return true
 }
 
+// Change accepts a difference: the shards that have changed since the list at
+// revision from. It is taken on any list of this session that is not older than
+// that one, and older than the difference.
+func (s *Set) Change(session membership.SessionID, from, revision uint64, changed map[ownership.Key]Shard, removed []ownership.Key) bool {
+	if session != s.session || revision <= s.newest || from > s.newest {
+		return false
+	}
+	s.newest = revision
+	for key, shard := range changed {
+		s.shards[key] = shard
+	}
+	for _, key := range removed {
+		delete(s.shards, key)
+		delete(s.done, key)
+	}
+	s.version++
+	return true
+}
+
 // Granted lists what may be worked on: everything that is not to be released.
 func (s *Set) Granted() []Released {
 	return s.list(func(_ ownership.Key, shard Shard) bool { return !shard.Release })
--- /dev/null
+++ b/assignment/outbox_test.go
@@ -0,0 +1,88 @@
+package assignment
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"limehold/membership"
+	"limehold/ownership"
+)
+
+const (
+	patience = 300 * time.Millisecond
+	agent    = membership.SessionID(7)
+)
+
+var (
+	first  = ownership.Key{Service: "proofs", Shard: 1}
+	second = ownership.Key{Service: "proofs", Shard: 2}
+)
+
+func TestSecondListOfAConnectionIsADifference(t *testing.T) {
+	is := is.New(t)
+	box := NewOutbox[string](patience)
+	box.Note(agent, []ownership.Key{first})
+	is.Equal(box.Waiting(), []membership.SessionID{agent})
+	_, _, known := box.Difference(agent, "one")
+	is.Equal(known, false) // nothing was sent on it before
+	box.Queued(agent, "one", 10, 0)
+	box.Note(agent, []ownership.Key{second})
+	from, changed, known := box.Difference(agent, "one")
+	is.True(known)
+	is.Equal(from, uint64(10))
+	is.Equal(changed, []ownership.Key{second})
+	_, _, known = box.Difference(agent, "two")
+	is.Equal(known, false) // another connection has seen nothing
+	box.Queued(agent, "one", 12, 0)
+	_, changed, _ = box.Difference(agent, "one")
+	is.Equal(len(changed), 0)
+}
+
+func TestWholeListIsSentToWhoeverLags(t *testing.T) {
+	is := is.New(t)
+	box := NewOutbox[string](patience)
+	box.Queued(agent, "one", 10, 0)
+	is.Equal(box.Reported(agent, "one", 10, 10, time.Second), false)         // it has everything
+	is.Equal(box.Reported(agent, "one", 4, 10, 100*time.Millisecond), false) // still on its way
+	is.Equal(box.Reported(agent, "one", 4, 10, 400*time.Millisecond), true)  // lost
+	_, _, known := box.Difference(agent, "one")
+	is.Equal(known, false)
+	is.Equal(box.Waiting(), []membership.SessionID{agent})
+	box.Queued(agent, "one", 11, 400*time.Millisecond)
+	is.Equal(box.Reported(agent, "two", 11, 12, 500*time.Millisecond), true) // it came back by another connection
+	_, _, known = box.Difference(agent, "two")
+	is.Equal(known, false)
+}
+
+func TestDifferenceIsTakenOnlyOnWhatItBuildsOn(t *testing.T) {
+	is := is.New(t)
+	set := NewSet()
+	set.Begin(agent)
+	changes := map[ownership.Key]Shard{second: {Epoch: 3}}
+	is.Equal(set.Change(agent, 10, 12, changes, nil), false) // the list at 10 has not arrived
+	is.True(set.Take(agent, 10, map[ownership.Key]Shard{first: {Epoch: 1}}))
+	is.Equal(set.Change(agent+1, 10, 12, changes, nil), false) // of another session
+	is.True(set.Change(agent, 10, 12, changes, []ownership.Key{first}))
+	is.Equal(set.Granted(), []Released{{Key: second, Epoch: 3}})
+	is.Equal(set.Revision(), uint64(12))
+	is.Equal(set.Change(agent, 10, 11, nil, []ownership.Key{second}), false) // late
+	is.Equal(set.Count(), 1)
+}
+
+// A difference that was drawn up before a release is reported must not bring the
+// release back as new, and one that names the shard again under a later epoch
+// must.
+func TestDifferenceKeepsWhatWasReported(t *testing.T) {
+	is := is.New(t)
+	set := NewSet()
+	set.Begin(agent)
+	is.True(set.Take(agent, 10, map[ownership.Key]Shard{first: {Epoch: 1, Release: true}}))
+	set.Reported(agent, []Released{{Key: first, Epoch: 1}})
+	is.True(set.Change(agent, 10, 11, map[ownership.Key]Shard{second: {Epoch: 1}}, nil))
+	is.Equal(len(set.Releasing()), 0)
+	is.True(set.Change(agent, 11, 12, nil, []ownership.Key{first}))
+	is.True(set.Change(agent, 12, 13, map[ownership.Key]Shard{first: {Epoch: 2, Release: true}}, nil))
+	is.Equal(set.Releasing(), []Released{{Key: first, Epoch: 2}})
+}
--- a/bench/hollow/node.go
+++ b/bench/hollow/node.go
@@ -183,7 +183,7 @@
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	if list.Session != n.session || list.Revision <= n.revision {
+	if list.Session != n.session || list.Revision <= n.revision || list.From > n.revision {
 		return nil, nil
 	}
 	n.revision = list.Revision
--- a/bench/simulate/duties.go
+++ b/bench/simulate/duties.go
@@ -12,6 +12,15 @@
 	"limehold/placement"
 )
 
+// channel stands for a connection. There are none here: messages are lost one by
+// one, which lists have to survive as well.
+type channel struct{}
+
+var anyChannel channel
+
+// lagPatience is as in package control.
+const lagPatience = 3
+
 // duty runs what a leader has to do, as package control does.
 func (m *member) duty() {
 	if !m.status.ready {
@@ -41,6 +50,7 @@
 	sessions := slices.Sorted(maps.Keys(m.state.Membership.Sessions))
 	m.duties = duties{
 		leases: membership.NewLeases(m.world.options.leaseTiming(), sessions, m.world.clock(m.process)), term: m.status.term,
+		outbox:   assignment.NewOutbox[channel](lagPatience * renewEvery),
 		revision: map[membership.SessionID]uint64{}, baseRevision: m.state.Revision, budget: map[string]*placement.Budget{},
 	}
 }
@@ -123,16 +133,16 @@
 	for _, session := range changes.Nodes {
 		m.duties.leases.Track(session, now)
 	}
-	for session := range changes.Sessions {
+	for session, keys := range changes.Sessions {
 		m.duties.revision[session] = changes.Revision
+		m.duties.outbox.Note(session, keys)
 	}
 	for _, session := range changes.RemovedNodes {
 		m.duties.leases.Forget(session)
+		m.duties.outbox.Remove(session)
 		delete(m.duties.revision, session)
 	}
-	for _, session := range slices.Sorted(maps.Keys(changes.Sessions)) {
-		m.push(session)
-	}
+	m.pushWaiting()
 }
 
 func (m *member) newestRevision(session membership.SessionID) uint64 {
@@ -142,25 +152,59 @@
 	return m.duties.baseRevision
 }
 
-// push sends a session its whole list.
+func (m *member) pushWaiting() {
+	waiting := m.duties.outbox.Waiting()
+	slices.Sort(waiting)
+	for _, session := range waiting {
+		m.push(session)
+	}
+}
+
+// push sends a session what it does not know yet, as package control does.
 func (m *member) push(session membership.SessionID) {
 	open := m.state.Membership.Sessions[session]
 	if open == nil {
 		return
 	}
-	list := map[ownership.Key]assignment.Shard{}
-	for _, key := range m.state.Ownership.Owned(session) {
+	message := list{session: session, revision: m.state.Revision, shards: map[ownership.Key]assignment.Shard{}}
+	from, keys, known := m.duties.outbox.Difference(session, anyChannel)
+	if known {
+		message.from = from
+		m.world.counts["lists sent as differences"]++
+	} else {
+		keys = m.state.Ownership.Owned(session)
+		m.world.counts["lists sent whole"]++
+	}
+	for _, key := range keys {
 		shard, _ := m.state.Ownership.Get(key)
-		list[key] = assignment.Shard{Epoch: shard.Epoch, Release: shard.Phase == ownership.PhaseReleasing}
+		if shard.Phase == ownership.PhaseFree || shard.Owner != session {
+			message.removed = append(message.removed, key)
+			continue
+		}
+		message.shards[key] = assignment.Shard{Epoch: shard.Epoch, Release: shard.Phase == ownership.PhaseReleasing}
 	}
-	revision := m.state.Revision
+	m.duties.outbox.Queued(session, anyChannel, message.revision, m.world.clock(m.process))
 	for _, n := range m.world.nodes {
 		if n.name == open.Name || n.name == open.Name+rivalSuffix {
-			m.world.send(m.process, n.process, "assignments", func() { n.takeList(session, revision, maps.Clone(list)) })
+			m.world.send(m.process, n.process, "assignments", func() { n.takeList(message.clone()) })
 		}
 	}
 }
 
+// list is what control tells a node of its shards.
+type list struct {
+	session  membership.SessionID
+	from     uint64
+	revision uint64
+	shards   map[ownership.Key]assignment.Shard
+	removed  []ownership.Key
+}
+
+func (l list) clone() list {
+	l.shards = maps.Clone(l.shards)
+	return l
+}
+
 // renew is the leader's answer to a renewal.
 func (m *member) renew(session membership.SessionID, seen uint64) (granted, known bool) {
 	if m.duties.leases == nil || m.status.term != m.duties.term || !m.holdsLease() {
@@ -169,8 +213,8 @@
 	if !m.duties.leases.Renew(session, m.world.clock(m.process)) {
 		return false, false
 	}
-	if seen < m.newestRevision(session) {
-		m.push(session)
+	if m.duties.outbox.Reported(session, anyChannel, seen, m.newestRevision(session), m.world.clock(m.process)) {
+		m.pushWaiting()
 	}
 	return true, true
 }
--- a/bench/simulate/member.go
+++ b/bench/simulate/member.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"limehold/assignment"
 	"limehold/consensus"
 	"limehold/fleet"
 	"limehold/membership"
@@ -99,6 +100,7 @@
 type duties struct {
 	leases       *membership.Leases
 	term         uint64
+	outbox       *assignment.Outbox[channel]
 	revision     map[membership.SessionID]uint64
 	baseRevision uint64
 	placeDue     time.Duration
--- a/bench/simulate/node.go
+++ b/bench/simulate/node.go
@@ -160,8 +160,14 @@
 }
 
 // takeList passes control's list on to the back end.
-func (n *node) takeList(session membership.SessionID, revision uint64, list map[ownership.Key]assignment.Shard) {
-	if !n.set.Take(session, revision, list) {
+func (n *node) takeList(news list) {
+	taken := false
+	if news.from == 0 {
+		taken = n.set.Take(news.session, news.revision, news.shards)
+	} else {
+		taken = n.set.Change(news.session, news.from, news.revision, news.shards, news.removed)
+	}
+	if !taken {
 		return
 	}
 	wanted := map[ownership.Key]uint64{}
--- a/bench/simulate/run.go
+++ b/bench/simulate/run.go
@@ -257,6 +257,7 @@
 var mustHappen = []string{
 	"executions", "executions refused by lease or epoch", "grants", "transfers begun", "renewals", "sessions lost",
 	"commands answered", "conflicts", "commands sent again", "snapshots installed", "torn writes", "members replaced",
+	"lists sent as differences", "lists sent whole",
 	"operations checked for linearizability", "whole states compared", "messages repeated", "messages lost",
 }
 
--- a/control/applier.go
+++ b/control/applier.go
@@ -21,9 +21,11 @@
 	options Options
 	logger  *zap.Logger
 	storage *storage
+	// noted is told of each command's changes while the state is still locked.
+	noted func(*fleet.Changes)
 	// applied is told of each command that took effect, in order.
 	applied func(fleet.Changes, *fleet.State)
-	// reset is told that the state was replaced by a snapshot.
+	// reset is told that the state was replaced by a snapshot, while it is locked.
 	reset func(*fleet.State)
 
 	queueMutex sync.Mutex
@@ -135,9 +137,9 @@
 	}
 	a.stateMutex.Lock()
 	a.state = state
+	a.reset(state)
 	a.stateMutex.Unlock()
 	a.snapshotIndex, a.term, a.configuration = snapshot.Index, snapshot.Term, snapshot.Configuration
-	a.reset(state)
 	a.advance(snapshot.Index)
 	a.logger.Info("snapshot_installed", zap.Uint64("index", snapshot.Index))
 	return nil
@@ -164,6 +166,7 @@
 	}
 	a.stateMutex.Lock()
 	result, changes := a.state.Apply(entry.Index, command)
+	a.noted(&changes)
 	a.stateMutex.Unlock()
 	a.commands.Inc()
 	a.applied(changes, a.state)
--- a/control/member.go
+++ b/control/member.go
@@ -71,7 +71,7 @@
 	}
 	m := &Member{
 		options: options, logger: options.Logger, storage: disk, recovered: recovered, admin: admin,
-		sessions: newSessions(), pusher: newPusher(), routers: newRouterTable(), placeNow: make(chan struct{}, 1),
+		sessions: newSessions(), pusher: newPusher(lagPatience * config.Control.RenewEvery), routers: newRouterTable(), placeNow: make(chan struct{}, 1),
 		loads: placement.NewLoadTable(config.Control.LoadHalfLife), started: make(chan struct{}), born: clock.Now(),
 	}
 	m.formed.Store(disk.identity.Formed)
@@ -145,8 +145,12 @@
 	}
 	m.replica = replica
 	replica.send = m.peers.send
+	replica.noted = m.pusher.note
 	replica.applied = m.afterApply
-	replica.reset = func(state *fleet.State) { m.hub.reset(state.Revision) }
+	replica.reset = func(state *fleet.State) {
+		m.pusher.reset()
+		m.hub.reset(state.Revision)
+	}
 	m.hub = newHub(replica.state.Revision)
 	m.peers.update(replica.core.Configuration())
 	close(m.started)
--- a/control/place.go
+++ b/control/place.go
@@ -11,7 +11,6 @@
 	"limehold/catalog"
 	"limehold/clock"
 	"limehold/fleet"
-	"limehold/membership"
 	"limehold/ownership"
 	"limehold/placement"
 	"limehold/settings"
@@ -152,11 +151,7 @@
 	}
 	m.sessions.note(&changes, clock.Now())
 	m.hub.publish(&changes, state)
-	touched := make([]membership.SessionID, 0, len(changes.Sessions))
-	for session := range changes.Sessions {
-		touched = append(touched, session)
-	}
-	m.pusher.add(touched)
+	m.pusher.signal()
 	if needsPlacement(&changes) {
 		select {
 		case m.placeNow <- struct{}{}:
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -165,6 +165,8 @@
 	m.sessions.mutex.Lock()
 	m.sessions.conns[session] = conn
 	m.sessions.mutex.Unlock()
+	// The agent begins with an empty list, whatever it was sent before.
+	m.pusher.forget(session)
 }
 
 // renew extends a lease. now is read before the leader lease is checked, so
@@ -188,9 +190,7 @@
 	if !renewed {
 		return nil, &wire.Error{Code: wire.CodeUnknownSession, Message: "the session is closed or being closed: open a new one", Step: "renew lease", Peer: m.options.Settings.Name}
 	}
-	if request.Revision < newest {
-		m.pusher.add([]membership.SessionID{request.Session})
-	}
+	m.pusher.reported(request.Session, conn, request.Revision, newest, now)
 	return &wire.RenewReply{LeaseLength: m.options.Settings.Control.LeaseLength, Revision: newest}, nil
 }
 
--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -302,7 +302,7 @@
 	if !slices.Contains(a.changes.Shards[max(0, len(a.changes.Shards)-1):], key) {
 		a.changes.Shards = append(a.changes.Shards, key)
 	}
-	a.changes.session(session)
+	a.changes.session(session, key)
 }
 
 func (a *application) nodeName(session membership.SessionID) string {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -89,18 +89,19 @@
 	Nodes           []membership.SessionID
 	RemovedNodes    []membership.SessionID
 	Shards          []ownership.Key
-	// Sessions whose own list of shards changed.
-	Sessions map[membership.SessionID]struct{}
+	// Sessions whose own list of shards changed, and in which shards; none when
+	// only what stands beside the list has changed.
+	Sessions map[membership.SessionID][]ownership.Key
 }
 
-func (c *Changes) session(id membership.SessionID) {
+func (c *Changes) session(id membership.SessionID, keys ...ownership.Key) {
 	if id == 0 {
 		return
 	}
 	if c.Sessions == nil {
-		c.Sessions = map[membership.SessionID]struct{}{}
+		c.Sessions = map[membership.SessionID][]ownership.Key{}
 	}
-	c.Sessions[id] = struct{}{}
+	c.Sessions[id] = append(c.Sessions[id], keys...)
 }
 
 // Empty reports whether watchers need not hear of the command.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -48,7 +48,7 @@
 )
 
 // ProtocolVersion is compared at the start of each connection.
-const ProtocolVersion = 1
+const ProtocolVersion = 2
 
 // Role says what kind of process is at the other end.
 type Role string
@@ -199,13 +199,19 @@
 	Release bool
 }
 
-// Assignments is the whole list of a session's shards at a revision. An agent
-// ignores lists that are older than the newest one it has seen.
+// Assignments is a session's list of shards at a revision: the whole list, or
+// with From the difference to the list at that revision. An agent ignores lists
+// that are older than the newest one it has seen, and differences to one that it
+// has not seen.
 type Assignments struct {
-	Session  membership.SessionID
+	Session membership.SessionID
+	// From is the revision that a difference builds on; zero for a whole list.
+	From     uint64
 	Revision uint64
 	Draining bool
 	Shards   []Assignment
+	// Removed shards are no longer the session's; only in a difference.
+	Removed []ownership.Key
 }
 
 // Released is an owner's word that it runs nothing for the shards any more.
