Answers that stall are cut, zeros in templates stay zeros, and the cost of a request

Cause: a back end that froze in the middle of an answer, or a caller that stopped reading, kept its slot for ever; 'hold: 0s' in a template read as the default.

--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -33,6 +33,8 @@
 	PlatformLag time.Duration
 	// NoDelays leaves out the shape's network delays.
 	NoDelays bool
+	// PlainPaths has routers reach the back ends without a proxy in between.
+	PlainPaths bool
 	// ColdStart of back ends.
 	ColdStart time.Duration
 	// TemplateSuffix is added to every template file.
--- a/bench/fleet/knobs.go
+++ b/bench/fleet/knobs.go
@@ -57,3 +57,16 @@
 	}
 	return append([]byte(nil), response.Body()...), nil
 }
+
+// Received is how many requests have reached the back end's process so far.
+func (n *Node) Received() (int64, error) {
+	answer, err := n.ask(http.MethodGet, standin.PathCounts, nil)
+	if err != nil {
+		return 0, err
+	}
+	var counts standin.Counts
+	if err := json.Unmarshal(answer, &counts); err != nil {
+		return 0, eris.Wrapf(err, "decode counts of %s", n.Name)
+	}
+	return counts.Received, nil
+}
--- a/bench/fleet/nodes.go
+++ b/bench/fleet/nodes.go
@@ -77,9 +77,13 @@
 	if node.Agent != nil {
 		return node.Agent.Start()
 	}
+	advertised := node.Requests.Address()
+	if f.Options.PlainPaths {
+		advertised = node.Backend.Field("address")
+	}
 	node.Agent = newProcess(node.Name, "agent", f.Options.Limehold, logPath(f.Options.Folder, "agent-"+node.Name), f.settings("agent",
 		"name="+node.Name, "zone="+node.Zone, "agent.backend="+node.Backend.Field("address"),
-		"agent.advertise="+node.Requests.Address(), "agent.pool="+node.Pool.Name,
+		"agent.advertise="+advertised, "agent.pool="+node.Pool.Name,
 		fmt.Sprintf("agent.slots=%d", node.Pool.Slots), fmt.Sprintf("agent.connections=%d", node.Pool.Connections),
 		"agent.control="+controlAddresses))
 	return node.Agent.Start()
--- a/bench/standin/serve.go
+++ b/bench/standin/serve.go
@@ -40,6 +40,7 @@
 
 // serve runs a request, if the grant holds from its beginning to its end.
 func (s *Server) serve(request *fasthttp.RequestCtx) {
+	s.received.Add(1)
 	header := &request.Request.Header
 	e := &execution{
 		attempt: string(header.Peek(wire.HeaderAttempt)), run: string(header.Peek(HeaderRun)),
@@ -225,8 +226,11 @@
 	}
 	body := Body(e.run, size)
 	if chance(knobs.CutWithinPercent) {
-		head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", wire.HeaderAttempt, e.attempt, len(body))
-		hijackAndWrite(request, append([]byte(head), body[:len(body)/2]...))
+		hijackAndWrite(request, half(e, body))
+		return
+	}
+	if chance(knobs.StallPercent) {
+		hijackAndHold(request, half(e, body))
 		return
 	}
 	if chance(knobs.DoublePercent) {
@@ -247,6 +251,12 @@
 	request.SetBody(body)
 }
 
+// half is the head of an answer and the first half of its body.
+func half(e *execution, body []byte) []byte {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", wire.HeaderAttempt, e.attempt, len(body))
+	return append([]byte(head), body[:len(body)/2]...)
+}
+
 func chance(percent int) bool { return percent > 0 && rand.IntN(100) < percent }
 
 // hijackAndWrite writes raw bytes in place of an answer and closes the connection.
@@ -259,3 +269,15 @@
 		}
 	})
 }
+
+// hijackAndHold writes raw bytes in place of an answer and then nothing more, until
+// the other side closes the connection.
+func hijackAndHold(request *fasthttp.RequestCtx, data []byte) {
+	request.HijackSetNoResponse(true)
+	request.Hijack(func(conn net.Conn) {
+		if _, err := conn.Write(data); err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, conn)
+	})
+}
--- a/bench/standin/standin.go
+++ b/bench/standin/standin.go
@@ -56,13 +56,25 @@
 	CrossedPercent int `json:"crossed_percent"`
 	// DoublePercent of the answers are sent twice.
 	DoublePercent int `json:"double_percent"`
+	// StallPercent of the answers stop in the middle of their body, and the
+	// connection stays open.
+	StallPercent int `json:"stall_percent"`
 	// LatePercent of the answers come LateBy after the request ran.
 	LatePercent int   `json:"late_percent"`
 	LateByMs    int64 `json:"late_by_ms"`
 }
 
-// PathKnobs is where the test tool sets knobs.
-const PathKnobs = "/standin/knobs"
+// Paths of the test tool's own: knobs are set, counts are read.
+const (
+	PathKnobs  = "/standin/knobs"
+	PathCounts = "/standin/counts"
+)
+
+// Counts is what the back end has seen since its start.
+type Counts struct {
+	// Received requests, whatever became of them.
+	Received int64 `json:"received"`
+}
 
 const (
 	coldFactor  = 4
@@ -79,6 +91,7 @@
 	listener    net.Listener
 	records     *recorder
 	inFlight    atomic.Int64
+	received    atomic.Int64
 	draining    atomic.Bool
 	knobs       atomic.Pointer[Knobs]
 
@@ -186,6 +199,8 @@
 		writeJSON(request, struct{}{})
 	case PathKnobs:
 		s.takeKnobs(request)
+	case PathCounts:
+		writeJSON(request, Counts{Received: s.received.Load()})
 	default:
 		s.serve(request)
 	}
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -84,6 +84,8 @@
 		{"default out of bounds", "default: \"16\"", "default: \"99\"", "shards"},
 		{"no match", "match: {path_prefix: \"/${school}/proofs\"}", "match: {}", "spec.match"},
 		{"keyed without key", "key: {source: path, segment: 0}", "key: {}", "key"},
+		{"unknown field of a route", "routes:", "routes:\n    - {tiemout: 1s}", "tiemout"},
+		{"stall out of bounds", "pool: proofs", "pool: proofs\n  stall_timeout: 1ms", "spec.stall_timeout"},
 		{"unknown locality", "pool: proofs", "pool: proofs\n  locality: moon", "spec.locality"},
 		{"trailing slash", "/${school}/proofs", "/${school}/proofs/", "path_prefix"},
 	}
@@ -100,6 +102,23 @@
 	}
 }
 
+// A zero that a template names is not the same as a field that it leaves out.
+func TestZeroThatIsWrittenStaysZero(t *testing.T) {
+	is := is.New(t)
+	written := strings.Replace(good, "pool: proofs", "pool: proofs\n  retry_budget_percent: 0\n  moves_per_minute: 0\n  queue_length: 0\n  weights: {churn: 0}", 1)
+	written = strings.Replace(written, "routes:", "routes:\n    - {methods: [PUT], hold: 0s, max_request_bytes: 0}", 1)
+	template := parsed(t, written)
+	spec, err := template.Resolve("x", map[string]string{"school": "kopavogur"})
+	is.NoErr(err)
+	is.Equal([]int{spec.RetryBudgetPercent, spec.MovesPerMinute, spec.QueueLength}, []int{0, 0, 0})
+	is.Equal(spec.Weights, Weights{Imbalance: 1, Churn: 0, Unavailable: 1})
+	is.Equal(spec.Routes[0].Hold, Duration(0))
+	is.Equal(spec.Routes[0].MaxRequestBytes, int64(0))
+	is.Equal(spec.Routes[0].MaxAttempts, defaultMaxAttempts)
+	is.Equal(spec.Routes[0].Timeout, Duration(defaultTimeout))
+	is.Equal(spec.Routes[1].Hold, Duration(defaultHold))
+}
+
 func filled(t *testing.T) *Catalog {
 	t.Helper()
 	catalog := New()
--- a/catalog/spec.go
+++ b/catalog/spec.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"go.yaml.in/yaml/v3"
 )
 
 // Duration is a time span that reads and writes as text such as "1500ms".
@@ -116,10 +118,13 @@
 	Locality Locality `yaml:"locality" json:"locality,omitempty"`
 	// QueueLength bounds the requests that wait for a slot at one router. Default 64.
 	QueueLength int `yaml:"queue_length" json:"queue_length"`
-	// RetryBudgetPercent bounds retries as a share of requests. Default 10.
+	// RetryBudgetPercent bounds retries as a share of requests. Default 5.
 	RetryBudgetPercent int `yaml:"retry_budget_percent" json:"retry_budget_percent"`
 	// StalenessBound is the age of its view at which a router stops admitting. Default 5s.
 	StalenessBound Duration `yaml:"staleness_bound" json:"staleness_bound"`
+	// StallTimeout is the longest pause between two parts of an answer that is being
+	// passed on, on the back end's side or on the caller's; then it is cut. Default 10s.
+	StallTimeout Duration `yaml:"stall_timeout" json:"stall_timeout"`
 	// MovesPerMinute bounds planned moves of the service's shards. Default 6.
 	MovesPerMinute int     `yaml:"moves_per_minute" json:"moves_per_minute"`
 	Weights        Weights `yaml:"weights" json:"weights"`
@@ -129,13 +134,16 @@
 const (
 	defaultShards          = 64
 	defaultQueueLength     = 64
-	defaultRetryBudget     = 10
+	defaultRetryBudget     = 5
 	defaultStaleness       = 5 * time.Second
 	defaultMovesPerMinute  = 6
 	defaultTimeout         = 5 * time.Second
 	defaultHold            = 1500 * time.Millisecond
 	defaultMaxAttempts     = 3
 	defaultMaxRequestBytes = 1 << 20
+	defaultStall           = 10 * time.Second
+	// holdNotGiven stands for a hold time that the template does not name.
+	holdNotGiven = Duration(-1)
 
 	// MaxShards bounds the shards of one service.
 	MaxShards = 1 << 16
@@ -143,6 +151,8 @@
 	// cannot confirm that it is current.
 	minStaleness = time.Second
 	maxStaleness = 15 * time.Second
+	minStall     = 100 * time.Millisecond
+	maxStall     = 10 * time.Minute
 	// maxRetryBudget amounts to no bound at all: ten retries for each request.
 	maxRetryBudget = 1000
 )
@@ -163,34 +173,51 @@
 	return &FieldError{Field: field, Value: fmt.Sprint(value), Want: want}
 }
 
-// ApplyDefaults fills in every field that was left at zero.
-func (s *Spec) ApplyDefaults() {
-	if s.Keyed {
-		setDefault(&s.Shards, defaultShards)
+// NewSpec returns a spec with the defaults of every field that has one. What a
+// template says is read on top of it, so that a zero that is written stays a zero.
+func NewSpec() Spec {
+	return Spec{
+		Locality: LocalityZone, QueueLength: defaultQueueLength, RetryBudgetPercent: defaultRetryBudget,
+		StalenessBound: Duration(defaultStaleness), StallTimeout: Duration(defaultStall), MovesPerMinute: defaultMovesPerMinute,
+		Weights: Weights{Imbalance: 1, Churn: 1, Unavailable: 1},
 	}
-	setDefault(&s.Locality, LocalityZone)
-	setDefault(&s.QueueLength, defaultQueueLength)
-	setDefault(&s.RetryBudgetPercent, defaultRetryBudget)
-	setDefault(&s.StalenessBound, Duration(defaultStaleness))
-	setDefault(&s.MovesPerMinute, defaultMovesPerMinute)
-	setDefault(&s.Weights.Imbalance, 1)
-	setDefault(&s.Weights.Churn, 1)
-	setDefault(&s.Weights.Unavailable, 1)
-	if len(s.Routes) == 0 {
-		s.Routes = []Route{{}}
+}
+
+// NewRoute returns a route with the defaults of every field that has one.
+func NewRoute() Route {
+	return Route{
+		Timeout: Duration(defaultTimeout), Hold: holdNotGiven,
+		MaxAttempts: defaultMaxAttempts, MaxRequestBytes: defaultMaxRequestBytes,
 	}
-	for i := range s.Routes {
-		setDefault(&s.Routes[i].Timeout, Duration(defaultTimeout))
-		setDefault(&s.Routes[i].Hold, min(Duration(defaultHold), s.Routes[i].Timeout))
-		setDefault(&s.Routes[i].MaxAttempts, defaultMaxAttempts)
-		setDefault(&s.Routes[i].MaxRequestBytes, defaultMaxRequestBytes)
+}
+
+// UnmarshalYAML reads a route on top of the defaults.
+func (r *Route) UnmarshalYAML(node *yaml.Node) error {
+	text, err := yaml.Marshal(node)
+	if err != nil {
+		return err
 	}
+	type plain Route
+	filled := plain(NewRoute())
+	if err := decodeStrictly(text, &filled); err != nil {
+		return err
+	}
+	*r = Route(filled)
+	return nil
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
+// Complete fills in the defaults that depend on other fields.
+func (s *Spec) Complete() {
+	if s.Keyed && s.Shards == 0 {
+		s.Shards = defaultShards
+	}
+	if len(s.Routes) == 0 {
+		s.Routes = []Route{NewRoute()}
+	}
+	for i := range s.Routes {
+		if s.Routes[i].Hold == holdNotGiven {
+			s.Routes[i].Hold = min(Duration(defaultHold), s.Routes[i].Timeout)
+		}
 	}
 }
 
@@ -284,6 +311,9 @@
 	if bound := s.StalenessBound.Std(); bound < minStaleness || bound > maxStaleness {
 		return fieldError("spec.staleness_bound", bound, fmt.Sprintf("use %v to %v", minStaleness, maxStaleness))
 	}
+	if stall := s.StallTimeout.Std(); stall < minStall || stall > maxStall {
+		return fieldError("spec.stall_timeout", stall, fmt.Sprintf("use %v to %v", minStall, maxStall))
+	}
 	for _, weight := range []struct {
 		field string
 		value float64
--- a/catalog/template.go
+++ b/catalog/template.go
@@ -199,7 +199,7 @@
 	if err != nil {
 		return Spec{}, err
 	}
-	spec.ApplyDefaults()
+	spec.Complete()
 	if err := spec.Validate(); err != nil {
 		return Spec{}, fmt.Errorf("template %s for service %s: %w", t.Name, serviceName, err)
 	}
@@ -219,7 +219,7 @@
 	if err != nil {
 		return Spec{}, fmt.Errorf("spec of template %s: %w", t.Name, err)
 	}
-	var spec Spec
+	spec := NewSpec()
 	if err := decodeStrictly(text, &spec); err != nil {
 		return Spec{}, fmt.Errorf("spec of template %s: %w", t.Name, err)
 	}
--- a/integration/control_test.go
+++ b/integration/control_test.go
@@ -295,6 +295,7 @@
 // limeholdRun runs the program and returns its output and exit code.
 func limeholdRun(t *testing.T, arguments ...string) (string, int) {
 	t.Helper()
+	lookAtSources(t)
 	command := exec.Command(limehold, arguments...)
 	output, err := command.CombinedOutput()
 	var exit *exec.ExitError
--- a/integration/main_test.go
+++ b/integration/main_test.go
@@ -9,12 +9,8 @@
 	"testing"
 	"time"
 
-	// The programs are built and run, not linked: without these imports a cached
-	// result would be taken for theirs.
-	_ "limehold/bench/command"
 	"limehold/bench/fleet"
 	"limehold/bench/shape"
-	_ "limehold/cli"
 )
 
 var limehold, limebench string
@@ -37,6 +33,28 @@
 	os.Exit(code)
 }
 
+// lookAtSources makes every file that the programs are built from part of what a
+// result is kept for. They are not linked into this test, so that the go command
+// would otherwise take an old result for theirs. It counts only within a test.
+func lookAtSources(t *testing.T) {
+	t.Helper()
+	err := filepath.WalkDir("..", func(path string, entry os.DirEntry, err error) error {
+		switch {
+		case err != nil:
+			return err
+		case entry.IsDir() && (entry.Name() == "bin" || entry.Name() == ".git"):
+			return filepath.SkipDir
+		case entry.IsDir():
+			return nil
+		}
+		_, err = os.Stat(path)
+		return err
+	})
+	if err != nil {
+		t.Fatalf("look at the sources: %v", err)
+	}
+}
+
 func build(target, program string) bool {
 	output, err := exec.Command("go", "build", "-o", target, program).CombinedOutput()
 	if err != nil {
@@ -74,6 +92,7 @@
 	if options.Shape == nil {
 		options.Shape = small()
 	}
+	lookAtSources(t)
 	options.Folder, options.Limehold, options.Limebench = t.TempDir(), limehold, limebench
 	running, err := fleet.Start(options)
 	if err != nil {
@@ -122,6 +141,7 @@
 
 func sharedFleet(t *testing.T) *fleet.Fleet {
 	t.Helper()
+	lookAtSources(t)
 	if shared != nil {
 		return shared
 	}
--- a/integration/standalone_test.go
+++ b/integration/standalone_test.go
@@ -22,6 +22,7 @@
 // listens, by the value of their field part.
 func program(t *testing.T, lines int, binary string, arguments ...string) map[string]map[string]string {
 	t.Helper()
+	lookAtSources(t)
 	command := exec.Command(binary, arguments...)
 	output, err := command.StderrPipe()
 	if err != nil {
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -100,8 +100,8 @@
 		return errors.Join(errNothingSent, errCallerGone)
 	}
 	defer request.untrack()
-	counted := &countingWriter{inner: conn.raw}
-	conn.writer.Reset(counted)
+	counted := &conn.counted
+	counted.written = 0
 	request.bodyUsed = request.bodyUsed || out.IsBodyStream()
 	err := out.Write(conn.writer)
 	if err == nil {
@@ -239,8 +239,14 @@
 
 // Read implements io.Reader. An error other than io.EOF makes the server cut
 // the caller's connection, so that a cut answer never looks whole.
+// Both sides have to go on within the service's stall timeout: a back end that
+// froze, or a caller that stopped reading, would otherwise keep the slot.
 func (b *answerBody) Read(data []byte) (int, error) {
+	stall := b.request.service.spec.StallTimeout.Std()
+	_ = b.attempt.conn.raw.SetReadDeadline(time.Now().Add(stall))
 	count, err := b.stream.Read(data)
+	// What was read is written to the caller before the next read.
+	_ = b.request.caller.SetWriteDeadline(time.Now().Add(stall))
 	switch {
 	case err == io.EOF:
 		b.finished = true
--- a/router/bench_test.go
+++ b/router/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -18,7 +19,8 @@
 )
 
 // BenchmarkRequest compares a request through the router with the same request
-// sent straight to the back end, both on kept connections.
+// sent straight to the back end, and through the least that the HTTP library can
+// forward with: no limits, no outcomes, nothing checked. All connections are kept.
 func BenchmarkRequest(b *testing.B) {
 	backend, err := standin.New(standin.Options{Name: "a", Listen: "127.0.0.1:0", Slots: 1000})
 	if err != nil {
@@ -30,8 +32,12 @@
 	router := benchRouter(b, backend.Address())
 	go func() { _ = router.server.Serve(router.listener) }()
 	defer func() { _ = router.server.Shutdown() }()
+	forwarder := plainForwarder(b, backend.Address())
+	targets := []struct{ name, address string }{
+		{"direct", backend.Address()}, {"through a plain forwarder", forwarder}, {"through the router", router.Address()},
+	}
 	for _, size := range []int{200, 60_000} {
-		for _, target := range []struct{ name, address string }{{"direct", backend.Address()}, {"through the router", router.Address()}} {
+		for _, target := range targets {
 			b.Run(fmt.Sprintf("%d bytes %s", size, target.name), func(b *testing.B) {
 				b.ReportAllocs()
 				b.RunParallel(func(pb *testing.PB) { ask(b, pb, target.address, size) })
@@ -40,6 +46,24 @@
 	}
 }
 
+// plainForwarder hands each request to the library's client and its answer back.
+func plainForwarder(b *testing.B, backend string) string {
+	b.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	client := &fasthttp.HostClient{Addr: backend, MaxConns: 1000, MaxIdemponentCallAttempts: 1}
+	server := &fasthttp.Server{Handler: func(request *fasthttp.RequestCtx) {
+		if err := client.Do(&request.Request, &request.Response); err != nil {
+			request.Error(err.Error(), fasthttp.StatusBadGateway)
+		}
+	}}
+	go func() { _ = server.Serve(listener) }()
+	b.Cleanup(func() { _ = server.Shutdown() })
+	return listener.Addr().String()
+}
+
 func ask(b *testing.B, pb *testing.PB, address string, size int) {
 	client := &fasthttp.HostClient{Addr: address, MaxIdemponentCallAttempts: 1}
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -63,8 +87,9 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	spec := catalog.Spec{Match: catalog.Match{PathPrefix: "/orders"}, Pool: "orders"}
-	spec.ApplyDefaults()
+	spec := catalog.NewSpec()
+	spec.Match, spec.Pool = catalog.Match{PathPrefix: "/orders"}, "orders"
+	spec.Complete()
 	router.table.apply(&wire.Update{
 		Snapshot: true, Revision: 1,
 		Services: []wire.ServiceView{{Name: "orders", Revision: 1, Spec: spec}},
--- a/router/framing.go
+++ b/router/framing.go
@@ -20,6 +20,9 @@
 	earlyBody = 4 << 10
 	// headTimeout bounds the arrival of a request's head.
 	headTimeout = 10 * time.Second
+	// writeTimeout bounds how long a caller may take to read an answer that is
+	// written in one go.
+	writeTimeout = 10 * time.Second
 	// bodySlack is added to a route's timeout for the arrival of a body.
 	bodySlack = time.Second
 	// lingerTime and lingerBytes bound what is still read of a refused
--- a/router/pool.go
+++ b/router/pool.go
@@ -49,10 +49,14 @@
 
 // acquire waits for a slot until the deadline or until cancelled is closed.
 func (p *pool) acquire(want admission.Want, cancelled <-chan struct{}) (admission.InstanceID, refusal) {
-	ready := make(chan struct{})
-	waiter := &admission.Waiter{Want: want, Notify: func() { close(ready) }}
+	waiter := &admission.Waiter{Want: want}
+	var ready chan struct{}
 	p.mutex.Lock()
 	verdict := p.gate.Acquire(clock.Now(), waiter)
+	if verdict == admission.Queued {
+		ready = make(chan struct{})
+		waiter.Notify = func() { close(ready) }
+	}
 	p.mutex.Unlock()
 	switch verdict {
 	case admission.Admitted:
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -284,7 +283,8 @@
 			response.Header.SetContentLength(result.response.Header.ContentLength())
 			response.SkipBody = true
 		} else {
-			response.SetBodyRaw(append([]byte(nil), result.response.Body()...))
+			// The slice was made for this answer by readWhole and belongs to no pool.
+			response.SetBodyRaw(result.response.Body())
 		}
 		fasthttp.ReleaseResponse(result.response)
 		p.service.pool.release(id, admission.OutcomeGood, latency)
@@ -302,10 +302,8 @@
 }
 
 func dropAnswerHeaders(header *fasthttp.ResponseHeader) {
-	for _, name := range strings.Split(string(header.Peek("Connection")), ",") {
-		if name = strings.TrimSpace(name); name != "" {
-			header.Del(name)
-		}
+	for _, name := range namedIn(header.Peek("Connection")) {
+		header.Del(name)
 	}
 	for _, name := range hopByHop {
 		header.Del(name)
--- a/router/request.go
+++ b/router/request.go
@@ -164,6 +164,9 @@
 	if len(path) == 0 || path[0] != '/' {
 		return false
 	}
+	if bytes.IndexByte(path, '%') < 0 && bytes.IndexByte(path, '\\') < 0 && !bytes.Contains(path, []byte("//")) && !bytes.Contains(path, []byte("/.")) {
+		return true
+	}
 	lower := bytes.ToLower(path)
 	for _, part := range []string{"//", "/./", "/../", "%2f", "%2e", "%5c", "%00", "\\"} {
 		if bytes.Contains(lower, []byte(part)) {
@@ -250,12 +253,24 @@
 	return refusal{}
 }
 
-func dropHeaders(header *fasthttp.RequestHeader, connection []byte) {
-	for _, name := range strings.Split(string(connection), ",") {
+// namedIn lists the headers that a Connection header names.
+func namedIn(connection []byte) []string {
+	if len(connection) == 0 {
+		return nil
+	}
+	var names []string
+	for name := range strings.SplitSeq(string(connection), ",") {
 		if name = strings.TrimSpace(name); name != "" {
-			header.Del(name)
+			names = append(names, name)
 		}
 	}
+	return names
+}
+
+func dropHeaders(header *fasthttp.RequestHeader, connection []byte) {
+	for _, name := range namedIn(connection) {
+		header.Del(name)
+	}
 	for _, name := range hopByHop {
 		header.Del(name)
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -90,7 +90,9 @@
 	}
 	r.server = &fasthttp.Server{
 		Handler: r.handle, HeaderReceived: r.headReceived, ErrorHandler: r.handleBadRequest, NoDefaultServerHeader: true,
-		ReadTimeout:          headTimeout,
+		ReadTimeout: headTimeout,
+		// For answers that are there whole; those that are streamed extend it.
+		WriteTimeout:         writeTimeout,
 		NoDefaultContentType: true, ReadBufferSize: config.Router.MaxHeaderBytes,
 		MaxRequestBodySize: bufferedBody, StreamRequestBody: true, Concurrency: config.Router.MaxConnections,
 		IdleTimeout: config.Router.IdleTimeout, DisablePreParseMultipartForm: true, CloseOnShutdown: true,
--- a/router/table_test.go
+++ b/router/table_test.go
@@ -18,8 +18,9 @@
 }
 
 func view(name string, revision uint64, prefix string) wire.ServiceView {
-	spec := catalog.Spec{Match: catalog.Match{PathPrefix: prefix}, Pool: "p", Keyed: true, Shards: 2}
-	spec.ApplyDefaults()
+	spec := catalog.NewSpec()
+	spec.Match, spec.Pool, spec.Keyed, spec.Shards = catalog.Match{PathPrefix: prefix}, "p", true, 2
+	spec.Complete()
 	return wire.ServiceView{Name: name, Revision: revision, Spec: spec}
 }
 
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -29,6 +29,7 @@
 	raw     net.Conn
 	reader  *bufio.Reader
 	writer  *bufio.Writer
+	counted countingWriter
 	address string
 	since   time.Time
 	reused  bool
@@ -53,11 +54,10 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial back end %s", address)
 	}
-	return &upstream{
-		raw: raw, address: address,
-		reader: bufio.NewReaderSize(raw, upstreamBuffer),
-		writer: bufio.NewWriterSize(raw, upstreamBuffer),
-	}, nil
+	conn := &upstream{raw: raw, address: address, reader: bufio.NewReaderSize(raw, upstreamBuffer)}
+	conn.counted.inner = raw
+	conn.writer = bufio.NewWriterSize(&conn.counted, upstreamBuffer)
+	return conn, nil
 }
 
 // takeIdle returns the connection used last: the others may then grow old.
