--- a/adminserver/adminserver.go
+++ b/adminserver/adminserver.go
@@ -19,6 +19,10 @@
 	Metrics  *metrics.Registry
 	// Healthy returns why a balancer should leave the process out; nil: it is fine.
 	Healthy func() error
+	// Extension is asked first, and returns false for what is not its own. Optional.
+	Extension func(*fasthttp.RequestCtx) bool
+	// MaxBody bounds a request's body in bytes. Default 8 MiB.
+	MaxBody int
 	// Other answers every path but /metrics and /healthz. Optional.
 	Other fasthttp.RequestHandler
 }
@@ -27,13 +31,16 @@
 	readTimeout  = 10 * time.Second
 	shutdownWait = 2 * time.Second
 	// maxBody bounds an operator's request in bytes.
-	maxBody = 1 << 20
+	maxBody = 8 << 20
 )
 
 // Run answers until ctx ends, and finishes what is under way then.
 func Run(ctx context.Context, options Options) error {
+	if options.MaxBody == 0 {
+		options.MaxBody = maxBody
+	}
 	server := &fasthttp.Server{
-		Handler: options.handle, MaxRequestBodySize: maxBody, ReadTimeout: readTimeout, NoDefaultServerHeader: true,
+		Handler: options.handle, MaxRequestBodySize: options.MaxBody, ReadTimeout: readTimeout, NoDefaultServerHeader: true,
 	}
 	stopped := make(chan struct{})
 	go func() {
@@ -52,6 +59,9 @@
 }
 
 func (o *Options) handle(request *fasthttp.RequestCtx) {
+	if o.Extension != nil && o.Extension(request) {
+		return
+	}
 	switch string(request.Path()) {
 	case "/metrics":
 		o.writeMetrics(request)
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -32,6 +32,11 @@
 	Metrics  *metrics.Registry
 	// TLS secures connections to control; nil: plain TCP.
 	TLS *tls.Config
+	// Backend is what runs beside the agent. Default: the back end of the settings,
+	// over HTTP; see docs/BACKEND-PROTOCOL.md.
+	Backend Backend
+	// NoAdmin is set for an agent whose process has an operators' listener of its own.
+	NoAdmin bool
 }
 
 // Agent is one agent process.
@@ -39,13 +44,11 @@
 	options Options
 	logger  *zap.Logger
 	admin   net.Listener
-	backend *backend
-	links   []*transport.Link
+	backend Backend
+	links   *links
 	shards  *shardSet
 
 	mutex sync.Mutex
-	// favourite is the link that led to the last answer.
-	favourite int
 	// lease is this node's own belief; see membership.HeldLease.
 	lease   membership.HeldLease
 	session membership.SessionID
@@ -59,11 +62,15 @@
 	// unhealthyAfter is how long the back end may not answer before the agent
 	// stops renewing its lease.
 	unhealthyAfter = 350 * time.Millisecond
-	renewTimeout   = 300 * time.Millisecond
-	renewPerTry    = 100 * time.Millisecond
-	openTimeout    = 2 * time.Second
-	retryPause     = 20 * time.Millisecond
-	drainPoll      = 20 * time.Millisecond
+	// minRenewPerTry and minRenewTimeout bound one call and one round of calls from
+	// below; both grow with the interval of renewals.
+	minRenewPerTry  = 100 * time.Millisecond
+	minRenewTimeout = 300 * time.Millisecond
+	// renewTries is how many members can be asked within one interval.
+	renewTries  = 3
+	openTimeout = 2 * time.Second
+	retryPause  = 20 * time.Millisecond
+	drainPoll   = 20 * time.Millisecond
 )
 
 // New opens the operators' listener. Run connects to control.
@@ -71,7 +78,10 @@
 	config := options.Settings
 	a := &Agent{
 		options: options, logger: options.Logger, wake: make(chan struct{}, 1),
-		backend: newBackend(config.Agent.Backend), shards: newShardSet(),
+		backend: options.Backend, shards: newShardSet(),
+	}
+	if a.backend == nil {
+		a.backend = newBackend(config)
 	}
 	a.renewals = options.Metrics.Counter("agent", "lease_renewals_total", "Lease renewals that control granted.")
 	a.failures = options.Metrics.Counter("agent", "lease_renewal_failures_total", "Lease renewals without an answer, or refused.")
@@ -79,8 +89,11 @@
 	options.Metrics.Gauge("agent", "lease_remaining_seconds", "Time until the lease ends if it is not renewed.", func() float64 {
 		return max(0, (a.leaseExpiry() - clock.Now()).Seconds())
 	})
-	for _, address := range config.Agent.Control {
-		a.links = append(a.links, transport.NewLink(address, a, a.transportOptions()))
+	a.links = newLinks(config.Agent.Control, func(address string) *transport.Link {
+		return transport.NewLink(address, a, a.transportOptions())
+	})
+	if options.NoAdmin {
+		return a, nil
 	}
 	var err error
 	if a.admin, err = net.Listen("tcp", config.Admin.Listen); err != nil {
@@ -100,7 +113,12 @@
 }
 
 // AdminAddress is the operators' listener.
-func (a *Agent) AdminAddress() string { return a.admin.Addr().String() }
+func (a *Agent) AdminAddress() string {
+	if a.admin == nil {
+		return ""
+	}
+	return a.admin.Addr().String()
+}
 
 // Run holds the session until ctx ends; then it drains, as settings say.
 func (a *Agent) Run(ctx context.Context) error {
@@ -108,15 +126,16 @@
 	defer stop()
 	group, serving := errgroup.WithContext(serveContext)
 	a.logger.Info("listening", zap.String("admin", a.AdminAddress()), zap.String("backend", a.options.Settings.Agent.Backend), zap.Bool("control_tls", a.options.TLS != nil))
-	for _, link := range a.links {
-		group.Go(func() error { link.Run(serving); return nil })
-	}
-	group.Go(func() error { return a.backend.probeLoop(serving, a.options.Settings.Agent.ProbeEvery) })
+	a.links.start(serving)
+	group.Go(func() error { return a.backend.Run(serving) })
 	group.Go(func() error { return a.holdSession(serving) })
 	group.Go(func() error { return a.tellBackend(serving) })
 	group.Go(func() error { return a.releaseLoop(serving) })
 	group.Go(func() error { return a.followBackendDrain(serving) })
 	group.Go(func() error {
+		if a.admin == nil {
+			return nil
+		}
 		return adminserver.Run(serving, adminserver.Options{Listener: a.admin, Metrics: a.options.Metrics, Healthy: a.healthy})
 	})
 	group.Go(func() error {
@@ -148,9 +167,9 @@
 		a.logger.Warn("drain_not_requested", logging.Step("drain before stop", "control", err)...)
 		return
 	}
-	for a.shards.count() > 0 || a.backend.inFlight() > 0 {
+	for a.shards.count() > 0 || a.backend.Health().InFlight > 0 {
 		if pause(ctx, drainPoll) != nil {
-			a.logger.Warn("drain_incomplete", zap.Int("shards", a.shards.count()), zap.Int("in_flight", a.backend.inFlight()))
+			a.logger.Warn("drain_incomplete", zap.Int("shards", a.shards.count()), zap.Int("in_flight", a.backend.Health().InFlight))
 			return
 		}
 	}
@@ -165,7 +184,7 @@
 		if session == 0 {
 			return nil
 		}
-		err := a.callLeader(ctx, openTimeout, wire.KindDrainSelf, &wire.DrainSelf{Session: session, Cause: cause}, nil)
+		err := a.links.callLeader(ctx, openTimeout, wire.KindDrainSelf, &wire.DrainSelf{Session: session, Cause: cause}, nil)
 		if err == nil {
 			return nil
 		}
@@ -182,7 +201,7 @@
 		if pause(ctx, a.options.Settings.Agent.ProbeEvery) != nil {
 			return nil
 		}
-		health := a.backend.health()
+		health := a.backend.Health()
 		a.mutex.Lock()
 		session := a.session
 		a.mutex.Unlock()
@@ -195,74 +214,6 @@
 	}
 }
 
-// callLeader tries the members in turn, beginning with the one that answered
-// last, and going where a refusal says that the leader is. perTry bounds the
-// wait for one member, so that a frozen one does not use up the time of all.
-func (a *Agent) callLeader(ctx context.Context, perTry time.Duration, kind wire.Kind, request, reply any) error {
-	var last error = transport.ErrClosed
-	tried := make([]bool, len(a.links))
-	next := a.firstChoice()
-	for range a.links {
-		if next < 0 || tried[next] {
-			next = a.untried(tried)
-		}
-		if next < 0 {
-			break
-		}
-		tried[next] = true
-		callContext, cancel := context.WithTimeout(ctx, perTry)
-		err := a.links[next].Call(callContext, kind, request, reply)
-		cancel()
-		if err == nil {
-			a.favour(next)
-			return nil
-		}
-		last = err
-		var refused *wire.Error
-		if !errors.As(err, &refused) {
-			a.favour((next + 1) % len(a.links))
-			next = -1
-			continue
-		}
-		if refused.Code != wire.CodeNotLeader {
-			return err
-		}
-		next = a.named(refused.Leader)
-	}
-	return last
-}
-
-func (a *Agent) untried(tried []bool) int {
-	for i, link := range a.links {
-		if !tried[i] && link.Conn() != nil {
-			return i
-		}
-	}
-	return -1
-}
-
-// named finds the link to a member by the name in its hello.
-func (a *Agent) named(member string) int {
-	for i, link := range a.links {
-		if conn := link.Conn(); conn != nil && member != "" && conn.Peer.Name == member {
-			return i
-		}
-	}
-	return -1
-}
-
-func (a *Agent) firstChoice() int {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	return a.favourite
-}
-
-func (a *Agent) favour(link int) {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	a.favourite = link
-}
-
 func (a *Agent) leaseExpiry() time.Duration {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
--- a/agent/backend.go
+++ b/agent/backend.go
@@ -15,6 +15,7 @@
 	"limehold/fleet"
 	"limehold/membership"
 	"limehold/ownership"
+	"limehold/settings"
 	"limehold/wire"
 )
 
@@ -25,9 +26,40 @@
 	releaseTimeout = 5 * time.Second
 )
 
+// Description is what a back end says of itself.
+type Description struct {
+	// Pool of services that it serves.
+	Pool string
+	// Slots is how many requests it runs at once; Connections how many it accepts.
+	Slots       int
+	Connections int
+}
+
+// Backend is what runs beside an agent.
+type Backend interface {
+	// Run keeps watching the back end until ctx ends.
+	Run(ctx context.Context) error
+	// Alive returns the incarnation heard of last, and whether it is well at now.
+	Alive(now time.Duration) (incarnation string, healthy bool)
+	// Gone reports whether an incarnation is known to have ended: it runs nothing
+	// and will not.
+	Gone(incarnation string) bool
+	// Health is the newest word on the back end.
+	Health() wire.BackendHealth
+	// Description is what the back end says of itself.
+	Description() Description
+	// Lease tells until when the grants hold, on this machine's clock.
+	Lease(session membership.SessionID, expiry time.Duration) error
+	// Grants tells the whole list of what the back end owns.
+	Grants(list *wire.BackendGrants) error
+	// Release lets shards go; it returns those on which nothing runs any more.
+	Release(session membership.SessionID, shards []wire.BackendGrant) ([]fleet.ReleasedShard, error)
+}
+
 // backend talks to the back end beside the agent.
 type backend struct {
 	address string
+	config  settings.Agent
 	client  *fasthttp.HostClient
 
 	mutex   sync.Mutex
@@ -38,8 +70,9 @@
 	refused bool
 }
 
-func newBackend(address string) *backend {
-	return &backend{address: address, client: &fasthttp.HostClient{
+func newBackend(config settings.Settings) *backend {
+	address := config.Agent.Backend
+	return &backend{address: address, config: config.Agent, client: &fasthttp.HostClient{
 		Addr: address, MaxIdemponentCallAttempts: 1, RetryIfErr: neverRetry, MaxConns: 16,
 		NoDefaultUserAgentHeader: true, MaxIdleConnDuration: time.Second,
 	}}
@@ -47,9 +80,9 @@
 
 func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
 
-// probeLoop looks at the back end's health until ctx ends.
-func (b *backend) probeLoop(ctx context.Context, every time.Duration) error {
-	ticker := time.NewTicker(every)
+// Run looks at the back end's health until ctx ends.
+func (b *backend) Run(ctx context.Context) error {
+	ticker := time.NewTicker(b.config.ProbeEvery)
 	defer ticker.Stop()
 	for {
 		b.probe()
@@ -79,33 +112,39 @@
 	}
 }
 
-// alive returns the back end's incarnation and whether it answered lately. A
+// Alive returns the back end's incarnation and whether it answered lately. A
 // back end that is starting has no session yet.
-func (b *backend) alive(now time.Duration) (incarnation string, healthy bool) {
+func (b *backend) Alive(now time.Duration) (incarnation string, healthy bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	fresh := b.everSet && !b.refused && now-b.seen < unhealthyAfter
 	return b.latest.Incarnation, fresh && b.latest.Status != wire.BackendStarting
 }
 
-func (b *backend) health() wire.BackendHealth {
+func (b *backend) Health() wire.BackendHealth {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	return b.latest
 }
 
-func (b *backend) inFlight() int { return b.health().InFlight }
+// Description implements Backend: what the settings say.
+func (b *backend) Description() Description {
+	return Description{Pool: b.config.Pool, Slots: b.config.Slots, Connections: b.config.Connections}
+}
+
+// Gone implements Backend: a probe cannot tell for certain.
+func (b *backend) Gone(string) bool { return false }
 
-func (b *backend) lease(session membership.SessionID, expiry time.Duration) error {
+func (b *backend) Lease(session membership.SessionID, expiry time.Duration) error {
 	return b.call(fasthttp.MethodPut, wire.BackendPathLease, &wire.BackendLease{Session: uint64(session), ExpiresBootNanos: int64(expiry)}, nil, leaseTimeout)
 }
 
-func (b *backend) grants(list *wire.BackendGrants) error {
+func (b *backend) Grants(list *wire.BackendGrants) error {
 	return b.call(fasthttp.MethodPut, wire.BackendPathGrants, list, nil, grantsTimeout)
 }
 
-// release asks the back end to let shards go and returns those that are idle.
-func (b *backend) release(session membership.SessionID, shards []wire.BackendGrant) ([]fleet.ReleasedShard, error) {
+// Release asks the back end to let shards go and returns those that are idle.
+func (b *backend) Release(session membership.SessionID, shards []wire.BackendGrant) ([]fleet.ReleasedShard, error) {
 	var answer wire.BackendReleased
 	request := &wire.BackendRelease{Session: uint64(session), Shards: shards}
 	if err := b.call(fasthttp.MethodPost, wire.BackendPathRelease, request, &answer, releaseTimeout); err != nil {
@@ -113,7 +152,7 @@
 	}
 	done := make([]fleet.ReleasedShard, 0, len(answer.Shards))
 	for _, item := range answer.Shards {
-		done = append(done, fleet.ReleasedShard{Key: ownership.Key{Service: item.Service, Shard: item.Shard}, Epoch: item.Epoch})
+		done = append(done, fleet.ReleasedShard{Key: ownership.Key{Service: item.Service, Shard: item.Shard}, Epoch: item.Epoch, Token: item.Token})
 	}
 	return done, nil
 }
--- a/agent/session.go
+++ b/agent/session.go
@@ -19,7 +19,7 @@
 // its lease for as long as the back end is healthy.
 func (a *Agent) holdSession(ctx context.Context) error {
 	for ctx.Err() == nil {
-		incarnation, healthy := a.backend.alive(clock.Now())
+		incarnation, healthy := a.backend.Alive(clock.Now())
 		if !healthy {
 			if pause(ctx, retryPause) != nil {
 				return nil
@@ -45,12 +45,13 @@
 	if advertise == "" {
 		advertise = config.Agent.Backend
 	}
+	described := a.backend.Description()
 	request := &wire.OpenSession{Node: membership.Node{
 		Name: config.Name, Incarnation: incarnation, Zone: config.Zone, Address: advertise,
-		Pool: config.Agent.Pool, Slots: config.Agent.Slots, Connections: config.Agent.Connections,
+		Pool: described.Pool, Slots: described.Slots, Connections: described.Connections,
 	}}
 	reply := &wire.OpenSessionReply{}
-	if err := a.callLeader(ctx, openTimeout, wire.KindOpenSession, request, reply); err != nil {
+	if err := a.links.callLeader(ctx, openTimeout, wire.KindOpenSession, request, reply); err != nil {
 		return nil, err
 	}
 	a.mutex.Lock()
@@ -68,12 +69,16 @@
 func (a *Agent) renewLoop(ctx context.Context, opened *wire.OpenSessionReply, incarnation string) {
 	next := time.Now()
 	for ctx.Err() == nil {
-		current, healthy := a.backend.alive(clock.Now())
+		current, healthy := a.backend.Alive(clock.Now())
 		if healthy && current != incarnation {
 			a.logger.Info("backend_restarted", zap.String("incarnation", current))
 			a.dropSession()
 			return
 		}
+		if a.backend.Gone(incarnation) {
+			a.endSession(ctx, opened.Session)
+			return
+		}
 		if !healthy {
 			// Without renewals control ends the session, and others take over.
 			if pause(ctx, retryPause) != nil {
@@ -102,6 +107,20 @@
 	}
 }
 
+// endSession gives the session of a back end up that is known to be gone.
+func (a *Agent) endSession(ctx context.Context, session membership.SessionID) {
+	a.dropSession()
+	request := &wire.EndSession{Session: session, Cause: "the back end has ended"}
+	err := a.links.callLeader(ctx, openTimeout, wire.KindEndSession, request, nil)
+	if err != nil {
+		// Its lease runs out by itself.
+		a.logger.Warn("session_not_ended", logging.Step("end session", "control", err)...)
+		return
+	}
+	a.logger.Info("session_ended", zap.Uint64("session", uint64(session)), zap.String("cause", request.Cause))
+}
+
+// dropSession forgets the session, its lease and its shards.
 func (a *Agent) dropSession() {
 	a.mutex.Lock()
 	a.session = 0
@@ -113,14 +132,15 @@
 
 // renewOnce renews the lease. The lease counts from before the renewal is sent.
 func (a *Agent) renewOnce(ctx context.Context, opened *wire.OpenSessionReply) error {
-	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	ctx, cancel := context.WithTimeout(ctx, max(minRenewTimeout, opened.RenewEvery))
 	defer cancel()
-	request := &wire.Renew{Session: opened.Session, Revision: a.shards.revision(), InFlight: a.backend.inFlight(), Healthy: true}
+	request := &wire.Renew{Session: opened.Session, Revision: a.shards.revision(), InFlight: a.backend.Health().InFlight, Healthy: true, Members: a.links.memberVersion()}
 	sentAt := clock.Now()
 	reply := &wire.RenewReply{}
-	if err := a.callLeader(ctx, renewPerTry, wire.KindRenew, request, reply); err != nil {
+	if err := a.links.callLeader(ctx, max(minRenewPerTry, opened.RenewEvery/renewTries), wire.KindRenew, request, reply); err != nil {
 		return err
 	}
+	a.links.update(reply.Members)
 	a.mutex.Lock()
 	if a.session == opened.Session {
 		a.lease.Acknowledge(opened.Session, sentAt, reply.LeaseLength)
@@ -164,8 +184,8 @@
 		session, expiry := a.session, a.lease.Expiry()
 		a.mutex.Unlock()
 		if expiry != sentExpiry {
-			if err := a.backend.lease(session, expiry); err != nil {
-				a.logger.Debug("lease_not_passed_on", logging.Step("pass lease on", a.backend.address, err)...)
+			if err := a.backend.Lease(session, expiry); err != nil {
+				a.logger.Debug("lease_not_passed_on", logging.Step("pass lease on", a.options.Settings.Agent.Backend, err)...)
 				_ = pause(ctx, retryPause)
 				a.signal()
 				continue
@@ -176,8 +196,8 @@
 		if version == sentVersion || expiry == 0 {
 			continue
 		}
-		if err := a.backend.grants(list); err != nil {
-			a.logger.Warn("grants_not_passed_on", logging.Step("pass grants on", a.backend.address, err)...)
+		if err := a.backend.Grants(list); err != nil {
+			a.logger.Warn("grants_not_passed_on", logging.Step("pass grants on", a.options.Settings.Agent.Backend, err)...)
 			_ = pause(ctx, retryPause)
 			a.signal()
 			continue
@@ -200,9 +220,9 @@
 			}
 			continue
 		}
-		done, err := a.backend.release(session, wanted)
+		done, err := a.backend.Release(session, wanted)
 		if err != nil {
-			a.logger.Warn("release_failed", logging.Step("release shards", a.backend.address, err)...)
+			a.logger.Warn("release_failed", logging.Step("release shards", a.options.Settings.Agent.Backend, err)...)
 			if pause(ctx, retryPause) != nil {
 				return nil
 			}
@@ -210,7 +230,7 @@
 		}
 		if len(done) > 0 {
 			reply := &wire.ReleasedReply{}
-			if err := a.callLeader(ctx, openTimeout, wire.KindReleased, &wire.Released{Session: session, Shards: done}, reply); err != nil {
+			if err := a.links.callLeader(ctx, openTimeout, wire.KindReleased, &wire.Released{Session: session, Shards: done}, reply); err != nil {
 				a.logger.Warn("release_not_acknowledged", logging.Step("report released shards", "control", err)...)
 			} else {
 				a.shards.released(session, done)
--- a/agent/shards.go
+++ b/agent/shards.go
@@ -40,7 +40,7 @@
 func (s *shardSet) take(list *wire.Assignments) bool {
 	shards := make(map[ownership.Key]assignment.Shard, len(list.Shards))
 	for _, item := range list.Shards {
-		shards[ownership.Key{Service: item.Service, Shard: item.Shard}] = assignment.Shard{Epoch: item.Epoch, Release: item.Release}
+		shards[ownership.Key{Service: item.Service, Shard: item.Shard}] = assignment.Shard{Epoch: item.Epoch, Release: item.Release, Token: item.Token}
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -76,7 +76,7 @@
 func backendGrants(shards []assignment.Released) []wire.BackendGrant {
 	list := make([]wire.BackendGrant, 0, len(shards))
 	for _, item := range shards {
-		list = append(list, wire.BackendGrant{Service: item.Key.Service, Shard: item.Key.Shard, Epoch: item.Epoch})
+		list = append(list, wire.BackendGrant{Service: item.Key.Service, Shard: item.Key.Shard, Epoch: item.Epoch, Token: item.Token})
 	}
 	return list
 }
--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -13,12 +13,16 @@
 	Epoch uint64
 	// Release asks the owner to finish what is in flight and let go.
 	Release bool
+	// Token of the last owner's state; empty: none.
+	Token string
 }
 
 // Released is a shard that was let go, and the epoch under which it was owned.
 type Released struct {
 	Key   ownership.Key
 	Epoch uint64
+	// Token is the shard's own; see Shard.
+	Token string
 }
 
 // Set is the newest list of a node's shards.
@@ -103,7 +107,7 @@
 	var list []Released
 	for key, shard := range s.shards {
 		if wanted(key, shard) {
-			list = append(list, Released{Key: key, Epoch: shard.Epoch})
+			list = append(list, Released{Key: key, Epoch: shard.Epoch, Token: shard.Token})
 		}
 	}
 	return list
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -94,7 +94,9 @@
 	}
 	c.byMatch = make(map[Match]string, len(c.Services))
 	for name, service := range c.Services {
-		c.byMatch[service.Spec.Match] = name
+		if service.Spec.Match != (Match{}) {
+			c.byMatch[service.Spec.Match] = name
+		}
 	}
 }
 
@@ -104,7 +106,9 @@
 		delete(c.byMatch, old.Spec.Match)
 	}
 	c.Services[service.Name] = service
-	c.byMatch[service.Spec.Match] = service.Name
+	if service.Spec.Match != (Match{}) {
+		c.byMatch[service.Spec.Match] = service.Name
+	}
 }
 
 // AnyRevision turns off the comparison with the revision that the operator saw.
--- a/catalog/spec.go
+++ b/catalog/spec.go
@@ -50,6 +50,9 @@
 	Name string `yaml:"name" json:"name,omitempty"`
 	// Segment is the index of the path segment behind the path prefix, from 0.
 	Segment int `yaml:"segment" json:"segment,omitempty"`
+	// Ranges divides whole numbers from 0 to 65535 into contiguous ranges of equal
+	// length, one a shard; otherwise keys are texts and are hashed. Default false.
+	Ranges bool `yaml:"ranges" json:"ranges,omitempty"`
 }
 
 // Match selects a service by host, by path prefix, or by both.
--- a/cli/app.go
+++ b/cli/app.go
@@ -33,7 +33,8 @@
 func usageError(err error) error { return cli.Exit(err.Error(), exitUsage) }
 
 // Run carries out the command line and returns the exit code.
-func Run(arguments []string) int {
+func Run(arguments []string, extended Extensions) int {
+	extensions = extended
 	app := newApp()
 	err := app.Run(context.Background(), arguments)
 	if err == nil {
@@ -73,7 +74,7 @@
 		// Run prints errors and chooses the exit code.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			controlCommand(), routerCommand(), agentCommand(), standaloneCommand(),
+			controlCommand(), routerCommand(), agentCommand(), sidecarCommand(), standaloneCommand(),
 			templateCommand(), serviceCommand(), nodeCommand(), memberCommand(),
 			statusCommand(), explainCommand(), journalCommand(),
 			snapshotCommand(), checkConfigCommand(), versionCommand(),
--- a/cli/processes.go
+++ b/cli/processes.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"syscall"
 
@@ -21,13 +22,16 @@
 	"limehold/transport"
 )
 
+// memoryPercent of the settings' memory is what the garbage collector keeps below.
+const memoryPercent = 70
+
 // process is what all of limehold's processes have in common.
 type process interface {
 	Run(ctx context.Context) error
 }
 
 var processFlags = []cli.Flag{
-	&cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "settings `FILE` (YAML)"},
+	&cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "settings `FILE` (YAML)", Sources: cli.EnvVars("LIMEHOLD_SETTINGS")},
 	&cli.StringSliceFlag{Name: "set", Usage: "override one setting, `PATH=VALUE`; may be repeated"},
 	&cli.StringFlag{Name: "name", Usage: "name of this process (setting name)"},
 	&cli.StringFlag{Name: "zone", Usage: "zone of this process (setting zone)"},
@@ -58,6 +62,7 @@
 	if err != nil {
 		return settings.Settings{}, usageError(err)
 	}
+	loaded.Complete()
 	if err := loaded.Validate(role); err != nil {
 		return settings.Settings{}, usageError(err)
 	}
@@ -102,12 +107,16 @@
 	if err != nil {
 		return startError(logger, err)
 	}
+	if config.Runtime.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(config.Runtime.MemoryMB) << 20 * memoryPercent / 100)
+	}
 	built, err := build(config, logger, secured)
 	if err != nil {
 		return startError(logger, err)
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	signal.Ignore(syscall.SIGHUP)
 	if err := built.Run(ctx); err != nil {
 		logger.Error("failed", logging.Step("run", config.Name, err)...)
 		return cli.Exit("", exitFailure)
@@ -130,7 +139,7 @@
 				if err != nil {
 					return nil, err
 				}
-				return control.New(control.Options{Settings: config, Logger: logger, Metrics: metrics.New(), TLS: secured, Token: token})
+				return control.New(control.Options{Settings: config, Logger: logger, Metrics: metrics.New(), TLS: secured, Token: token, Extend: extensions.Control})
 			})
 		},
 	}
--- /dev/null
+++ b/cli/sidecar.go
@@ -0,0 +1,46 @@
+package cli
+
+import (
+	"context"
+	"crypto/tls"
+
+	"github.com/urfave/cli/v3"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"limehold/control"
+	"limehold/ingress"
+	"limehold/metrics"
+	"limehold/settings"
+	"limehold/sidecar"
+)
+
+// Extensions connect the processes to a deployment that speaks in a manner of its
+// own. All fields are optional.
+type Extensions struct {
+	// Control returns a handler that is asked first at a member's operators' listener.
+	Control func(*control.Member) func(*fasthttp.RequestCtx) bool
+	// Sidecar returns a handler that is asked first at a sidecar's operators' listener.
+	Sidecar func(*ingress.Instance) func(*fasthttp.RequestCtx) bool
+	// Keys returns what gives keys to the instance and takes them back.
+	Keys func(settings.Settings) ingress.KeyClient
+}
+
+// extensions are those that Run was called with.
+var extensions Extensions
+
+func sidecarCommand() *cli.Command {
+	return &cli.Command{
+		Name: "sidecar", Usage: "run a router, an ingress and an agent beside one instance", Flags: processFlags,
+		Description: "Example:\n   limehold sidecar --config sidecar-1.yaml",
+		Action: func(ctx context.Context, command *cli.Command) error {
+			return runProcess(ctx, command, settings.RoleSidecar, func(config settings.Settings, logger *zap.Logger, _ *tls.Config) (process, error) {
+				options := sidecar.Options{Settings: config, Logger: logger, Metrics: metrics.New(), Extend: extensions.Sidecar}
+				if extensions.Keys != nil {
+					options.Keys = extensions.Keys(config)
+				}
+				return sidecar.New(options)
+			})
+		},
+	}
+}
--- a/cmd/limehold/main.go
+++ b/cmd/limehold/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"limehold/cli"
+	"limehold/platform"
 )
 
-func main() { os.Exit(cli.Run(os.Args)) }
+func main() { os.Exit(cli.Run(os.Args, platform.Extensions())) }
--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -15,8 +15,8 @@
 	"limehold/adminapi"
 	"limehold/catalog"
 	"limehold/consensus"
+	"limehold/decisions"
 	"limehold/fleet"
-	"limehold/journal"
 	"limehold/membership"
 	"limehold/ownership"
 	"limehold/wal"
@@ -298,7 +298,7 @@
 	return max(0, alive-quorum)
 }
 
-func eventView(event journal.Event) adminapi.Event {
+func eventView(event decisions.Event) adminapi.Event {
 	return adminapi.Event{
 		Revision: event.Revision, At: time.UnixMilli(event.At).UTC().Format(time.RFC3339Nano), Kind: string(event.Kind),
 		Service: event.Service, Shards: event.Shards, From: event.From, To: event.To, Cause: event.Cause,
@@ -369,7 +369,7 @@
 		return fmt.Sprintf("shard %d has no owner: no node of its pool could take it yet", answer.Shard)
 	}
 	for _, event := range slices.Backward(answer.Events) {
-		if event.Kind == string(journal.KindAssigned) {
+		if event.Kind == string(decisions.KindAssigned) {
 			return fmt.Sprintf("hash of the key modulo %d is shard %d; %s has owned it since revision %d (%s), under epoch %d: %s",
 				answer.Shards, answer.Shard, answer.Owner, event.Revision, event.At, answer.Epoch, event.Cause)
 		}
--- a/control/formation.go
+++ b/control/formation.go
@@ -39,7 +39,7 @@
 // from. A folder that the group does not know returns an empty state: the
 // member then waits, without a vote, until an operator admits it.
 func (m *Member) form(ctx context.Context) (loaded, error) {
-	if m.options.Settings.Control.Join {
+	if m.options.Settings.Control.Join || m.onlyJoins() {
 		m.logger.Info("awaiting_admission", zap.Stringer("member", m.storage.identity.ID), zap.String("next", "limehold member add or replace, on a member of the group"))
 		return loaded{}, nil
 	}
@@ -65,13 +65,35 @@
 	}
 }
 
+// firstMembers are those that form the group: the seeds are known by address only.
+func (m *Member) firstMembers() []settings.Peer {
+	config := m.options.Settings.Control
+	if len(config.Seeds) == 0 {
+		return config.Members
+	}
+	var first []settings.Peer
+	for _, seed := range config.Seeds {
+		first = append(first, settings.Peer{Address: seed})
+	}
+	return first
+}
+
+// onlyJoins reports whether this member must not form a group: with seeds, only
+// they do, and only at the first start of all. An empty folder that appears later
+// has no say in who the members are.
+func (m *Member) onlyJoins() bool {
+	config := m.options.Settings.Control
+	return len(config.Seeds) > 0 && !(config.Form && slices.Contains(config.Seeds, m.advertised))
+}
+
 // askMembers asks all members of the settings who they are. It decides when one
 // of them belongs to a group already, or when all answer and none does.
 func (m *Member) askMembers(ctx context.Context, reported map[string]bool) (configuration consensus.Configuration, known, decided bool) {
 	own := consensus.Member{ID: m.storage.identity.ID, Name: m.options.Settings.Name, Address: m.advertised}
 	members := []consensus.Member{own}
-	for _, peer := range m.options.Settings.Control.Members {
-		if peer.Name == own.Name {
+	first := m.firstMembers()
+	for _, peer := range first {
+		if peer.Name == own.Name || peer.Address == own.Address {
 			continue
 		}
 		answer, err := m.askFormation(ctx, peer)
@@ -88,7 +110,7 @@
 		}
 		members = append(members, consensus.Member{ID: answer.ID, Name: answer.Name, Address: answer.Address})
 	}
-	if len(members) < max(1, len(m.options.Settings.Control.Members)) {
+	if len(members) < max(1, len(first)) {
 		return consensus.Configuration{}, false, false
 	}
 	slices.SortFunc(members, func(a, b consensus.Member) int { return cmp.Compare(a.Name, b.Name) })
@@ -98,7 +120,7 @@
 func (m *Member) askFormation(ctx context.Context, peer settings.Peer) (wire.Formation, error) {
 	address := m.peers.address(consensus.Member{Name: peer.Name, Address: peer.Address})
 	answer, err := m.askFormationAt(ctx, address)
-	if err == nil && answer.Name != peer.Name {
+	if err == nil && peer.Name != "" && answer.Name != peer.Name {
 		err = eris.Errorf("member at %s calls itself %q, the settings call it %q", address, answer.Name, peer.Name)
 	}
 	return answer, err
--- a/control/leader.go
+++ b/control/leader.go
@@ -29,7 +29,7 @@
 // placing shards, removing retired services. Decisions are proposals; the state
 // machine checks each again on the state that it meets.
 func (m *Member) lead(ctx context.Context) error {
-	ticker := time.NewTicker(tickEvery)
+	ticker := time.NewTicker(m.options.tickEvery())
 	defer ticker.Stop()
 	var current *leaderState
 	placeDue := time.Duration(0)
--- a/control/member.go
+++ b/control/member.go
@@ -10,6 +10,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -48,6 +49,10 @@
 	loads     *placement.LoadTable
 	relay     []wire.ShardWork
 
+	joinMutex sync.Mutex
+	// joining are the processes that asked this member to be admitted.
+	joining map[consensus.MemberID]joinRequest
+
 	renewals prometheus.Counter
 	moves    *prometheus.CounterVec
 	started  chan struct{}
@@ -73,6 +78,7 @@
 		options: options, logger: options.Logger, storage: disk, recovered: recovered, admin: admin,
 		sessions: newSessions(), pusher: newPusher(lagPatience * config.Control.RenewEvery), routers: newRouterTable(), placeNow: make(chan struct{}, 1),
 		loads: placement.NewLoadTable(config.Control.LoadHalfLife), started: make(chan struct{}), born: clock.Now(),
+		joining: map[consensus.MemberID]joinRequest{},
 	}
 	m.formed.Store(disk.identity.Formed)
 	m.renewals = options.Metrics.Counter("control", "lease_renewals_total", "Lease renewals that reached this member while it led.")
@@ -97,6 +103,14 @@
 	return listener, admin, nil
 }
 
+// extension is the handler that the options add to the operators' listener.
+func (m *Member) extension() func(*fasthttp.RequestCtx) bool {
+	if m.options.Extend == nil {
+		return nil
+	}
+	return m.options.Extend(m)
+}
+
 // Address is the member's listener for other processes.
 func (m *Member) Address() string { return m.server.Address() }
 
@@ -114,7 +128,7 @@
 		zap.Stringer("member", m.storage.identity.ID), zap.Bool("tls", m.options.TLS != nil), zap.Bool("operator_token", m.options.Token != ""))
 	group.Go(func() error { return m.server.Run(serving) })
 	group.Go(func() error {
-		return adminserver.Run(serving, adminserver.Options{Listener: m.admin, Metrics: m.options.Metrics, Other: m.handleAdmin})
+		return adminserver.Run(serving, adminserver.Options{Listener: m.admin, Metrics: m.options.Metrics, Extension: m.extension(), Other: m.handleAdmin})
 	})
 	group.Go(func() error {
 		err := m.runReplica(ctx, serving)
@@ -162,6 +176,8 @@
 	group.Go(func() error { return m.lead(running) })
 	group.Go(func() error { return m.relayLoads(running) })
 	group.Go(func() error { return m.followPlatform(running) })
+	group.Go(func() error { return m.seekAdmission(running) })
+	group.Go(func() error { return m.keepVoters(running) })
 	group.Go(func() error { return m.stopOn(ctx, running) })
 	return ignoreCancel(ctx, group.Wait())
 }
@@ -189,7 +205,7 @@
 		return
 	}
 	for m.replica.status.Load().Role == consensus.RoleLeader {
-		if pause(ctx, tickEvery) != nil {
+		if pause(ctx, m.options.tickEvery()) != nil {
 			return
 		}
 	}
@@ -206,7 +222,7 @@
 // watchConfiguration dials the members that the newest configuration names.
 func (m *Member) watchConfiguration(ctx context.Context) error {
 	for {
-		if err := pause(ctx, tickEvery); err != nil {
+		if err := pause(ctx, m.options.tickEvery()); err != nil {
 			return nil
 		}
 		status := m.replica.status.Load()
@@ -227,7 +243,7 @@
 // Inline implements transport.Handler: what only queues, or only reads memory.
 func (m *Member) Inline(kind wire.Kind) bool {
 	switch kind {
-	case wire.KindConsensus, wire.KindRenew, wire.KindReadIndex, wire.KindLoadRelay:
+	case wire.KindConsensus, wire.KindRenew, wire.KindReadIndex, wire.KindLoadRelay, wire.KindJoin:
 		return true
 	}
 	return false
@@ -253,7 +269,8 @@
 var allowedRoles = map[wire.Kind]wire.Role{
 	wire.KindConsensus: wire.RoleControl, wire.KindForward: wire.RoleControl,
 	wire.KindReadIndex: wire.RoleControl, wire.KindRouterList: wire.RoleControl, wire.KindLoadRelay: wire.RoleControl,
-	wire.KindLeaderView:  wire.RoleControl,
+	wire.KindLeaderView: wire.RoleControl, wire.KindJoin: wire.RoleControl,
+	wire.KindEndSession:  wire.RoleAgent,
 	wire.KindOpenSession: wire.RoleAgent, wire.KindRenew: wire.RoleAgent,
 	wire.KindReleased: wire.RoleAgent, wire.KindDrainSelf: wire.RoleAgent,
 	wire.KindWatch: wire.RoleRouter, wire.KindConfirm: wire.RoleRouter,
@@ -272,6 +289,10 @@
 		return &wire.RouterListReply{Routers: m.routers.list(m.options.Settings.Name), Up: m.up()}, nil
 	case wire.KindLeaderView:
 		return m.leaderViewHere()
+	case wire.KindJoin:
+		return decoded(payload, func(r *wire.Join) (*wire.JoinReply, error) { return m.takeJoin(r), nil })
+	case wire.KindEndSession:
+		return decoded(payload, func(r *wire.EndSession) (any, error) { return struct{}{}, m.endSession(ctx, r) })
 	case wire.KindLoadRelay:
 		return decoded(payload, func(r *wire.Confirm) (any, error) { m.addLoads(r.Work); return nil, nil })
 	case wire.KindOpenSession:
--- a/control/options.go
+++ b/control/options.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"limehold/consensus"
@@ -24,11 +25,17 @@
 	TLS *tls.Config
 	// Token that operators must present; empty: none.
 	Token string
+	// Extend returns a handler that is asked first at the operators' listener; it
+	// returns false for what is not its own. Optional.
+	Extend func(*Member) func(*fasthttp.RequestCtx) bool
 }
 
 const (
-	// tickEvery drives the replication core and the lease check.
-	tickEvery = 10 * time.Millisecond
+	// minTick and maxTick bound the interval that drives the replication core and
+	// the lease check: a quarter of the heartbeat.
+	minTick       = 10 * time.Millisecond
+	maxTick       = 50 * time.Millisecond
+	ticksPerPulse = 4
 	// maxBatch bounds the events that one sync covers.
 	maxBatch = 4096
 	// maxAppendEntries and maxAppendBytes bound one append message.
@@ -40,6 +47,11 @@
 	commandPatience = 5 * time.Second
 )
 
+// tickEvery is the interval that drives the replication core and the lease check.
+func (o *Options) tickEvery() time.Duration {
+	return max(minTick, min(maxTick, o.Settings.Control.Timing.Heartbeat/ticksPerPulse))
+}
+
 func (o *Options) consensusTiming() consensus.Timing {
 	timing := o.Settings.Control.Timing
 	return consensus.Timing{
--- a/control/replica.go
+++ b/control/replica.go
@@ -118,7 +118,7 @@
 
 // run drives the core until ctx ends or the member has to stop.
 func (r *replica) run(ctx context.Context) error {
-	ticker := time.NewTicker(tickEvery)
+	ticker := time.NewTicker(r.options.tickEvery())
 	defer ticker.Stop()
 	defer r.stop()
 	for {
--- a/control/routers.go
+++ b/control/routers.go
@@ -74,7 +74,7 @@
 	if err := m.replica.waitApplied(ctx, index); err != nil {
 		return nil, err
 	}
-	return &wire.ConfirmReply{Revision: m.hub.lastRevision()}, nil
+	return &wire.ConfirmReply{Revision: m.hub.lastRevision(), Members: m.memberListFor(request.Members)}, nil
 }
 
 // addLoads counts work here on the leader, or keeps it for the next relay.
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -191,7 +191,18 @@
 		return nil, &wire.Error{Code: wire.CodeUnknownSession, Message: "the session is closed or being closed: open a new one", Step: "renew lease", Peer: m.options.Settings.Name}
 	}
 	m.pusher.reported(request.Session, conn, request.Revision, newest, now)
-	return &wire.RenewReply{LeaseLength: m.options.Settings.Control.LeaseLength, Revision: newest}, nil
+	return &wire.RenewReply{LeaseLength: m.options.Settings.Control.LeaseLength, Revision: newest, Members: m.memberListFor(request.Members)}, nil
+}
+
+// endSession closes a session whose back end is known to be gone: its shards need
+// not wait for the end of the lease.
+func (m *Member) endSession(ctx context.Context, request *wire.EndSession) error {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	_, err := m.executeHere(ctx, fleet.Command{CloseSessions: &fleet.CloseSessions{
+		Sessions: []membership.SessionID{request.Session}, Cause: request.Cause,
+	}})
+	return err
 }
 
 // released frees shards on their owner's word.
--- a/control/watch.go
+++ b/control/watch.go
@@ -11,6 +11,7 @@
 	"limehold/fleet"
 	"limehold/membership"
 	"limehold/ownership"
+	"limehold/routing"
 	"limehold/transport"
 	"limehold/wire"
 )
@@ -99,6 +100,7 @@
 func updateOf(changes *fleet.Changes, state *fleet.State) *wire.Update {
 	update := &wire.Update{
 		Revision: changes.Revision, RemovedServices: changes.RemovedServices, RemovedNodes: changes.RemovedNodes,
+		Routes: changes.Routes,
 	}
 	for _, name := range changes.Services {
 		if service := state.Catalog.Services[name]; service != nil {
@@ -181,6 +183,9 @@
 		for _, node := range state.Membership.Sessions {
 			update.Nodes = append(update.Nodes, nodeView(node))
 		}
+		if state.Routing.Document.Version > 0 {
+			update.Routes = routing.WholeOf(&state.Routing.Document).WithoutSources()
+		}
 	})
 	return update
 }
--- a/journal/journal.go
+++ b/decisions/decisions.go
@@ -1,7 +1,7 @@
-// Package journal is the bounded record of decisions that moved ownership or
+// Package decisions is the bounded record of decisions that moved ownership or
 // changed membership or configuration, each with its cause. It is part of the
 // replicated state, so that every member explains the same history.
-package journal
+package decisions
 
 // Kind names a decision.
 type Kind string
@@ -23,6 +23,7 @@
 	KindTransferBegun   Kind = "transfer_begun"
 	KindReleased        Kind = "released"
 	KindMemberChanged   Kind = "member_changed"
+	KindRoutesChanged   Kind = "routes_changed"
 )
 
 // Event is one decision.
--- a/journal/journal_test.go
+++ b/decisions/decisions_test.go
@@ -1,4 +1,4 @@
-package journal
+package decisions
 
 import (
 	"testing"
--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"limehold/catalog"
-	"limehold/journal"
+	"limehold/decisions"
 	"limehold/membership"
 	"limehold/ownership"
 )
@@ -89,11 +89,13 @@
 		return a.transfer(command.Transfer)
 	case command.Release != nil:
 		return a.release(command.Release)
+	case command.ChangeRoutes != nil:
+		return a.changeRoutes(command.ChangeRoutes)
 	}
 	return Result{Failure: &catalog.Failure{Code: catalog.FailureInvalid, Message: "the command is empty or of a newer version"}}
 }
 
-func (a *application) log(event journal.Event) {
+func (a *application) log(event decisions.Event) {
 	event.Revision = a.state.Revision
 	event.At = a.at
 	a.state.Journal.Add(event)
@@ -106,7 +108,7 @@
 	}
 	a.changes.Templates = true
 	a.changes.Services = services
-	a.log(journal.Event{Kind: journal.KindTemplateApplied, To: command.Template.Name, Cause: "operator"})
+	a.log(decisions.Event{Kind: decisions.KindTemplateApplied, To: command.Template.Name, Cause: "operator"})
 	return Result{}
 }
 
@@ -115,7 +117,7 @@
 		return Result{Failure: failure}
 	}
 	a.changes.Templates = true
-	a.log(journal.Event{Kind: journal.KindTemplateRetired, From: command.Name, Cause: "operator"})
+	a.log(decisions.Event{Kind: decisions.KindTemplateRetired, From: command.Name, Cause: "operator"})
 	return Result{}
 }
 
@@ -129,7 +131,7 @@
 		a.state.Ownership.AddService(command.Name, service.Spec.Shards, a.state.LastEpoch)
 	}
 	a.changes.Services = []string{command.Name}
-	a.log(journal.Event{Kind: journal.KindServiceCreated, Service: command.Name, Cause: "operator, from template " + command.Template})
+	a.log(decisions.Event{Kind: decisions.KindServiceCreated, Service: command.Name, Cause: "operator, from template " + command.Template})
 	return Result{}
 }
 
@@ -139,7 +141,7 @@
 		return Result{Failure: failure}
 	}
 	a.changes.Services = []string{command.Name}
-	a.log(journal.Event{Kind: journal.KindServiceUpdated, Service: command.Name, Cause: "operator"})
+	a.log(decisions.Event{Kind: decisions.KindServiceUpdated, Service: command.Name, Cause: "operator"})
 	return Result{}
 }
 
@@ -158,7 +160,7 @@
 			a.touch(key, shard.Owner)
 		}
 	}
-	a.log(journal.Event{Kind: journal.KindServiceRetiring, Service: command.Name, Cause: "operator"})
+	a.log(decisions.Event{Kind: decisions.KindServiceRetiring, Service: command.Name, Cause: "operator"})
 	return Result{}
 }
 
@@ -175,7 +177,7 @@
 	}
 	a.state.Catalog.RemoveService(command.Name)
 	a.changes.RemovedServices = []string{command.Name}
-	a.log(journal.Event{Kind: journal.KindServiceRemoved, Service: command.Name, Cause: "retired by an operator, all shards released"})
+	a.log(decisions.Event{Kind: decisions.KindServiceRemoved, Service: command.Name, Cause: "retired by an operator, all shards released"})
 	return Result{}
 }
 
@@ -189,9 +191,9 @@
 	switch {
 	case superseded != nil:
 		a.changes.Nodes = append(a.changes.Nodes, superseded.Session)
-		a.log(journal.Event{Kind: journal.KindNodeReplaced, From: superseded.Name, To: opened.Name, Cause: "another process came up under the same name"})
+		a.log(decisions.Event{Kind: decisions.KindNodeReplaced, From: superseded.Name, To: opened.Name, Cause: "another process came up under the same name"})
 	case before == nil:
-		a.log(journal.Event{Kind: journal.KindNodeJoined, To: opened.Name, Cause: "session opened from zone " + opened.Zone})
+		a.log(decisions.Event{Kind: decisions.KindNodeJoined, To: opened.Name, Cause: "session opened from zone " + opened.Zone})
 	}
 	return Result{Session: opened.Session}
 }
@@ -208,8 +210,8 @@
 		a.changes.session(session)
 		keys := a.state.Ownership.CloseSession(session)
 		a.changes.Shards = append(a.changes.Shards, keys...)
-		a.log(journal.Event{Kind: journal.KindNodeLost, From: node.Name, Cause: command.Cause})
-		a.logShards(journal.KindReleased, keys, node.Name, "", command.Cause)
+		a.log(decisions.Event{Kind: decisions.KindNodeLost, From: node.Name, Cause: command.Cause})
+		a.logShards(decisions.KindReleased, keys, node.Name, "", command.Cause)
 	}
 	slices.SortFunc(a.changes.Shards, compareKeys)
 	return Result{Refused: refused}
@@ -222,17 +224,17 @@
 	}
 	a.changes.Nodes = []membership.SessionID{node.Session}
 	a.changes.session(node.Session)
-	kind := journal.KindNodeResumed
+	kind := decisions.KindNodeResumed
 	if command.Draining {
-		kind = journal.KindNodeDraining
+		kind = decisions.KindNodeDraining
 	}
-	a.log(journal.Event{Kind: kind, From: node.Name, Cause: command.Cause})
+	a.log(decisions.Event{Kind: kind, From: node.Name, Cause: command.Cause})
 	return Result{}
 }
 
 func (a *application) assign(command *Assign) Result {
 	refused := 0
-	groups := newEventGroups(journal.KindAssigned, command.Cause)
+	groups := newEventGroups(decisions.KindAssigned, command.Cause)
 	for _, decision := range command.Decisions {
 		if !a.grant(decision) {
 			refused++
@@ -263,7 +265,7 @@
 
 func (a *application) transfer(command *Transfer) Result {
 	refused := 0
-	groups := newEventGroups(journal.KindTransferBegun, command.Cause)
+	groups := newEventGroups(decisions.KindTransferBegun, command.Cause)
 	for _, decision := range command.Decisions {
 		shard, _ := a.state.Ownership.Get(decision.Key)
 		if a.state.Ownership.BeginTransfer(decision.Key, decision.Epoch, decision.To) != nil {
@@ -279,10 +281,10 @@
 
 func (a *application) release(command *Release) Result {
 	refused := 0
-	released := newEventGroups(journal.KindReleased, "the owner finished what was in flight and let go")
-	assigned := newEventGroups(journal.KindAssigned, "transfer completed")
+	released := newEventGroups(decisions.KindReleased, "the owner finished what was in flight and let go")
+	assigned := newEventGroups(decisions.KindAssigned, "transfer completed")
 	for _, item := range command.Shards {
-		target, err := a.state.Ownership.Release(item.Key, item.Epoch, command.Session)
+		target, err := a.state.Ownership.Release(item.Key, item.Epoch, command.Session, item.Token)
 		if err != nil {
 			refused++
 			continue
--- a/fleet/command.go
+++ b/fleet/command.go
@@ -11,6 +11,7 @@
 	"limehold/codec"
 	"limehold/membership"
 	"limehold/ownership"
+	"limehold/routing"
 )
 
 // Command is one change. Exactly one of the pointers is set.
@@ -34,6 +35,7 @@
 	Assign         *Assign
 	Transfer       *Transfer
 	Release        *Release
+	ChangeRoutes   *routing.Change
 }
 
 // ApplyTemplate creates or replaces a template and changes its services.
@@ -112,6 +114,8 @@
 type ReleasedShard struct {
 	Key   ownership.Key
 	Epoch uint64
+	// Token of the owner's state, for the next owner; empty: none.
+	Token string
 }
 
 // Release frees shards on their owner's word, and hands them to the targets.
@@ -129,6 +133,8 @@
 	Failure *catalog.Failure
 	// Session is set for OpenSession.
 	Session membership.SessionID
+	// Routes is set for ChangeRoutes.
+	Routes *routing.Outcome
 	// Refused counts the decisions of Assign, Transfer or Release that no
 	// longer fitted the state.
 	Refused int
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"limehold/journal"
+	"limehold/decisions"
 	"limehold/ownership"
 )
 
@@ -15,7 +15,7 @@
 // eventGroups gathers the shards that one command moved between the same nodes
 // into one event each, so that the loss of a large node does not flood the journal.
 type eventGroups struct {
-	kind   journal.Kind
+	kind   decisions.Kind
 	cause  string
 	groups map[eventGroup][]uint32
 	order  []eventGroup
@@ -23,7 +23,7 @@
 
 type eventGroup struct{ service, from, to string }
 
-func newEventGroups(kind journal.Kind, cause string) *eventGroups {
+func newEventGroups(kind decisions.Kind, cause string) *eventGroups {
 	return &eventGroups{kind: kind, cause: cause, groups: map[eventGroup][]uint32{}}
 }
 
@@ -39,7 +39,7 @@
 	for _, group := range groups.order {
 		shards := groups.groups[group]
 		slices.Sort(shards)
-		a.log(journal.Event{
+		a.log(decisions.Event{
 			Kind: groups.kind, Service: group.service, Shards: shards,
 			From: group.from, To: group.to, Cause: groups.cause,
 		})
@@ -47,7 +47,7 @@
 }
 
 // logShards logs keys, which may come in any order, for one pair of nodes.
-func (a *application) logShards(kind journal.Kind, keys []ownership.Key, from, to, cause string) {
+func (a *application) logShards(kind decisions.Kind, keys []ownership.Key, from, to, cause string) {
 	slices.SortFunc(keys, compareKeys)
 	groups := newEventGroups(kind, cause)
 	for _, key := range keys {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -6,9 +6,10 @@
 
 	"limehold/catalog"
 	"limehold/codec"
-	"limehold/journal"
+	"limehold/decisions"
 	"limehold/membership"
 	"limehold/ownership"
+	"limehold/routing"
 )
 
 // Limits of what is kept beside the tables themselves.
@@ -39,13 +40,15 @@
 	Catalog    *catalog.Catalog
 	Membership *membership.Table
 	Ownership  *ownership.Table
-	Journal    *journal.Journal
+	Journal    *decisions.Journal
 	Records    map[string]Record
 	// RecordOrder lists the IDs in Records, oldest first.
 	RecordOrder []string
 	// LastEpoch is at least as high as every epoch that was ever used by a
 	// service that has been removed.
 	LastEpoch uint64
+	// Routing is the route table, in deployments that have one.
+	Routing routing.Store
 }
 
 // NewState returns the state before the first command.
@@ -54,7 +57,7 @@
 		Catalog:    catalog.New(),
 		Membership: membership.NewTable(),
 		Ownership:  ownership.NewTable(),
-		Journal:    journal.New(journalLimit),
+		Journal:    decisions.New(journalLimit),
 		Records:    map[string]Record{},
 	}
 }
@@ -92,6 +95,8 @@
 	// Sessions whose own list of shards changed, and in which shards; none when
 	// only what stands beside the list has changed.
 	Sessions map[membership.SessionID][]ownership.Key
+	// Routes is the change of the route table, if there was one.
+	Routes *routing.Change
 }
 
 func (c *Changes) session(id membership.SessionID, keys ...ownership.Key) {
@@ -107,7 +112,8 @@
 // Empty reports whether watchers need not hear of the command.
 func (c *Changes) Empty() bool {
 	return !c.Templates && len(c.Services) == 0 && len(c.RemovedServices) == 0 &&
-		len(c.Nodes) == 0 && len(c.RemovedNodes) == 0 && len(c.Shards) == 0 && len(c.Sessions) == 0
+		len(c.Nodes) == 0 && len(c.RemovedNodes) == 0 && len(c.Shards) == 0 && len(c.Sessions) == 0 &&
+		c.Routes == nil
 }
 
 // CheckInvariants returns an error that names the first broken invariant. It
--- /dev/null
+++ b/ingress/gate.go
@@ -0,0 +1,187 @@
+package ingress
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// gate shares the instance's slots among requests. Those that find none free wait
+// by rank, as long as the wait that is foreseen is worth it.
+//
+// Invariants:
+//   - running never exceeds slots, except while slots have just been lowered.
+//   - A waiting request is let in at most once.
+//   - Among waiting requests, one of a higher rank is let in first; among equals
+//     the one that came first.
+type gate struct {
+	// queueTime is the share of a request's target latency that it may wait.
+	queueTime float64
+	mutex     sync.Mutex
+	slots     int
+	running   int
+	waiting   []*ticket
+	closed    bool
+	// runTime is the smoothed time that a request occupies a slot.
+	runTime time.Duration
+}
+
+// ticket is one request that waits.
+type ticket struct {
+	priority int
+	admitted chan struct{}
+	granted  bool
+}
+
+const (
+	// firstRunTime stands for the run time before anything has been measured.
+	firstRunTime = 50 * time.Millisecond
+	runTimeKeep  = 0.95
+)
+
+func newGate(queueTime float64) *gate {
+	return &gate{queueTime: queueTime, runTime: firstRunTime}
+}
+
+// entry is the gate's answer to a request.
+type entry uint8
+
+const (
+	entryAdmitted entry = iota
+	entryFull
+	entryClosed
+	entryCancelled
+)
+
+// loadFigures is how busy the gate is.
+type loadFigures struct{ running, waiting, slots int }
+
+func (g *gate) load() loadFigures {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return loadFigures{g.running, len(g.waiting), g.slots}
+}
+
+// resize takes how many requests the instance runs at once.
+func (g *gate) resize(slots int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.slots = slots
+	g.admitNext()
+}
+
+// close refuses everything that is new, and what waits.
+func (g *gate) close() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.closed = true
+	for _, waiting := range g.waiting {
+		close(waiting.admitted)
+	}
+	g.waiting = nil
+}
+
+// enter waits for a slot. target is the request's target latency, left the time
+// until its deadline. After entryAdmitted, leave must follow.
+func (g *gate) enter(priority int, target, left time.Duration, cancelled <-chan struct{}) entry {
+	patience := min(time.Duration(float64(target)*g.queueTime), left)
+	g.mutex.Lock()
+	if g.closed {
+		g.mutex.Unlock()
+		return entryClosed
+	}
+	if g.running < g.slots && len(g.waiting) == 0 {
+		g.running++
+		g.mutex.Unlock()
+		return entryAdmitted
+	}
+	if g.foreseen(priority) > patience {
+		g.mutex.Unlock()
+		return entryFull
+	}
+	mine := &ticket{priority: priority, admitted: make(chan struct{})}
+	at, _ := slices.BinarySearchFunc(g.waiting, priority, func(other *ticket, rank int) int {
+		if other.priority <= rank {
+			return -1
+		}
+		return 1
+	})
+	g.waiting = slices.Insert(g.waiting, at, mine)
+	g.mutex.Unlock()
+	return g.await(mine, patience, cancelled)
+}
+
+func (g *gate) await(mine *ticket, patience time.Duration, cancelled <-chan struct{}) entry {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	outcome := entryFull
+	select {
+	case <-mine.admitted:
+	case <-timer.C:
+	case <-cancelled:
+		outcome = entryCancelled
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if mine.granted {
+		if outcome == entryCancelled {
+			g.running--
+			g.admitNext()
+			return entryCancelled
+		}
+		return entryAdmitted
+	}
+	if at := slices.Index(g.waiting, mine); at >= 0 {
+		g.waiting = slices.Delete(g.waiting, at, at+1)
+	} else if outcome == entryFull && g.closed {
+		return entryClosed
+	}
+	return outcome
+}
+
+// foreseen is the wait that a request of a rank is to expect: those before it, and
+// itself, need slots that become free at the measured rate.
+func (g *gate) foreseen(priority int) time.Duration {
+	ahead := 1
+	for _, other := range g.waiting {
+		if other.priority <= priority {
+			ahead++
+		}
+	}
+	if g.slots == 0 {
+		return time.Hour
+	}
+	return time.Duration(ahead) * g.runTime / time.Duration(g.slots)
+}
+
+// retryAfter is when a refused request is likely to find a slot.
+func (g *gate) retryAfter() time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.slots == 0 {
+		return time.Second
+	}
+	return time.Duration(len(g.waiting)+1) * g.runTime / time.Duration(g.slots)
+}
+
+// leave gives a slot back; ran is how long the request occupied it, zero when it
+// did not run.
+func (g *gate) leave(ran time.Duration) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.running--
+	if ran > 0 {
+		g.runTime = time.Duration(float64(g.runTime)*runTimeKeep + float64(ran)*(1-runTimeKeep))
+	}
+	g.admitNext()
+}
+
+func (g *gate) admitNext() {
+	for g.running < g.slots && len(g.waiting) > 0 {
+		next := g.waiting[0]
+		g.waiting = slices.Delete(g.waiting, 0, 1)
+		g.running++
+		next.granted = true
+		close(next.admitted)
+	}
+}
--- /dev/null
+++ b/ingress/ingress.go
@@ -0,0 +1,169 @@
+// Package ingress is the only way to the instance beside it. Whether a request may
+// run is decided here and nowhere else: the instance's identity and state, its
+// slots, the keys it holds, the deadline. What an ingress refuses has certainly not
+// run; what it has sent on and got no usable answer to is reported as unknown.
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"limehold/hangup"
+	"limehold/metrics"
+	"limehold/settings"
+	"limehold/upstream"
+)
+
+// Options configures an ingress.
+type Options struct {
+	Settings settings.Settings
+	Logger   *zap.Logger
+	Metrics  *metrics.Registry
+	// Keys gives keys to the instance and takes them back; nil when its service is
+	// never divided by key.
+	Keys KeyClient
+	// Connections returns how many connections the instance accepts; zero: unknown.
+	Connections func(service string) int
+}
+
+// Ingress is the gate in front of one instance.
+type Ingress struct {
+	options   Options
+	logger    *zap.Logger
+	listener  net.Listener
+	server    *fasthttp.Server
+	instance  *Instance
+	gate      *gate
+	upstreams *upstream.Pool
+	hangups   *hangup.Watcher
+	stopping  atomic.Bool
+	outcomes  *prometheus.CounterVec
+	waits     prometheus.Histogram
+	runs      prometheus.Histogram
+}
+
+const (
+	// bufferedBody is the size in bytes up to which a request's body is read before
+	// the request is looked at.
+	bufferedBody = 64 << 10
+	readTimeout  = 15 * time.Second
+	writeTimeout = 15 * time.Second
+	// idleTimeout is longer than any router keeps an idle connection.
+	idleTimeout    = time.Minute
+	maxHeaderBytes = 64 << 10
+	// instanceIdle is how long connections to the instance are kept without use when
+	// it does not say how long it keeps them.
+	instanceIdle = 4 * time.Second
+	stopPoll     = 20 * time.Millisecond
+)
+
+// New opens the listener. Run serves it.
+func New(options Options) (*Ingress, error) {
+	listener, err := net.Listen("tcp", options.Settings.Ingress.Listen)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen for routers on %s (ingress.listen)", options.Settings.Ingress.Listen)
+	}
+	i := &Ingress{
+		options: options, logger: options.Logger, listener: listener,
+		gate:      newGate(options.Settings.Ingress.QueueTime),
+		upstreams: upstream.NewPool(instanceIdle), hangups: hangup.NewWatcher(),
+	}
+	i.instance = newInstance(options, i.gate)
+	i.outcomes = options.Metrics.CounterVec("ingress", "requests_total", "Requests of routers, by outcome and reason.", "outcome", "reason")
+	i.waits = options.Metrics.Histogram("ingress", "wait_seconds", "Time that a request waited for one of the instance's slots.", latencyBuckets)
+	i.runs = options.Metrics.Histogram("ingress", "run_seconds", "Time from sending a request to the instance to the head of its answer.", latencyBuckets)
+	options.Metrics.Gauge("ingress", "running", "Requests at the instance.", func() float64 { return float64(i.gate.load().running) })
+	options.Metrics.Gauge("ingress", "waiting", "Requests that wait for one of the instance's slots.", func() float64 { return float64(i.gate.load().waiting) })
+	i.server = &fasthttp.Server{
+		Handler: i.handle, NoDefaultServerHeader: true, NoDefaultContentType: true,
+		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: bufferedBody, StreamRequestBody: true,
+		DisablePreParseMultipartForm: true, CloseOnShutdown: true, Logger: quietLogger{i.logger},
+	}
+	return i, nil
+}
+
+var latencyBuckets = []float64{.0005, .002, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5}
+
+// Instance is the instance behind the ingress.
+func (i *Ingress) Instance() *Instance { return i.instance }
+
+// Address is the listener for routers.
+func (i *Ingress) Address() string { return i.listener.Addr().String() }
+
+// Run serves until ctx ends. It then refuses what is new, waits for what runs, up
+// to the stop time of the settings, and returns.
+func (i *Ingress) Run(ctx context.Context) error {
+	serveContext, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, serving := errgroup.WithContext(serveContext)
+	i.logger.Info("ingress_listening", zap.String("address", i.Address()), zap.String("instance", i.options.Settings.Ingress.Instance))
+	group.Go(func() error { return i.hangups.Run(serving) })
+	group.Go(func() error { return i.sweep(serving) })
+	group.Go(func() error {
+		err := i.server.Serve(i.listener)
+		if i.stopping.Load() {
+			return nil
+		}
+		return eris.Wrap(err, "serve routers")
+	})
+	group.Go(func() error {
+		select {
+		case <-serving.Done():
+		case <-ctx.Done():
+			i.drain()
+		}
+		stop()
+		return nil
+	})
+	err := group.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// drain refuses new requests and waits for those that run.
+func (i *Ingress) drain() {
+	i.stopping.Store(true)
+	i.gate.close()
+	deadline := time.Now().Add(i.options.Settings.Ingress.StopTime)
+	for i.hangups.Count() > 0 && time.Now().Before(deadline) {
+		time.Sleep(stopPoll)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(stopPoll))
+	defer cancel()
+	if err := i.server.ShutdownWithContext(ctx); err != nil {
+		i.logger.Warn("ingress_drain_incomplete", zap.Int("in_flight", i.hangups.Count()))
+	}
+}
+
+func (i *Ingress) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(upstream.SweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			i.upstreams.Sweep()
+		}
+	}
+}
+
+// quietLogger passes the HTTP library's own messages on at debug level.
+type quietLogger struct{ logger *zap.Logger }
+
+// Printf implements fasthttp.Logger.
+func (l quietLogger) Printf(format string, arguments ...any) {
+	l.logger.Sugar().Debugf(format, arguments...)
+}
--- /dev/null
+++ b/ingress/instance.go
@@ -0,0 +1,266 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limehold/agent"
+	"limehold/clock"
+	"limehold/wire"
+)
+
+// Announcement is what an instance says of itself.
+type Announcement struct {
+	// ID is drawn by each start of the instance.
+	ID      string
+	Service string
+	Zone    string
+	Version string
+	Slots   int
+	// Draining is set when the instance is about to end.
+	Draining bool
+	// Cold is how much longer the instance is slow from its start.
+	Cold time.Duration
+	// Sequence rises with every announcement of one start.
+	Sequence uint64
+}
+
+// Instance is the instance beside the ingress, as it announces itself. It
+// implements agent.Backend: to control, an ingress and its instance are one node.
+//
+// Invariants:
+//   - An announcement that is older than the newest one of its start changes nothing.
+//   - A start that has taken its leave is not taken back.
+//   - Once a departure was acknowledged, no request reaches the instance later than
+//     the drain time after it.
+type Instance struct {
+	options Options
+	logger  *zap.Logger
+	gate    *gate
+	keys    *keyHolder
+
+	mutex   sync.Mutex
+	current Announcement
+	heard   time.Duration
+	known   bool
+	// leavingSince is when the departure was acknowledged; zero: not leaving.
+	leavingSince time.Duration
+	// departed are the starts that have taken their leave.
+	departed map[string]bool
+	// gone is the start that is known to have ended.
+	gone    string
+	suspect chan struct{}
+}
+
+const (
+	// silentAfter is how many announcements an instance may miss.
+	silentAfter = 6
+	// refusalsGone connections in a row that are refused, goneEvery apart, show that nobody listens.
+	refusalsGone = 3
+	goneEvery    = 100 * time.Millisecond
+	dialPatience = 300 * time.Millisecond
+	// drainMargin is kept for a request's way from the gate to the instance.
+	drainMargin = 200 * time.Millisecond
+)
+
+func newInstance(options Options, gate *gate) *Instance {
+	i := &Instance{
+		options: options, logger: options.Logger, gate: gate,
+		departed: map[string]bool{}, suspect: make(chan struct{}, 1),
+	}
+	i.keys = newKeyHolder(options.Keys, options.Settings.Ingress.HoldTime, options.Logger)
+	return i
+}
+
+// Announce takes an announcement; it counts as acknowledged once this returns.
+func (i *Instance) Announce(announced Announcement) {
+	now := clock.Now()
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.departed[announced.ID] {
+		return
+	}
+	sameStart := i.known && i.current.ID == announced.ID
+	if sameStart && announced.Sequence <= i.current.Sequence {
+		return
+	}
+	before := i.current
+	i.current, i.heard, i.known = announced, now, true
+	if !sameStart {
+		i.leavingSince = 0
+		i.gate.resize(announced.Slots)
+		i.logger.Info("instance_started", zap.String("instance", announced.ID), zap.String("before", before.ID),
+			zap.String("service", announced.Service), zap.Int("slots", announced.Slots), zap.String("version", announced.Version), zap.Uint64("sequence", announced.Sequence))
+	} else if before.Slots != announced.Slots {
+		i.gate.resize(announced.Slots)
+	}
+	switch {
+	case announced.Draining && i.leavingSince == 0:
+		i.leavingSince = now
+		i.logger.Info("instance_draining", zap.String("instance", announced.ID), zap.Uint64("sequence", announced.Sequence))
+	case !announced.Draining && i.leavingSince != 0:
+		i.leavingSince = 0
+		i.logger.Info("instance_resumed", zap.String("instance", announced.ID), zap.Uint64("sequence", announced.Sequence))
+	}
+}
+
+// Depart takes an instance's leave; it counts as acknowledged once this returns.
+func (i *Instance) Depart(id string) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.departed[id] = true
+	if !i.known || i.current.ID != id {
+		return
+	}
+	if i.leavingSince == 0 {
+		i.leavingSince = clock.Now()
+	}
+	i.logger.Info("instance_departed", zap.String("instance", id))
+	i.askWhetherGone()
+}
+
+// view is the instance as the gate sees it at one moment.
+type view struct {
+	id      string
+	service string
+	// refused is why no request may be sent to it; empty: they may.
+	refused string
+}
+
+// Reasons for which a request is not sent to the instance.
+const (
+	reasonNoInstance   = "no-instance"
+	reasonOtherService = "other-service"
+)
+
+func (i *Instance) view(now time.Duration) view {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	seen := view{id: i.current.ID, service: i.current.Service}
+	switch {
+	case !i.known || i.gone == i.current.ID:
+		seen.refused = reasonNoInstance
+	case i.leavingSince != 0 && now-i.leavingSince > i.options.Settings.Ingress.DrainTime-drainMargin:
+		seen.refused = wire.BackendReasonDraining
+	}
+	return seen
+}
+
+// Run watches the instance and renews its keys until ctx ends.
+func (i *Instance) Run(ctx context.Context) error {
+	go i.keys.run(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-i.suspect:
+		}
+		i.findOut(ctx)
+	}
+}
+
+// connectionFailed notes that no connection to the instance was had.
+func (i *Instance) connectionFailed(err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.askWhetherGone()
+}
+
+func (i *Instance) askWhetherGone() {
+	select {
+	case i.suspect <- struct{}{}:
+	default:
+	}
+}
+
+// findOut tries to connect until somebody listens or it is sure that nobody does.
+func (i *Instance) findOut(ctx context.Context) {
+	i.mutex.Lock()
+	id := i.current.ID
+	i.mutex.Unlock()
+	refused := 0
+	for refused < refusalsGone {
+		dialer := net.Dialer{Timeout: dialPatience}
+		conn, err := dialer.DialContext(ctx, "tcp", i.options.Settings.Ingress.Instance)
+		switch {
+		case err == nil:
+			conn.Close()
+			if i.stays(id) {
+				return
+			}
+			refused = 0
+		case errors.Is(err, syscall.ECONNREFUSED):
+			refused++
+		default:
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(goneEvery):
+		}
+	}
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.current.ID == id {
+		i.gone = id
+		i.logger.Warn("instance_gone", zap.String("instance", id), zap.String("cause", "nobody listens at its address"), zap.Int("refused", refused))
+	}
+}
+
+// stays reports whether an instance that accepts connections need not be watched:
+// it has not taken its leave.
+func (i *Instance) stays(id string) bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.current.ID != id || !i.departed[id]
+}
+
+// Alive implements agent.Backend.
+func (i *Instance) Alive(now time.Duration) (incarnation string, healthy bool) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	fresh := now-i.heard < silentAfter*i.options.Settings.Ingress.AnnounceEvery
+	return i.current.ID, i.known && i.gone != i.current.ID && (fresh || i.leavingSince != 0)
+}
+
+// Gone implements agent.Backend.
+func (i *Instance) Gone(incarnation string) bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.gone != "" && i.gone == incarnation
+}
+
+// Health implements agent.Backend.
+func (i *Instance) Health() wire.BackendHealth {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	health := wire.BackendHealth{Status: wire.BackendOK, Incarnation: i.current.ID, InFlight: i.gate.load().running}
+	if i.leavingSince != 0 {
+		health.Status = wire.BackendDraining
+	}
+	return health
+}
+
+// Description implements agent.Backend.
+func (i *Instance) Description() agent.Description {
+	i.mutex.Lock()
+	announced := i.current
+	i.mutex.Unlock()
+	connections := i.options.Settings.Agent.Connections
+	if i.options.Connections != nil {
+		if told := i.options.Connections(announced.Service); told > 0 {
+			connections = told
+		}
+	}
+	return agent.Description{Pool: announced.Service, Slots: announced.Slots, Connections: connections}
+}
--- /dev/null
+++ b/ingress/passage.go
@@ -0,0 +1,271 @@
+package ingress
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"limehold/clock"
+	"limehold/hangup"
+	"limehold/logging"
+	"limehold/ownership"
+	"limehold/settings"
+	"limehold/upstream"
+	"limehold/wire"
+)
+
+// passage is one request on its way through the ingress.
+type passage struct {
+	names     settings.Headers
+	requestID string
+	attemptID string
+	service   string
+	route     string
+	shard     uint32
+	epoch     uint64
+	keyed     bool
+	head      bool
+	priority  int
+	target    time.Duration
+	deadline  time.Duration
+	arrived   time.Duration
+	sent      time.Duration
+	seen      view
+	out       *fasthttp.Request
+	watched   *hangup.Watched
+
+	mutex     sync.Mutex
+	upstream  *upstream.Conn
+	cancelled chan struct{}
+	gone      bool
+}
+
+// track notes the connection on which the request is, so that it can be closed when
+// the caller goes away. It returns false if the caller is gone already.
+func (p *passage) track(conn *upstream.Conn) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.gone {
+		return false
+	}
+	p.upstream = conn
+	return true
+}
+
+func (p *passage) untrack() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.upstream = nil
+}
+
+// cancel ends the request because its caller is gone.
+func (p *passage) cancel() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.gone {
+		return
+	}
+	p.gone = true
+	close(p.cancelled)
+	if p.upstream != nil {
+		p.upstream.Close()
+	}
+}
+
+// handle is the routers' handler.
+func (i *Ingress) handle(request *fasthttp.RequestCtx) {
+	if i.stopping.Load() {
+		request.SetConnectionClose()
+	}
+	p, ok := i.read(request)
+	if !ok {
+		request.Error("this is an ingress: send requests to a router\n", fasthttp.StatusBadRequest)
+		return
+	}
+	if reason := i.refusal(p, clock.Now()); reason != "" {
+		i.refuse(request, p, reason, 0)
+		return
+	}
+	p.watched = i.hangups.Add(request.Conn(), p.cancel)
+	switch i.gate.enter(p.priority, p.target, p.deadline-clock.Now(), p.cancelled) {
+	case entryFull:
+		i.refuse(request, p, wire.BackendReasonFull, i.gate.retryAfter())
+	case entryClosed:
+		i.refuse(request, p, wire.BackendReasonDraining, 0)
+	case entryCancelled:
+		i.refuse(request, p, reasonCallerGone, 0)
+	case entryAdmitted:
+		i.pass(request, p)
+		return
+	}
+	i.hangups.Remove(p.watched)
+}
+
+// read takes what the router says of the request.
+func (i *Ingress) read(request *fasthttp.RequestCtx) (*passage, bool) {
+	header := &request.Request.Header
+	names := i.options.Settings.Headers
+	p := &passage{
+		names: names, requestID: string(header.Peek(names.RequestID)), attemptID: string(header.Peek(wire.HeaderAttempt)),
+		service: string(header.Peek(wire.HeaderService)), route: string(header.Peek(wire.HeaderRoute)),
+		head: request.IsHead(), arrived: clock.Now(), cancelled: make(chan struct{}),
+	}
+	p.epoch, _ = strconv.ParseUint(string(header.Peek(wire.HeaderEpoch)), 10, 64)
+	shard, _ := strconv.ParseUint(string(header.Peek(wire.HeaderShard)), 10, 32)
+	p.shard = uint32(shard)
+	p.keyed = p.epoch > 0
+	p.priority, _ = strconv.Atoi(string(header.Peek(wire.HeaderPriority)))
+	target, _ := strconv.ParseInt(string(header.Peek(wire.HeaderTarget)), 10, 64)
+	p.target = time.Duration(target) * time.Millisecond
+	left, err := strconv.ParseInt(string(header.Peek(wire.HeaderDeadline)), 10, 64)
+	p.deadline = p.arrived + time.Duration(left)*time.Millisecond
+	return p, err == nil && p.attemptID != "" && p.service != ""
+}
+
+// refusal returns why the request may not go to the instance; empty: it may.
+func (i *Ingress) refusal(p *passage, now time.Duration) string {
+	p.seen = i.instance.view(now)
+	switch {
+	case i.stopping.Load():
+		return wire.BackendReasonDraining
+	case p.seen.refused != "":
+		return p.seen.refused
+	case p.seen.service != p.service:
+		return reasonOtherService
+	case p.deadline-now < minimumRemaining:
+		return wire.BackendReasonDeadline
+	case p.keyed && !i.instance.keys.holds(ownership.Key{Service: p.service, Shard: p.shard}, p.epoch, now):
+		return wire.BackendReasonNotOwner
+	}
+	return ""
+}
+
+// pass sends an admitted request to the instance and its answer back. What was true
+// when the request began to wait is looked at once more.
+func (i *Ingress) pass(request *fasthttp.RequestCtx, p *passage) {
+	i.waits.Observe((clock.Now() - p.arrived).Seconds())
+	if reason := i.refusal(p, clock.Now()); reason != "" {
+		i.refuse(request, p, reason, 0)
+		i.end(p)
+		return
+	}
+	i.buildOut(request, p)
+	p.sent = clock.Now()
+	result := i.send(p)
+	i.runs.Observe((clock.Now() - p.sent).Seconds())
+	switch result.state {
+	case exchangeAnswered:
+		i.answer(request, p, result)
+		return
+	case exchangeNotRun:
+		i.write(request, p, fasthttp.StatusServiceUnavailable, wire.OutcomeNotRun, result.reason)
+	case exchangeNotSent:
+		i.refuse(request, p, result.reason, 0)
+	case exchangeOpen:
+		i.write(request, p, fasthttp.StatusBadGateway, wire.OutcomeUnknown, result.reason)
+	}
+	if result.err != nil {
+		i.logger.Info("exchange_failed", append(logging.Step("exchange", p.seen.id, result.err),
+			zap.String("request", p.requestID), zap.String("attempt", p.attemptID), zap.String("reason", result.reason),
+			zap.Bool("sent", result.state == exchangeOpen))...)
+	}
+	i.end(p)
+}
+
+// end gives the request's slot back.
+func (i *Ingress) end(p *passage) {
+	ran := time.Duration(0)
+	if p.sent > 0 {
+		ran = clock.Now() - p.sent
+	}
+	i.gate.leave(ran)
+	i.hangups.Remove(p.watched)
+	if p.out != nil {
+		fasthttp.ReleaseRequest(p.out)
+	}
+}
+
+// buildOut makes the request that the instance gets: the router's, without what is
+// between routers and ingresses only.
+func (i *Ingress) buildOut(request *fasthttp.RequestCtx, p *passage) {
+	out := fasthttp.AcquireRequest()
+	request.Request.Header.CopyTo(&out.Header)
+	for _, name := range betweenUs {
+		out.Header.Del(name)
+	}
+	out.Header.Del("Connection")
+	out.SetRequestURIBytes(request.Request.RequestURI())
+	out.Header.SetHostBytes(request.Host())
+	if p.names.Instance != "" {
+		out.Header.Set(p.names.Instance, p.seen.id)
+	}
+	if request.Request.IsBodyStream() {
+		out.SetBodyStream(request.RequestBodyStream(), request.Request.Header.ContentLength())
+	} else {
+		out.SetBodyRaw(request.Request.Body())
+	}
+	p.out = out
+}
+
+// betweenUs are the headers that routers add for ingresses.
+var betweenUs = []string{
+	wire.HeaderAttempt, wire.HeaderService, wire.HeaderShard, wire.HeaderEpoch, wire.HeaderRoute,
+	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderRepeatable, wire.HeaderDeadline,
+}
+
+// answer passes an answer on. Small ones are there whole; others are streamed and
+// hold the slot until their end.
+func (i *Ingress) answer(request *fasthttp.RequestCtx, p *passage, result *exchange) {
+	response := &request.Response
+	result.response.Header.CopyTo(&response.Header)
+	for _, name := range []string{"Connection", "Keep-Alive", "Transfer-Encoding"} {
+		response.Header.Del(name)
+	}
+	response.Header.Set(wire.HeaderAttempt, p.attemptID)
+	response.Header.Set(wire.HeaderOutcome, wire.OutcomeOK)
+	if i.stopping.Load() {
+		request.SetConnectionClose()
+	}
+	i.outcomes.WithLabelValues(wire.OutcomeOK, "").Inc()
+	if result.whole {
+		if p.head {
+			response.Header.SetContentLength(result.response.Header.ContentLength())
+			response.SkipBody = true
+		} else {
+			response.SetBodyRaw(result.response.Body())
+		}
+		fasthttp.ReleaseResponse(result.response)
+		i.end(p)
+		return
+	}
+	p.track(result.conn)
+	body := &answerBody{ingress: i, passage: p, exchange: result, stream: result.response.BodyStream()}
+	response.SetBodyStream(body, result.response.Header.ContentLength())
+}
+
+// refuse answers a request that the instance has not seen.
+func (i *Ingress) refuse(request *fasthttp.RequestCtx, p *passage, reason string, retryAfter time.Duration) {
+	i.write(request, p, fasthttp.StatusServiceUnavailable, wire.OutcomeNotRun, reason)
+	request.Response.Header.Set(wire.HeaderInFront, "1")
+	if retryAfter > 0 {
+		request.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	}
+	if request.Request.IsBodyStream() {
+		request.SetConnectionClose()
+	}
+}
+
+func (i *Ingress) write(request *fasthttp.RequestCtx, p *passage, status int, outcome, reason string) {
+	i.outcomes.WithLabelValues(outcome, reason).Inc()
+	request.Response.Reset()
+	request.SetStatusCode(status)
+	request.Response.Header.Set(wire.HeaderAttempt, p.attemptID)
+	request.Response.Header.Set(wire.HeaderOutcome, outcome)
+	request.Response.Header.Set(wire.HeaderReason, reason)
+	if i.stopping.Load() {
+		request.SetConnectionClose()
+	}
+}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -36,6 +36,9 @@
 	Target membership.SessionID
 	Epoch  uint64
 	Phase  Phase
+	// Token of the last owner's state, given by its release; the next owner
+	// presents it. Empty: the last owner did not release, or there was none.
+	Token string
 }
 
 // Key names a shard.
@@ -53,6 +56,23 @@
 	return uint32(xxhash.Sum64(key) % uint64(shards))
 }
 
+// NumberSpace is how many numbers a service divided into ranges has as keys.
+const NumberSpace = 1 << 16
+
+// OfNumber returns the shard that a number below NumberSpace belongs to: shards
+// are contiguous ranges of equal length.
+func OfNumber(number uint32, shards int) uint32 {
+	return uint32(uint64(number) * uint64(shards) / NumberSpace)
+}
+
+// Range returns the first and last number of a shard; see OfNumber.
+func Range(shard uint32, shards int) (first, last uint32) {
+	at := func(shard uint64) uint32 {
+		return uint32((shard*NumberSpace + uint64(shards) - 1) / uint64(shards))
+	}
+	return at(uint64(shard)), at(uint64(shard)+1) - 1
+}
+
 // Table holds the shards of all keyed services of a cell.
 //
 // Invariants:
@@ -186,7 +206,7 @@
 	if shard.Epoch != expected {
 		return refuse(key, "its epoch is %d, the decision was made at %d", shard.Epoch, expected)
 	}
-	t.Shards[key.Service][key.Shard] = Shard{Owner: to, Epoch: shard.Epoch + 1, Phase: PhaseGranted}
+	t.Shards[key.Service][key.Shard] = Shard{Owner: to, Epoch: shard.Epoch + 1, Phase: PhaseGranted, Token: shard.Token}
 	delete(t.free, key)
 	t.own(to, key)
 	return nil
@@ -208,9 +228,10 @@
 	return nil
 }
 
-// Release frees a shard on its owner's word. A late or repeated word, of
-// another epoch or session, is refused. It returns the target that was to follow.
-func (t *Table) Release(key Key, epoch uint64, from membership.SessionID) (membership.SessionID, error) {
+// Release frees a shard on its owner's word, which gives the token of its state
+// for the next owner. A late or repeated word, of another epoch or session, is
+// refused. It returns the target that was to follow.
+func (t *Table) Release(key Key, epoch uint64, from membership.SessionID, token string) (membership.SessionID, error) {
 	shard, found := t.Get(key)
 	if !found {
 		return 0, refuse(key, "there is no such shard")
@@ -218,7 +239,7 @@
 	if shard.Phase == PhaseFree || shard.Owner != from || shard.Epoch != epoch {
 		return 0, refuse(key, "session %d does not own it under epoch %d", from, epoch)
 	}
-	t.Shards[key.Service][key.Shard] = Shard{Epoch: shard.Epoch}
+	t.Shards[key.Service][key.Shard] = Shard{Epoch: shard.Epoch, Token: token}
 	t.disown(from, key)
 	t.free[key] = struct{}{}
 	return shard.Target, nil
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -28,7 +28,7 @@
 	is := is.New(t)
 	owners := table()
 	is.NoErr(owners.Assign(shard0, 0, 1))
-	_, err := owners.Release(shard0, 1, 1)
+	_, err := owners.Release(shard0, 1, 1, "")
 	is.NoErr(err)
 	is.True(owners.Assign(shard0, 0, 2) != nil)
 	is.NoErr(owners.Assign(shard0, 1, 2))
@@ -38,12 +38,12 @@
 	is := is.New(t)
 	owners := table()
 	is.NoErr(owners.Assign(shard0, 0, 1))
-	_, err := owners.Release(shard0, 1, 1)
+	_, err := owners.Release(shard0, 1, 1, "")
 	is.NoErr(err)
 	is.NoErr(owners.Assign(shard0, 1, 1)) // the same session again, under epoch 2
-	_, err = owners.Release(shard0, 1, 1)
+	_, err = owners.Release(shard0, 1, 1, "")
 	is.True(err != nil) // the word is about epoch 1
-	_, err = owners.Release(shard0, 2, 9)
+	_, err = owners.Release(shard0, 2, 9, "")
 	is.True(err != nil) // the word is not the owner's
 	shard, _ := owners.Get(shard0)
 	is.Equal(shard.Owner, owners.Shards["proofs"][0].Owner)
@@ -56,7 +56,7 @@
 	is.NoErr(owners.Assign(shard0, 0, 1))
 	is.NoErr(owners.BeginTransfer(shard0, 1, 2))
 	is.Equal(owners.OwnedCount(1), 1) // the source owns it until its release
-	target, err := owners.Release(shard0, 1, 1)
+	target, err := owners.Release(shard0, 1, 1, "")
 	is.NoErr(err)
 	is.Equal(int(target), 2)
 }
@@ -84,7 +84,7 @@
 	is.NoErr(owners.Assign(shard0, 0, 1))
 	is.NoErr(owners.Assign(Key{"proofs", 1}, 0, 2))
 	check()
-	_, err := owners.Release(shard0, 1, 1)
+	_, err := owners.Release(shard0, 1, 1, "")
 	is.NoErr(err)
 	check()
 	owners.CloseSession(2)
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -13,6 +13,7 @@
 
 	"limehold/admission"
 	"limehold/clock"
+	"limehold/upstream"
 	"limehold/wire"
 )
 
@@ -35,12 +36,15 @@
 	state    attemptState
 	reason   string
 	response *fasthttp.Response
-	conn     *upstream
+	conn     *upstream.Conn
 	err      error
 	// whole is true when the body has been read into the response already.
 	whole bool
 	// retryAfter is the back end's advice with attemptNotRun.
 	retryAfter time.Duration
+	// reached is true unless the request was refused in front of the back end: by
+	// the ingress beside it, or because no connection was had.
+	reached bool
 }
 
 const (
@@ -50,6 +54,8 @@
 	wholeLimit = 64 << 10
 	// minimumRemaining is the least time that is worth sending a request for.
 	minimumRemaining = 2 * time.Millisecond
+	// maxRetryAfter is the longest advice of a back end that is believed.
+	maxRetryAfter = time.Minute
 	// notRunBodyLimit bounds what is read of a refusal's body.
 	notRunBodyLimit = 8 << 10
 )
@@ -63,7 +69,7 @@
 		result.reason = refuseDeadline.reason
 		return result
 	}
-	conn, err := r.upstreams.get(node.Address, remaining)
+	conn, err := r.upstreams.Get(node.Address, remaining)
 	if err != nil {
 		result.err, result.reason = err, refuseUnreachable.reason
 		return result
@@ -71,13 +77,15 @@
 	result.conn = conn
 	attemptID := request.nextAttemptID()
 	if err := r.write(request, conn, attemptID, node); err != nil {
-		conn.close()
+		conn.Close()
 		result.err, result.reason = eris.Wrapf(err, "send request to %s at %s", node.Name, node.Address), reasonNoAnswer
+		result.reached = true
 		if !errors.Is(err, errNothingSent) {
 			result.state = attemptOpen
 		}
 		return result
 	}
+	result.reached = true
 	r.receive(request, result, attemptID)
 	return result
 }
@@ -86,10 +94,10 @@
 
 // write sends the request. An error that is not errNothingSent leaves open how
 // much of it arrived.
-func (r *Router) write(request *proxied, conn *upstream, attemptID string, node *wire.NodeView) error {
+func (r *Router) write(request *proxied, conn *upstream.Conn, attemptID string, node *wire.NodeView) error {
 	now := clock.Now()
 	remaining := request.deadline - now
-	if err := conn.raw.SetDeadline(time.Now().Add(remaining)); err != nil {
+	if err := conn.Raw.SetDeadline(time.Now().Add(remaining)); err != nil {
 		return errors.Join(errNothingSent, err)
 	}
 	out := request.out
@@ -100,14 +108,14 @@
 		return errors.Join(errNothingSent, errCallerGone)
 	}
 	defer request.untrack()
-	counted := &conn.counted
-	counted.written = 0
+	counted := &conn.Counted
+	counted.Written = 0
 	request.bodyUsed = request.bodyUsed || out.IsBodyStream()
-	err := out.Write(conn.writer)
+	err := out.Write(conn.Writer)
 	if err == nil {
-		err = conn.writer.Flush()
+		err = conn.Writer.Flush()
 	}
-	if err != nil && counted.written == 0 && !out.IsBodyStream() {
+	if err != nil && counted.Written == 0 && !out.IsBodyStream() {
 		return errors.Join(errNothingSent, err)
 	}
 	return err
@@ -115,18 +123,6 @@
 
 var errCallerGone = errors.New("the caller has closed its connection")
 
-type countingWriter struct {
-	inner   io.Writer
-	written int64
-}
-
-// Write implements io.Writer.
-func (w *countingWriter) Write(data []byte) (int, error) {
-	count, err := w.inner.Write(data)
-	w.written += int64(count)
-	return count, err
-}
-
 // receive reads the head of the answer, and the body too if it is small.
 func (r *Router) receive(request *proxied, result *attempt, attemptID string) {
 	conn := result.conn
@@ -134,7 +130,7 @@
 	response.StreamBody = true
 	response.SkipBody = request.head
 	fail := func(reason string, err error) {
-		conn.close()
+		conn.Close()
 		fasthttp.ReleaseResponse(response)
 		result.state, result.reason, result.err = attemptOpen, reason, err
 	}
@@ -143,26 +139,32 @@
 		return
 	}
 	defer request.untrack()
-	if err := response.ReadLimitBody(conn.reader, 0); err != nil {
+	if err := response.ReadLimitBody(conn.Reader, 0); err != nil {
 		reason := reasonNoAnswer
 		var timeout net.Error
 		if errors.As(err, &timeout) && timeout.Timeout() {
 			reason = reasonLateAnswer
 		}
-		fail(reason, eris.Wrapf(err, "read answer of %s", conn.address))
+		fail(reason, eris.Wrapf(err, "read answer of %s", conn.Address))
 		return
 	}
 	if string(response.Header.Peek(wire.HeaderAttempt)) != attemptID {
-		fail(reasonCrossedAnswer, eris.Errorf("answer of %s is for attempt %q, not %q", conn.address, response.Header.Peek(wire.HeaderAttempt), attemptID))
+		fail(reasonCrossedAnswer, eris.Errorf("answer of %s is for attempt %q, not %q", conn.Address, response.Header.Peek(wire.HeaderAttempt), attemptID))
 		return
 	}
-	if string(response.Header.Peek(wire.HeaderOutcome)) == wire.OutcomeNotRun {
+	switch string(response.Header.Peek(wire.HeaderOutcome)) {
+	case wire.OutcomeUnknown:
+		// The ingress beside the instance sent the request and got no usable answer.
+		reason := string(response.Header.Peek(wire.HeaderReason))
+		fail(reason, eris.Errorf("%s sent the request on and got no usable answer", conn.Address))
+		return
+	case wire.OutcomeNotRun:
 		r.takeNotRun(result, response)
 		return
 	}
 	length := response.Header.ContentLength()
 	if length == identityLength && !request.head && !bodyless(response.StatusCode()) {
-		fail(reasonUnframed, eris.Errorf("answer of %s has neither a length nor chunks: a cut could not be told from its end", conn.address))
+		fail(reasonUnframed, eris.Errorf("answer of %s has neither a length nor chunks: a cut could not be told from its end", conn.Address))
 		return
 	}
 	result.state, result.response = attemptAnswered, response
@@ -173,7 +175,7 @@
 	}
 	if length >= 0 && length <= wholeLimit {
 		if err := readWhole(response, length); err != nil {
-			fail(reasonBrokenAnswer, eris.Wrapf(err, "read answer body of %s", conn.address))
+			fail(reasonBrokenAnswer, eris.Wrapf(err, "read answer body of %s", conn.Address))
 			result.response = nil
 			return
 		}
@@ -204,25 +206,26 @@
 func (r *Router) takeNotRun(result *attempt, response *fasthttp.Response) {
 	result.state = attemptNotRun
 	result.reason = string(response.Header.Peek(wire.HeaderReason))
-	if seconds, err := strconv.Atoi(string(response.Header.Peek(fasthttp.HeaderRetryAfter))); err == nil {
-		result.retryAfter = time.Duration(seconds) * time.Second
+	result.reached = len(response.Header.Peek(wire.HeaderInFront)) == 0
+	if seconds, err := strconv.ParseFloat(string(response.Header.Peek(fasthttp.HeaderRetryAfter)), 64); err == nil && seconds > 0 && seconds < maxRetryAfter.Seconds() {
+		result.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
 	length := response.Header.ContentLength()
 	if length >= 0 && length <= notRunBodyLimit && readWhole(response, length) == nil {
 		r.finishConn(result.conn, response)
 	} else {
-		result.conn.close()
+		result.conn.Close()
 	}
 	fasthttp.ReleaseResponse(response)
 }
 
 // finishConn takes a connection back after an answer that was read to its end.
-func (r *Router) finishConn(conn *upstream, response *fasthttp.Response) {
+func (r *Router) finishConn(conn *upstream.Conn, response *fasthttp.Response) {
 	if response.ConnectionClose() {
-		conn.close()
+		conn.Close()
 		return
 	}
-	r.upstreams.put(conn)
+	r.upstreams.Put(conn)
 }
 
 // answerBody streams an answer to the caller and holds the slot until its end.
@@ -243,7 +246,7 @@
 // froze, or a caller that stopped reading, would otherwise keep the slot.
 func (b *answerBody) Read(data []byte) (int, error) {
 	stall := b.request.service.spec.StallTimeout.Std()
-	_ = b.attempt.conn.raw.SetReadDeadline(time.Now().Add(stall))
+	_ = b.attempt.conn.Raw.SetReadDeadline(time.Now().Add(stall))
 	count, err := b.stream.Read(data)
 	// What was read is written to the caller before the next read.
 	_ = b.request.caller.SetWriteDeadline(time.Now().Add(stall))
@@ -264,7 +267,7 @@
 		if b.finished {
 			b.router.finishConn(b.attempt.conn, b.attempt.response)
 		} else {
-			b.attempt.conn.close()
+			b.attempt.conn.Close()
 			outcome = admission.OutcomeNeutral
 		}
 		if b.broken {
--- a/router/framing.go
+++ b/router/framing.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"limehold/catalog"
 	"limehold/wire"
 )
 
@@ -43,18 +44,29 @@
 		return fasthttp.RequestConfig{}
 	}
 	path, _, _ := bytes.Cut(header.RequestURI(), []byte("?"))
-	found, rest := r.table.find(string(header.Host()), string(path))
-	if found == nil {
+	route := r.limitsFor(string(header.Host()), string(path), string(header.Method()))
+	if route == nil {
 		stopReading(header, r.refuseUnmatched())
 		return fasthttp.RequestConfig{}
 	}
-	route, _ := found.spec.RouteFor(string(header.Method()), rest)
 	if int64(header.ContentLength()) > route.MaxRequestBytes {
 		stopReading(header, refuseBodyTooBig)
 	}
 	return fasthttp.RequestConfig{ReadTimeout: route.Timeout.Std() + bodySlack}
 }
 
+// limitsFor returns the limits of the route that a request takes, or nil.
+func (r *Router) limitsFor(host, path, method string) *catalog.Route {
+	if found, rest := r.table.find(host, path); found != nil {
+		route, _ := found.spec.RouteFor(method, rest)
+		return route
+	}
+	if routed := r.table.route(host, path); routed != nil {
+		return &routed.limits
+	}
+	return nil
+}
+
 // stopReading makes the library leave the body alone and close the connection
 // after the answer.
 func stopReading(header *fasthttp.RequestHeader, refused refusal) {
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -20,6 +20,9 @@
 	// it does not own the shard yet (its grant is on the way).
 	ownerRetryMin = 5 * time.Millisecond
 	ownerRetryMax = 80 * time.Millisecond
+	// maxRefusedInFront is how many more instances may be asked whose ingress
+	// refuses before the back end has seen the request.
+	maxRefusedInFront = 2
 )
 
 // handle is the callers' handler.
@@ -33,17 +36,17 @@
 		if p != nil {
 			id = p.id
 		}
-		r.refuse(request, callerID(request, id), p, refused)
+		r.refuse(request, r.callerID(request, id), p, refused)
 		return
 	}
 	p.service.budget.earn()
 	r.buildOut(request, p)
 	if refused := p.takeBody(request); refused.refused() {
-		r.refuse(request, callerID(request, p.id), p, refused)
+		r.refuse(request, p.shown, p, refused)
 		fasthttp.ReleaseRequest(p.out)
 		return
 	}
-	r.hangups.add(p)
+	p.watched = r.hangups.Add(p.caller, p.cancel)
 	streaming := r.proxy(request, p)
 	if !streaming {
 		r.finish(p)
@@ -52,7 +55,7 @@
 
 // finish forgets a request once nothing reads its body or answer any more.
 func (r *Router) finish(p *proxied) {
-	r.hangups.remove(p)
+	r.hangups.Remove(p.watched)
 	fasthttp.ReleaseRequest(p.out)
 }
 
@@ -205,9 +208,16 @@
 	case attemptAnswered:
 		return false
 	}
-	if number >= p.route.MaxAttempts {
+	if result.reached {
+		p.reached++
+	}
+	if p.reached >= p.route.MaxAttempts || number >= p.route.MaxAttempts+maxRefusedInFront {
 		return false
 	}
+	if p.reached == 0 {
+		// No back end has seen the request: it costs nobody anything to ask another.
+		return true
+	}
 	if !p.service.budget.spend() {
 		r.metrics.budgetEmpty.Inc()
 		return false
@@ -223,13 +233,13 @@
 		r.unknown(request, p, reasonNoAnswer)
 		return
 	}
-	r.refuse(request, callerID(request, p.id), p, refused)
+	r.refuse(request, p.shown, p, refused)
 }
 
 func (r *Router) endAfter(request *fasthttp.RequestCtx, p *proxied, open bool, result *attempt) {
 	if p.body != nil && p.body.exceeded {
 		// The back end saw a request without an end, and does not run those.
-		r.refuse(request, callerID(request, p.id), p, refuseBodyTooBig)
+		r.refuse(request, p.shown, p, refuseBodyTooBig)
 		return
 	}
 	if open {
@@ -240,7 +250,7 @@
 		r.unknown(request, p, reason)
 		return
 	}
-	r.refuse(request, callerID(request, p.id), p, refusalOf(result))
+	r.refuse(request, p.shown, p, refusalOf(result))
 }
 
 func refusalOf(result *attempt) refusal {
@@ -271,7 +281,7 @@
 	result.response.Header.CopyTo(&response.Header)
 	dropAnswerHeaders(&response.Header)
 	response.Header.Set(wire.HeaderOutcome, wire.OutcomeOK)
-	response.Header.Set(wire.HeaderRequestID, callerID(request, p.id))
+	r.setCallerID(response, p)
 	setRevision(response, p)
 	if r.draining.Load() {
 		request.SetConnectionClose()
@@ -292,7 +302,7 @@
 	}
 	p.track(result.conn)
 	// A body may be longer on its way than the route's timeout.
-	_ = result.conn.raw.SetDeadline(time.Time{})
+	_ = result.conn.Raw.SetDeadline(time.Time{})
 	body := &answerBody{router: r, request: p, attempt: result, stream: result.response.BodyStream(), release: func(outcome admission.Outcome) {
 		p.service.pool.release(id, outcome, latency)
 		r.finish(p)
@@ -316,11 +326,15 @@
 // refuse answers a request that was not run.
 func (r *Router) refuse(request *fasthttp.RequestCtx, id string, p *proxied, refused refusal) {
 	r.metrics.count(wire.OutcomeNotRun, refused.reason)
+	if p != nil && p.routed != nil && refused.mayComeBack() {
+		// To the callers of a route table only this status promises "not run".
+		refused.status = fasthttp.StatusServiceUnavailable
+		refused.retryAfter = max(refused.retryAfter, r.options.Settings.Router.RetryAfter)
+	}
 	r.writeOutcome(request, id, wire.OutcomeNotRun, refused.reason, refused.status, refused.advice)
 	setRevision(&request.Response, p)
 	if refused.retryAfter > 0 {
-		seconds := int(math.Ceil(refused.retryAfter.Seconds()))
-		request.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(seconds))
+		request.Response.Header.Set(fasthttp.HeaderRetryAfter, r.retryAfterText(refused.retryAfter))
 	}
 	if len(request.Request.Header.Peek(headerRefused)) > 0 || p != nil && p.body != nil {
 		closeAfterRefusal(request)
@@ -335,7 +349,7 @@
 // unknown answers a request whose outcome is open.
 func (r *Router) unknown(request *fasthttp.RequestCtx, p *proxied, reason string) {
 	r.metrics.count(wire.OutcomeUnknown, reason)
-	r.writeOutcome(request, callerID(request, p.id), wire.OutcomeUnknown, reason, fasthttp.StatusBadGateway,
+	r.writeOutcome(request, p.shown, wire.OutcomeUnknown, reason, fasthttp.StatusBadGateway,
 		"the request was sent, and it is unknown whether it ran: look before you send it again")
 	setRevision(&request.Response, p)
 }
@@ -348,13 +362,26 @@
 	}
 }
 
+// retryAfterText writes seconds, with a fraction only where callers understand it.
+func (r *Router) retryAfterText(after time.Duration) string {
+	if !r.options.Settings.Router.FractionalRetryAfter {
+		return strconv.Itoa(int(math.Ceil(after.Seconds())))
+	}
+	return strconv.FormatFloat(after.Seconds(), 'f', -1, 64)
+}
+
+// setCallerID gives the caller its request's ID back.
+func (r *Router) setCallerID(response *fasthttp.Response, p *proxied) {
+	response.Header.Set(r.options.Settings.Headers.RequestID, p.shown)
+}
+
 func (r *Router) writeOutcome(request *fasthttp.RequestCtx, id, outcome, reason string, status int, advice string) {
 	request.Response.Reset()
 	request.SetStatusCode(status)
 	request.SetContentType("application/json")
 	request.Response.Header.Set(wire.HeaderOutcome, outcome)
 	request.Response.Header.Set(wire.HeaderReason, reason)
-	request.Response.Header.Set(wire.HeaderRequestID, id)
+	request.Response.Header.Set(r.options.Settings.Headers.RequestID, id)
 	if r.draining.Load() {
 		request.SetConnectionClose()
 	}
@@ -364,7 +391,7 @@
 func (r *Router) noteAttempt(p *proxied, node *wire.NodeView, result *attempt) {
 	if result.state == attemptOpen || result.state == attemptNotSent {
 		r.logger.Info("attempt_failed", append(logging.Step("attempt", node.Name, result.err),
-			zap.String("request", p.id), zap.String("service", p.service.name), zap.String("reason", result.reason),
+			zap.String("request", p.shown), zap.String("service", p.service.name), zap.String("reason", result.reason),
 			zap.Bool("sent", result.state == attemptOpen), zap.Int("attempt", p.attempts))...)
 	}
 }
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -16,6 +16,16 @@
 
 func (r refusal) refused() bool { return r.reason != "" }
 
+// mayComeBack reports whether the same request may be served later: it was not the
+// request that was wrong.
+func (r refusal) mayComeBack() bool {
+	switch r.status {
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusGatewayTimeout, fasthttp.StatusGone:
+		return true
+	}
+	return false
+}
+
 // Reasons for which the router itself did not run a request. They are part of
 // the callers' interface: docs/CALLERS.md.
 var (
--- a/router/request.go
+++ b/router/request.go
@@ -15,15 +15,24 @@
 
 	"limehold/catalog"
 	"limehold/clock"
+	"limehold/hangup"
+	"limehold/upstream"
 	"limehold/wire"
 )
 
 // proxied is one caller's request on its way through the router.
 type proxied struct {
-	id         string
-	attempts   int
-	service    *service
-	route      *catalog.Route
+	// id is drawn here and names the attempts; shown is the caller's own ID if it
+	// gave one.
+	id       string
+	shown    string
+	attempts int
+	// reached counts the attempts that came as far as a back end.
+	reached int
+	service *service
+	route   *catalog.Route
+	// routed is set when the request came by way of the route table.
+	routed     *routedRoute
 	repeatable bool
 	head       bool
 	shard      uint32
@@ -36,15 +45,16 @@
 	caller  net.Conn
 	started time.Duration
 
+	watched   *hangup.Watched
 	mutex     sync.Mutex
-	upstream  *upstream
+	upstream  *upstream.Conn
 	cancelled chan struct{}
 	gone      bool
 }
 
 // track notes the connection on which the request is, so that it can be closed
 // when the caller goes away. It returns false if the caller is gone already.
-func (p *proxied) track(conn *upstream) bool {
+func (p *proxied) track(conn *upstream.Conn) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.gone {
@@ -71,7 +81,7 @@
 	p.gone = true
 	close(p.cancelled)
 	if p.upstream != nil {
-		p.upstream.close()
+		p.upstream.Close()
 	}
 }
 
@@ -96,8 +106,8 @@
 	return hex.EncodeToString(random[:])
 }
 
-func callerID(request *fasthttp.RequestCtx, drawn string) string {
-	given := request.Request.Header.Peek(wire.HeaderRequestID)
+func (r *Router) callerID(request *fasthttp.RequestCtx, drawn string) string {
+	given := request.Request.Header.Peek(r.options.Settings.Headers.RequestID)
 	if len(given) == 0 || len(given) > maxRequestIDLength {
 		return drawn
 	}
@@ -109,22 +119,36 @@
 	if early, refused := earlyRefusals[string(request.Request.Header.Peek(headerRefused))]; refused {
 		return nil, early
 	}
-	if !plainPath(request.URI().PathOriginal()) {
-		return nil, refuseBadRequest
+	// A route table's prefixes are compared with the path as it was sent, which is
+	// also what back ends get; a service's own prefix with the path that all agree on.
+	path := string(request.URI().PathOriginal())
+	if !r.table.hasRoutes() {
+		if !plainPath(request.URI().PathOriginal()) {
+			return nil, refuseBadRequest
+		}
+		path = string(request.Path())
+	}
+	now := clock.Now()
+	p := &proxied{
+		id: drawID(), head: request.IsHead(), caller: request.Conn(),
+		started: now, cancelled: make(chan struct{}),
 	}
-	path := string(request.Path())
+	p.shown = r.callerID(request, p.id)
 	found, rest := r.table.find(string(request.Host()), path)
+	if found == nil {
+		p.routed, found = r.table.findRoute(string(request.Host()), path)
+	}
 	if found == nil {
 		return nil, r.refuseUnmatched()
 	}
-	now := clock.Now()
-	p := &proxied{
-		id: drawID(), service: found, head: request.IsHead(), caller: request.Conn(),
-		started: now, cancelled: make(chan struct{}),
+	p.service = found
+	if p.routed != nil {
+		p.route, p.repeatable = &p.routed.limits, p.routed.route.Kind.Repeatable()
+	} else {
+		p.route, p.repeatable = found.spec.RouteFor(string(request.Method()), rest)
 	}
-	p.route, p.repeatable = found.spec.RouteFor(string(request.Method()), rest)
 	p.deadline = now + p.route.Timeout.Std()
-	if wanted, ok := callerTimeout(request); ok {
+	if wanted, ok := r.callerTimeout(request); ok {
 		p.deadline = min(p.deadline, now+wanted)
 	}
 	if found.retiring {
@@ -137,11 +161,12 @@
 		return p, refuseBodyTooBig
 	}
 	if found.spec.Keyed {
-		key := findKey(request, found.spec.Key, rest)
-		if len(key) == 0 {
+		key := r.findKey(request, found.spec.Key, rest)
+		shard, ok := shardOf(found, key)
+		if !ok {
 			return p, refuseNoKey
 		}
-		p.shard = shardOf(found, key)
+		p.shard = shard
 	}
 	return p, refusal{}
 }
@@ -149,7 +174,7 @@
 // refuseUnmatched says that there is no such service only if the router's view
 // is known to be current.
 func (r *Router) refuseUnmatched() refusal {
-	if !r.freshness.within(clock.Now(), unmatchedBound) {
+	if !r.freshness.within(clock.Now(), unmatchedBound) || r.options.RouteTable && !r.table.hasRoutes() {
 		return refuseNotCurrent
 	}
 	return refuseNoService
@@ -176,8 +201,8 @@
 	return !bytes.HasSuffix(lower, []byte("/..")) && !bytes.HasSuffix(lower, []byte("/."))
 }
 
-func callerTimeout(request *fasthttp.RequestCtx) (time.Duration, bool) {
-	text := request.Request.Header.Peek(wire.HeaderTimeout)
+func (r *Router) callerTimeout(request *fasthttp.RequestCtx) (time.Duration, bool) {
+	text := request.Request.Header.Peek(r.options.Settings.Headers.Deadline)
 	if len(text) == 0 {
 		return 0, false
 	}
@@ -188,9 +213,12 @@
 	return time.Duration(millis) * time.Millisecond, true
 }
 
-func findKey(request *fasthttp.RequestCtx, rule catalog.KeyRule, rest string) []byte {
+func (r *Router) findKey(request *fasthttp.RequestCtx, rule catalog.KeyRule, rest string) []byte {
 	switch rule.Source {
 	case catalog.KeyFromHeader:
+		if rule.Name == "" {
+			return request.Request.Header.Peek(r.options.Settings.Headers.Key)
+		}
 		return request.Request.Header.Peek(rule.Name)
 	case catalog.KeyFromQuery:
 		return request.QueryArgs().Peek(rule.Name)
@@ -217,9 +245,10 @@
 	dropHeaders(&out.Header, request.Request.Header.Peek("Connection"))
 	out.SetRequestURIBytes(request.Request.RequestURI())
 	out.Header.SetHostBytes(request.Host())
-	out.Header.Set(wire.HeaderRequestID, callerID(request, p.id))
+	out.Header.Set(r.options.Settings.Headers.RequestID, p.shown)
 	out.Header.Set(wire.HeaderService, p.service.name)
 	out.Header.Set(wire.HeaderShard, strconv.FormatUint(uint64(p.shard), 10))
+	r.setRouted(request, p, out)
 	p.out = out
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -20,9 +20,12 @@
 	"limehold/adminserver"
 	"limehold/admission"
 	"limehold/clock"
+	"limehold/hangup"
 	"limehold/metrics"
 	"limehold/settings"
 	"limehold/transport"
+	"limehold/upstream"
+	"limehold/wire"
 )
 
 // Options configures a router.
@@ -32,6 +35,14 @@
 	Metrics  *metrics.Registry
 	// TLS secures connections to control; nil: plain TCP.
 	TLS *tls.Config
+	// CallerService is the service whose instance the callers of this router are
+	// beside; it is told to the back ends. Empty: unknown.
+	CallerService string
+	// RouteTable is set where a route table is to come: until it has, nothing is
+	// known to be missing.
+	RouteTable bool
+	// NoAdmin is set for a router whose process has an operators' listener of its own.
+	NoAdmin bool
 }
 
 // Router is one router process.
@@ -43,13 +54,15 @@
 	admin     net.Listener
 	server    *fasthttp.Server
 	table     *table
-	upstreams *upstreams
-	hangups   *hangups
+	upstreams *upstream.Pool
+	hangups   *hangup.Watcher
 	work      *workTable
 	freshness freshness
 	resync    atomic.Bool
 	draining  atomic.Bool
 	metrics   routerMetrics
+	// members is the newest list of control members that one of them has told.
+	members atomic.Pointer[wire.MemberList]
 }
 
 type routerMetrics struct {
@@ -77,7 +90,7 @@
 // New opens the listeners. Run serves them.
 func New(options Options) (*Router, error) {
 	config := options.Settings
-	r := &Router{options: options, logger: options.Logger, upstreams: newUpstreams(), hangups: newHangups(), work: newWorkTable()}
+	r := &Router{options: options, logger: options.Logger, upstreams: upstream.NewPool(upstream.DefaultIdleLimit), hangups: hangup.NewWatcher(), work: newWorkTable()}
 	policy := policyOf(config.Router.Balance)
 	r.table = newTable(func(name string) *pool { return newPool(name, policy, config.Router.Limits == settings.LimitsFixed) })
 	r.registerMetrics()
@@ -85,9 +98,19 @@
 	if r.callers, r.listener, err = listen(config.Router); err != nil {
 		return nil, err
 	}
+	if options.NoAdmin {
+		r.serveWith(config)
+		return r, nil
+	}
 	if r.admin, err = net.Listen("tcp", config.Admin.Listen); err != nil {
 		return nil, eris.Wrapf(err, "listen for operators on %s (admin.listen)", config.Admin.Listen)
 	}
+	r.serveWith(config)
+	return r, nil
+}
+
+// serveWith makes the callers' server.
+func (r *Router) serveWith(config settings.Settings) {
 	r.server = &fasthttp.Server{
 		Handler: r.handle, HeaderReceived: r.headReceived, ErrorHandler: r.handleBadRequest, NoDefaultServerHeader: true,
 		ReadTimeout: headTimeout,
@@ -98,7 +121,6 @@
 		IdleTimeout: config.Router.IdleTimeout, DisablePreParseMultipartForm: true, CloseOnShutdown: true,
 		Logger: libraryLogger{r.logger},
 	}
-	return r, nil
 }
 
 // listen opens the callers' listener; the second one is the first, secured if
@@ -137,7 +159,7 @@
 		latency: registry.Histogram("router", "answer_seconds", "Time from a request's arrival to the head of its answer.",
 			[]float64{.0005, .001, .002, .005, .01, .015, .025, .05, .1, .25, .5, 1, 2.5, 5}),
 	}
-	registry.Gauge("router", "in_flight", "Requests under way.", func() float64 { return float64(r.hangups.count()) })
+	registry.Gauge("router", "in_flight", "Requests under way.", func() float64 { return float64(r.hangups.Count()) })
 	registry.Gauge("router", "configuration_age_seconds", "Age of the router's view of the configuration.", func() float64 { return r.freshness.age(clock.Now()).Seconds() })
 	registry.Gauge("router", "configuration_revision", "Revision in force.", func() float64 { return float64(r.table.inForce()) })
 }
@@ -146,7 +168,12 @@
 func (r *Router) Address() string { return r.listener.Addr().String() }
 
 // AdminAddress is the operators' listener.
-func (r *Router) AdminAddress() string { return r.admin.Addr().String() }
+func (r *Router) AdminAddress() string {
+	if r.admin == nil {
+		return ""
+	}
+	return r.admin.Addr().String()
+}
 
 // Run serves until ctx ends, then finishes what is under way.
 func (r *Router) Run(ctx context.Context) error {
@@ -156,9 +183,12 @@
 	r.logger.Info("listening", zap.String("address", r.Address()), zap.String("admin", r.AdminAddress()),
 		zap.Bool("tls", r.options.Settings.Router.Certificate != ""), zap.Bool("control_tls", r.options.TLS != nil))
 	group.Go(func() error { return r.follow(serving) })
-	group.Go(func() error { return r.hangups.run(serving) })
+	group.Go(func() error { return r.hangups.Run(serving) })
 	group.Go(func() error { return r.sweep(serving) })
 	group.Go(func() error {
+		if r.admin == nil {
+			return nil
+		}
 		return adminserver.Run(serving, adminserver.Options{Listener: r.admin, Metrics: r.options.Metrics, Healthy: r.healthy})
 	})
 	group.Go(func() error {
@@ -208,7 +238,7 @@
 // are idle stay open for the notice time, so that a caller that is just about to
 // use one still gets its answer. Then it waits for what is under way.
 func (r *Router) drain() {
-	r.logger.Info("draining", zap.Int("in_flight", r.hangups.count()))
+	r.logger.Info("draining", zap.Int("in_flight", r.hangups.Count()))
 	r.draining.Store(true)
 	deadline := time.Now().Add(r.options.Settings.Router.DrainTimeout)
 	r.callers.stop()
@@ -216,19 +246,19 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := r.server.ShutdownWithContext(ctx); err != nil {
-		r.logger.Warn("drain_incomplete", zap.Int("in_flight", r.hangups.count()), zap.Error(err))
+		r.logger.Warn("drain_incomplete", zap.Int("in_flight", r.hangups.Count()), zap.Error(err))
 	}
 }
 
 func (r *Router) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepEvery)
+	ticker := time.NewTicker(upstream.SweepEvery)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			r.upstreams.sweep()
+			r.upstreams.Sweep()
 		}
 	}
 }
@@ -245,8 +275,11 @@
 }
 
 // healthy fails while a balancer in front of the routers should leave this one out.
-func (r *Router) healthy() error {
-	if r.draining.Load() || r.table.inForce() == 0 {
+func (r *Router) healthy() error { return r.Healthy() }
+
+// Healthy returns why callers should not be sent here; nil: they may be.
+func (r *Router) Healthy() error {
+	if r.draining.Load() || r.table.inForce() == 0 || r.options.RouteTable && !r.table.hasRoutes() {
 		return errNotServing
 	}
 	return nil
--- /dev/null
+++ b/router/routes.go
@@ -0,0 +1,189 @@
+package router
+
+import (
+	"strconv"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+
+	"limehold/catalog"
+	"limehold/routing"
+	"limehold/wire"
+)
+
+// routeTable is a version of the route table as the router uses it. It does not
+// change; the next version takes over what has not changed in between.
+type routeTable struct {
+	document routing.Document
+	index    *routing.Index
+	routes   map[*routing.Route]*routedRoute
+}
+
+// routedRoute is one route with what the router needs of it.
+type routedRoute struct {
+	route  *routing.Route
+	limits catalog.Route
+	split  *splitter
+	// version of the route table that the route was taken from.
+	version uint64
+}
+
+// changed returns the table after a change.
+func (t *routeTable) changed(change *routing.Change) *routeTable {
+	var before routing.Document
+	splits := map[string]*splitter{}
+	if t != nil {
+		before = t.document
+		for _, known := range t.routes {
+			splits[known.route.Name] = known.split
+		}
+	}
+	next := &routeTable{document: before.Edited(change), routes: map[*routing.Route]*routedRoute{}}
+	next.index = routing.NewIndex(&next.document)
+	limits := next.document.Limits()
+	for i := range next.document.Items {
+		route := next.document.Items[i].Route
+		if route == nil {
+			continue
+		}
+		known := &routedRoute{route: route, limits: limitsOf(route, limits), split: splits[route.Name], version: next.document.Version}
+		if known.split == nil || !known.split.serves(route.Split) {
+			known.split = newSplitter(route.Split)
+		}
+		next.routes[route] = known
+	}
+	return next
+}
+
+func limitsOf(route *routing.Route, limits *routing.Limits) catalog.Route {
+	built := catalog.NewRoute()
+	built.Timeout = catalog.Duration(route.Timeout)
+	built.Hold = catalog.Duration(route.Timeout)
+	built.MaxAttempts = route.MaxAttempts
+	if limits != nil && limits.BodyBytes > 0 {
+		built.MaxRequestBytes = limits.BodyBytes
+	}
+	return built
+}
+
+// splitter spreads requests over the shares of a route by smooth weighted round
+// robin: every run of requests gets each share's part as exactly as it can be.
+type splitter struct {
+	mutex  sync.Mutex
+	shares []routing.Share
+	credit []float64
+}
+
+func newSplitter(shares []routing.Share) *splitter {
+	return &splitter{shares: shares, credit: make([]float64, len(shares))}
+}
+
+// serves reports whether the splitter spreads over the same shares.
+func (s *splitter) serves(shares []routing.Share) bool {
+	if len(shares) != len(s.shares) {
+		return false
+	}
+	for i := range shares {
+		if shares[i] != s.shares[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// next returns the service that the next request goes to.
+func (s *splitter) next() string {
+	if len(s.shares) == 1 {
+		return s.shares[0].Service
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	total, best := 0.0, 0
+	for i := range s.shares {
+		s.credit[i] += s.shares[i].Weight
+		total += s.shares[i].Weight
+		if s.credit[i] > s.credit[best] {
+			best = i
+		}
+	}
+	s.credit[best] -= total
+	return s.shares[best].Service
+}
+
+// findRoute returns the route of a host and path, and the service that the next
+// of its requests goes to.
+func (t *table) findRoute(host, path string) (*routedRoute, *service) {
+	known := t.route(host, path)
+	if known == nil {
+		return nil, nil
+	}
+	name := known.split.next()
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+	return known, t.services[name]
+}
+
+// route returns the route of a host and path, or nil.
+func (t *table) route(host, path string) *routedRoute {
+	t.mutex.RLock()
+	routes := t.routes
+	t.mutex.RUnlock()
+	if routes == nil {
+		return nil
+	}
+	return routes.routes[routes.index.Route(host, path)]
+}
+
+// hasRoutes reports whether the router knows a route table.
+func (t *table) hasRoutes() bool {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+	return t.routes != nil
+}
+
+// limits returns the route table's limits; nil when there are none.
+func (t *table) limits() *routing.Limits {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+	if t.routes == nil {
+		return nil
+	}
+	return t.routes.document.Limits()
+}
+
+// setRouted adds what an ingress, and the instance behind it, has to know of a
+// request that came by way of the route table.
+func (r *Router) setRouted(request *fasthttp.RequestCtx, p *proxied, out *fasthttp.Request) {
+	names := r.options.Settings.Headers
+	if names.Caller != "" {
+		out.Header.Set(names.Caller, r.options.CallerService)
+	}
+	if p.routed == nil {
+		return
+	}
+	if names.Key != "" {
+		if key := request.Request.Header.Peek(names.Key); len(key) > 0 {
+			out.Header.SetBytesV(names.Key, key)
+		}
+	}
+	route := p.routed.route
+	out.Header.Set(wire.HeaderRoute, route.Name)
+	out.Header.Set(wire.HeaderPriority, strconv.Itoa(route.Priority))
+	out.Header.Set(wire.HeaderTarget, strconv.FormatInt(route.TargetLatency.Milliseconds(), 10))
+	out.Header.Set(wire.HeaderRepeatable, strconv.FormatBool(p.repeatable))
+}
+
+// InstanceConnections is how many connections an instance of a service accepts, as
+// the route table says; zero: unknown.
+func (r *Router) InstanceConnections(name string) int {
+	r.table.mutex.RLock()
+	defer r.table.mutex.RUnlock()
+	if r.table.routes == nil {
+		return 0
+	}
+	service := r.table.routes.document.Service(name)
+	if service == nil {
+		return 0
+	}
+	return service.Connections
+}
--- a/router/table.go
+++ b/router/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -25,6 +26,8 @@
 	// changed is closed and replaced by each update.
 	changed chan struct{}
 	newPool func(name string) *pool
+	// routes is the route table; nil until there is one.
+	routes *routeTable
 }
 
 // service is one service as the router uses it.
@@ -76,6 +79,9 @@
 	t.applyNodes(update, touched)
 	t.applyServices(update)
 	t.applyShards(update)
+	if update.Routes != nil {
+		t.routes = t.routes.changed(update.Routes)
+	}
 	t.revision = update.Revision
 	for name := range touched {
 		t.pools[name].update(t.instances(name))
@@ -162,6 +168,9 @@
 			next.shards = make([]shardOwner, view.Spec.Shards)
 		}
 		t.services[view.Name] = next
+		if view.Spec.Match == (catalog.Match{}) {
+			continue
+		}
 		t.byMatch[view.Spec.Match] = next
 		t.depth = max(t.depth, strings.Count(view.Spec.Match.PathPrefix, "/"))
 	}
@@ -271,4 +280,17 @@
 	return t.revision
 }
 
-func shardOf(known *service, key []byte) uint32 { return ownership.Of(key, len(known.shards)) }
+// shardOf returns the shard of a key; false when it is no key of the service.
+func shardOf(known *service, key []byte) (uint32, bool) {
+	if len(key) == 0 {
+		return 0, false
+	}
+	if !known.spec.Key.Ranges {
+		return ownership.Of(key, len(known.shards)), true
+	}
+	number, err := strconv.ParseUint(string(key), 10, 16)
+	if err != nil {
+		return 0, false
+	}
+	return ownership.OfNumber(uint32(number), len(known.shards)), true
+}
--- a/router/watch.go
+++ b/router/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,8 @@
 	// confirmTimeout bounds one question whether the view is current; a member
 	// that cannot answer within it is left for another.
 	confirmTimeout = 1500 * time.Millisecond
+	// firstChoices spreads the routers' first choices among the members.
+	firstChoices = 64
 )
 
 // freshness is how old the router's view may be at the most.
@@ -88,10 +91,10 @@
 
 // follow keeps a subscription at one of the members, whichever answers.
 func (r *Router) follow(ctx context.Context) error {
-	addresses := r.options.Settings.Router.Control
 	// Routers begin at different members, so that these share the load.
-	first := int(xxhash.Sum64String(r.options.Settings.Name) % uint64(len(addresses)))
+	first := int(xxhash.Sum64String(r.options.Settings.Name) % firstChoices)
 	for turn := first; ctx.Err() == nil; turn++ {
+		addresses := r.controlAddresses()
 		address := addresses[turn%len(addresses)]
 		err := r.followOne(ctx, address)
 		if ctx.Err() != nil {
@@ -106,6 +109,21 @@
 	return nil
 }
 
+// controlAddresses are those that the members have told, and those of the settings.
+func (r *Router) controlAddresses() []string {
+	addresses := slices.Clone(r.options.Settings.Router.Control)
+	list := r.members.Load()
+	if list == nil {
+		return addresses
+	}
+	for _, address := range list.Addresses {
+		if !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 func (r *Router) followOne(ctx context.Context, address string) error {
 	dialContext, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
@@ -136,6 +154,9 @@
 	reported := time.Now()
 	for {
 		request := &wire.Confirm{Router: r.options.Settings.Name, Zone: r.options.Settings.Zone, Revision: r.table.inForce()}
+		if list := r.members.Load(); list != nil {
+			request.Members = list.Version
+		}
 		if time.Since(reported) >= reportEvery {
 			reported = time.Now()
 			request.Work = r.work.take()
@@ -164,6 +185,9 @@
 	if err := conn.Call(ctx, wire.KindConfirm, request, &reply); err != nil {
 		return err
 	}
+	if reply.Members != nil {
+		r.members.Store(reply.Members)
+	}
 	r.freshness.confirm(confirmation{sentAt: sentAt, revision: reply.Revision}, r.table.inForce())
 	return nil
 }
--- /dev/null
+++ b/routing/validate.go
@@ -0,0 +1,98 @@
+package routing
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// maxTargetOverTimeout is how far a target latency may lie above its route's timeout.
+const maxTargetOverTimeout = time.Minute
+
+// Invalid says what is wrong with a document.
+type Invalid struct {
+	// Item names the entry, for example "route r-1".
+	Item string
+	// Field and Value are what was refused; Want is what would be right.
+	Field string
+	Value string
+	Want  string
+}
+
+// Error implements error.
+func (i *Invalid) Error() string {
+	return fmt.Sprintf("%s: %s is %q: %s", i.Item, i.Field, i.Value, i.Want)
+}
+
+// Validate returns the first thing that is wrong with the document, or nil.
+func (d *Document) Validate() *Invalid {
+	services := map[string]bool{}
+	for i := range d.Items {
+		if service := d.Items[i].Service; service != nil {
+			services[service.Name] = true
+		}
+	}
+	type place struct{ host, prefix string }
+	taken := map[place]string{}
+	names := map[Section]map[string]bool{SectionRoutes: {}, SectionServices: {}, SectionLimits: {}}
+	for i := range d.Items {
+		item := &d.Items[i]
+		if names[item.Section][item.Name] {
+			return &Invalid{Item: string(item.Section), Field: "name", Value: item.Name, Want: "name each entry once"}
+		}
+		names[item.Section][item.Name] = true
+		if item.Route == nil {
+			continue
+		}
+		if invalid := item.Route.validate(services); invalid != nil {
+			return invalid
+		}
+		at := place{item.Route.Host, item.Route.PathPrefix}
+		if other, used := taken[at]; used {
+			return item.Route.invalid("path_prefix", item.Route.PathPrefix, "route "+other+" has this host and prefix already")
+		}
+		taken[at] = item.Route.Name
+	}
+	return nil
+}
+
+func (r *Route) invalid(field string, value any, want string) *Invalid {
+	return &Invalid{Item: "route " + r.Name, Field: field, Value: fmt.Sprint(value), Want: want}
+}
+
+func (r *Route) validate(services map[string]bool) *Invalid {
+	switch {
+	case r.Name == "":
+		return r.invalid("name", r.Name, "give each route a name")
+	case r.Host == "":
+		return r.invalid("host", r.Host, "name the host")
+	case !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/"):
+		return r.invalid("path_prefix", r.PathPrefix, "begin and end it with a slash")
+	case r.Kind != KindSafe && r.Kind != KindUnsafe && r.Kind != KindDownload:
+		return r.invalid("kind", r.Kind, "use safe, unsafe or download")
+	case r.Timeout <= 0:
+		return r.invalid("timeout", r.Timeout, "use more than 0")
+	case r.TargetLatency >= r.Timeout+maxTargetOverTimeout:
+		return r.invalid("target_latency", r.TargetLatency, "use less than a minute over the timeout")
+	case r.MaxAttempts <= 0:
+		return r.invalid("max_attempts", r.MaxAttempts, "use 1 or more")
+	}
+	return r.validateSplit(services)
+}
+
+func (r *Route) validateSplit(services map[string]bool) *Invalid {
+	total := 0.0
+	for _, share := range r.Split {
+		if !services[share.Service] {
+			return r.invalid("service", share.Service, "name a service of the same document")
+		}
+		if share.Weight < 0 {
+			return r.invalid("weight", share.Weight, "use 0 or more")
+		}
+		total += share.Weight
+	}
+	if total <= 0 {
+		return r.invalid("weight", total, "let the weights add up to more than 0")
+	}
+	return nil
+}
--- /dev/null
+++ b/settings/discovery.go
@@ -0,0 +1,38 @@
+package settings
+
+import (
+	"net"
+	"strconv"
+)
+
+// Complete fills in what follows from other settings: the addresses of control
+// that are not given, from discovery.
+func (s *Settings) Complete() {
+	addresses := s.Discovery.addresses()
+	if len(addresses) == 0 {
+		return
+	}
+	if len(s.Control.Members) == 0 && len(s.Control.Seeds) == 0 {
+		s.Control.Seeds = addresses
+	}
+	if len(s.Router.Control) == 0 {
+		s.Router.Control = addresses
+	}
+	if len(s.Agent.Control) == 0 {
+		s.Agent.Control = addresses
+	}
+}
+
+func (d Discovery) addresses() []string {
+	var list []string
+	for _, seed := range d.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil || d.Port == 0 {
+			// Validation names a seed that is no address.
+			list = append(list, seed)
+			continue
+		}
+		list = append(list, net.JoinHostPort(host, strconv.Itoa(d.Port)))
+	}
+	return list
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -20,12 +20,27 @@
 	// DataFolder holds everything that must survive. Required for control.
 	DataFolder string `yaml:"data_folder"`
 
+	Discovery Discovery `yaml:"discovery"`
+
 	Log     Log     `yaml:"log"`
 	Admin   Admin   `yaml:"admin"`
 	TLS     TLS     `yaml:"tls"`
 	Control Control `yaml:"control"`
 	Router  Router  `yaml:"router"`
 	Agent   Agent   `yaml:"agent"`
+	Ingress Ingress `yaml:"ingress"`
+	Headers Headers `yaml:"headers"`
+	Runtime Runtime `yaml:"runtime"`
+}
+
+// Discovery tells where control is found, in deployments that know some of its
+// addresses only. The members that are found tell of all the others.
+type Discovery struct {
+	// Seeds lists IP:port of processes beside which a control listener stands.
+	Seeds []string `yaml:"seeds"`
+	// Port of every control listener, in place of the seeds' own ports. Zero: the
+	// seeds are control listeners themselves. Default 0.
+	Port int `yaml:"port"`
 }
 
 // Log configures logging to standard error.
@@ -70,6 +85,20 @@
 	Members []Peer `yaml:"members"`
 	// Join is set on a member that is to be admitted by an operator. Default false.
 	Join bool `yaml:"join"`
+	// Seeds lists control listeners at which a group can be found, in place of
+	// Members. A member whose folder is empty asks there to be admitted. Default:
+	// discovery.seeds.
+	Seeds []string `yaml:"seeds"`
+	// Form lets the seeds, and only them, form the group when none of them belongs
+	// to one. Set it at the very first start of the whole deployment only. Default false.
+	Form bool `yaml:"form"`
+	// Voters is how many members vote; those beyond are learners, and take the place
+	// of a voter that is lost. Zero: members change by operators' commands only.
+	// Default 0.
+	Voters int `yaml:"voters"`
+	// ReplaceAfter is how long a voter may be silent before a learner takes its
+	// place. Default 3s.
+	ReplaceAfter time.Duration `yaml:"replace_after"`
 	// DialOverrides replaces the address under which this process reaches a
 	// member (name: host:port), where addresses are translated on the way.
 	DialOverrides map[string]string `yaml:"dial_overrides"`
@@ -136,6 +165,12 @@
 	// Limits is adaptive (a shed answer lowers an instance's limit) or fixed (the
 	// instance's slots at each router; a baseline). Default adaptive.
 	Limits string `yaml:"limits"`
+	// RetryAfter is the least time after which callers of the route table are told
+	// to come back when their request has not run. Default 1s.
+	RetryAfter time.Duration `yaml:"retry_after"`
+	// FractionalRetryAfter writes Retry-After with fractions of seconds, for callers
+	// that understand them. Default false.
+	FractionalRetryAfter bool `yaml:"fractional_retry_after"`
 	// Certificate and Key secure callers' connections. Empty: plain HTTP.
 	Certificate string `yaml:"certificate"`
 	// Key of the certificate.
@@ -166,6 +201,55 @@
 	StopMode string `yaml:"stop_mode"`
 }
 
+// Ingress configures the only way to the instance beside it.
+type Ingress struct {
+	// Listen is host:port for requests from routers. Required for a sidecar.
+	Listen string `yaml:"listen"`
+	// Instance is host:port of the instance. Required for a sidecar.
+	Instance string `yaml:"instance"`
+	// Readiness is host:port at which any GET is answered 200 while callers may be
+	// sent here, 503 otherwise. Empty: none.
+	Readiness string `yaml:"readiness"`
+	// QueueTime bounds how long a request may wait for one of the instance's slots,
+	// as a share of its target latency. Default 0.2.
+	QueueTime float64 `yaml:"queue_time"`
+	// AnnounceEvery is how often the instance announces itself. Default 1s.
+	AnnounceEvery time.Duration `yaml:"announce_every"`
+	// DrainTime is how long after a departure was acknowledged requests may still
+	// reach the instance. Default 2s.
+	DrainTime time.Duration `yaml:"drain_time"`
+	// HoldTime is the longest that the instance is given keys for at once. Default 10s.
+	HoldTime time.Duration `yaml:"hold_time"`
+	// StopTime is how long a stopping sidecar finishes requests. Default 5s.
+	StopTime time.Duration `yaml:"stop_time"`
+}
+
+// Headers names the header fields at the callers and at the instances.
+type Headers struct {
+	// RequestID names a request. Default X-Request-Id.
+	RequestID string `yaml:"request_id"`
+	// Deadline is how many milliseconds the caller waits. Default Limehold-Timeout-Ms.
+	Deadline string `yaml:"deadline"`
+	// Caller is the service from whose machine the request comes; it is always
+	// overwritten. Empty: not sent.
+	Caller string `yaml:"caller"`
+	// Key is the number that a keyed service is divided by.
+	Key string `yaml:"key"`
+	// Instance is the identity of the instance that a request is for.
+	Instance string `yaml:"instance"`
+	// NotRun marks an instance's answer to a request that it did not run.
+	NotRun string `yaml:"not_run"`
+	// Load is an instance's load: running, waiting, slots.
+	Load string `yaml:"load"`
+}
+
+// Runtime bounds what the process takes of its machine.
+type Runtime struct {
+	// MemoryMB is the memory that the process may use; its garbage collector keeps
+	// below seven tenths of it. Zero: no bound. Default 0.
+	MemoryMB int `yaml:"memory_mb"`
+}
+
 // Default returns the tree with every default filled in.
 func Default() Settings {
 	return Settings{
@@ -181,14 +265,16 @@
 			LeaseLength: 500 * time.Millisecond, RenewEvery: 100 * time.Millisecond,
 			PlaceEvery: time.Second, SnapshotEvery: 2000, SegmentBytes: 64 << 20,
 			PlatformEvery: time.Second, Placement: PlacementWeighted,
-			WarmUp: 10 * time.Second, LoadHalfLife: 5 * time.Second,
+			WarmUp: 10 * time.Second, LoadHalfLife: 5 * time.Second, ReplaceAfter: 3 * time.Second,
 		},
 		Router: Router{
 			Listen: "127.0.0.1:0", ConfirmEvery: 250 * time.Millisecond,
 			MaxHeaderBytes: 16 << 10, MaxConnections: 20_000,
-			IdleTimeout: time.Minute, DrainTimeout: 30 * time.Second, CloseNotice: 2 * time.Second, Balance: BalanceOwn, Limits: LimitsAdaptive,
+			IdleTimeout: time.Minute, DrainTimeout: 30 * time.Second, CloseNotice: 2 * time.Second, Balance: BalanceOwn, Limits: LimitsAdaptive, RetryAfter: time.Second,
 		},
-		Agent: Agent{Slots: 18, Connections: 100, StopMode: StopDrain, ProbeEvery: 100 * time.Millisecond, StopTimeout: 20 * time.Second},
+		Ingress: Ingress{QueueTime: 0.2, AnnounceEvery: time.Second, DrainTime: 2 * time.Second, HoldTime: 10 * time.Second, StopTime: 5 * time.Second},
+		Headers: Headers{RequestID: "X-Request-Id", Deadline: "Limehold-Timeout-Ms"},
+		Agent:   Agent{Slots: 18, Connections: 100, StopMode: StopDrain, ProbeEvery: 100 * time.Millisecond, StopTimeout: 20 * time.Second},
 	}
 }
 
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -21,6 +21,8 @@
 	RoleRouter     Role = "router"
 	RoleAgent      Role = "agent"
 	RoleStandalone Role = "standalone"
+	// RoleSidecar is a router, an agent and an ingress beside one instance.
+	RoleSidecar Role = "sidecar"
 )
 
 // problem names a setting, its value and what would be right.
@@ -38,9 +40,11 @@
 		problems = append(problems, s.validateRouter()...)
 	case RoleAgent:
 		problems = append(problems, s.validateAgent()...)
+	case RoleSidecar:
+		problems = append(problems, s.validateSidecar()...)
 	case RoleStandalone:
 	default:
-		problems = append(problems, problem("role", role, "use control, router, agent or standalone"))
+		problems = append(problems, problem("role", role, "use control, router, agent, sidecar or standalone"))
 	}
 	return errors.Join(problems...)
 }
@@ -119,6 +123,28 @@
 	problems.require(s.Control.PlatformEvery >= 10*time.Millisecond, "control.platform_every", s.Control.PlatformEvery, "use at least 10ms")
 	problems.require(slices.Contains([]string{PlacementWeighted, PlacementHash, PlacementGreedy}, s.Control.Placement), "control.placement", s.Control.Placement, "use weighted, hash or greedy")
 	problems.require(s.Control.LoadHalfLife > 0, "control.load_half_life", s.Control.LoadHalfLife, "use more than 0s")
+	problems.require(s.Control.Voters >= 0, "control.voters", s.Control.Voters, "use 0 or more")
+	problems.require(s.Control.ReplaceAfter >= time.Second, "control.replace_after", s.Control.ReplaceAfter, "use at least 1s")
+	problems.require(len(s.Control.Seeds) == 0 || len(s.Control.Members) == 0, "control.seeds", s.Control.Seeds, "give control.members or control.seeds, not both")
+	for i, seed := range s.Control.Seeds {
+		problems.address(fmt.Sprintf("control.seeds[%d]", i), seed, false)
+	}
+	return problems
+}
+
+func (s *Settings) validateSidecar() problemList {
+	s.Agent.Backend = s.Ingress.Instance
+	problems := append(s.validateRouter(), s.validateAgent()...)
+	problems.address("ingress.listen", s.Ingress.Listen, true)
+	problems.address("ingress.instance", s.Ingress.Instance, false)
+	if s.Ingress.Readiness != "" {
+		problems.address("ingress.readiness", s.Ingress.Readiness, true)
+	}
+	problems.require(s.Ingress.QueueTime > 0 && s.Ingress.QueueTime <= 1, "ingress.queue_time", s.Ingress.QueueTime, "use a share above 0 and up to 1")
+	problems.require(s.Ingress.AnnounceEvery >= 10*time.Millisecond, "ingress.announce_every", s.Ingress.AnnounceEvery, "use at least 10ms")
+	problems.require(s.Ingress.DrainTime >= 0, "ingress.drain_time", s.Ingress.DrainTime, "use 0s or more")
+	problems.require(s.Ingress.HoldTime >= time.Second, "ingress.hold_time", s.Ingress.HoldTime, "use at least 1s")
+	problems.require(s.Ingress.StopTime >= 0, "ingress.stop_time", s.Ingress.StopTime, "use 0s or more")
 	return problems
 }
 
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -24,6 +24,16 @@
 	// HeaderRevision on an answer is the revision of the service's configuration
 	// under which the router handled the request.
 	HeaderRevision = "Limehold-Service-Revision"
+	// HeaderInFront marks a not-run answer of the ingress in front of a back end,
+	// which the request has not reached.
+	HeaderInFront = "Limehold-In-Front"
+	// HeaderRoute, HeaderPriority and HeaderTarget tell the ingress the route, its
+	// rank (0 is the highest) and its target latency in milliseconds.
+	HeaderRoute    = "Limehold-Route"
+	HeaderPriority = "Limehold-Priority"
+	HeaderTarget   = "Limehold-Target-Ms"
+	// HeaderRepeatable is "true" on requests that may run more than once.
+	HeaderRepeatable = "Limehold-Repeatable"
 	// HeaderTimeout is set by callers who want less than the route's timeout.
 	HeaderTimeout = "Limehold-Timeout-Ms"
 	// HeaderRequestID is passed through, or drawn when missing.
@@ -89,6 +99,9 @@
 	Service string `json:"service"`
 	Shard   uint32 `json:"shard"`
 	Epoch   uint64 `json:"epoch"`
+	// Token of the last owner's state: given by the release of a shard, and passed
+	// to the next owner with its grant. Optional.
+	Token string `json:"token,omitempty"`
 }
 
 // BackendRelease asks to finish what is in flight for shards and to let go.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -12,6 +12,7 @@
 	"limehold/fleet"
 	"limehold/membership"
 	"limehold/ownership"
+	"limehold/routing"
 )
 
 // Kind names the payload of a frame.
@@ -31,12 +32,15 @@
 	KindRouterList Kind = 14
 	KindLoadRelay  Kind = 15
 	KindLeaderView Kind = 16
+	// From a process that wants to become a member, to any member.
+	KindJoin Kind = 17
 
 	// From agents to the leader.
 	KindOpenSession Kind = 20
 	KindRenew       Kind = 21
 	KindReleased    Kind = 22
 	KindDrainSelf   Kind = 23
+	KindEndSession  Kind = 25
 	// From the leader to agents.
 	KindAssignments Kind = 24
 
@@ -48,7 +52,7 @@
 )
 
 // ProtocolVersion is compared at the start of each connection.
-const ProtocolVersion = 2
+const ProtocolVersion = 3
 
 // Role says what kind of process is at the other end.
 type Role string
@@ -181,6 +185,8 @@
 	// InFlight and Health are the back end's, as the agent last saw them.
 	InFlight int
 	Healthy  bool
+	// Members is the version of the list of members that the agent has.
+	Members uint64
 }
 
 // RenewReply grants the lease from the moment the renewal was sent.
@@ -188,6 +194,15 @@
 	LeaseLength time.Duration
 	// Revision of the newest Assignments for the session.
 	Revision uint64
+	// Members is set when the agent's list of members is another one.
+	Members *MemberList
+}
+
+// MemberList tells agents and routers where the control members are.
+type MemberList struct {
+	// Version changes with the list; it is a digest, and has no order.
+	Version   uint64
+	Addresses []string
 }
 
 // Assignment is one shard of a session.
@@ -197,6 +212,8 @@
 	Epoch   uint64
 	// Release asks the owner to finish what is in flight and let go.
 	Release bool
+	// Token of the last owner's state, which the back end is given with the shard.
+	Token string
 }
 
 // Assignments is a session's list of shards at a revision: the whole list, or
@@ -230,6 +247,22 @@
 	Cause   string
 }
 
+// EndSession gives a session up: its back end is known to be gone.
+type EndSession struct {
+	Session membership.SessionID
+	Cause   string
+}
+
+// Join asks to be admitted as a learner, and as a voter once one is needed.
+type Join struct {
+	ID      consensus.MemberID
+	Name    string
+	Address string
+}
+
+// JoinReply tells whether the member that answered could pass the request on.
+type JoinReply struct{ Taken bool }
+
 // Watch asks for everything that changed after a revision, and for all later
 // changes. Services limits it to some services; empty means all.
 type Watch struct {
@@ -286,6 +319,8 @@
 	Nodes           []NodeView
 	RemovedNodes    []membership.SessionID
 	Shards          []ServiceShards
+	// Routes changes the route table; in a snapshot it is the whole table.
+	Routes *routing.Change
 }
 
 // Confirm asks whether the router's view is current. The router counts its
@@ -297,6 +332,8 @@
 	Revision uint64
 	// Work done for shards since the last report.
 	Work []ShardWork
+	// Members is the version of the list of members that the router has.
+	Members uint64
 }
 
 // ShardWork is the work that a router sent to the shards of one service.
@@ -309,12 +346,16 @@
 
 // ConfirmReply tells the revision that a router must have in force to be as
 // current as the moment at which it sent its Confirm.
-type ConfirmReply struct{ Revision uint64 }
+type ConfirmReply struct {
+	Revision uint64
+	// Members is set when the router's list of members is another one.
+	Members *MemberList
+}
 
 // AssignmentOf builds the agent's view of a shard.
 func AssignmentOf(key ownership.Key, shard ownership.Shard) Assignment {
 	return Assignment{
 		Service: key.Service, Shard: key.Shard, Epoch: shard.Epoch,
-		Release: shard.Phase == ownership.PhaseReleasing,
+		Release: shard.Phase == ownership.PhaseReleasing, Token: shard.Token,
 	}
 }
