--- a/admission/choose.go
+++ b/admission/choose.go
@@ -14,6 +14,9 @@
 		}
 		return owner
 	}
+	if g.gated() {
+		return g.chooseGated(now, want)
+	}
 	local := g.candidates(now, func(i *instance) bool { return i.zone == want.Zone && i.id != want.Avoid })
 	if len(local) > 0 {
 		return g.pick(now, local)
@@ -38,9 +41,70 @@
 	return list
 }
 
+// gated reports whether the pool's instances keep their own limits.
+func (g *Gate) gated() bool { return len(g.order) > 0 && g.order[0].gated }
+
+// chooseGated returns the instance that is expected to answer first. One that has
+// just refused the request, or that is ejected, is taken only when there is no other.
+func (g *Gate) chooseGated(now time.Duration, want Want) *instance {
+	var best *instance
+	bestCost := math.Inf(1)
+	for _, known := range g.order {
+		if known.draining {
+			continue
+		}
+		cost := g.gatedCost(known, now)
+		if want.RemoteCost > 0 && known.zone != want.Zone {
+			cost *= want.RemoteCost
+		}
+		if known.id == want.Avoid || known.ejectedTill > now {
+			cost *= avoidedCost
+		}
+		if cost < bestCost {
+			best, bestCost = known, cost
+		}
+	}
+	return best
+}
+
+const (
+	// avoidedCost puts an instance behind all others.
+	avoidedCost = 1e6
+	// costSpread is the random part of a cost: routers that know the same should not
+	// all choose the same.
+	costSpread = 0.2
+	// busyCost is how much a request more, of all slots, adds to an instance's cost
+	// before its slots are all taken.
+	busyCost    = 1.0
+	spreadSteps = 1 << 10
+	// unmeasuredRunTime in milliseconds stands for an instance that has told nothing yet.
+	unmeasuredRunTime = 50
+)
+
+// gatedCost is the time in milliseconds in which an instance is expected to answer,
+// by its own word and by what has been sent since.
+func (g *Gate) gatedCost(known *instance, now time.Duration) float64 {
+	runTime := float64(known.load.RunTime) / float64(time.Millisecond)
+	if known.load.Slots == 0 {
+		runTime = unmeasuredRunTime
+	}
+	if age := now - known.since; g.options.SlowStart > 0 && age < g.options.SlowStart {
+		runTime *= 2
+	}
+	busy := float64(max(known.inFlight, known.load.Running+known.load.Waiting+known.sentSince)) / float64(known.slots)
+	cost := (1 + runTime) * (1 + busyCost*busy)
+	if busy >= 1 {
+		cost += runTime * (busy - 1) * float64(known.slots)
+	}
+	return cost * (1 + costSpread*float64(g.options.Random(spreadSteps))/spreadSteps)
+}
+
 // hasRoom compares what is in flight with the limit; a new instance's limit is
 // ramped up. A key's owner is not ramped: nobody else may take its requests.
 func (g *Gate) hasRoom(known *instance, now time.Duration, ramp bool) bool {
+	if known.gated {
+		return true
+	}
 	limit := known.limit
 	if ramp && g.options.SlowStart > 0 {
 		age := float64(now-known.since) / float64(g.options.SlowStart)
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -57,9 +57,14 @@
 	slots    int
 	inFlight int
 	// limit is adapted: a shed answer lowers it, good answers raise it.
-	limit       float64
-	since       time.Duration
-	latency     float64 // smoothed, milliseconds
+	limit   float64
+	since   time.Duration
+	latency float64 // smoothed, milliseconds
+	// gated instances keep their own limits; load is their newest word on it, and
+	// sentSince how many requests this router has sent them since.
+	gated       bool
+	load        Load
+	sentSince   int
 	failures    int
 	ejectedTill time.Duration
 	ejections   int
@@ -88,6 +93,25 @@
 	Draining bool
 	// Slots is how many requests the instance runs at once.
 	Slots int
+	// Gated instances keep their own limits exactly, and refuse what exceeds them
+	// at no cost: nothing is counted, and nothing waits, on their behalf here.
+	Gated bool
+}
+
+// Load is a gated instance's own word on how busy it is.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	// RunTime is the smoothed time that a request takes.
+	RunTime time.Duration
+}
+
+// Observe takes a gated instance's word on its load.
+func (g *Gate) Observe(id InstanceID, load Load) {
+	if known := g.instances[id]; known != nil {
+		known.load, known.sentSince = load, 0
+	}
 }
 
 // Update takes the current instances. It returns the waiters granted by it.
@@ -108,6 +132,7 @@
 			g.order = append(g.order, known)
 		}
 		known.zone, known.draining, known.slots = item.Zone, item.Draining, max(1, item.Slots)
+		known.gated = item.Gated
 		known.limit = math.Min(known.limit, float64(known.slots))
 	}
 	kept := g.order[:0]
@@ -134,6 +159,9 @@
 	Deadline time.Duration
 	// Ahead puts the request before new ones: it has been under way already.
 	Ahead bool
+	// RemoteCost is the factor by which a gated instance of another zone must be
+	// expected to be quicker than one of the router's own. Zero: zones are alike.
+	RemoteCost float64
 	// Group and GroupLimit bound how many requests of one service wait.
 	Group      string
 	GroupLimit int
@@ -149,6 +177,12 @@
 	queued bool
 }
 
+// take counts a request that is sent to the instance.
+func (i *instance) take() {
+	i.inFlight++
+	i.sentSince++
+}
+
 // Verdict is the answer to a request for a slot.
 type Verdict uint8
 
@@ -169,9 +203,9 @@
 	if !g.possible(waiter.Want) {
 		return NoInstance
 	}
-	if len(g.queue) == 0 || waiter.Want.Ahead || waiter.Want.Instance != 0 {
+	if len(g.queue) == 0 || g.gated() || waiter.Want.Ahead || waiter.Want.Instance != 0 {
 		if chosen := g.choose(now, waiter.Want); chosen != nil {
-			chosen.inFlight++
+			chosen.take()
 			waiter.Granted = chosen.id
 			return Admitted
 		}
@@ -301,7 +335,7 @@
 			kept = append(kept, waiter)
 			continue
 		}
-		chosen.inFlight++
+		chosen.take()
 		g.leaveQueue(waiter)
 		waiter.Granted = chosen.id
 		granted = append(granted, waiter)
--- a/agent/backend.go
+++ b/agent/backend.go
@@ -33,6 +33,8 @@
 	// Slots is how many requests it runs at once; Connections how many it accepts.
 	Slots       int
 	Connections int
+	// Gated is set for a back end that keeps its own limits exactly.
+	Gated bool
 }
 
 // Backend is what runs beside an agent.
--- a/control/watch.go
+++ b/control/watch.go
@@ -145,7 +145,7 @@
 func nodeView(node *membership.Node) wire.NodeView {
 	return wire.NodeView{
 		Session: node.Session, Name: node.Name, Zone: node.Zone, Address: node.Address,
-		Pool: node.Pool, Slots: node.Slots, Connections: node.Connections, Draining: !node.Eligible(),
+		Pool: node.Pool, Slots: node.Slots, Connections: node.Connections, Gated: node.Gated, Draining: !node.Eligible(),
 	}
 }
 
--- a/fleet/routes.go
+++ b/fleet/routes.go
@@ -71,7 +71,6 @@
 func routedSpec(service *routing.Service) catalog.Spec {
 	spec := catalog.NewSpec()
 	spec.Pool = service.Name
-	spec.Locality = catalog.LocalityAny
 	spec.QueueLength = routedQueue
 	spec.RetryBudgetPercent = routedRetryBudget
 	spec.StalenessBound = catalog.Duration(routedStaleness)
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -189,7 +189,7 @@
 
 func readFailure(err error) string {
 	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	if errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout() {
 		return reasonLateAnswer
 	}
 	return reasonNoAnswer
--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -54,12 +54,15 @@
 )
 
 // loadFigures is how busy the gate is.
-type loadFigures struct{ running, waiting, slots int }
+type loadFigures struct {
+	running, waiting, slots int
+	runTime                 time.Duration
+}
 
 func (g *gate) load() loadFigures {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return loadFigures{g.running, len(g.waiting), g.slots}
+	return loadFigures{g.running, len(g.waiting), g.slots, g.runTime}
 }
 
 // resize takes how many requests the instance runs at once.
--- a/ingress/passage.go
+++ b/ingress/passage.go
@@ -226,6 +226,7 @@
 	}
 	response.Header.Set(wire.HeaderAttempt, p.attemptID)
 	response.Header.Set(wire.HeaderOutcome, wire.OutcomeOK)
+	i.tellLoad(response)
 	if i.stopping.Load() {
 		request.SetConnectionClose()
 	}
@@ -258,6 +259,17 @@
 	}
 }
 
+// tellLoad lets routers choose by how busy the instance is.
+func (i *Ingress) tellLoad(response *fasthttp.Response) {
+	load := i.gate.load()
+	text := strconv.AppendInt(nil, int64(load.running), 10)
+	for _, number := range []int64{int64(load.waiting), int64(load.slots), load.runTime.Milliseconds()} {
+		text = append(text, ',')
+		text = strconv.AppendInt(text, number, 10)
+	}
+	response.Header.SetBytesV(wire.HeaderLoad, text)
+}
+
 func (i *Ingress) write(request *fasthttp.RequestCtx, p *passage, status int, outcome, reason string) {
 	i.outcomes.WithLabelValues(outcome, reason).Inc()
 	request.Response.Reset()
@@ -265,6 +277,7 @@
 	request.Response.Header.Set(wire.HeaderAttempt, p.attemptID)
 	request.Response.Header.Set(wire.HeaderOutcome, outcome)
 	request.Response.Header.Set(wire.HeaderReason, reason)
+	i.tellLoad(&request.Response)
 	if i.stopping.Load() {
 		request.SetConnectionClose()
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -25,6 +25,9 @@
 	Slots int
 	// Connections that the back end accepts.
 	Connections int
+	// Gated nodes keep their own limits exactly: routers send without counting slots,
+	// and are refused before the back end sees the request.
+	Gated bool
 	// Draining nodes get no new work; their shards are moved away.
 	Draining bool
 	// DrainCause is shown to operators.
@@ -81,7 +84,7 @@
 	if current != nil && current.Incarnation == node.Incarnation {
 		next := *current
 		next.Address, next.Zone, next.Pool = node.Address, node.Zone, node.Pool
-		next.Slots, next.Connections = node.Slots, node.Connections
+		next.Slots, next.Connections, next.Gated = node.Slots, node.Connections, node.Gated
 		next.Revision = revision
 		t.Sessions[next.Session] = &next
 		return &next, nil
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -45,6 +46,8 @@
 	// reached is true unless the request was refused in front of the back end: by
 	// the ingress beside it, or because no connection was had.
 	reached bool
+	// load is what the ingress of the instance says of it, if it does.
+	load admission.Load
 }
 
 const (
@@ -142,7 +145,7 @@
 	if err := response.ReadLimitBody(conn.Reader, 0); err != nil {
 		reason := reasonNoAnswer
 		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() {
+		if errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout() {
 			reason = reasonLateAnswer
 		}
 		fail(reason, eris.Wrapf(err, "read answer of %s", conn.Address))
@@ -152,6 +155,7 @@
 		fail(reasonCrossedAnswer, eris.Errorf("answer of %s is for attempt %q, not %q", conn.Address, response.Header.Peek(wire.HeaderAttempt), attemptID))
 		return
 	}
+	result.load = parseLoad(response.Header.Peek(wire.HeaderLoad))
 	switch string(response.Header.Peek(wire.HeaderOutcome)) {
 	case wire.OutcomeUnknown:
 		// The ingress beside the instance sent the request and got no usable answer.
@@ -184,6 +188,29 @@
 	}
 }
 
+// parseLoad reads an ingress's word on its load; zero when there is none.
+func parseLoad(text []byte) admission.Load {
+	parts := strings.Split(string(text), ",")
+	if len(parts) != loadParts {
+		return admission.Load{}
+	}
+	var numbers [loadParts]int
+	for i, part := range parts {
+		number, err := strconv.Atoi(part)
+		if err != nil || number < 0 {
+			return admission.Load{}
+		}
+		numbers[i] = number
+	}
+	return admission.Load{
+		Running: numbers[0], Waiting: numbers[1], Slots: numbers[2],
+		RunTime: time.Duration(numbers[3]) * time.Millisecond,
+	}
+}
+
+// loadParts is how many numbers wire.HeaderLoad has.
+const loadParts = 4
+
 // identityLength is what fasthttp reports for an answer that ends with the connection.
 const identityLength = -2
 
--- a/router/hold.go
+++ b/router/hold.go
@@ -19,7 +19,18 @@
 }
 
 func newHold(p *proxied) *hold {
-	return &hold{until: min(p.deadline, clock.Now()+p.route.Hold.Std())}
+	return &hold{until: min(p.deadline, p.started+p.holdTime())}
+}
+
+// targetShare is the part of a route's target latency for which its requests wait
+// for an owner: refused by then, they may still be served in time when they return.
+const targetShare = 4
+
+func (p *proxied) holdTime() time.Duration {
+	if p.routed != nil && p.routed.route.TargetLatency > 0 {
+		return min(p.route.Hold.Std(), p.routed.route.TargetLatency/targetShare)
+	}
+	return p.route.Hold.Std()
 }
 
 func (h *hold) remaining() time.Duration { return h.until - clock.Now() }
--- a/router/pool.go
+++ b/router/pool.go
@@ -32,7 +32,7 @@
 	for _, node := range nodes {
 		list = append(list, admission.Instance{
 			ID: admission.InstanceID(node.Session), Zone: node.Zone, Draining: node.Draining,
-			Slots: min(node.Slots, node.Connections),
+			Slots: min(node.Slots, node.Connections), Gated: node.Gated,
 		})
 	}
 	p.mutex.Lock()
@@ -89,6 +89,13 @@
 	return 0, reason
 }
 
+// observe takes an instance's own word on its load.
+func (p *pool) observe(id admission.InstanceID, load admission.Load) {
+	p.mutex.Lock()
+	p.gate.Observe(id, load)
+	p.mutex.Unlock()
+}
+
 // release gives a slot back.
 func (p *pool) release(id admission.InstanceID, outcome admission.Outcome, latency time.Duration) {
 	p.mutex.Lock()
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -12,6 +12,7 @@
 	"limehold/catalog"
 	"limehold/clock"
 	"limehold/logging"
+	"limehold/routing"
 	"limehold/wire"
 )
 
@@ -74,6 +75,9 @@
 		id := admission.InstanceID(node.Session)
 		sent := clock.Now()
 		result := r.send(p, node)
+		if result.load.Slots > 0 {
+			p.service.pool.observe(id, result.load)
+		}
 		if result.state == attemptAnswered {
 			return r.answer(request, p, result, id, sent)
 		}
@@ -108,11 +112,27 @@
 	return r.options.Settings.Zone
 }
 
+const (
+	// remoteCost and remoteCostLarge are how much longer an instance of the router's
+	// zone may be expected to take before one of another zone is chosen: bytes
+	// between zones are dear, those of large answers most.
+	remoteCost      = 1.5
+	remoteCostLarge = 4
+)
+
+// remoteCost is the factor for instances of other zones.
+func (p *proxied) remoteCost() float64 {
+	if p.routed != nil && p.routed.route.Kind == routing.KindDownload {
+		return remoteCostLarge
+	}
+	return remoteCost
+}
+
 // choose waits for the owner or for an instance, and for a slot there.
 func (r *Router) choose(p *proxied, held *hold, avoid admission.InstanceID, ahead bool) (*wire.NodeView, refusal) {
 	want := admission.Want{
 		Zone: r.preferredZone(p), Deadline: p.deadline, Ahead: ahead, Avoid: avoid,
-		Group: p.service.name, GroupLimit: p.service.spec.QueueLength,
+		Group: p.service.name, GroupLimit: p.service.spec.QueueLength, RemoteCost: p.remoteCost(),
 	}
 	for {
 		var node *wire.NodeView
@@ -193,6 +213,10 @@
 	}
 	switch result.state {
 	case attemptNotRun:
+		if p.service.spec.Keyed && result.reason == wire.BackendReasonFull {
+			// Nobody else may run it, and the owner has no room for as long as it says.
+			return false
+		}
 		if result.reason == wire.BackendReasonNotOwner || result.reason == wire.BackendReasonDraining && p.service.spec.Keyed {
 			held.refusedEpoch = p.epoch
 			return held.remaining() > 0
@@ -318,7 +342,7 @@
 	for _, name := range hopByHop {
 		header.Del(name)
 	}
-	for _, name := range []string{wire.HeaderAttempt, wire.HeaderEpoch, wire.HeaderShard, wire.HeaderService, wire.HeaderReason, wire.HeaderRevision} {
+	for _, name := range []string{wire.HeaderAttempt, wire.HeaderEpoch, wire.HeaderShard, wire.HeaderService, wire.HeaderReason, wire.HeaderRevision, wire.HeaderLoad} {
 		header.Del(name)
 	}
 }
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -27,6 +27,9 @@
 	// HeaderInFront marks a not-run answer of the ingress in front of a back end,
 	// which the request has not reached.
 	HeaderInFront = "Limehold-In-Front"
+	// HeaderLoad on an ingress's answer tells its load: requests that run, requests
+	// that wait, slots, and the smoothed time in milliseconds that one takes.
+	HeaderLoad = "Limehold-Load"
 	// HeaderRoute, HeaderPriority and HeaderTarget tell the ingress the route, its
 	// rank (0 is the highest) and its target latency in milliseconds.
 	HeaderRoute    = "Limehold-Route"
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -291,6 +291,8 @@
 	Draining bool
 	// Connections that the back end accepts.
 	Connections int
+	// Gated nodes keep their own limits; see membership.Node.
+	Gated bool
 }
 
 // ShardView is a shard as routers see it; Owner zero means none.
