--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -13,7 +13,7 @@
 //   - running never exceeds slots, except while slots have just been lowered.
 //   - A waiting request is let in at most once.
 //   - Among waiting requests, one of a higher rank is let in first; among equals
-//     the one that came first.
+//     the one with the shorter target latency, then the one that came first.
 type gate struct {
 	// queueTime is the share of a request's target latency that it may wait.
 	queueTime float64
@@ -28,11 +28,28 @@
 
 // ticket is one request that waits.
 type ticket struct {
-	priority int
+	rank
 	admitted chan struct{}
 	granted  bool
 }
 
+// rank orders requests that wait.
+type rank struct {
+	// priority 0 is the highest.
+	priority int
+	// target latency: calls that other instances wait for, slots in hand, have a
+	// shorter one than what callers ask for.
+	target time.Duration
+}
+
+// before reports whether a request of this rank goes before one of the other.
+func (r rank) before(other rank) bool {
+	if r.priority != other.priority {
+		return r.priority < other.priority
+	}
+	return r.target < other.target
+}
+
 const (
 	// firstRunTime stands for the run time before anything has been measured.
 	firstRunTime = 50 * time.Millisecond
@@ -86,9 +103,9 @@
 
 // enter waits for a slot. target is the request's target latency, left the time
 // until its deadline. After entryAdmitted, leave must follow.
-func (g *gate) enter(priority int, target, left time.Duration, cancelled <-chan struct{}) entry {
-	patience := min(time.Duration(float64(target)*g.queueTime), left)
+func (g *gate) enter(asked rank, left time.Duration, cancelled <-chan struct{}) entry {
 	g.mutex.Lock()
+	patience := g.patience(asked.target, left)
 	if g.closed {
 		g.mutex.Unlock()
 		return entryClosed
@@ -98,22 +115,37 @@
 		g.mutex.Unlock()
 		return entryAdmitted
 	}
-	if g.foreseen(priority) > patience {
+	if g.foreseen(asked) > patience {
 		g.mutex.Unlock()
 		return entryFull
 	}
-	mine := &ticket{priority: priority, admitted: make(chan struct{})}
-	at, _ := slices.BinarySearchFunc(g.waiting, priority, func(other *ticket, rank int) int {
-		if other.priority <= rank {
-			return -1
+	mine := &ticket{rank: asked, admitted: make(chan struct{})}
+	at, _ := slices.BinarySearchFunc(g.waiting, asked, func(other *ticket, asked rank) int {
+		if asked.before(other.rank) {
+			return 1
 		}
-		return 1
+		return -1
 	})
 	g.waiting = slices.Insert(g.waiting, at, mine)
 	g.mutex.Unlock()
 	return g.await(mine, patience, cancelled)
 }
 
+// patience is how long a request may wait for a slot: as long as it can be served
+// within its target latency, or else for the share of the settings.
+func (g *gate) patience(target, left time.Duration) time.Duration {
+	share := time.Duration(float64(target) * g.queueTime)
+	inTime := target - runsReserved*g.runTime/runsWhole
+	return min(max(share, inTime), left)
+}
+
+const (
+	// runsReserved of runsWhole is how many run times a request that waits keeps in
+	// hand so that it can still be served within its target latency.
+	runsReserved = 3
+	runsWhole    = 2
+)
+
 func (g *gate) await(mine *ticket, patience time.Duration, cancelled <-chan struct{}) entry {
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
@@ -144,10 +176,10 @@
 
 // foreseen is the wait that a request of a rank is to expect: those before it, and
 // itself, need slots that become free at the measured rate.
-func (g *gate) foreseen(priority int) time.Duration {
+func (g *gate) foreseen(asked rank) time.Duration {
 	ahead := 1
 	for _, other := range g.waiting {
-		if other.priority <= priority {
+		if !asked.before(other.rank) {
 			ahead++
 		}
 	}
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -107,6 +107,10 @@
 	out.Header.Set(wire.HeaderAttempt, attemptID)
 	out.Header.Set(wire.HeaderDeadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
 	out.Header.Set(wire.HeaderEpoch, strconv.FormatUint(request.epoch, 10))
+	if request.routed != nil {
+		left := request.started + request.routed.route.TargetLatency - now
+		out.Header.Set(wire.HeaderTarget, strconv.FormatInt(max(0, left.Milliseconds()), 10))
+	}
 	if !request.track(conn) {
 		return errors.Join(errNothingSent, errCallerGone)
 	}
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -23,7 +23,7 @@
 	ownerRetryMax = 80 * time.Millisecond
 	// maxRefusedInFront is how many more instances may be asked whose ingress
 	// refuses before the back end has seen the request.
-	maxRefusedInFront = 2
+	maxRefusedInFront = 1
 )
 
 // handle is the callers' handler.
--- a/router/routes.go
+++ b/router/routes.go
@@ -169,7 +169,6 @@
 	route := p.routed.route
 	out.Header.Set(wire.HeaderRoute, route.Name)
 	out.Header.Set(wire.HeaderPriority, strconv.Itoa(route.Priority))
-	out.Header.Set(wire.HeaderTarget, strconv.FormatInt(route.TargetLatency.Milliseconds(), 10))
 	out.Header.Set(wire.HeaderRepeatable, strconv.FormatBool(p.repeatable))
 }
 
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -31,7 +31,7 @@
 	// that wait, slots, and the smoothed time in milliseconds that one takes.
 	HeaderLoad = "Limehold-Load"
 	// HeaderRoute, HeaderPriority and HeaderTarget tell the ingress the route, its
-	// rank (0 is the highest) and its target latency in milliseconds.
+	// rank (0 is the highest) and what is left of its target latency in milliseconds.
 	HeaderRoute    = "Limehold-Route"
 	HeaderPriority = "Limehold-Priority"
 	HeaderTarget   = "Limehold-Target-Ms"
