--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"limehold/clock"
 )
 
 // gate shares the instance's slots among requests. Those that find none free wait
@@ -13,7 +15,7 @@
 //   - running never exceeds slots, except while slots have just been lowered.
 //   - A waiting request is let in at most once.
 //   - Among waiting requests, one of a higher rank is let in first; among equals
-//     the one with the shorter target latency, then the one that came first.
+//     the one that has to begin first to be served within its target latency.
 type gate struct {
 	// queueTime is the share of a request's target latency that it may wait.
 	queueTime float64
@@ -37,9 +39,8 @@
 type rank struct {
 	// priority 0 is the highest.
 	priority int
-	// target latency: calls that other instances wait for, slots in hand, have a
-	// shorter one than what callers ask for.
-	target time.Duration
+	// due is when the request has to begin, on the gate's clock.
+	due time.Duration
 }
 
 // before reports whether a request of this rank goes before one of the other.
@@ -47,7 +48,7 @@
 	if r.priority != other.priority {
 		return r.priority < other.priority
 	}
-	return r.target < other.target
+	return r.due < other.due
 }
 
 const (
@@ -103,9 +104,10 @@
 
 // enter waits for a slot. target is the request's target latency, left the time
 // until its deadline. After entryAdmitted, leave must follow.
-func (g *gate) enter(asked rank, left time.Duration, cancelled <-chan struct{}) entry {
+func (g *gate) enter(priority int, target, left time.Duration, cancelled <-chan struct{}) entry {
 	g.mutex.Lock()
-	patience := g.patience(asked.target, left)
+	patience := g.patience(target, left)
+	asked := rank{priority: priority, due: clock.Now() + patience}
 	if g.closed {
 		g.mutex.Unlock()
 		return entryClosed
--- a/ingress/passage.go
+++ b/ingress/passage.go
@@ -90,7 +90,7 @@
 		return
 	}
 	p.watched = i.hangups.Add(request.Conn(), p.cancel)
-	switch i.gate.enter(rank{p.priority, p.target}, p.deadline-clock.Now(), p.cancelled) {
+	switch i.gate.enter(p.priority, p.target, p.deadline-clock.Now(), p.cancelled) {
 	case entryFull:
 		i.refuse(request, p, wire.BackendReasonFull, i.gate.retryAfter())
 	case entryClosed:
