Lists of shards that were lost are sent again while others follow; predecessors free at once

Cause: after a loss of power an agent's first list came before the answer that names its session and was not taken; every later difference was queued within the patience of the one before, so that the whole list was never sent again. Ruled out: lost sessions (renewals went on), grants (none was refused).

The outbox counts its patience from the oldest list that was not named; an agent keeps a whole list that comes early. Routers stay at a member that cannot confirm for lack of a leader, instead of going round.

--- a/agent/backend.go
+++ b/agent/backend.go
@@ -35,6 +35,9 @@
 	Connections int
 	// Gated is set for a back end that keeps its own limits exactly.
 	Gated bool
+	// Exclusive is set when no two starts of the back end can run at once: a new one
+	// shows that the one before has ended.
+	Exclusive bool
 }
 
 // Backend is what runs beside an agent.
--- a/agent/session.go
+++ b/agent/session.go
@@ -46,7 +46,7 @@
 		advertise = config.Agent.Backend
 	}
 	described := a.backend.Description()
-	request := &wire.OpenSession{Node: membership.Node{
+	request := &wire.OpenSession{PredecessorGone: described.Exclusive, Node: membership.Node{
 		Name: config.Name, Incarnation: incarnation, Zone: config.Zone, Address: advertise,
 		Pool: described.Pool, Slots: described.Slots, Connections: described.Connections, Gated: described.Gated,
 	}}
--- a/agent/shards.go
+++ b/agent/shards.go
@@ -12,8 +12,10 @@
 
 // shardSet is this node's list of shards, for use by several goroutines.
 type shardSet struct {
-	mutex  sync.Mutex
-	set    *assignment.Set
+	mutex sync.Mutex
+	set   *assignment.Set
+	// early is a whole list that came before the answer that names its session.
+	early  *wire.Assignments
 	change chan struct{}
 }
 
@@ -25,9 +27,14 @@
 func (s *shardSet) begin(session membership.SessionID) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.set.Begin(session) {
-		s.wake()
+	if !s.set.Begin(session) {
+		return
 	}
+	if s.early != nil && s.early.Session == session {
+		s.takeLocked(s.early)
+	}
+	s.early = nil
+	s.wake()
 }
 
 func (s *shardSet) wake() {
@@ -38,12 +45,19 @@
 // take accepts a list that is newer than the newest one seen, and a difference
 // to a list that was seen.
 func (s *shardSet) take(list *wire.Assignments) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if list.Session != s.set.Session() && list.From == 0 {
+		s.early = list
+	}
+	return s.takeLocked(list)
+}
+
+func (s *shardSet) takeLocked(list *wire.Assignments) bool {
 	shards := make(map[ownership.Key]assignment.Shard, len(list.Shards))
 	for _, item := range list.Shards {
 		shards[ownership.Key{Service: item.Service, Shard: item.Shard}] = assignment.Shard{Epoch: item.Epoch, Release: item.Release, Token: item.Token}
 	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	taken := false
 	if list.From == 0 {
 		taken = s.set.Take(list.Session, list.Revision, shards)
--- a/assignment/outbox.go
+++ b/assignment/outbox.go
@@ -26,6 +26,10 @@
 type sentList[Channel comparable] struct {
 	channel  Channel
 	revision uint64
+	// reported is the newest revision that the agent has named on the channel.
+	reported uint64
+	// queuedAt is when the oldest list was queued that the agent has not named yet.
+	// Later differences do not put it off: they build on that list.
 	queuedAt time.Duration
 	changed  map[ownership.Key]struct{}
 }
@@ -78,7 +82,14 @@
 // Queued notes that the list at a revision, whole or as a difference, is on its
 // way. It must reflect every change noted so far.
 func (o *Outbox[Channel]) Queued(session membership.SessionID, channel Channel, revision uint64, now time.Duration) {
-	o.sent[session] = &sentList[Channel]{channel: channel, revision: revision, queuedAt: now, changed: map[ownership.Key]struct{}{}}
+	next := &sentList[Channel]{channel: channel, revision: revision, queuedAt: now, changed: map[ownership.Key]struct{}{}}
+	if before := o.sent[session]; before != nil && before.channel == channel {
+		next.reported = before.reported
+		if before.reported < before.revision {
+			next.queuedAt = before.queuedAt
+		}
+	}
+	o.sent[session] = next
 }
 
 // Forget has the next list be a whole one.
@@ -99,10 +110,17 @@
 // Reported takes up which revision an agent has, of the newest one that changed
 // its list. Something is to be sent when the result is true.
 func (o *Outbox[Channel]) Reported(session membership.SessionID, channel Channel, reported, newest uint64, now time.Duration) bool {
+	sent := o.sent[session]
+	if sent != nil && sent.channel == channel && reported > sent.reported {
+		sent.reported = reported
+		if reported < sent.revision {
+			// What is still to be named was queued later than what is named now.
+			sent.queuedAt = now
+		}
+	}
 	if reported >= newest {
 		return false
 	}
-	sent := o.sent[session]
 	onItsWay := sent != nil && sent.channel == channel && now-sent.queuedAt < o.patience
 	if onItsWay && sent.revision >= newest {
 		return false
--- a/assignment/outbox_test.go
+++ b/assignment/outbox_test.go
@@ -86,3 +86,21 @@
 	is.True(set.Change(agent, 12, 13, map[ownership.Key]Shard{first: {Epoch: 2, Release: true}}, nil))
 	is.Equal(set.Releasing(), []Released{{Key: first, Epoch: 2}})
 }
+
+// A whole list that was lost, and differences that follow each other sooner than
+// the patience: the agent can take none of them, and gets the whole list all the same.
+func TestDifferencesDoNotPutOffTheListThatTheyBuildOn(t *testing.T) {
+	box := NewOutbox[string](patience)
+	box.Queued(agent, "one", 10, 0)
+	revision := uint64(10)
+	for now := time.Duration(0); now < 2*patience; now += patience / 3 {
+		revision++
+		box.Note(agent, []ownership.Key{first})
+		if _, _, known := box.Difference(agent, "one"); !known {
+			return // the whole list
+		}
+		box.Queued(agent, "one", revision, now)
+		box.Reported(agent, "one", 0, revision, now)
+	}
+	t.Fatal("the agent was sent nothing but differences to a list that it never had")
+}
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -150,7 +150,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	result, err := m.executeHere(ctx, fleet.Command{OpenSession: &fleet.OpenSession{Node: node}})
+	result, err := m.executeHere(ctx, fleet.Command{OpenSession: &fleet.OpenSession{Node: node, PredecessorGone: request.PredecessorGone}})
 	if err != nil {
 		return nil, err
 	}
--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -192,6 +192,9 @@
 	case superseded != nil:
 		a.changes.Nodes = append(a.changes.Nodes, superseded.Session)
 		a.log(decisions.Event{Kind: decisions.KindNodeReplaced, From: superseded.Name, To: opened.Name, Cause: "another process came up under the same name"})
+		if command.PredecessorGone {
+			a.closeSession(superseded.Session, "its successor knows that it has ended")
+		}
 	case before == nil:
 		a.log(decisions.Event{Kind: decisions.KindNodeJoined, To: opened.Name, Cause: "session opened from zone " + opened.Zone})
 	}
@@ -201,22 +204,29 @@
 func (a *application) closeSessions(command *CloseSessions) Result {
 	refused := 0
 	for _, session := range command.Sessions {
-		node := a.state.Membership.Close(session)
-		if node == nil {
+		if !a.closeSession(session, command.Cause) {
 			refused++
-			continue
 		}
-		a.changes.RemovedNodes = append(a.changes.RemovedNodes, session)
-		a.changes.session(session)
-		keys := a.state.Ownership.CloseSession(session)
-		a.changes.Shards = append(a.changes.Shards, keys...)
-		a.log(decisions.Event{Kind: decisions.KindNodeLost, From: node.Name, Cause: command.Cause})
-		a.logShards(decisions.KindReleased, keys, node.Name, "", command.Cause)
 	}
-	slices.SortFunc(a.changes.Shards, compareKeys)
 	return Result{Refused: refused}
 }
 
+// closeSession ends one session and frees what it owned; false when there is none.
+func (a *application) closeSession(session membership.SessionID, cause string) bool {
+	node := a.state.Membership.Close(session)
+	if node == nil {
+		return false
+	}
+	a.changes.RemovedNodes = append(a.changes.RemovedNodes, session)
+	a.changes.session(session)
+	keys := a.state.Ownership.CloseSession(session)
+	a.changes.Shards = append(a.changes.Shards, keys...)
+	a.log(decisions.Event{Kind: decisions.KindNodeLost, From: node.Name, Cause: cause})
+	a.logShards(decisions.KindReleased, keys, node.Name, "", cause)
+	slices.SortFunc(a.changes.Shards, compareKeys)
+	return true
+}
+
 func (a *application) setDraining(command *SetDraining) Result {
 	node := a.state.Membership.SetDraining(command.Session, command.Draining, command.Cause, a.state.Revision)
 	if node == nil {
--- a/fleet/command.go
+++ b/fleet/command.go
@@ -76,7 +76,12 @@
 type RemoveService struct{ Name string }
 
 // OpenSession registers an agent with its back end.
-type OpenSession struct{ Node membership.Node }
+type OpenSession struct {
+	Node membership.Node
+	// PredecessorGone is set by an agent that knows that every earlier back end under
+	// its node's name has ended: what it owned is free at once.
+	PredecessorGone bool
+}
 
 // CloseSessions ends sessions whose leases are over.
 type CloseSessions struct {
--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -262,5 +262,5 @@
 			connections = told
 		}
 	}
-	return agent.Description{Pool: announced.Service, Slots: announced.Slots, Connections: connections, Gated: true}
+	return agent.Description{Pool: announced.Service, Slots: announced.Slots, Connections: connections, Gated: true, Exclusive: true}
 }
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -367,7 +367,7 @@
 	if p != nil {
 		service = p.service.name
 	}
-	r.logger.Debug("request_refused", zap.String("request", id), zap.String("service", service), zap.String("reason", refused.reason))
+	r.logger.Info("request_refused", zap.String("request", id), zap.String("service", service), zap.String("reason", refused.reason))
 }
 
 // unknown answers a request whose outcome is open.
--- a/router/watch.go
+++ b/router/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -161,7 +162,7 @@
 			reported = time.Now()
 			request.Work = r.work.take()
 		}
-		if err := r.confirmOnce(ctx, conn, request); err != nil {
+		if err := r.confirmOnce(ctx, conn, request); err != nil && !isRefusal(err) {
 			return err
 		}
 		select {
@@ -177,6 +178,13 @@
 	}
 }
 
+// isRefusal reports whether a member answered that it cannot confirm the view now,
+// for example because nobody leads: the connection to it is as good as any other.
+func isRefusal(err error) bool {
+	var refused *wire.Error
+	return errors.As(err, &refused) && (refused.Code == wire.CodeNotLeader || refused.Code == wire.CodeTimeout)
+}
+
 func (r *Router) confirmOnce(ctx context.Context, conn *transport.Conn, request *wire.Confirm) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -168,7 +168,11 @@
 }
 
 // OpenSession registers an agent's back end.
-type OpenSession struct{ Node membership.Node }
+type OpenSession struct {
+	Node membership.Node
+	// PredecessorGone: see fleet.OpenSession.
+	PredecessorGone bool
+}
 
 // OpenSessionReply gives the session. The agent opens with a Renew.
 type OpenSessionReply struct {
