Logs on standard output: bounded, never blocking; a torn write is told from damage

A reader that stops reading costs lines only (TestReaderThatStopsCostsOnlyLines).

Log files: at a loss of power each write since the last sync is kept, lost or torn on its own, and a member whose unfinished write was kept with wrong bytes refused to start. A mark behind each sync tells what was durable: damage before a mark stays an error, damage behind the last one is cut off (TestWhatWasNeverSyncedIsCutOff).

--- a/cli/processes.go
+++ b/cli/processes.go
@@ -110,6 +110,7 @@
 	if config.Runtime.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(config.Runtime.MemoryMB) << 20 * memoryPercent / 100)
 	}
+	defer func() { _ = logger.Sync() }()
 	built, err := build(config, logger, secured)
 	if err != nil {
 		return startError(logger, err)
--- a/ingress/passage.go
+++ b/ingress/passage.go
@@ -231,6 +231,10 @@
 		request.SetConnectionClose()
 	}
 	i.outcomes.WithLabelValues(wire.OutcomeOK, "").Inc()
+	if line := i.logger.Check(zap.InfoLevel, logging.EventPassed); line != nil {
+		line.Write(zap.String("request", p.requestID), zap.String("attempt", p.attemptID), zap.String("instance", p.seen.id),
+			zap.Int("status", response.StatusCode()), zap.Duration("waited", p.sent-p.arrived), zap.Duration("ran", clock.Now()-p.sent))
+	}
 	if result.whole {
 		if p.head {
 			response.Header.SetContentLength(result.response.Header.ContentLength())
@@ -251,6 +255,12 @@
 func (i *Ingress) refuse(request *fasthttp.RequestCtx, p *passage, reason string, retryAfter time.Duration) {
 	i.write(request, p, fasthttp.StatusServiceUnavailable, wire.OutcomeNotRun, reason)
 	request.Response.Header.Set(wire.HeaderInFront, "1")
+	if line := i.logger.Check(zap.InfoLevel, "attempt_refused"); line != nil {
+		load := i.gate.load()
+		line.Write(zap.String("request", p.requestID), zap.String("attempt", p.attemptID), zap.String("reason", reason),
+			zap.String("instance", p.seen.id), zap.Int("running", load.running), zap.Int("waiting", load.waiting), zap.Int("slots", load.slots),
+			zap.Uint32("shard", p.shard), zap.Uint64("epoch", p.epoch), zap.Duration("waited", clock.Now()-p.arrived))
+	}
 	if retryAfter > 0 {
 		request.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -17,19 +17,40 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// New returns a logger that writes to standard error. level is debug, info,
-// warn or error.
+// New returns a logger that writes to standard output, with a bounded volume and
+// without ever waiting for whoever reads it. level is debug, info, warn or error.
+// Sync waits a moment for what is still to be written.
 func New(level, role, name string) (*zap.Logger, error) {
-	return NewTo(os.Stderr, level, role, name)
+	return newBounded(os.Stdout, level, role, name)
 }
 
-// NewTo is New with another destination.
-func NewTo(writer io.Writer, level, role, name string) (*zap.Logger, error) {
+func newBounded(writer io.Writer, level, role, name string) (*zap.Logger, error) {
+	parsed, err := parseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	lines := newQueue(writer)
+	core := &boundedCore{Core: zapcore.NewCore(newEncoder(), lines, parsed), budgets: newBudgets(time.Now), queue: lines}
+	return zap.New(core).With(zap.String("role", role), zap.String("name", name)), nil
+}
+
+func parseLevel(level string) (zapcore.Level, error) {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
-		return nil, eris.Errorf("log.level is %q: use debug, info, warn or error", level)
+		return 0, eris.Errorf("log.level is %q: use debug, info, warn or error", level)
+	}
+	return parsed, nil
+}
+
+func newEncoder() *encoder { return &encoder{MapObjectEncoder: zapcore.NewMapObjectEncoder()} }
+
+// NewTo writes every line to the writer before it returns.
+func NewTo(writer io.Writer, level, role, name string) (*zap.Logger, error) {
+	parsed, err := parseLevel(level)
+	if err != nil {
+		return nil, err
 	}
-	core := zapcore.NewCore(&encoder{MapObjectEncoder: zapcore.NewMapObjectEncoder()}, zapcore.Lock(zapcore.AddSync(writer)), parsed)
+	core := zapcore.NewCore(newEncoder(), zapcore.Lock(zapcore.AddSync(writer)), parsed)
 	return zap.New(core).With(zap.String("role", role), zap.String("name", name)), nil
 }
 
--- /dev/null
+++ b/logging/logging_test.go
@@ -0,0 +1,103 @@
+package logging
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// stuck is a destination that nobody reads.
+type stuck struct{ release chan struct{} }
+
+// Write implements io.Writer.
+func (s stuck) Write(data []byte) (int, error) {
+	<-s.release
+	return len(data), nil
+}
+
+// A reader that stops reading costs lines, and nothing else.
+func TestReaderThatStopsCostsOnlyLines(t *testing.T) {
+	is := is.New(t)
+	blocked := stuck{release: make(chan struct{})}
+	defer close(blocked.release)
+	lines := newQueue(blocked)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 3 * queuedLines {
+			_, _ = lines.Write([]byte("line\n"))
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("whoever logs waits for the reader")
+	}
+	is.True(lines.lost.Load() >= queuedLines)
+}
+
+func TestFloodOfOneEventHidesNoOther(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	events := newBudgets(func() time.Time { return now })
+	for range budgetBurst {
+		is.True(events.allow(EventAnswered, zapcore.InfoLevel))
+	}
+	is.Equal(events.allow(EventAnswered, zapcore.InfoLevel), false)
+	is.True(events.allow("request_refused", zapcore.InfoLevel))
+	is.Equal(events.leftOut(), nil) // not yet
+	now = now.Add(tellEvery)
+	is.Equal(events.leftOut(), map[string]int{EventAnswered: 1})
+	is.True(events.allow(EventAnswered, zapcore.InfoLevel))
+}
+
+type safeBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *safeBuffer) Write(data []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(data)
+}
+
+func (b *safeBuffer) text() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.String()
+}
+
+func TestLinesAreWrittenWhole(t *testing.T) {
+	is := is.New(t)
+	var written safeBuffer
+	logger, err := newBounded(&written, "info", "sidecar", "node-1")
+	is.NoErr(err)
+	logger.Debug("hidden")
+	logger.Warn("keys_not_granted", zap.Duration("after", time.Second), zap.String("error", "no answer"))
+	is.NoErr(logger.Sync())
+	is.True(strings.HasSuffix(written.text(), `level=warn event=keys_not_granted name=node-1 role=sidecar after=1s error="no answer"`+"\n"))
+	is.Equal(strings.Count(written.text(), "\n"), 1)
+}
+
+func BenchmarkLineWithinBudget(b *testing.B) {
+	logger, _ := NewTo(io.Discard, "info", "sidecar", "node-1")
+	for b.Loop() {
+		logger.Info(EventAnswered, zap.String("request", "0123456789abcdef"), zap.Duration("took", time.Second))
+	}
+}
+
+func BenchmarkLineOverBudget(b *testing.B) {
+	logger, _ := newBounded(io.Discard, "info", "sidecar", "node-1")
+	for b.Loop() {
+		logger.Info(EventAnswered, zap.String("request", "0123456789abcdef"), zap.Duration("took", time.Second))
+	}
+}
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -311,6 +311,11 @@
 		request.SetConnectionClose()
 	}
 	r.metrics.count(wire.OutcomeOK, "")
+	if line := r.logger.Check(zap.InfoLevel, logging.EventAnswered); line != nil {
+		line.Write(zap.String("request", p.shown), zap.String("service", p.service.name), zap.String("route", p.routeName()),
+			zap.Uint64("version", p.tableVersion()), zap.Int("status", response.StatusCode()), zap.Int("attempts", p.attempts),
+			zap.Uint64("session", uint64(id)), zap.Duration("took", clock.Now()-p.started))
+	}
 	r.metrics.latency.Observe((clock.Now() - p.started).Seconds())
 	if result.whole {
 		if p.head {
@@ -367,7 +372,10 @@
 	if p != nil {
 		service = p.service.name
 	}
-	r.logger.Info("request_refused", zap.String("request", id), zap.String("service", service), zap.String("reason", refused.reason))
+	if line := r.logger.Check(zap.InfoLevel, "request_refused"); line != nil {
+		line.Write(zap.String("request", id), zap.String("service", service), zap.String("route", p.routeName()), zap.Uint64("version", p.tableVersion()),
+			zap.String("reason", refused.reason), zap.Int("status", refused.status), zap.Duration("retry_after", refused.retryAfter), zap.Int("attempts", p.attemptCount()))
+	}
 }
 
 // unknown answers a request whose outcome is open.
@@ -376,6 +384,9 @@
 	r.writeOutcome(request, p.shown, wire.OutcomeUnknown, reason, fasthttp.StatusBadGateway,
 		"the request was sent, and it is unknown whether it ran: look before you send it again")
 	setRevision(&request.Response, p)
+	r.logger.Info("request_unknown", zap.String("request", p.shown), zap.String("service", p.service.name), zap.String("route", p.routeName()),
+		zap.Uint64("version", p.tableVersion()), zap.String("reason", reason), zap.Bool("repeatable", p.repeatable),
+		zap.Int("attempts", p.attempts), zap.Duration("took", clock.Now()-p.started))
 }
 
 // setRevision tells the caller which revision of the service's configuration
--- a/router/request.go
+++ b/router/request.go
@@ -52,6 +52,29 @@
 	gone      bool
 }
 
+// routeName is the name of the request's route in the route table; empty: none.
+func (p *proxied) routeName() string {
+	if p == nil || p.routed == nil {
+		return ""
+	}
+	return p.routed.route.Name
+}
+
+// tableVersion is the version of the route table that the request was handled by.
+func (p *proxied) tableVersion() uint64 {
+	if p == nil || p.routed == nil {
+		return 0
+	}
+	return p.routed.version
+}
+
+func (p *proxied) attemptCount() int {
+	if p == nil {
+		return 0
+	}
+	return p.attempts
+}
+
 // track notes the connection on which the request is, so that it can be closed
 // when the caller goes away. It returns false if the caller is gone already.
 func (p *proxied) track(conn *upstream.Conn) bool {
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -9,6 +9,11 @@
 // thing in the last segment; every other mismatch is ErrCorrupt. The header has a
 // checksum of its own: a damaged length would look like a torn tail, and
 // acknowledged records behind it would be cut off.
+//
+// After each sync a mark is written, and not synced itself: everything before a
+// mark was durable once. What stands behind the last mark was perhaps never synced,
+// and a loss of power may have kept any part of it; damage there is a torn tail.
+// Damage before a mark is ErrCorrupt. See mark.go.
 package wal
 
 import (
@@ -102,6 +107,9 @@
 		return nil, Recovered{}, err
 	}
 	log.hard = recovered.HardState
+	if err := log.syncLast(); err != nil {
+		return nil, Recovered{}, err
+	}
 	if err := log.startSegment(); err != nil {
 		return nil, Recovered{}, err
 	}
@@ -163,11 +171,15 @@
 	reader := bufio.NewReaderSize(file, 1<<20)
 	var offset int64
 	for {
-		payload, err := readRecord(reader, info.Size()-offset)
+		payload, err := readRecord(reader, offset, info.Size()-offset)
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
-		if errors.Is(err, io.ErrUnexpectedEOF) && last {
+		if errors.Is(err, errMark) {
+			offset += markSize
+			continue
+		}
+		if err != nil && last && neverSynced(path, offset, info.Size()) {
 			recovered.TornBytes = info.Size() - offset
 			return cutTail(path, offset)
 		}
@@ -185,7 +197,7 @@
 // Records are written in one write, in order: a tail that is torn is short, or
 // is filled with zeros by the file system. A complete record with a wrong
 // checksum is damage, not a torn write.
-func readRecord(reader io.Reader, remaining int64) ([]byte, error) {
+func readRecord(reader io.Reader, offset, remaining int64) ([]byte, error) {
 	if remaining == 0 {
 		return nil, io.EOF
 	}
@@ -193,6 +205,9 @@
 	if _, err := io.ReadFull(reader, header[:]); err != nil {
 		return nil, io.ErrUnexpectedEOF
 	}
+	if header == markAt(offset) {
+		return nil, errMark
+	}
 	if header == ([headerSize]byte{}) {
 		return nil, zeroTail(reader)
 	}
@@ -278,6 +293,10 @@
 
 func (l *Log) startSegment() error {
 	if l.file != nil {
+		// The last mark of a segment that is left becomes durable.
+		if err := l.file.Sync(); err != nil {
+			return l.fail(eris.Wrap(err, "sync log segment that is full"))
+		}
 		if err := l.file.Close(); err != nil {
 			return l.fail(eris.Wrap(err, "close log segment"))
 		}
@@ -406,7 +425,7 @@
 	if err := l.file.Sync(); err != nil {
 		return l.fail(eris.Wrapf(err, "sync log segment %s", l.file.Name()))
 	}
-	return nil
+	return l.writeMark()
 }
 
 // fail remembers the first error; nil passes through.
