--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build run test bench fuzz clean
+.PHONY: build run test soak bench fuzz clean
 
 build:
 	$(GO) build -o $(BIN)/limehold ./cmd/limehold
@@ -14,6 +14,12 @@
 test:
 	$(GO) test $(TESTFLAGS) ./...
 
+# Real processes under random faults, with fresh seeds; see docs/OPERATIONS.md.
+SOAK_SEED ?= $(shell date +%s)
+SOAK_RUNS ?= 8
+soak:
+	$(GO) test ./platform -run TestFaultSoak -count 1 -timeout 30m -soak 15s -soak-seed $(SOAK_SEED) -soak-runs $(SOAK_RUNS) -v
+
 # Slopes for docs/CAPACITY.md, beside 'limebench hollow'.
 bench:
 	$(GO) test ./fleet ./wal ./membership ./placement ./admission ./router -run XXX -bench .
