Shorter routes go first, and longer ones are foreseen the wait that these cause

Cause: an overloaded service had two states.

Within a priority the gate now goes by run time, in steps of two, then by due time; the wait that a longer request is foreseen counts the part of the slots that shorter routes take, so that it is refused at once while it cannot be in time. Ruled out: more patience for the short ones alone; the retry budget (0 repeats).

--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"math/bits"
 	"slices"
 	"sync"
 	"time"
@@ -15,7 +16,9 @@
 //   - running never exceeds slots, except while slots have just been lowered.
 //   - A waiting request is let in at most once.
 //   - Among waiting requests, one of a higher rank is let in first; among equals
-//     the one that has to begin first to be served within its target latency.
+//     the shorter one: an instance's own calls, for which other slots are held, are
+//     much shorter than what callers ask for. Among equals, the one that has to begin
+//     first to be served within its target latency.
 type gate struct {
 	// queueTime is the share of a request's target latency that it may wait.
 	queueTime float64
@@ -25,10 +28,21 @@
 	waiting   []*ticket
 	closed    bool
 	// runTime is the smoothed time that a request occupies a slot.
-	runTime time.Duration
+	runTime   time.Duration
+	loadTaken time.Duration
 	// byRoute are the same times of single routes: an instance's own calls are much
 	// shorter than what its callers ask for.
-	byRoute map[string]time.Duration
+	byRoute map[string]*routeLoad
+}
+
+// routeLoad is what one route asks of the instance.
+type routeLoad struct {
+	// runTime is the smoothed time that a request occupies a slot.
+	runTime time.Duration
+	// occupied is the smoothed part of the instance's slots that the route takes, and
+	// counted the slot time since it was last taken in.
+	occupied float64
+	counted  time.Duration
 }
 
 // ticket is one request that waits.
@@ -42,6 +56,8 @@
 type rank struct {
 	// priority 0 is the highest.
 	priority int
+	// length is the run time of the route, in coarse steps.
+	length int
 	// due is when the request has to begin, on the gate's clock.
 	due time.Duration
 }
@@ -51,6 +67,9 @@
 	if r.priority != other.priority {
 		return r.priority < other.priority
 	}
+	if r.length != other.length {
+		return r.length < other.length
+	}
 	return r.due < other.due
 }
 
@@ -60,10 +79,16 @@
 	runTimeKeep  = 0.95
 	// maxRoutes bounds the routes whose times are kept.
 	maxRoutes = 1024
+	// loadEvery is the interval after which the routes' parts of the slots are taken
+	// in anew, loadKeep how much of the old ones stays.
+	loadEvery = 250 * time.Millisecond
+	loadKeep  = 0.6
+	// mostOccupied bounds the part of the slots that counts as taken by others.
+	mostOccupied = 0.95
 )
 
 func newGate(queueTime float64) *gate {
-	return &gate{queueTime: queueTime, runTime: firstRunTime, byRoute: map[string]time.Duration{}}
+	return &gate{queueTime: queueTime, runTime: firstRunTime, byRoute: map[string]*routeLoad{}}
 }
 
 // entry is the gate's answer to a request.
@@ -121,7 +146,7 @@
 func (g *gate) enter(request asked, cancelled <-chan struct{}) entry {
 	g.mutex.Lock()
 	patience := g.patience(request)
-	place := rank{priority: request.priority, due: clock.Now() + patience}
+	place := rank{priority: request.priority, length: lengthStep(g.routeTime(request.route)), due: clock.Now() + patience}
 	if g.closed {
 		g.mutex.Unlock()
 		return entryClosed
@@ -157,8 +182,8 @@
 
 // routeTime is the smoothed time that a route's requests occupy a slot.
 func (g *gate) routeTime(route string) time.Duration {
-	if known, measured := g.byRoute[route]; measured {
-		return known
+	if known := g.byRoute[route]; known != nil {
+		return known.runTime
 	}
 	return g.runTime
 }
@@ -210,7 +235,37 @@
 	if g.slots == 0 {
 		return time.Hour
 	}
-	return time.Duration(ahead) * g.runTime / time.Duration(g.slots)
+	wait := float64(ahead) * float64(g.runTime) / float64(g.slots)
+	return time.Duration(wait / (1 - g.occupiedBefore(place)))
+}
+
+// occupiedBefore is the part of the slots that go to requests which come later and
+// are let in before one of the place all the same.
+func (g *gate) occupiedBefore(place rank) float64 {
+	occupied := 0.0
+	for _, known := range g.byRoute {
+		if lengthStep(known.runTime) < place.length {
+			occupied += known.occupied
+		}
+	}
+	return min(occupied, mostOccupied)
+}
+
+// lengthStep sorts run times into steps that differ by a factor of two.
+func lengthStep(runTime time.Duration) int { return bits.Len64(uint64(runTime / time.Millisecond)) }
+
+// takeLoad takes in what the routes have occupied since the last time.
+func (g *gate) takeLoad(now time.Duration) {
+	passed := now - g.loadTaken
+	if passed < loadEvery || g.slots == 0 {
+		return
+	}
+	g.loadTaken = now
+	for _, known := range g.byRoute {
+		part := float64(known.counted) / float64(passed) / float64(g.slots)
+		known.occupied = known.occupied*loadKeep + part*(1-loadKeep)
+		known.counted = 0
+	}
 }
 
 // retryAfter is when a refused request is likely to find a slot.
@@ -231,13 +286,25 @@
 	g.running--
 	if ran > 0 {
 		g.runTime = smoothed(g.runTime, ran)
-		if _, known := g.byRoute[route]; known || len(g.byRoute) < maxRoutes {
-			g.byRoute[route] = smoothed(g.routeTime(route), ran)
-		}
+		g.learn(route, ran)
 	}
 	g.admitNext()
 }
 
+func (g *gate) learn(route string, ran time.Duration) {
+	known := g.byRoute[route]
+	if known == nil {
+		if len(g.byRoute) >= maxRoutes {
+			return
+		}
+		known = &routeLoad{runTime: ran}
+		g.byRoute[route] = known
+	}
+	known.runTime = smoothed(known.runTime, ran)
+	known.counted += ran
+	g.takeLoad(clock.Now())
+}
+
 func smoothed(before, ran time.Duration) time.Duration {
 	return time.Duration(float64(before)*runTimeKeep + float64(ran)*(1-runTimeKeep))
 }
--- a/ingress/gate_test.go
+++ b/ingress/gate_test.go
@@ -120,3 +120,34 @@
 	is.Equal(<-waits, entryClosed)
 	is.Equal(g.enter(asked{"", 1, time.Hour, time.Hour}, nil), entryClosed)
 }
+
+// An instance's own calls hold other slots while they wait, and are short: they go
+// first, and what they take is counted in the wait that longer requests are foreseen,
+// so that these are refused while they can still be served elsewhere or later.
+func TestShorterRoutesGoFirstAndAreCountedIn(t *testing.T) {
+	is := is.New(t)
+	g := newGate(0.2)
+	g.resize(1)
+	g.byRoute["short"] = &routeLoad{runTime: 20 * time.Millisecond, occupied: 0.75}
+	g.byRoute["long"] = &routeLoad{runTime: 200 * time.Millisecond}
+	is.Equal(g.enter(asked{"long", 1, time.Hour, time.Hour}, nil), entryAdmitted)
+	answers := make(chan string, 2)
+	for count, route := range []string{"long", "short"} {
+		go func() {
+			if g.enter(asked{route, 1, time.Hour, time.Hour}, nil) == entryAdmitted {
+				answers <- route
+			}
+		}()
+		for g.load().waiting == count {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	g.leave("", 0)
+	is.Equal(<-answers, "short")
+	g.leave("", 0)
+	is.Equal(<-answers, "long")
+	g.runTime = 100 * time.Millisecond
+	place := func(route string) rank { return rank{priority: 1, length: lengthStep(g.routeTime(route))} }
+	is.Equal(g.foreseen(place("short")), 100*time.Millisecond)
+	is.Equal(g.foreseen(place("long")), 400*time.Millisecond)
+}
--- a/settings/discovery.go
+++ b/settings/discovery.go
@@ -5,9 +5,12 @@
 	"strconv"
 )
 
-// Complete fills in what follows from other settings: the addresses of control
-// that are not given, from discovery.
+// Complete fills in what follows from other settings: the number of voters from the
+// losses to be tolerated, the addresses of control that are not given from discovery.
 func (s *Settings) Complete() {
+	if s.Control.Voters == 0 && s.Control.ToleratedLosses > 0 {
+		s.Control.Voters = 2*s.Control.ToleratedLosses + 1
+	}
 	addresses := s.Discovery.addresses()
 	if len(addresses) == 0 {
 		return
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -94,8 +94,11 @@
 	Form bool `yaml:"form"`
 	// Voters is how many members vote; those beyond are learners, and take the place
 	// of a voter that is lost. Zero: members change by operators' commands only.
-	// Default 0.
+	// Default 0, or what ToleratedLosses needs.
 	Voters int `yaml:"voters"`
+	// ToleratedLosses is how many voters may be lost at once; Voters is then twice
+	// that and one. Zero: Voters says it. Default 0.
+	ToleratedLosses int `yaml:"tolerated_losses"`
 	// ReplaceAfter is how long a voter may be silent before a learner takes its
 	// place. Default 3s.
 	ReplaceAfter time.Duration `yaml:"replace_after"`
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -123,6 +123,7 @@
 	problems.require(s.Control.PlatformEvery >= 10*time.Millisecond, "control.platform_every", s.Control.PlatformEvery, "use at least 10ms")
 	problems.require(slices.Contains([]string{PlacementWeighted, PlacementHash, PlacementGreedy}, s.Control.Placement), "control.placement", s.Control.Placement, "use weighted, hash or greedy")
 	problems.require(s.Control.LoadHalfLife > 0, "control.load_half_life", s.Control.LoadHalfLife, "use more than 0s")
+	problems.require(s.Control.ToleratedLosses >= 0, "control.tolerated_losses", s.Control.ToleratedLosses, "use 0 or more")
 	problems.require(s.Control.Voters >= 0, "control.voters", s.Control.Voters, "use 0 or more")
 	problems.require(s.Control.ReplaceAfter >= time.Second, "control.replace_after", s.Control.ReplaceAfter, "use at least 1s")
 	problems.require(len(s.Control.Seeds) == 0 || len(s.Control.Members) == 0, "control.seeds", s.Control.Seeds, "give control.members or control.seeds, not both")
