Refused work counts as an owner's load; the share of slots in use is a setting

An owner's refusals are now counted as work of their shard: by what it has run alone, a full owner never looks fuller than another.

--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -94,11 +94,11 @@
 	i.current, i.heard, i.known = announced, now, true
 	if !sameStart {
 		i.leavingSince = 0
-		i.gate.resize(announced.Slots)
+		i.gate.resize(i.usable(announced.Slots))
 		i.logger.Info("instance_started", zap.String("instance", announced.ID), zap.String("before", before.ID),
 			zap.String("service", announced.Service), zap.Int("slots", announced.Slots), zap.String("version", announced.Version), zap.Uint64("sequence", announced.Sequence))
 	} else if before.Slots != announced.Slots {
-		i.gate.resize(announced.Slots)
+		i.gate.resize(i.usable(announced.Slots))
 	}
 	switch {
 	case announced.Draining && i.leavingSince == 0:
@@ -110,6 +110,11 @@
 	}
 }
 
+// usable is how many of an instance's slots are used at once.
+func (i *Instance) usable(slots int) int {
+	return max(1, int(float64(slots)*i.options.Settings.Ingress.SlotShare))
+}
+
 // Depart takes an instance's leave; it counts as acknowledged once this returns.
 func (i *Instance) Depart(id string) {
 	i.mutex.Lock()
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -82,6 +82,7 @@
 			return r.answer(request, p, result, id, sent)
 		}
 		p.service.pool.release(id, instanceOutcome(result), clock.Now()-sent)
+		r.countRefused(p, result)
 		r.noteAttempt(p, node, result)
 		open = open || result.state == attemptOpen
 		if !r.mayRetry(p, held, result, number) {
@@ -92,6 +93,14 @@
 	}
 }
 
+// countRefused counts the work that an owner had no room for as load of its shard:
+// measured by what it has run alone, an owner that is full would never look fuller.
+func (r *Router) countRefused(p *proxied, result *attempt) {
+	if p.service.spec.Keyed && result.state == attemptNotRun && result.reason == wire.BackendReasonFull {
+		r.work.add(p.service.name, p.shard, len(p.service.shards), result.load.RunTime)
+	}
+}
+
 func instanceOutcome(result *attempt) admission.Outcome {
 	switch {
 	case result.reason == refuseCallerGone.reason, result.reason == refuseDeadline.reason:
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -216,6 +216,9 @@
 	// QueueTime bounds how long a request may wait for one of the instance's slots,
 	// as a share of its target latency. Default 0.2.
 	QueueTime float64 `yaml:"queue_time"`
+	// SlotShare is the part of the instance's slots that are used at once: some get
+	// slower when nearly all are. Default 1.
+	SlotShare float64 `yaml:"slot_share"`
 	// AnnounceEvery is how often the instance announces itself. Default 1s.
 	AnnounceEvery time.Duration `yaml:"announce_every"`
 	// DrainTime is how long after a departure was acknowledged requests may still
@@ -275,7 +278,7 @@
 			MaxHeaderBytes: 16 << 10, MaxConnections: 20_000,
 			IdleTimeout: time.Minute, DrainTimeout: 30 * time.Second, CloseNotice: 2 * time.Second, Balance: BalanceOwn, Limits: LimitsAdaptive, RetryAfter: time.Second,
 		},
-		Ingress: Ingress{QueueTime: 0.2, AnnounceEvery: time.Second, DrainTime: 2 * time.Second, HoldTime: 10 * time.Second, StopTime: 5 * time.Second},
+		Ingress: Ingress{QueueTime: 0.2, SlotShare: 1, AnnounceEvery: time.Second, DrainTime: 2 * time.Second, HoldTime: 10 * time.Second, StopTime: 5 * time.Second},
 		Headers: Headers{RequestID: "X-Request-Id", Deadline: "Limehold-Timeout-Ms"},
 		Agent:   Agent{Slots: 18, Connections: 100, StopMode: StopDrain, ProbeEvery: 100 * time.Millisecond, StopTimeout: 20 * time.Second},
 	}
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -142,6 +142,7 @@
 		problems.address("ingress.readiness", s.Ingress.Readiness, true)
 	}
 	problems.require(s.Ingress.QueueTime > 0 && s.Ingress.QueueTime <= 1, "ingress.queue_time", s.Ingress.QueueTime, "use a share above 0 and up to 1")
+	problems.require(s.Ingress.SlotShare > 0 && s.Ingress.SlotShare <= 1, "ingress.slot_share", s.Ingress.SlotShare, "use a share above 0 and up to 1")
 	problems.require(s.Ingress.AnnounceEvery >= 10*time.Millisecond, "ingress.announce_every", s.Ingress.AnnounceEvery, "use at least 10ms")
 	problems.require(s.Ingress.DrainTime >= 0, "ingress.drain_time", s.Ingress.DrainTime, "use 0s or more")
 	problems.require(s.Ingress.HoldTime >= time.Second, "ingress.hold_time", s.Ingress.HoldTime, "use at least 1s")
