--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -40,8 +40,6 @@
 	response *fasthttp.Response
 	// whole is true when the body has been read into the response already.
 	whole bool
-	// delimited is false when the answer ends with its connection.
-	retryAfter time.Duration
 }
 
 // Reasons of exchanges without a usable answer.
--- a/ingress/keys.go
+++ b/ingress/keys.go
@@ -63,7 +63,6 @@
 	mutex   sync.Mutex
 	expiry  time.Duration
 	shards  map[ownership.Key]*heldShard
-	version uint64
 	wake    chan struct{}
 }
 
--- a/router/routes.go
+++ b/router/routes.go
@@ -141,16 +141,6 @@
 	return t.routes != nil
 }
 
-// limits returns the route table's limits; nil when there are none.
-func (t *table) limits() *routing.Limits {
-	t.mutex.RLock()
-	defer t.mutex.RUnlock()
-	if t.routes == nil {
-		return nil
-	}
-	return t.routes.document.Limits()
-}
-
 // setRouted adds what an ingress, and the instance behind it, has to know of a
 // request that came by way of the route table.
 func (r *Router) setRouted(request *fasthttp.RequestCtx, p *proxied, out *fasthttp.Request) {
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -8,9 +8,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
-	"encoding/binary"
 	"errors"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -68,12 +66,6 @@
 	received atomic.Uint64
 }
 
-type frame struct {
-	kind    wire.Kind
-	call    uint64
-	payload []byte
-}
-
 func newConn(raw net.Conn, local wire.Hello, handler Handler) *Conn {
 	if tcp, ok := raw.(*net.TCPConn); ok {
 		_ = tcp.SetKeepAlivePeriod(keepAlive)
@@ -157,49 +149,6 @@
 	return nil
 }
 
-func putHeader(header []byte, f frame) {
-	binary.LittleEndian.PutUint32(header[0:4], uint32(len(f.payload)))
-	header[4] = byte(f.kind)
-	binary.LittleEndian.PutUint64(header[5:13], f.call)
-}
-
-func (c *Conn) readFrame() (frame, error) { return readFrame(c.reader) }
-
-// readFrame reads one frame and refuses lengths above MaxFrame. Memory grows
-// with what arrives, not with what the header claims.
-func readFrame(reader io.Reader) (frame, error) {
-	var header [frameHeader]byte
-	if _, err := io.ReadFull(reader, header[:]); err != nil {
-		return frame{}, err
-	}
-	length := binary.LittleEndian.Uint32(header[0:4])
-	if length > MaxFrame {
-		return frame{}, eris.Errorf("frame of %d bytes exceeds the limit of %d", length, MaxFrame)
-	}
-	payload, err := readPayload(reader, int(length))
-	if err != nil {
-		return frame{}, err
-	}
-	return frame{kind: wire.Kind(header[4]), call: binary.LittleEndian.Uint64(header[5:13]), payload: payload}, nil
-}
-
-func readPayload(reader io.Reader, length int) ([]byte, error) {
-	const trusted = 1 << 20
-	payload := make([]byte, min(length, trusted))
-	if _, err := io.ReadFull(reader, payload); err != nil {
-		return nil, err
-	}
-	for len(payload) < length {
-		step := min(length-len(payload), len(payload))
-		start := len(payload)
-		payload = append(payload, make([]byte, step)...)
-		if _, err := io.ReadFull(reader, payload[start:]); err != nil {
-			return nil, err
-		}
-	}
-	return payload, nil
-}
-
 // run serves the connection until it fails or is closed.
 func (c *Conn) run() {
 	go c.writeLoop()
--- /dev/null
+++ b/wal/recover.go
@@ -0,0 +1,202 @@
+package wal
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"limehold/codec"
+	"limehold/consensus"
+)
+
+// Recovered is what was found in the folder.
+type Recovered struct {
+	HardState consensus.HardState
+	// Entries follow each other without gaps; they may begin before the snapshot.
+	Entries []consensus.Entry
+	// TornBytes were cut off the end; they had never been acknowledged.
+	TornBytes int64
+}
+
+func (l *Log) recover() (Recovered, error) {
+	names, err := segmentNames(l.options.Folder)
+	if err != nil {
+		return Recovered{}, err
+	}
+	var recovered Recovered
+	for i, name := range names {
+		var sequence uint64
+		if _, err := fmt.Sscanf(name, "%016x"+segmentSuffix, &sequence); err != nil {
+			return Recovered{}, eris.Wrapf(err, "log folder %s holds a file with an unexpected name %q", l.options.Folder, name)
+		}
+		path := filepath.Join(l.options.Folder, name)
+		if err := recoverSegment(path, i == len(names)-1, &recovered); err != nil {
+			return Recovered{}, err
+		}
+		last := segment{sequence: sequence}
+		if count := len(recovered.Entries); count > 0 {
+			last.lastIndex = recovered.Entries[count-1].Index
+		}
+		l.segments = append(l.segments, last)
+		l.sequence = sequence
+	}
+	return recovered, nil
+}
+
+func segmentNames(folder string) ([]string, error) {
+	files, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, eris.Wrapf(err, "list log folder %s", folder)
+	}
+	var names []string
+	for _, file := range files {
+		if strings.HasSuffix(file.Name(), segmentSuffix) {
+			names = append(names, file.Name())
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func recoverSegment(path string, last bool, recovered *Recovered) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return eris.Wrapf(err, "open log segment %s", path)
+	}
+	defer file.Close()
+	info, err := file.Stat()
+	if err != nil {
+		return eris.Wrapf(err, "inspect log segment %s", path)
+	}
+	reader := bufio.NewReaderSize(file, 1<<20)
+	var offset int64
+	for {
+		payload, err := readRecord(reader, offset, info.Size()-offset)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if errors.Is(err, errMark) {
+			offset += markSize
+			continue
+		}
+		if err != nil && last && neverSynced(path, offset, info.Size()) {
+			recovered.TornBytes = info.Size() - offset
+			return cutTail(path, offset)
+		}
+		if err != nil {
+			return eris.Wrapf(ErrCorrupt, "log segment %s at byte %d: %v; replace this member, do not copy files", path, offset, err)
+		}
+		if err := recovered.take(payload); err != nil {
+			return eris.Wrapf(err, "log segment %s at byte %d", path, offset)
+		}
+		offset += headerSize + int64(len(payload))
+	}
+}
+
+// readRecord returns io.ErrUnexpectedEOF for a torn record, io.EOF at the end.
+// Records are written in one write, in order: a tail that is torn is short, or
+// is filled with zeros by the file system. A complete record with a wrong
+// checksum is damage, not a torn write.
+func readRecord(reader io.Reader, offset, remaining int64) ([]byte, error) {
+	if remaining == 0 {
+		return nil, io.EOF
+	}
+	var header [headerSize]byte
+	if _, err := io.ReadFull(reader, header[:]); err != nil {
+		return nil, io.ErrUnexpectedEOF
+	}
+	if header == markAt(offset) {
+		return nil, errMark
+	}
+	if header == ([headerSize]byte{}) {
+		return nil, zeroTail(reader)
+	}
+	length := binary.LittleEndian.Uint32(header[0:4])
+	checksum := binary.LittleEndian.Uint32(header[4:8])
+	if found := crc32.Checksum(header[:checkedHeader], castagnoli); found != binary.LittleEndian.Uint32(header[checkedHeader:]) {
+		return nil, errors.New("the record's header has a wrong checksum")
+	}
+	if length == 0 || length > maxRecordSize {
+		return nil, fmt.Errorf("record length %d is outside 1..%d", length, maxRecordSize)
+	}
+	if int64(length) > remaining-headerSize {
+		return nil, io.ErrUnexpectedEOF
+	}
+	payload := make([]byte, length)
+	if _, err := io.ReadFull(reader, payload); err != nil {
+		return nil, err
+	}
+	if found := crc32.Checksum(payload, castagnoli); found != checksum {
+		return nil, fmt.Errorf("checksum is %08x, the record says %08x", found, checksum)
+	}
+	return payload, nil
+}
+
+// zeroTail returns io.ErrUnexpectedEOF when only zero bytes follow.
+func zeroTail(reader io.Reader) error {
+	rest, err := io.ReadAll(reader)
+	if err != nil {
+		return err
+	}
+	if bytes.Count(rest, []byte{0}) != len(rest) {
+		return errors.New("a record header of zeros stands before further records")
+	}
+	return io.ErrUnexpectedEOF
+}
+
+func cutTail(path string, offset int64) error {
+	file, err := os.OpenFile(path, os.O_WRONLY, fileMode)
+	if err != nil {
+		return eris.Wrapf(err, "open log segment %s to cut its torn tail", path)
+	}
+	defer file.Close()
+	if err := file.Truncate(offset); err != nil {
+		return eris.Wrapf(err, "cut torn tail of log segment %s", path)
+	}
+	return eris.Wrapf(file.Sync(), "sync log segment %s", path)
+}
+
+func (r *Recovered) take(payload []byte) error {
+	var decoded record
+	if err := codec.Unmarshal(payload, &decoded); err != nil {
+		return eris.Wrapf(ErrCorrupt, "decode record: %v", err)
+	}
+	if decoded.HardState != nil {
+		r.HardState = *decoded.HardState
+	}
+	if decoded.Reset {
+		r.Entries = nil
+	}
+	if decoded.Entry == nil {
+		return nil
+	}
+	return r.takeEntry(*decoded.Entry)
+}
+
+// takeEntry appends, or replaces from the entry's index on.
+func (r *Recovered) takeEntry(entry consensus.Entry) error {
+	if len(r.Entries) > 0 {
+		first := r.Entries[0].Index
+		next := r.Entries[len(r.Entries)-1].Index + 1
+		switch {
+		case entry.Index > next:
+			return eris.Wrapf(ErrCorrupt, "entry %d follows entry %d", entry.Index, next-1)
+		case entry.Index < first:
+			r.Entries = r.Entries[:0]
+		case entry.Index < next:
+			r.Entries = r.Entries[:entry.Index-first]
+		}
+	}
+	r.Entries = append(r.Entries, entry)
+	return nil
+}
