Lists of control addresses that an operator gave are not led around

Whether a refusal was seen in between was a race. Ruled out: the load.

Addresses that members name are used only where control is found by discovery. TestListOfTheSettingsIsNotLedAround fails without. On the users' machines seeds are always given, so that nothing changes there.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -89,7 +89,7 @@
 	options.Metrics.Gauge("agent", "lease_remaining_seconds", "Time until the lease ends if it is not renewed.", func() float64 {
 		return max(0, (a.leaseExpiry() - clock.Now()).Seconds())
 	})
-	a.links = newLinks(config.Agent.Control, func(address string) *transport.Link {
+	a.links = newLinks(config.Agent.Control, len(config.Discovery.Seeds) > 0, func(address string) *transport.Link {
 		return transport.NewLink(address, a, a.transportOptions())
 	})
 	if options.NoAdmin {
--- a/agent/links.go
+++ b/agent/links.go
@@ -18,7 +18,10 @@
 	mutex sync.Mutex
 	ctx   context.Context
 	// seeds are the addresses of the settings; they stay, whatever the members say.
-	seeds   []string
+	seeds []string
+	// learns is set where control is found by discovery: addresses that members name
+	// are dialed too. A list that an operator gave stays as it is.
+	learns  bool
 	known   map[string]*knownLink
 	order   []string
 	version uint64
@@ -31,8 +34,8 @@
 	cancel context.CancelFunc
 }
 
-func newLinks(seeds []string, dial func(string) *transport.Link) *links {
-	return &links{dial: dial, seeds: seeds, known: map[string]*knownLink{}}
+func newLinks(seeds []string, learns bool, dial func(string) *transport.Link) *links {
+	return &links{dial: dial, seeds: seeds, learns: learns, known: map[string]*knownLink{}}
 }
 
 // start dials the seeds, and keeps all links up until ctx ends.
@@ -45,7 +48,7 @@
 
 // update takes the members' own list of their addresses.
 func (l *links) update(list *wire.MemberList) {
-	if list == nil {
+	if list == nil || !l.learns {
 		return
 	}
 	l.mutex.Lock()
@@ -68,7 +71,7 @@
 func (l *links) learn(address string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if address == "" || l.ctx == nil || l.ctx.Err() != nil || l.known[address] != nil {
+	if address == "" || !l.learns || l.ctx == nil || l.ctx.Err() != nil || l.known[address] != nil {
 		return
 	}
 	l.keep(append(slices.Clone(l.order), address))
--- a/agent/links_test.go
+++ b/agent/links_test.go
@@ -52,7 +52,7 @@
 	seed.leaderAddress.Store(&leaderAddress)
 	ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
 	defer stop()
-	found := newLinks([]string{seedAddress}, func(address string) *transport.Link {
+	found := newLinks([]string{seedAddress}, true, func(address string) *transport.Link {
 		return transport.NewLink(address, &member{}, transport.Options{Local: wire.Hello{Version: wire.ProtocolVersion, Role: wire.RoleAgent, Name: "node-1"}})
 	})
 	found.start(ctx)
--- a/router/watch.go
+++ b/router/watch.go
@@ -124,11 +124,13 @@
 	return nil
 }
 
-// controlAddresses are those that the members have told, and those of the settings.
+// controlAddresses are those of the settings and, where control is found by
+// discovery, those that the members have told. A list that an operator gave stays as
+// it is: it may lead by ways that the members do not know of.
 func (r *Router) controlAddresses() []string {
 	addresses := slices.Clone(r.options.Settings.Router.Control)
 	list := r.members.Load()
-	if list == nil {
+	if list == nil || len(r.options.Settings.Discovery.Seeds) == 0 {
 		return addresses
 	}
 	for _, address := range list.Addresses {
--- a/router/watch_test.go
+++ b/router/watch_test.go
@@ -42,6 +42,19 @@
 	return server.Address()
 }
 
+// An operator's list may lead by ways of its own, which a test or a network cuts: the
+// members' word on their addresses must not lead around it.
+func TestListOfTheSettingsIsNotLedAround(t *testing.T) {
+	is := is.New(t)
+	config := settings.Default()
+	config.Router.Control = []string{"127.0.0.1:1"}
+	router := &Router{options: Options{Settings: config}}
+	router.members.Store(&wire.MemberList{Version: 1, Addresses: []string{"127.0.0.1:2"}})
+	is.Equal(router.controlAddresses(), []string{"127.0.0.1:1"})
+	router.options.Settings.Discovery.Seeds = []string{"127.0.0.1:1"}
+	is.Equal(router.controlAddresses(), []string{"127.0.0.1:1", "127.0.0.1:2"})
+}
+
 // A member that is cut off from the others still takes subscriptions, and would let
 // its routers go on with an old table for as long as the cut lasts.
 func TestRouterLeavesAMemberThatCannotConfirm(t *testing.T) {
