Requests made for the first time go before those that return after a refusal

Change: a router tells a returning request by the time its caller still allows, which is shorter than the route's usual one (admission.Returns, a high quantile), and says so to the ingress, whose queue puts it behind new ones of the same rank and run time, and counts what new ones take in the wait that it foresees.

--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -17,8 +17,10 @@
 //   - A waiting request is let in at most once.
 //   - Among waiting requests, one of a higher rank is let in first; among equals
 //     the shorter one: an instance's own calls, for which other slots are held, are
-//     much shorter than what callers ask for. Among equals, the one that has to begin
-//     first to be served within its target latency.
+//     much shorter than what callers ask for. Among equals, one that is made for the
+//     first time: it can still be served in full time, one that returns after a refusal
+//     cannot. Among equals, the one that has to begin first to be served within its
+//     target latency.
 type gate struct {
 	// queueTime is the share of a request's target latency that it may wait.
 	queueTime float64
@@ -39,12 +41,24 @@
 type routeLoad struct {
 	// runTime is the smoothed time that a request occupies a slot.
 	runTime time.Duration
-	// occupied is the smoothed part of the instance's slots that the route takes, and
-	// counted the slot time since it was last taken in.
+	// first and again are the slots that its requests take, those that are made for the
+	// first time and those that return after a refusal.
+	first, again slotUse
+}
+
+// slotUse is how much of the instance's slots some requests take.
+type slotUse struct {
+	// occupied is the smoothed part of the slots, and counted the slot time since it
+	// was last taken in.
 	occupied float64
 	counted  time.Duration
 }
 
+func (u *slotUse) takeIn(slotTime float64) {
+	u.occupied = u.occupied*loadKeep + float64(u.counted)/slotTime*(1-loadKeep)
+	u.counted = 0
+}
+
 // ticket is one request that waits.
 type ticket struct {
 	rank
@@ -58,6 +72,8 @@
 	priority int
 	// length is the run time of the route, in coarse steps.
 	length int
+	// returning is set for one that was refused before.
+	returning bool
 	// due is when the request has to begin, on the gate's clock.
 	due time.Duration
 }
@@ -70,6 +86,9 @@
 	if r.length != other.length {
 		return r.length < other.length
 	}
+	if r.returning != other.returning {
+		return other.returning
+	}
 	return r.due < other.due
 }
 
@@ -134,8 +153,9 @@
 
 // asked is what the gate has to know of a request.
 type asked struct {
-	route    string
-	priority int
+	route     string
+	priority  int
+	returning bool
 	// target is what is left of the request's target latency, left the time until
 	// its deadline.
 	target time.Duration
@@ -146,7 +166,10 @@
 func (g *gate) enter(request asked, cancelled <-chan struct{}) entry {
 	g.mutex.Lock()
 	patience := g.patience(request)
-	place := rank{priority: request.priority, length: lengthStep(g.routeTime(request.route)), due: clock.Now() + patience}
+	place := rank{
+		priority: request.priority, length: lengthStep(g.routeTime(request.route)),
+		returning: request.returning, due: clock.Now() + patience,
+	}
 	if g.closed {
 		g.mutex.Unlock()
 		return entryClosed
@@ -244,8 +267,12 @@
 func (g *gate) occupiedBefore(place rank) float64 {
 	occupied := 0.0
 	for _, known := range g.byRoute {
-		if lengthStep(known.runTime) < place.length {
-			occupied += known.occupied
+		length := lengthStep(known.runTime)
+		if length < place.length || length == place.length && place.returning {
+			occupied += known.first.occupied
+		}
+		if length < place.length {
+			occupied += known.again.occupied
 		}
 	}
 	return min(occupied, mostOccupied)
@@ -261,10 +288,10 @@
 		return
 	}
 	g.loadTaken = now
+	slotTime := float64(passed) * float64(g.slots)
 	for _, known := range g.byRoute {
-		part := float64(known.counted) / float64(passed) / float64(g.slots)
-		known.occupied = known.occupied*loadKeep + part*(1-loadKeep)
-		known.counted = 0
+		known.first.takeIn(slotTime)
+		known.again.takeIn(slotTime)
 	}
 }
 
@@ -280,18 +307,18 @@
 
 // leave gives a slot back; ran is how long the request occupied it, zero when it
 // did not run.
-func (g *gate) leave(route string, ran time.Duration) {
+func (g *gate) leave(route string, returning bool, ran time.Duration) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.running--
 	if ran > 0 {
 		g.runTime = smoothed(g.runTime, ran)
-		g.learn(route, ran)
+		g.learn(route, returning, ran)
 	}
 	g.admitNext()
 }
 
-func (g *gate) learn(route string, ran time.Duration) {
+func (g *gate) learn(route string, returning bool, ran time.Duration) {
 	known := g.byRoute[route]
 	if known == nil {
 		if len(g.byRoute) >= maxRoutes {
@@ -301,7 +328,11 @@
 		g.byRoute[route] = known
 	}
 	known.runTime = smoothed(known.runTime, ran)
-	known.counted += ran
+	if returning {
+		known.again.counted += ran
+	} else {
+		known.first.counted += ran
+	}
 	g.takeLoad(clock.Now())
 }
 
--- a/ingress/gate_test.go
+++ b/ingress/gate_test.go
@@ -16,7 +16,7 @@
 	t.Helper()
 	before := g.load().waiting
 	answer := make(chan entry, 1)
-	go func() { answer <- g.enter(asked{"", priority, target, time.Hour}, nil) }()
+	go func() { answer <- g.enter(asked{route: "", priority: priority, target: target, left: time.Hour}, nil) }()
 	for g.load().waiting == before {
 		time.Sleep(time.Millisecond)
 	}
@@ -32,7 +32,7 @@
 	var all sync.WaitGroup
 	for range 200 {
 		all.Go(func() {
-			if g.enter(asked{"", 1, time.Hour, time.Hour}, nil) != entryAdmitted {
+			if g.enter(asked{route: "", priority: 1, target: time.Hour, left: time.Hour}, nil) != entryAdmitted {
 				return
 			}
 			mutex.Lock()
@@ -43,7 +43,7 @@
 			mutex.Lock()
 			running--
 			mutex.Unlock()
-			g.leave("", time.Millisecond)
+			g.leave("", false, time.Millisecond)
 		})
 	}
 	all.Wait()
@@ -55,12 +55,12 @@
 	is := is.New(t)
 	g := newGate(0.2)
 	g.resize(1)
-	is.Equal(g.enter(asked{"", 1, second, time.Minute}, nil), entryAdmitted)
+	is.Equal(g.enter(asked{route: "", priority: 1, target: second, left: time.Minute}, nil), entryAdmitted)
 	low := waiting(t, g, 2, 100*second)
 	long := waiting(t, g, 1, 200*second)
 	short := waiting(t, g, 1, 100*second)
 	for _, next := range []<-chan entry{short, long, low} {
-		g.leave("", 0)
+		g.leave("", false, 0)
 		is.Equal(<-next, entryAdmitted)
 	}
 }
@@ -71,13 +71,13 @@
 	is := is.New(t)
 	g := newGate(0.2)
 	g.resize(1)
-	is.Equal(g.enter(asked{"", 1, second, time.Minute}, nil), entryAdmitted)
+	is.Equal(g.enter(asked{route: "", priority: 1, target: second, left: time.Minute}, nil), entryAdmitted)
 	old := waiting(t, g, 1, 2*second)
 	time.Sleep(20 * time.Millisecond)
 	young := waiting(t, g, 1, 2*second-10*time.Millisecond)
-	g.leave("", 0)
+	g.leave("", false, 0)
 	is.Equal(<-old, entryAdmitted)
-	g.leave("", 0)
+	g.leave("", false, 0)
 	is.Equal(<-young, entryAdmitted)
 }
 
@@ -86,9 +86,9 @@
 	g := newGate(0.2)
 	g.resize(1)
 	g.runTime = second
-	is.Equal(g.enter(asked{"", 1, second, time.Minute}, nil), entryAdmitted)
+	is.Equal(g.enter(asked{route: "", priority: 1, target: second, left: time.Minute}, nil), entryAdmitted)
 	began := time.Now()
-	is.Equal(g.enter(asked{"", 1, 2 * second, time.Minute}, nil), entryFull)
+	is.Equal(g.enter(asked{route: "", priority: 1, target: 2 * second, left: time.Minute}, nil), entryFull)
 	is.True(time.Since(began) < second/2)
 	is.True(g.retryAfter() > 0)
 }
@@ -97,16 +97,18 @@
 	is := is.New(t)
 	g := newGate(1)
 	g.resize(1)
-	is.Equal(g.enter(asked{"", 1, time.Hour, time.Hour}, nil), entryAdmitted)
+	is.Equal(g.enter(asked{route: "", priority: 1, target: time.Hour, left: time.Hour}, nil), entryAdmitted)
 	cancelled := make(chan struct{})
 	answer := make(chan entry, 1)
-	go func() { answer <- g.enter(asked{"", 1, time.Hour, time.Hour}, cancelled) }()
+	go func() {
+		answer <- g.enter(asked{route: "", priority: 1, target: time.Hour, left: time.Hour}, cancelled)
+	}()
 	for g.load().waiting == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	close(cancelled)
 	is.Equal(<-answer, entryCancelled)
-	g.leave("", 0)
+	g.leave("", false, 0)
 	is.Equal(g.load(), loadFigures{running: 0, waiting: 0, slots: 1, runTime: firstRunTime})
 }
 
@@ -114,11 +116,11 @@
 	is := is.New(t)
 	g := newGate(1)
 	g.resize(1)
-	is.Equal(g.enter(asked{"", 1, time.Hour, time.Hour}, nil), entryAdmitted)
+	is.Equal(g.enter(asked{route: "", priority: 1, target: time.Hour, left: time.Hour}, nil), entryAdmitted)
 	waits := waiting(t, g, 1, time.Hour)
 	g.close()
 	is.Equal(<-waits, entryClosed)
-	is.Equal(g.enter(asked{"", 1, time.Hour, time.Hour}, nil), entryClosed)
+	is.Equal(g.enter(asked{route: "", priority: 1, target: time.Hour, left: time.Hour}, nil), entryClosed)
 }
 
 // An instance's own calls hold other slots while they wait, and are short: they go
@@ -128,13 +130,13 @@
 	is := is.New(t)
 	g := newGate(0.2)
 	g.resize(1)
-	g.byRoute["short"] = &routeLoad{runTime: 20 * time.Millisecond, occupied: 0.75}
+	g.byRoute["short"] = &routeLoad{runTime: 20 * time.Millisecond, first: slotUse{occupied: 0.75}}
 	g.byRoute["long"] = &routeLoad{runTime: 200 * time.Millisecond}
-	is.Equal(g.enter(asked{"long", 1, time.Hour, time.Hour}, nil), entryAdmitted)
+	is.Equal(g.enter(asked{route: "long", priority: 1, target: time.Hour, left: time.Hour}, nil), entryAdmitted)
 	answers := make(chan string, 2)
 	for count, route := range []string{"long", "short"} {
 		go func() {
-			if g.enter(asked{route, 1, time.Hour, time.Hour}, nil) == entryAdmitted {
+			if g.enter(asked{route: route, priority: 1, target: time.Hour, left: time.Hour}, nil) == entryAdmitted {
 				answers <- route
 			}
 		}()
@@ -142,12 +144,50 @@
 			time.Sleep(time.Millisecond)
 		}
 	}
-	g.leave("", 0)
+	g.leave("", false, 0)
 	is.Equal(<-answers, "short")
-	g.leave("", 0)
+	g.leave("", false, 0)
 	is.Equal(<-answers, "long")
 	g.runTime = 100 * time.Millisecond
 	place := func(route string) rank { return rank{priority: 1, length: lengthStep(g.routeTime(route))} }
 	is.Equal(g.foreseen(place("short")), 100*time.Millisecond)
 	is.Equal(g.foreseen(place("long")), 400*time.Millisecond)
 }
+
+// While there is more to do than the instance can, a request that is made for the first
+// time can still be served in full time; one that returns after a refusal waits behind.
+func TestRequestMadeForTheFirstTimeGoesBeforeOneThatReturns(t *testing.T) {
+	is := is.New(t)
+	g := newGate(0.2)
+	g.resize(1)
+	enter := func(returning bool) <-chan entry {
+		before := g.load().waiting
+		answer := make(chan entry, 1)
+		go func() {
+			answer <- g.enter(asked{priority: 1, returning: returning, target: time.Hour, left: time.Hour}, nil)
+		}()
+		for g.load().waiting == before {
+			time.Sleep(time.Millisecond)
+		}
+		return answer
+	}
+	is.Equal(g.enter(asked{priority: 1, target: time.Hour, left: time.Hour}, nil), entryAdmitted)
+	again := enter(true)
+	first := enter(false)
+	g.leave("", false, 0)
+	is.Equal(<-first, entryAdmitted)
+	g.leave("", false, 0)
+	is.Equal(<-again, entryAdmitted)
+}
+
+// What first requests take is counted in the wait that a returning one is foreseen.
+func TestReturningRequestForeseesWhatFirstOnesTake(t *testing.T) {
+	is := is.New(t)
+	g := newGate(0.2)
+	g.resize(1)
+	g.runTime = 100 * time.Millisecond
+	g.byRoute["a"] = &routeLoad{runTime: 100 * time.Millisecond, first: slotUse{occupied: 0.75}}
+	length := lengthStep(100 * time.Millisecond)
+	is.Equal(g.foreseen(rank{length: length}), 100*time.Millisecond)
+	is.Equal(g.foreseen(rank{length: length, returning: true}), 400*time.Millisecond)
+}
--- a/ingress/passage.go
+++ b/ingress/passage.go
@@ -29,6 +29,7 @@
 	keyed     bool
 	head      bool
 	priority  int
+	returning bool
 	target    time.Duration
 	deadline  time.Duration
 	arrived   time.Duration
@@ -90,7 +91,7 @@
 		return
 	}
 	p.watched = i.hangups.Add(request.Conn(), p.cancel)
-	switch i.gate.enter(asked{p.route, p.priority, p.target, p.deadline - clock.Now()}, p.cancelled) {
+	switch i.gate.enter(p.asked(), p.cancelled) {
 	case entryFull:
 		i.refuse(request, p, wire.BackendReasonFull, i.gate.retryAfter())
 	case entryClosed:
@@ -118,6 +119,7 @@
 	p.shard = uint32(shard)
 	p.keyed = p.epoch > 0
 	p.priority, _ = strconv.Atoi(string(header.Peek(wire.HeaderPriority)))
+	p.returning = len(header.Peek(wire.HeaderReturning)) > 0
 	target, _ := strconv.ParseInt(string(header.Peek(wire.HeaderTarget)), 10, 64)
 	p.target = time.Duration(target) * time.Millisecond
 	left, err := strconv.ParseInt(string(header.Peek(wire.HeaderDeadline)), 10, 64)
@@ -125,6 +127,11 @@
 	return p, err == nil && p.attemptID != "" && p.service != ""
 }
 
+// asked is what the gate has to know of the request.
+func (p *passage) asked() asked {
+	return asked{route: p.route, priority: p.priority, returning: p.returning, target: p.target, left: p.deadline - clock.Now()}
+}
+
 // refusal returns why the request may not go to the instance; empty: it may.
 func (i *Ingress) refusal(p *passage, now time.Duration) string {
 	p.seen = i.instance.view(now)
@@ -181,7 +188,7 @@
 	if p.sent > 0 {
 		ran = clock.Now() - p.sent
 	}
-	i.gate.leave(p.route, ran)
+	i.gate.leave(p.route, p.returning, ran)
 	i.hangups.Remove(p.watched)
 	if p.out != nil {
 		fasthttp.ReleaseRequest(p.out)
@@ -213,7 +220,7 @@
 // betweenUs are the headers that routers add for ingresses.
 var betweenUs = []string{
 	wire.HeaderAttempt, wire.HeaderService, wire.HeaderShard, wire.HeaderEpoch, wire.HeaderRoute,
-	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderRepeatable, wire.HeaderDeadline,
+	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderReturning, wire.HeaderRepeatable, wire.HeaderDeadline,
 }
 
 // answer passes an answer on. Small ones are there whole; others are streamed and
@@ -259,7 +266,7 @@
 		load := i.gate.load()
 		line.Write(zap.String("request", p.requestID), zap.String("attempt", p.attemptID), zap.String("reason", reason),
 			zap.String("instance", p.seen.id), zap.Int("running", load.running), zap.Int("waiting", load.waiting), zap.Int("slots", load.slots),
-			zap.Uint32("shard", p.shard), zap.Uint64("epoch", p.epoch), zap.Duration("waited", clock.Now()-p.arrived))
+			zap.Bool("returning", p.returning), zap.Uint32("shard", p.shard), zap.Uint64("epoch", p.epoch), zap.Duration("waited", clock.Now()-p.arrived))
 	}
 	if retryAfter > 0 {
 		request.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
--- a/router/answer.go
+++ b/router/answer.go
@@ -94,7 +94,8 @@
 	}
 	if line := r.logger.Check(zap.InfoLevel, "request_refused"); line != nil {
 		line.Write(zap.String("request", id), zap.String("service", service), zap.String("route", p.routeName()), zap.Uint64("version", p.tableVersion()),
-			zap.String("reason", refused.reason), zap.Int("status", refused.status), zap.Duration("retry_after", refused.retryAfter), zap.Int("attempts", p.attemptCount()))
+			zap.String("reason", refused.reason), zap.Int("status", refused.status), zap.Duration("retry_after", refused.retryAfter),
+			zap.Int("attempts", p.attemptCount()), zap.Bool("returning", p != nil && p.returning))
 	}
 }
 
--- a/router/request.go
+++ b/router/request.go
@@ -34,12 +34,14 @@
 	// routed is set when the request came by way of the route table.
 	routed     *routedRoute
 	repeatable bool
-	head       bool
-	shard      uint32
-	epoch      uint64
-	deadline   time.Duration
-	out        *fasthttp.Request
-	bodyUsed   bool
+	// returning is set when the caller has made the request before and was refused.
+	returning bool
+	head      bool
+	shard     uint32
+	epoch     uint64
+	deadline  time.Duration
+	out       *fasthttp.Request
+	bodyUsed  bool
 	// body is set when the request's body is streamed.
 	body    *limitedBody
 	caller  net.Conn
@@ -173,6 +175,7 @@
 	p.deadline = now + p.route.Timeout.Std()
 	if wanted, ok := r.callerTimeout(request); ok {
 		p.deadline = min(p.deadline, now+wanted)
+		p.returning = p.routed != nil && p.routed.returns.observe(wanted)
 	}
 	if found.retiring {
 		return p, refuseRetiring
--- a/router/routes.go
+++ b/router/routes.go
@@ -3,9 +3,11 @@
 import (
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"limehold/admission"
 	"limehold/catalog"
 	"limehold/routing"
 	"limehold/wire"
@@ -24,6 +26,8 @@
 	route  *routing.Route
 	limits catalog.Route
 	split  *splitter
+	// returns tells the route's new requests from those that were refused before.
+	returns *returnDetector
 	// version of the route table that the route was taken from.
 	version uint64
 }
@@ -31,11 +35,11 @@
 // changed returns the table after a change.
 func (t *routeTable) changed(change *routing.Change) *routeTable {
 	var before routing.Document
-	splits := map[string]*splitter{}
+	earlier := map[string]*routedRoute{}
 	if t != nil {
 		before = t.document
 		for _, known := range t.routes {
-			splits[known.route.Name] = known.split
+			earlier[known.route.Name] = known
 		}
 	}
 	next := &routeTable{document: before.Edited(change), routes: map[*routing.Route]*routedRoute{}}
@@ -46,15 +50,38 @@
 		if route == nil {
 			continue
 		}
-		known := &routedRoute{route: route, limits: limitsOf(route, limits), split: splits[route.Name], version: next.document.Version}
-		if known.split == nil || !known.split.serves(route.Split) {
-			known.split = newSplitter(route.Split)
-		}
+		known := &routedRoute{route: route, limits: limitsOf(route, limits), version: next.document.Version}
+		known.keep(earlier[route.Name])
 		next.routes[route] = known
 	}
 	return next
 }
 
+// keep takes over what the route has learned under an earlier version of the table.
+func (r *routedRoute) keep(earlier *routedRoute) {
+	if earlier == nil {
+		r.split, r.returns = newSplitter(r.route.Split), &returnDetector{}
+		return
+	}
+	r.returns = earlier.returns
+	r.split = earlier.split
+	if !r.split.serves(r.route.Split) {
+		r.split = newSplitter(r.route.Split)
+	}
+}
+
+// returnDetector is the detector of one route, which all its requests share.
+type returnDetector struct {
+	mutex   sync.Mutex
+	returns admission.Returns
+}
+
+func (d *returnDetector) observe(allowed time.Duration) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.returns.Observe(allowed)
+}
+
 func limitsOf(route *routing.Route, limits *routing.Limits) catalog.Route {
 	built := catalog.NewRoute()
 	built.Timeout = catalog.Duration(route.Timeout)
@@ -160,6 +187,9 @@
 	out.Header.Set(wire.HeaderRoute, route.Name)
 	out.Header.Set(wire.HeaderPriority, strconv.Itoa(route.Priority))
 	out.Header.Set(wire.HeaderRepeatable, strconv.FormatBool(p.repeatable))
+	if p.returning {
+		out.Header.Set(wire.HeaderReturning, strconv.FormatBool(true))
+	}
 }
 
 // InstanceConnections is how many connections an instance of a service accepts, as
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -35,6 +35,8 @@
 	HeaderRoute    = "Limehold-Route"
 	HeaderPriority = "Limehold-Priority"
 	HeaderTarget   = "Limehold-Target-Ms"
+	// HeaderReturning is "true" on requests that have been refused before.
+	HeaderReturning = "Limehold-Returning"
 	// HeaderRepeatable is "true" on requests that may run more than once.
 	HeaderRepeatable = "Limehold-Repeatable"
 	// HeaderTimeout is set by callers who want less than the route's timeout.
