Ranges of 64 keys, assigned in runs of neighbours

Ruled out on the way: keys that belong to a zone (the busiest ranges are asked for alike from all three), answers that could be compressed between zones (they are random bytes), bytes of the control protocol (0.7 of 39 MB).

Change: 1024 ranges a service; placement gives free ranges to nodes in runs that are cut where the load is, prices the cuts that a move makes, and fills a new node run by run; what is assigned together shares an epoch (the decision carries it, so that logs written before replay as they did; protocol version 4). The price of a move follows the share of the keys that it moves. Tests of key ranges compute their numbers from the number of ranges in place of 256; they ask for the same.

--- a/control/place.go
+++ b/control/place.go
@@ -64,7 +64,7 @@
 	weights := service.Spec.Weights
 	return placement.Service{
 		Imbalance: weights.Imbalance, Churn: weights.Churn, Unavailable: weights.Unavailable,
-		Moves: budget.Take(now, service.Spec.MovesPerMinute),
+		Moves: budget.Take(now, service.Spec.MovesPerMinute), Ranged: service.Spec.Key.Ranges,
 	}
 }
 
@@ -82,7 +82,9 @@
 	cause := "free shards of pool " + pool + " go to the least utilized nodes"
 	var commands []fleet.Command
 	for _, chunk := range chunks(decisions) {
-		commands = append(commands, fleet.Command{Assign: &fleet.Assign{Decisions: shardDecisions(chunk), Cause: cause}})
+		list := shardDecisions(chunk)
+		shareEpochs(list)
+		commands = append(commands, fleet.Command{Assign: &fleet.Assign{Decisions: list, Cause: cause}})
 	}
 	m.proposeAll(ctx, "assign shards", commands)
 	m.moves.WithLabelValues("assign").Add(float64(len(decisions)))
@@ -144,6 +146,17 @@
 	return list
 }
 
+// shareEpochs assigns the shards of one service under one epoch.
+func shareEpochs(list []fleet.ShardDecision) {
+	next := map[string]uint64{}
+	for _, decision := range list {
+		next[decision.Key.Service] = max(next[decision.Key.Service], decision.Epoch+1)
+	}
+	for i := range list {
+		list[i].Next = next[list[i].Key.Service]
+	}
+}
+
 // afterApply is told by the replica of each command that took effect.
 func (m *Member) afterApply(changes fleet.Changes, state *fleet.State) {
 	if changes.Empty() {
--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -266,7 +266,11 @@
 	if target.Pool != service.Spec.Pool {
 		return false
 	}
-	if a.state.Ownership.Assign(decision.Key, decision.Epoch, decision.To) != nil {
+	next := decision.Next
+	if next == 0 {
+		next = decision.Epoch + 1
+	}
+	if a.state.Ownership.Assign(decision.Key, decision.Epoch, next, decision.To) != nil {
 		return false
 	}
 	a.touch(decision.Key, decision.To)
--- a/fleet/command.go
+++ b/fleet/command.go
@@ -101,6 +101,10 @@
 	Key   ownership.Key
 	Epoch uint64
 	To    membership.SessionID
+	// Next is the epoch under which a free shard is assigned; zero: the one after
+	// Epoch. Shards that are assigned together share it, so that neighbouring ones can
+	// be granted in one call.
+	Next uint64
 }
 
 // Assign gives free shards to sessions.
--- a/fleet/routes.go
+++ b/fleet/routes.go
@@ -13,9 +13,14 @@
 // Parameters of services that a route table names. Such a service has a pool of
 // its own name, and routes reach it only through the table.
 const (
-	// RoutedShards is how many shards a keyed service of a route table has: they cut the numbers that are keys fine enough to even out busy
-	// ones that stand close together.
-	RoutedShards = 256
+	// RoutedShards is how many shards a keyed service of a route table has: they cut
+	// the numbers that are keys fine enough to even out busy ones that stand close
+	// together.
+	RoutedShards = 1024
+	// routedChurn is the price of moving one of them: that of a shard of a service
+	// that is divided into referenceShards, by its share of the keys.
+	routedChurn     = float64(referenceShards) / RoutedShards
+	referenceShards = 256
 	// routedQueue bounds the requests that wait at one router.
 	routedQueue       = 256
 	routedRetryBudget = 10
@@ -23,7 +28,8 @@
 	// fenced by their leases, and a table has no bound of its own.
 	routedStaleness = 24 * time.Hour
 	routedStall     = 20 * time.Second
-	routedMoves     = 600
+	// routedMoves a minute bound the planned moves of its shards.
+	routedMoves = 600 * RoutedShards / referenceShards
 )
 
 // changeRoutes changes the route table and the services that it names.
@@ -79,6 +85,7 @@
 	if service.Keyed {
 		spec.Keyed, spec.Shards = true, RoutedShards
 		spec.Key = catalog.KeyRule{Source: catalog.KeyFromHeader, Ranges: true}
+		spec.Weights.Churn = routedChurn
 	}
 	spec.Complete()
 	return spec
--- a/ingress/keys.go
+++ b/ingress/keys.go
@@ -198,26 +198,32 @@
 
 // renewDue sends every grant that is due, and returns when the next one is.
 func (h *keyHolder) renewDue(ctx context.Context) time.Duration {
-	for ctx.Err() == nil {
+	runs := h.runs()
+	slices.SortStableFunc(runs, func(a, b grantRun) int { return cmp.Compare(a.due, b.due) })
+	for _, run := range runs {
 		now := clock.Now()
-		runs := h.runs()
-		if len(runs) == 0 {
-			return time.Hour
-		}
-		first := slices.MinFunc(runs, func(a, b grantRun) int { return cmp.Compare(a.due, b.due) })
-		if first.due > now {
-			return first.due - now
+		if run.due > now {
+			break
 		}
 		hold := h.holdFor(now)
 		if hold < shortestHold {
 			// Without a lease there is nothing to give; the next renewal wakes this loop.
 			return time.Hour
 		}
-		if !h.grant(ctx, first, hold, now) {
+		if !h.grant(ctx, run, hold, now) {
 			return grantRetry
 		}
 	}
-	return time.Hour
+	return h.nextDue()
+}
+
+// nextDue is how long it takes until the next grant is due.
+func (h *keyHolder) nextDue() time.Duration {
+	wait, now := time.Hour, clock.Now()
+	for _, run := range h.runs() {
+		wait = min(wait, max(0, run.due-now))
+	}
+	return wait
 }
 
 // holdFor is how long the instance may be given keys at now.
--- a/ingress/keys_test.go
+++ b/ingress/keys_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"limehold/clock"
+	"limehold/fleet"
 	"limehold/ownership"
 	"limehold/wire"
 )
@@ -57,6 +58,12 @@
 	return list
 }
 
+// rangeOf is the range of keys from the first shard to the last one.
+func rangeOf(first, last uint32, fence uint64) KeyRange {
+	const numbers = ownership.NumberSpace / fleet.RoutedShards
+	return KeyRange{first * numbers, (last+1)*numbers - 1, fence}
+}
+
 func newHolder(client KeyClient, lease time.Duration) *keyHolder {
 	holder := newKeyHolder(client, 10*time.Second, zap.NewNop())
 	holder.expiry = clock.Now() + lease
@@ -70,7 +77,7 @@
 	holder.take(listOf(3, 0, 1, 2, 9))
 	is.Equal(holder.holds(shardKey(0), 3, clock.Now()), false) // not confirmed yet
 	holder.renewDue(context.Background())
-	is.Equal(client.grants, []KeyRange{{0, 767, 3}, {2304, 2559, 3}})
+	is.Equal(client.grants, []KeyRange{rangeOf(0, 2, 3), rangeOf(9, 9, 3)})
 	for _, hold := range client.holds {
 		is.True(hold*(permille+instanceDrift)/permille < 2*time.Second)
 	}
@@ -99,7 +106,7 @@
 	is.NoErr(err)
 	is.Equal(len(released), 1)
 	is.Equal(released[0].Token, "token")
-	is.Equal(client.releases, []KeyRange{{256, 511, 4}}) // above the fence of its grants
+	is.Equal(client.releases, []KeyRange{rangeOf(1, 1, 4)}) // above the fence of its grants
 	is.Equal(holder.holds(shardKey(1), 3, clock.Now()), false)
 	is.True(holder.holds(shardKey(0), 3, clock.Now()))
 }
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -78,7 +78,7 @@
 // Invariants:
 //   - A shard has at most one owner: Assign refuses a shard that is not free.
 //   - Epochs only rise, also across owners and across the service's life: each
-//     Assign raises the epoch by one.
+//     Assign raises the epoch.
 //   - A shard becomes free only by the owner's release under the epoch in
 //     force, or by the end of the owner's session.
 type Table struct {
@@ -193,9 +193,9 @@
 	return &Refusal{Key: key, Reason: fmt.Sprintf(format, arguments...)}
 }
 
-// Assign gives a free shard to a session under the next epoch. expected is the
+// Assign gives a free shard to a session under the epoch next. expected is the
 // epoch that the decision was made on.
-func (t *Table) Assign(key Key, expected uint64, to membership.SessionID) error {
+func (t *Table) Assign(key Key, expected, next uint64, to membership.SessionID) error {
 	shard, found := t.Get(key)
 	if !found {
 		return refuse(key, "there is no such shard")
@@ -206,7 +206,10 @@
 	if shard.Epoch != expected {
 		return refuse(key, "its epoch is %d, the decision was made at %d", shard.Epoch, expected)
 	}
-	t.Shards[key.Service][key.Shard] = Shard{Owner: to, Epoch: shard.Epoch + 1, Phase: PhaseGranted, Token: shard.Token}
+	if next <= shard.Epoch {
+		return refuse(key, "epoch %d is not above %d", next, shard.Epoch)
+	}
+	t.Shards[key.Service][key.Shard] = Shard{Owner: to, Epoch: next, Phase: PhaseGranted, Token: shard.Token}
 	delete(t.free, key)
 	t.own(to, key)
 	return nil
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -18,8 +18,8 @@
 func TestShardHasOneOwner(t *testing.T) {
 	is := is.New(t)
 	owners := table()
-	is.NoErr(owners.Assign(shard0, 0, 1))
-	is.True(owners.Assign(shard0, 1, 2) != nil) // it is not free
+	is.NoErr(owners.Assign(shard0, 0, 1, 1))
+	is.True(owners.Assign(shard0, 1, 2, 2) != nil) // it is not free
 	shard, _ := owners.Get(shard0)
 	is.Equal(shard, Shard{Owner: 1, Epoch: 1, Phase: PhaseGranted})
 }
@@ -27,20 +27,20 @@
 func TestDecisionOnAnOldEpochIsRefused(t *testing.T) {
 	is := is.New(t)
 	owners := table()
-	is.NoErr(owners.Assign(shard0, 0, 1))
+	is.NoErr(owners.Assign(shard0, 0, 1, 1))
 	_, err := owners.Release(shard0, 1, 1, "")
 	is.NoErr(err)
-	is.True(owners.Assign(shard0, 0, 2) != nil)
-	is.NoErr(owners.Assign(shard0, 1, 2))
+	is.True(owners.Assign(shard0, 0, 1, 2) != nil)
+	is.NoErr(owners.Assign(shard0, 1, 2, 2))
 }
 
 func TestLateReleaseFreesNothing(t *testing.T) {
 	is := is.New(t)
 	owners := table()
-	is.NoErr(owners.Assign(shard0, 0, 1))
+	is.NoErr(owners.Assign(shard0, 0, 1, 1))
 	_, err := owners.Release(shard0, 1, 1, "")
 	is.NoErr(err)
-	is.NoErr(owners.Assign(shard0, 1, 1)) // the same session again, under epoch 2
+	is.NoErr(owners.Assign(shard0, 1, 2, 1)) // the same session again, under epoch 2
 	_, err = owners.Release(shard0, 1, 1, "")
 	is.True(err != nil) // the word is about epoch 1
 	_, err = owners.Release(shard0, 2, 9, "")
@@ -53,7 +53,7 @@
 func TestTransferNamesTheTargetAtTheRelease(t *testing.T) {
 	is := is.New(t)
 	owners := table()
-	is.NoErr(owners.Assign(shard0, 0, 1))
+	is.NoErr(owners.Assign(shard0, 0, 1, 1))
 	is.NoErr(owners.BeginTransfer(shard0, 1, 2))
 	is.Equal(owners.OwnedCount(1), 1) // the source owns it until its release
 	target, err := owners.Release(shard0, 1, 1, "")
@@ -64,11 +64,11 @@
 func TestClosedSessionOwnsNothing(t *testing.T) {
 	is := is.New(t)
 	owners := table()
-	is.NoErr(owners.Assign(shard0, 0, 1))
-	is.NoErr(owners.Assign(Key{"proofs", 1}, 0, 1))
+	is.NoErr(owners.Assign(shard0, 0, 1, 1))
+	is.NoErr(owners.Assign(Key{"proofs", 1}, 0, 1, 1))
 	is.Equal(len(owners.CloseSession(1)), 2)
 	is.Equal(owners.OwnedCount(1), 0)
-	is.NoErr(owners.Assign(shard0, 1, 2)) // the epoch goes on rising
+	is.NoErr(owners.Assign(shard0, 1, 2, 2)) // the epoch goes on rising
 }
 
 func TestIndexOfFreeShardsFollowsEveryStep(t *testing.T) {
@@ -81,8 +81,8 @@
 		is.Equal(len(owners.Free()), kept)
 	}
 	is.Equal(len(owners.Free()), 4)
-	is.NoErr(owners.Assign(shard0, 0, 1))
-	is.NoErr(owners.Assign(Key{"proofs", 1}, 0, 2))
+	is.NoErr(owners.Assign(shard0, 0, 1, 1))
+	is.NoErr(owners.Assign(Key{"proofs", 1}, 0, 1, 2))
 	check()
 	_, err := owners.Release(shard0, 1, 1, "")
 	is.NoErr(err)
@@ -98,7 +98,7 @@
 func TestServiceWithOwnersIsNotRemoved(t *testing.T) {
 	is := is.New(t)
 	owners := table()
-	is.NoErr(owners.Assign(shard0, 0, 1))
+	is.NoErr(owners.Assign(shard0, 0, 1, 1))
 	is.Equal(owners.RemoveService("proofs"), false)
 	owners.CloseSession(1)
 	is.True(owners.RemoveService("proofs"))
@@ -114,3 +114,13 @@
 		is.True(count > 800 && count < 1200)
 	}
 }
+
+// Shards that are assigned together share an epoch, which may jump but never stay.
+func TestEpochMayJumpButNotStay(t *testing.T) {
+	is := is.New(t)
+	owners := table()
+	is.True(owners.Assign(shard0, 0, 0, 1) != nil)
+	is.NoErr(owners.Assign(shard0, 0, 7, 1))
+	shard, _ := owners.Get(shard0)
+	is.Equal(shard.Epoch, uint64(7))
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -48,6 +48,9 @@
 	Unavailable float64
 	// Moves is how many planned moves are allowed now.
 	Moves int
+	// Ranged is set when the service's shards are ranges of keys in the order of their
+	// numbers: neighbours of one owner are granted in one call.
+	Ranged bool
 }
 
 // Input is one pool of nodes with all shards that it serves.
@@ -99,6 +102,9 @@
 	// movePrice is the squared coefficient of variation that one move must win
 	// at churn weight 1.
 	movePrice = 0.001
+	// cutPrice is the same for each place more at which neighbouring ranges have
+	// different owners.
+	cutPrice = 0.0002
 	// pausePrice is the same for a shard that carries a whole node's mean load,
 	// at unavailable weight 1.
 	pausePrice = 0.002
@@ -116,8 +122,8 @@
 		return Plan{}
 	}
 	var plan Plan
-	plan.Assign = board.assignFree(input.Shards)
-	plan.Transfer = board.evacuate(input.Shards)
+	plan.Assign = board.assignFree(input)
+	plan.Transfer = board.evacuate(input)
 	if input.Partial == nil {
 		plan.Oversized = board.oversized(input.Shards)
 	}
@@ -146,6 +152,8 @@
 	base      float64
 	total     float64
 	capacity  float64
+	// neighbours knows the owners of ranges while moves are planned.
+	neighbours *neighbours
 }
 
 func newBoard(input Input) *board {
@@ -260,6 +268,9 @@
 	drop := (before - after) / float64(len(b.nodes))
 	nodeMean := b.total / float64(len(b.nodes))
 	price := service.Churn*movePrice + service.Unavailable*pausePrice*shard.Load/math.Max(nodeMean, b.base)
+	if service.Ranged {
+		price += service.Churn * cutPrice * float64(b.neighbours.cuts(shard.Key, from.Session, to.Session))
+	}
 	return service.Imbalance*drop - price
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -217,3 +217,56 @@
 		})
 	}
 }
+
+// ranged is a pool of nodes and one service of ranges with given loads and owners.
+func ranged(nodes int, loads []float64, owner func(int) membership.SessionID) Input {
+	return pool(nodes, loads, owner, Service{Imbalance: 1, Churn: 1, Unavailable: 1, Moves: 1000, Ranged: true})
+}
+
+// runsOf is how many runs of neighbouring shards with one owner there are.
+func runsOf(owners []membership.SessionID) int {
+	runs := 1
+	for i := 1; i < len(owners); i++ {
+		if owners[i] != owners[i-1] {
+			runs++
+		}
+	}
+	return runs
+}
+
+// Free ranges go to nodes in runs, which are cut where the load is.
+func TestFreeRangesAreAssignedInRuns(t *testing.T) {
+	is := is.New(t)
+	loads := equal(200)
+	for i := 40; i < 50; i++ {
+		loads[i] = 30 // busy keys stand close together
+	}
+	input := ranged(4, loads, free)
+	plan := Compute(input)
+	is.Equal(len(plan.Assign), 200)
+	owners := make([]membership.SessionID, 200)
+	byNode := map[membership.SessionID]float64{}
+	for _, decision := range plan.Assign {
+		owners[decision.Key.Shard] = decision.To
+		byNode[decision.To] += loads[decision.Key.Shard]
+	}
+	is.Equal(runsOf(owners), 4)
+	for _, load := range byNode {
+		is.True(load > 90 && load < 160) // the mean is 122.5
+	}
+}
+
+// The first node of a pool owns everything; as others come, they get runs, not single
+// ranges in turn.
+func TestMovesKeepRangesTogether(t *testing.T) {
+	is := is.New(t)
+	input := ranged(4, equal(200), func(int) membership.SessionID { return 1 })
+	owners := make([]membership.SessionID, 200)
+	for i := range owners {
+		owners[i] = 1
+	}
+	for _, decision := range Compute(input).Transfer {
+		owners[decision.Key.Shard] = decision.To
+	}
+	is.True(runsOf(owners) <= 8)
+}
--- a/placement/rebalance.go
+++ b/placement/rebalance.go
@@ -28,6 +28,7 @@
 		allowed[name] = service.Moves
 	}
 	byOwner := map[membership.SessionID][]*Shard{}
+	b.neighbours = newNeighbours(input)
 	for i := range input.Shards {
 		shard := &input.Shards[i]
 		if shard.Phase == ownership.PhaseGranted && b.bySession[shard.Owner] != nil {
@@ -35,27 +36,38 @@
 		}
 	}
 	var decisions []Decision
+	var to *nodeLoad
 	for len(decisions) < maxMoves {
-		shard, from, to, gain := b.bestMove(byOwner, input.Services, allowed)
+		to = b.nextTarget(to)
+		shard, from, gain := b.bestMove(byOwner, to, input.Services, allowed)
 		if shard == nil {
 			break
 		}
 		from.load -= b.weight(shard)
 		to.load += b.weight(shard)
 		allowed[shard.Key.Service]--
+		b.neighbours.move(shard.Key, to.Session)
 		byOwner[from.Session] = slices.DeleteFunc(byOwner[from.Session], func(other *Shard) bool { return other == shard })
 		decisions = append(decisions, Decision{Key: shard.Key, Epoch: shard.Epoch, From: from.Session, To: to.Session, Gain: gain})
 	}
 	return decisions
 }
 
-// bestMove looks at moves from the most utilized nodes to the least utilized one.
-func (b *board) bestMove(byOwner map[membership.SessionID][]*Shard, services map[string]Service, allowed map[string]int) (*Shard, *nodeLoad, *nodeLoad, float64) {
+// nextTarget is the least utilized node. Where ranges are moved, a node that has been
+// given some is filled up to the mean first, so that they stay together.
+func (b *board) nextTarget(last *nodeLoad) *nodeLoad {
+	if last != nil && len(b.neighbours.owners) > 0 && last.utilization() < b.mean() {
+		return last
+	}
+	return slices.MinFunc(b.targets, func(x, y *nodeLoad) int { return cmp.Compare(x.utilization(), y.utilization()) })
+}
+
+// bestMove looks at moves from the most utilized nodes to the target.
+func (b *board) bestMove(byOwner map[membership.SessionID][]*Shard, to *nodeLoad, services map[string]Service, allowed map[string]int) (*Shard, *nodeLoad, float64) {
 	mean := b.mean()
 	if mean <= 0 || len(b.nodes) < 2 {
-		return nil, nil, nil, 0
+		return nil, nil, 0
 	}
-	to := slices.MinFunc(b.targets, func(x, y *nodeLoad) int { return cmp.Compare(x.utilization(), y.utilization()) })
 	var best *Shard
 	var bestFrom *nodeLoad
 	bestGain := 0.0
@@ -73,7 +85,7 @@
 			}
 		}
 	}
-	return best, bestFrom, to, bestGain
+	return best, bestFrom, bestGain
 }
 
 // mostUtilized returns the most utilized nodes, in no order.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -52,7 +52,7 @@
 )
 
 // ProtocolVersion is compared at the start of each connection.
-const ProtocolVersion = 3
+const ProtocolVersion = 4
 
 // Role says what kind of process is at the other end.
 type Role string
