Elections follow a start sooner, and dials that get no answer are repeated sooner

Sidecars had dialed at 33.96, when the members were dark, and the system sent the lost packet again a second later. Ruled out: the start of the processes (9 ms of processor time), the opening of sessions (50 ms).

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -71,7 +71,7 @@
 	}
 	core.persisted = core.log.lastIndex()
 	core.lastLeaderContact = now
-	core.resetElectionDeadline()
+	core.resetElectionDeadline(firstSpreadShare)
 	return core
 }
 
@@ -234,8 +234,17 @@
 	return entry.Index
 }
 
-func (c *Core) resetElectionDeadline() {
-	spread := int64(c.timing.ElectionMax - c.timing.ElectionMin)
+// firstSpreadShare divides the spread of the first election timeout after a start:
+// members that start together wait for nobody else, and none may vote before
+// ElectionMin is over.
+const (
+	firstSpreadShare = 4
+	wholeSpread      = 1
+)
+
+// resetElectionDeadline draws a new timeout; share divides its random part.
+func (c *Core) resetElectionDeadline(share int64) {
+	spread := int64(c.timing.ElectionMax-c.timing.ElectionMin) / share
 	c.electionDeadline = c.now + c.timing.ElectionMin + time.Duration(c.random(spread+1))
 }
 
@@ -254,5 +263,5 @@
 	c.votes = nil
 	c.progress = nil
 	c.abdicated = false
-	c.resetElectionDeadline()
+	c.resetElectionDeadline(wholeSpread)
 }
--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -393,3 +393,14 @@
 	is.Equal(leader.Role(), RoleFollower)
 	is.True(leader.CommitIndex() >= index)
 }
+
+// Members that start together elect a leader soon after ElectionMin, before which none
+// of them may vote.
+func TestFirstElectionFollowsSoonAfterAStart(t *testing.T) {
+	is := is.New(t)
+	timing := Timing{Heartbeat: 100 * time.Millisecond, ElectionMin: 400 * time.Millisecond, ElectionMax: 800 * time.Millisecond}
+	core := New(Options{ID: 1, Timing: timing, Random: func(bound int64) int64 { return bound - 1 }}, time.Second)
+	is.Equal(core.electionDeadline, time.Second+500*time.Millisecond)
+	core.becomeFollower(2, 0)
+	is.Equal(core.electionDeadline, time.Second+800*time.Millisecond)
+}
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -3,7 +3,7 @@
 // startPreVote asks whether an election could be won, without raising the term:
 // a member that was cut off does not disturb the others when it returns.
 func (c *Core) startPreVote() {
-	c.resetElectionDeadline()
+	c.resetElectionDeadline(wholeSpread)
 	if !c.isVoter(c.id) {
 		return
 	}
@@ -19,7 +19,7 @@
 }
 
 func (c *Core) startElection() {
-	c.resetElectionDeadline()
+	c.resetElectionDeadline(wholeSpread)
 	c.hardState = HardState{Term: c.hardState.Term + 1, VotedFor: c.id}
 	c.role = RoleCandidate
 	c.leader = 0
@@ -67,7 +67,7 @@
 	granted := message.Term == c.hardState.Term && free && c.mayVoteFor(message)
 	if granted {
 		c.hardState.VotedFor = message.From
-		c.resetElectionDeadline()
+		c.resetElectionDeadline(wholeSpread)
 	}
 	c.messages = append(c.messages, Message{
 		Kind: MessageVoteResponse, From: c.id, To: message.From, Term: c.hardState.Term, Reject: !granted,
--- a/consensus/step.go
+++ b/consensus/step.go
@@ -85,7 +85,7 @@
 	}
 	c.leader = message.From
 	c.lastLeaderContact = c.now
-	c.resetElectionDeadline()
+	c.resetElectionDeadline(wholeSpread)
 	if message.Kind == MessageSnapshot {
 		c.handleSnapshot(message)
 		return
--- a/transport/server.go
+++ b/transport/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -113,8 +114,7 @@
 
 // Dial connects, exchanges hellos and starts serving the connection.
 func Dial(ctx context.Context, address string, handler Handler, options Options) (*Conn, error) {
-	dialer := net.Dialer{Timeout: helloPatience}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := dialPatiently(ctx, address, time.Now().Add(helloPatience), dialOnce)
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial %s", address)
 	}
@@ -136,6 +136,30 @@
 	return conn, nil
 }
 
+// dialOnce makes one try to connect.
+func dialOnce(ctx context.Context, address string, patience time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: patience}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// dialPatiently connects until the end. To a machine that is just coming back the first
+// packet is often lost, and the system sends it again only after a second; a new try
+// goes out sooner.
+func dialPatiently(ctx context.Context, address string, end time.Time, dial func(context.Context, string, time.Duration) (net.Conn, error)) (net.Conn, error) {
+	for patience := firstDialPatience; ; patience *= 2 {
+		raw, err := dial(ctx, address, min(patience, time.Until(end)))
+		var waited net.Error
+		timedOut := errors.As(err, &waited) && waited.Timeout()
+		if !timedOut || ctx.Err() != nil || patience >= helloPatience {
+			return raw, err
+		}
+	}
+}
+
+// firstDialPatience is how long the first try to connect may take; each next one may
+// take twice as long.
+const firstDialPatience = 250 * time.Millisecond
+
 // clientTLS checks the server's certificate against the same authorities; the
 // name in it is compared with the hello (processes are known by name, not by host).
 func clientTLS(config *tls.Config) *tls.Config {
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -6,7 +6,9 @@
 	"encoding/binary"
 	"errors"
 	"net"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -180,3 +182,32 @@
 	t.Fatal("the link is not dialed")
 	return nil
 }
+
+// A machine that comes back drops the first packet of a connection; the dialer does not
+// wait for the system to send it again, and gives up after helloPatience all the same.
+func TestDialTriesAgainSoonerThanTheSystem(t *testing.T) {
+	is := is.New(t)
+	var patience []time.Duration
+	dropped := func(_ context.Context, _ string, limit time.Duration) (net.Conn, error) {
+		patience = append(patience, limit)
+		return nil, os.ErrDeadlineExceeded
+	}
+	end := time.Now().Add(helloPatience)
+	_, err := dialPatiently(context.Background(), "a", end, dropped)
+	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+	is.Equal(patience[:3], []time.Duration{firstDialPatience, 2 * firstDialPatience, 4 * firstDialPatience})
+	is.True(len(patience) < 6)
+}
+
+// Nobody who listens is an answer: it is passed on at once.
+func TestRefusedDialIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	tries := 0
+	refused := func(context.Context, string, time.Duration) (net.Conn, error) {
+		tries++
+		return nil, syscall.ECONNREFUSED
+	}
+	_, err := dialPatiently(context.Background(), "a", time.Now().Add(helloPatience), refused)
+	is.True(errors.Is(err, syscall.ECONNREFUSED))
+	is.Equal(tries, 1)
+}
