Sidecars that are cut off from control reach it by way of others

Ruled out: overload (the refusals as full stood beside them at other times), a lost leader.

Change: a dial to a control member that gets no answer is tried by way of another sidecar: its ingress passes a CONNECT on to addresses of control members, to nothing else, 64 at most; TLS between the ends is untouched. An agent closes a connection on which nothing arrives while an answer is due, so that it is dialed again within the lease.

A process that has just started knows no other sidecars and waits until it reaches a member itself.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -35,6 +35,9 @@
 	// Backend is what runs beside the agent. Default: the back end of the settings,
 	// over HTTP; see docs/BACKEND-PROTOCOL.md.
 	Backend Backend
+	// Relays lists processes by way of which control members may be reached that do
+	// not answer; see transport.Options. Optional.
+	Relays func() []string
 	// NoAdmin is set for an agent whose process has an operators' listener of its own.
 	NoAdmin bool
 }
@@ -104,7 +107,8 @@
 
 func (a *Agent) transportOptions() transport.Options {
 	return transport.Options{
-		TLS: a.options.TLS,
+		TLS:    a.options.TLS,
+		Relays: a.options.Relays,
 		Local: wire.Hello{
 			Version: wire.ProtocolVersion, Cluster: a.options.Settings.Cluster,
 			Role: wire.RoleAgent, Name: a.options.Settings.Name,
--- a/agent/links.go
+++ b/agent/links.go
@@ -151,7 +151,7 @@
 		next := left[0]
 		left = left[1:]
 		callContext, cancel := context.WithTimeout(ctx, perTry)
-		err := next.Call(callContext, kind, request, reply)
+		err := next.CallOrClose(callContext, kind, request, reply)
 		cancel()
 		if err == nil {
 			l.favour(next)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -33,6 +33,9 @@
 	Keys KeyClient
 	// Connections returns how many connections the instance accepts; zero: unknown.
 	Connections func(service string) int
+	// RelayTo reports whether connections may be passed on to an address; see relay.
+	// Nil: none are.
+	RelayTo func(address string) bool
 }
 
 // Ingress is the gate in front of one instance.
@@ -46,9 +49,11 @@
 	upstreams *upstream.Pool
 	hangups   *hangup.Watcher
 	stopping  atomic.Bool
-	outcomes  *prometheus.CounterVec
-	waits     prometheus.Histogram
-	runs      prometheus.Histogram
+	// tunnels counts the connections that are passed on for others.
+	tunnels  atomic.Int64
+	outcomes *prometheus.CounterVec
+	waits    prometheus.Histogram
+	runs     prometheus.Histogram
 }
 
 const (
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -238,3 +238,33 @@
 	is.Equal(instance.Health().Status, wire.BackendOK)
 	is.Equal(instance.Description().Pool, "press")
 }
+
+// Connections are passed on to control members for processes that are cut off from
+// them, and to nobody else.
+func TestConnectionsArePassedOnToMembersOnly(t *testing.T) {
+	is := is.New(t)
+	member := startInstance(t, func(id string) string { return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" }, false)
+	i := startIngress(t, startInstance(t, func(string) string { return "" }, false))
+	i.options.RelayTo = func(address string) bool { return address == member.listener.Addr().String() }
+	connect := func(address string) (net.Conn, int) {
+		conn, err := net.Dial("tcp", i.Address())
+		is.NoErr(err)
+		t.Cleanup(func() { conn.Close() })
+		_, err = fmt.Fprintf(conn, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n\r\n", address, address)
+		is.NoErr(err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodConnect})
+		is.NoErr(err)
+		return conn, response.StatusCode
+	}
+	_, status := connect("127.0.0.1:1")
+	is.Equal(status, http.StatusForbidden)
+	conn, status := connect(member.listener.Addr().String())
+	is.Equal(status, http.StatusOK)
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: m\r\n\r\n")
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "ok")
+}
--- a/ingress/passage.go
+++ b/ingress/passage.go
@@ -78,6 +78,10 @@
 
 // handle is the routers' handler.
 func (i *Ingress) handle(request *fasthttp.RequestCtx) {
+	if request.IsConnect() {
+		i.relay(request)
+		return
+	}
 	if i.stopping.Load() {
 		request.SetConnectionClose()
 	}
--- /dev/null
+++ b/ingress/relay.go
@@ -0,0 +1,41 @@
+package ingress
+
+import (
+	"net"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"limehold/logging"
+	"limehold/transport"
+)
+
+// maxTunnels bounds the connections that one process passes on for others.
+const maxTunnels = 64
+
+// relay passes a connection on to a control member for a process that is cut off from
+// it, but not from this one: it keeps its lease, and learns of new owners.
+func (i *Ingress) relay(request *fasthttp.RequestCtx) {
+	address := string(request.Host())
+	if i.options.RelayTo == nil || !i.options.RelayTo(address) {
+		request.Error("this process passes connections on to control members only\n", fasthttp.StatusForbidden)
+		return
+	}
+	if i.tunnels.Add(1) > maxTunnels {
+		i.tunnels.Add(-1)
+		request.Error("too many connections are passed on already\n", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	target, err := transport.DialTunnel(address)
+	if err != nil {
+		i.tunnels.Add(-1)
+		i.logger.Info("relay_failed", append(logging.Step("dial for another process", address, err), zap.Stringer("asker", request.RemoteAddr()))...)
+		request.Error("the address does not answer\n", fasthttp.StatusBadGateway)
+		return
+	}
+	i.logger.Info("relay_opened", zap.String("peer", address), zap.Stringer("asker", request.RemoteAddr()))
+	request.Hijack(func(asker net.Conn) {
+		defer i.tunnels.Add(-1)
+		transport.Tunnel(asker, target)
+	})
+}
--- a/router/table.go
+++ b/router/table.go
@@ -273,6 +273,19 @@
 	return t.nodes[session]
 }
 
+// gatedAddresses are the addresses of the nodes with an ingress, but for one name.
+func (t *table) gatedAddresses(except string) []string {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+	list := make([]string, 0, len(t.nodes))
+	for _, node := range t.nodes {
+		if node.Gated && node.Name != except {
+			list = append(list, node.Address)
+		}
+	}
+	return list
+}
+
 // inForce is the revision that the table holds.
 func (t *table) inForce() uint64 {
 	t.mutex.RLock()
--- a/router/watch.go
+++ b/router/watch.go
@@ -141,6 +141,20 @@
 	return addresses
 }
 
+// IsControl reports whether an address is that of a control member that is known here.
+func (r *Router) IsControl(address string) bool {
+	return slices.Contains(r.controlAddresses(), address)
+}
+
+// Relays are the addresses of other processes that may pass a connection on to a
+// control member which this one cannot reach.
+func (r *Router) Relays() []string {
+	if !r.options.RouteTable {
+		return nil
+	}
+	return r.table.gatedAddresses(r.options.Settings.Name)
+}
+
 func (r *Router) followOne(ctx context.Context, address string) error {
 	dialContext, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
@@ -233,7 +247,8 @@
 
 func (r *Router) transportOptions() transport.Options {
 	return transport.Options{
-		TLS: r.options.TLS,
+		TLS:    r.options.TLS,
+		Relays: r.Relays,
 		Local: wire.Hello{
 			Version: wire.ProtocolVersion, Cluster: r.options.Settings.Cluster,
 			Role: wire.RoleRouter, Name: r.options.Settings.Name,
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -64,6 +64,7 @@
 	}
 	if p.ingress, err = ingress.New(ingress.Options{
 		Settings: config, Logger: options.Logger, Metrics: options.Metrics, Keys: options.Keys, Connections: p.router.InstanceConnections,
+		RelayTo: p.router.IsControl,
 	}); err != nil {
 		return nil, err
 	}
@@ -74,6 +75,7 @@
 	config.Agent.StopMode = settings.StopRestart
 	if p.agent, err = agent.New(agent.Options{
 		Settings: config, Logger: options.Logger, Metrics: options.Metrics, Backend: p.ingress.Instance(), NoAdmin: true,
+		Relays: p.router.Relays,
 	}); err != nil {
 		return nil, err
 	}
--- a/transport/link.go
+++ b/transport/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -74,6 +75,22 @@
 	return conn.SendEncoded(kind, payload)
 }
 
+// CallOrClose makes a call if the link is up. When nothing at all arrives on the
+// connection meanwhile, it is closed and dialed again: what is cut off in silence would
+// stay up for long, and there may be another way.
+func (l *Link) CallOrClose(ctx context.Context, kind wire.Kind, request, reply any) error {
+	conn := l.Conn()
+	if conn == nil {
+		return ErrClosed
+	}
+	_, before := conn.Bytes()
+	err := conn.Call(ctx, kind, request, reply)
+	if _, after := conn.Bytes(); after == before && errors.Is(err, context.DeadlineExceeded) {
+		conn.Close()
+	}
+	return err
+}
+
 // Call makes a call if the link is up.
 func (l *Link) Call(ctx context.Context, kind wire.Kind, request, reply any) error {
 	conn := l.Conn()
--- a/transport/server.go
+++ b/transport/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"sync"
 	"time"
@@ -19,6 +18,9 @@
 	Local wire.Hello
 	// TLS secures connections when set, with certificates on both sides.
 	TLS *tls.Config
+	// Relays lists addresses of processes that pass connections on to an address which
+	// does not answer; see Tunnel. Optional.
+	Relays func() []string
 	// Rejected is told of connections that failed the hello. Optional.
 	Rejected func(address string, err error)
 }
@@ -114,7 +116,7 @@
 
 // Dial connects, exchanges hellos and starts serving the connection.
 func Dial(ctx context.Context, address string, handler Handler, options Options) (*Conn, error) {
-	raw, err := dialPatiently(ctx, address, time.Now().Add(helloPatience), dialOnce)
+	raw, err := newDialer(options.Relays).connect(ctx, address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial %s", address)
 	}
@@ -136,30 +138,6 @@
 	return conn, nil
 }
 
-// dialOnce makes one try to connect.
-func dialOnce(ctx context.Context, address string, patience time.Duration) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: patience}
-	return dialer.DialContext(ctx, "tcp", address)
-}
-
-// dialPatiently connects until the end. To a machine that is just coming back the first
-// packet is often lost, and the system sends it again only after a second; a new try
-// goes out sooner.
-func dialPatiently(ctx context.Context, address string, end time.Time, dial func(context.Context, string, time.Duration) (net.Conn, error)) (net.Conn, error) {
-	for patience := firstDialPatience; ; patience *= 2 {
-		raw, err := dial(ctx, address, min(patience, time.Until(end)))
-		var waited net.Error
-		timedOut := errors.As(err, &waited) && waited.Timeout()
-		if !timedOut || ctx.Err() != nil || patience >= helloPatience {
-			return raw, err
-		}
-	}
-}
-
-// firstDialPatience is how long the first try to connect may take; each next one may
-// take twice as long.
-const firstDialPatience = 250 * time.Millisecond
-
 // clientTLS checks the server's certificate against the same authorities; the
 // name in it is compared with the hello (processes are known by name, not by host).
 func clientTLS(config *tls.Config) *tls.Config {
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -192,8 +192,7 @@
 		patience = append(patience, limit)
 		return nil, os.ErrDeadlineExceeded
 	}
-	end := time.Now().Add(helloPatience)
-	_, err := dialPatiently(context.Background(), "a", end, dropped)
+	_, err := (&dialer{once: dropped}).connect(context.Background(), "a")
 	is.True(errors.Is(err, os.ErrDeadlineExceeded))
 	is.Equal(patience[:3], []time.Duration{firstDialPatience, 2 * firstDialPatience, 4 * firstDialPatience})
 	is.True(len(patience) < 6)
@@ -207,7 +206,7 @@
 		tries++
 		return nil, syscall.ECONNREFUSED
 	}
-	_, err := dialPatiently(context.Background(), "a", time.Now().Add(helloPatience), refused)
+	_, err := (&dialer{once: refused, relays: func() []string { return []string{"b"} }}).connect(context.Background(), "a")
 	is.True(errors.Is(err, syscall.ECONNREFUSED))
 	is.Equal(tries, 1)
 }
