--- a/admission/returns_test.go
+++ b/admission/returns_test.go
@@ -7,46 +7,49 @@
 	"github.com/matryer/is"
 )
 
-// Two thirds of the requests return with less time: new ones are still told from them.
-func TestReturningRequestsAreToldFromNewOnes(t *testing.T) {
-	is := is.New(t)
-	var returns Returns
-	for number := range 1000 {
-		is.Equal(returns.Observe(2*time.Second), false)
-		is.Equal(returns.Observe(time.Duration(1200+number%90)*time.Millisecond), true)
-		is.Equal(returns.Observe(time.Duration(600+number%170)*time.Millisecond), true)
+func TestReturnsAreToldFromNewRequests(t *testing.T) {
+	const learning = 4000
+	cases := map[string]struct {
+		// allowed is what the caller of the request with a number allows it.
+		allowed func(number int) time.Duration
+		// returning is whether it has been refused before.
+		returning func(number int) bool
+	}{
+		"two thirds of the requests return": {
+			allowed: func(number int) time.Duration {
+				return []time.Duration{2 * time.Second, 1250 * time.Millisecond, 680 * time.Millisecond}[number%3]
+			},
+			returning: func(number int) bool { return number%3 != 0 },
+		},
+		"a few callers wait much longer": {
+			allowed: func(number int) time.Duration {
+				if number%20 == 0 {
+					return 30 * time.Second
+				}
+				return 2 * time.Second
+			},
+			returning: func(int) bool { return false },
+		},
+		"callers take to waiting less": {
+			allowed: func(number int) time.Duration {
+				if number < 100 {
+					return 10 * time.Second
+				}
+				return time.Second
+			},
+			returning: func(int) bool { return false },
+		},
 	}
-}
-
-// A few callers that wait much longer do not make all others look like returning ones,
-// also when the first of all was one of them.
-func TestPatientCallersDoNotMakeOthersReturning(t *testing.T) {
-	is := is.New(t)
-	var returns Returns
-	const learning, checked = 4000, 1000
-	wrong := 0
-	for number := range learning + checked {
-		allowed := 2 * time.Second
-		if number%20 == 0 {
-			allowed = 30 * time.Second
-		}
-		if returns.Observe(allowed) && number >= learning {
-			wrong++
-		}
-	}
-	is.Equal(wrong, 0)
-}
-
-// A route whose callers take to waiting less is learned anew.
-func TestUsualTimeFollowsTheCallers(t *testing.T) {
-	is := is.New(t)
-	var returns Returns
-	for range 100 {
-		returns.Observe(10 * time.Second)
-	}
-	for range 2000 {
-		returns.Observe(time.Second)
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var returns Returns
+			for number := range 2 * learning {
+				told := returns.Observe(c.allowed(number))
+				if number >= learning {
+					is.Equal(told, c.returning(number))
+				}
+			}
+		})
 	}
-	is.Equal(returns.Observe(time.Second), false)
-	is.Equal(returns.Observe(500*time.Millisecond), true)
 }
--- a/cli/sidecar.go
+++ b/cli/sidecar.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"limehold"
 	"limehold/control"
 	"limehold/ingress"
 	"limehold/metrics"
@@ -23,7 +24,7 @@
 	// Sidecar returns a handler that is asked first at a sidecar's operators' listener.
 	Sidecar func(*ingress.Instance) func(*fasthttp.RequestCtx) bool
 	// Keys returns what gives keys to the instance and takes them back.
-	Keys func(settings.Settings) ingress.KeyClient
+	Keys func(settings.Settings) limehold.KeyClient
 }
 
 // extensions are those that Run was called with.
--- a/docs/architecture_test.go
+++ b/docs/architecture_test.go
@@ -87,6 +87,14 @@
 	return list
 }
 
+// ownPackage returns the folder of an import of this repository; "." is its root.
+func ownPackage(imported string) (string, bool) {
+	if imported+"/" == module {
+		return ".", true
+	}
+	return strings.CutPrefix(imported, module)
+}
+
 func TestImportsFollowTheTable(t *testing.T) {
 	rows := table(t)
 	for folder, files := range goFiles(t) {
@@ -97,7 +105,7 @@
 		}
 		for _, path := range files {
 			for _, imported := range imports(t, path) {
-				name, own := strings.CutPrefix(imported, module)
+				name, own := ownPackage(imported)
 				if own && name != folder && !slices.Contains(entry.allowed, name) {
 					t.Errorf("%s imports %s, which its row in ARCHITECTURE.md does not allow", path, name)
 				}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"limehold"
 	"limehold/hangup"
 	"limehold/metrics"
 	"limehold/settings"
@@ -30,7 +31,7 @@
 	Metrics  *metrics.Registry
 	// Keys gives keys to the instance and takes them back; nil when its service is
 	// never divided by key.
-	Keys KeyClient
+	Keys limehold.KeyClient
 	// Connections returns how many connections the instance accepts; zero: unknown.
 	Connections func(service string) int
 	// RelayTo reports whether connections may be passed on to an address; see relay.
--- a/ingress/keys.go
+++ b/ingress/keys.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"limehold"
 	"limehold/clock"
 	"limehold/fleet"
 	"limehold/logging"
@@ -18,29 +19,6 @@
 	"limehold/wire"
 )
 
-// KeyRange is a contiguous range of keys, both ends included, under one fence.
-type KeyRange struct {
-	First uint32
-	Last  uint32
-	// Fence rises whenever a key goes to another instance.
-	Fence uint64
-}
-
-// KeyClient gives keys to the instance and takes them back.
-type KeyClient interface {
-	// Grant lets the instance run requests on the range for the time, counted from
-	// the call's arrival; token is the last owner's, or empty. ErrFenced says that
-	// the instance has seen a higher fence; any other error leaves open whether the
-	// grant was, or will be, taken.
-	Grant(ctx context.Context, keys KeyRange, hold time.Duration, token string) error
-	// Release stops new work on the range, and returns once what ran has ended, with
-	// the token of the instance's state.
-	Release(ctx context.Context, keys KeyRange) (token string, err error)
-}
-
-// ErrFenced says that the instance has seen a higher fence on a key.
-var ErrFenced = errors.New("the instance has seen a higher fence")
-
 // keyHolder keeps the instance's grants as control's list says, and knows which of
 // them the instance has confirmed.
 //
@@ -54,7 +32,7 @@
 //   - A release shows the instance a higher fence than its grants had: one that got no
 //     answer, and is carried out seconds later, is refused by it.
 type keyHolder struct {
-	client   KeyClient
+	client   limehold.KeyClient
 	holdTime time.Duration
 	logger   *zap.Logger
 
@@ -95,7 +73,7 @@
 	renewalsAHold = 3
 )
 
-func newKeyHolder(client KeyClient, holdTime time.Duration, logger *zap.Logger) *keyHolder {
+func newKeyHolder(client limehold.KeyClient, holdTime time.Duration, logger *zap.Logger) *keyHolder {
 	return &keyHolder{client: client, holdTime: holdTime, logger: logger, shards: map[ownership.Key]*heldShard{}, wake: make(chan struct{}, 1)}
 }
 
@@ -172,7 +150,7 @@
 // grantRun is a range of neighbouring shards that one call grants.
 type grantRun struct {
 	keys   []ownership.Key
-	ranged KeyRange
+	ranged limehold.KeyRange
 	token  string
 	due    time.Duration
 }
@@ -256,7 +234,7 @@
 		})
 		return true
 	}
-	fenced := errors.Is(err, ErrFenced)
+	fenced := errors.Is(err, limehold.ErrFenced)
 	h.logger.Warn("keys_not_granted", append(logging.Step("grant keys", "instance", err),
 		zap.Uint32("first", run.ranged.First), zap.Uint32("last", run.ranged.Last), zap.Uint64("fence", run.ranged.Fence), zap.Bool("fenced", fenced))...)
 	if fenced {
@@ -311,12 +289,12 @@
 			neighbour := previous.keys[len(previous.keys)-1]
 			if neighbour.Service == key.Service && previous.ranged.Last+1 == first && previous.ranged.Fence == shard.epoch && previous.token == shard.token {
 				previous.keys = append(previous.keys, key)
-				previous.ranged.Last = last
+				previous.ranged = previous.ranged.WithLast(last)
 				previous.due = min(previous.due, shard.renewAt)
 				continue
 			}
 		}
-		runs = append(runs, grantRun{keys: []ownership.Key{key}, ranged: KeyRange{first, last, shard.epoch}, token: shard.token, due: shard.renewAt})
+		runs = append(runs, grantRun{keys: []ownership.Key{key}, ranged: limehold.KeyRange{First: first, Last: last, Fence: shard.epoch}, token: shard.token, due: shard.renewAt})
 	}
 	return runs
 }
@@ -378,24 +356,23 @@
 }
 
 // neighbours is how many of the first shards one call releases, and their range.
-func neighbours(shards []wire.BackendGrant) (int, KeyRange) {
+func neighbours(shards []wire.BackendGrant) (int, limehold.KeyRange) {
 	first, last := ownership.Range(shards[0].Shard, fleet.RoutedShards)
-	ranged := KeyRange{first, last, shards[0].Epoch}
+	ranged := limehold.KeyRange{First: first, Last: last, Fence: shards[0].Epoch}
 	count := 1
 	for count < len(shards) && shards[count].Service == shards[0].Service && shards[count].Shard == shards[count-1].Shard+1 && shards[count].Epoch == shards[0].Epoch {
-		_, ranged.Last = ownership.Range(shards[count].Shard, fleet.RoutedShards)
+		_, last = ownership.Range(shards[count].Shard, fleet.RoutedShards)
 		count++
 	}
-	return count, ranged
+	return count, ranged.WithLast(last)
 }
 
-func (h *keyHolder) releaseRange(ranged KeyRange, shards []wire.BackendGrant) (string, error) {
+func (h *keyHolder) releaseRange(ranged limehold.KeyRange, shards []wire.BackendGrant) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), releasePoll)
 	defer cancel()
 	// Grants of these shards are not sent any more; one that is under way ends first.
 	h.awaitCall()
-	ranged.Fence++
-	token, err := h.client.Release(ctx, ranged)
+	token, err := h.client.Release(ctx, ranged.WithFence(ranged.Fence+1))
 	if err == nil {
 		h.forget(shards)
 		return token, nil
--- a/ingress/keys_test.go
+++ b/ingress/keys_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"limehold"
 	"limehold/clock"
 	"limehold/fleet"
 	"limehold/ownership"
@@ -19,14 +20,14 @@
 // fakeKeys is an instance's side of the key calls.
 type fakeKeys struct {
 	mutex    sync.Mutex
-	grants   []KeyRange
+	grants   []limehold.KeyRange
 	holds    []time.Duration
-	releases []KeyRange
+	releases []limehold.KeyRange
 	failing  error
 }
 
-// Grant implements KeyClient.
-func (f *fakeKeys) Grant(_ context.Context, keys KeyRange, hold time.Duration, _ string) error {
+// Grant implements limehold.KeyClient.
+func (f *fakeKeys) Grant(_ context.Context, keys limehold.KeyRange, hold time.Duration, _ string) error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.failing != nil {
@@ -37,8 +38,8 @@
 	return nil
 }
 
-// Release implements KeyClient.
-func (f *fakeKeys) Release(_ context.Context, keys KeyRange) (string, error) {
+// Release implements limehold.KeyClient.
+func (f *fakeKeys) Release(_ context.Context, keys limehold.KeyRange) (string, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.failing != nil {
@@ -59,12 +60,12 @@
 }
 
 // rangeOf is the range of keys from the first shard to the last one.
-func rangeOf(first, last uint32, fence uint64) KeyRange {
+func rangeOf(first, last uint32, fence uint64) limehold.KeyRange {
 	const numbers = ownership.NumberSpace / fleet.RoutedShards
-	return KeyRange{first * numbers, (last+1)*numbers - 1, fence}
+	return limehold.KeyRange{First: first * numbers, Last: (last+1)*numbers - 1, Fence: fence}
 }
 
-func newHolder(client KeyClient, lease time.Duration) *keyHolder {
+func newHolder(client limehold.KeyClient, lease time.Duration) *keyHolder {
 	holder := newKeyHolder(client, 10*time.Second, zap.NewNop())
 	holder.expiry = clock.Now() + lease
 	return holder
@@ -77,7 +78,7 @@
 	holder.take(listOf(3, 0, 1, 2, 9))
 	is.Equal(holder.holds(shardKey(0), 3, clock.Now()), false) // not confirmed yet
 	holder.renewDue(context.Background())
-	is.Equal(client.grants, []KeyRange{rangeOf(0, 2, 3), rangeOf(9, 9, 3)})
+	is.Equal(client.grants, []limehold.KeyRange{rangeOf(0, 2, 3), rangeOf(9, 9, 3)})
 	for _, hold := range client.holds {
 		is.True(hold*(permille+instanceDrift)/permille < 2*time.Second)
 	}
@@ -106,7 +107,7 @@
 	is.NoErr(err)
 	is.Equal(len(released), 1)
 	is.Equal(released[0].Token, "token")
-	is.Equal(client.releases, []KeyRange{rangeOf(1, 1, 4)}) // above the fence of its grants
+	is.Equal(client.releases, []limehold.KeyRange{rangeOf(1, 1, 4)}) // above the fence of its grants
 	is.Equal(holder.holds(shardKey(1), 3, clock.Now()), false)
 	is.True(holder.holds(shardKey(0), 3, clock.Now()))
 }
@@ -132,7 +133,7 @@
 
 func TestFencedGrantIsNotSentAgain(t *testing.T) {
 	is := is.New(t)
-	client := &fakeKeys{failing: ErrFenced}
+	client := &fakeKeys{failing: limehold.ErrFenced}
 	holder := newHolder(client, 5*time.Second)
 	holder.take(listOf(3, 0))
 	is.Equal(holder.renewDue(context.Background()), time.Hour)
--- /dev/null
+++ b/keys.go
@@ -0,0 +1,45 @@
+// Package limehold holds the interfaces by which parts of a process vary. Their
+// implementations stand in the packages below.
+package limehold
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// KeyRange is a contiguous range of keys, both ends included, under one fence. It is a
+// value: a changed range is made by its With methods.
+type KeyRange struct {
+	First uint32
+	Last  uint32
+	// Fence rises whenever a key goes to another instance.
+	Fence uint64
+}
+
+// WithLast returns the range with another end.
+func (r KeyRange) WithLast(last uint32) KeyRange {
+	r.Last = last
+	return r
+}
+
+// WithFence returns the range under another fence.
+func (r KeyRange) WithFence(fence uint64) KeyRange {
+	r.Fence = fence
+	return r
+}
+
+// KeyClient gives keys to an instance and takes them back.
+type KeyClient interface {
+	// Grant lets the instance run requests on the range for the time, counted from
+	// the call's arrival; token is the last owner's, or empty. ErrFenced says that
+	// the instance has seen a higher fence; any other error leaves open whether the
+	// grant was, or will be, taken.
+	Grant(ctx context.Context, keys KeyRange, hold time.Duration, token string) error
+	// Release stops new work on the range, and returns once what ran has ended, with
+	// the token of the instance's state.
+	Release(ctx context.Context, keys KeyRange) (token string, err error)
+}
+
+// ErrFenced says that the instance has seen a higher fence on a key.
+var ErrFenced = errors.New("the instance has seen a higher fence")
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"limehold"
 	"limehold/adminserver"
 	"limehold/agent"
 	"limehold/ingress"
@@ -30,7 +31,7 @@
 	Logger   *zap.Logger
 	Metrics  *metrics.Registry
 	// Keys gives keys to the instance and takes them back.
-	Keys ingress.KeyClient
+	Keys limehold.KeyClient
 	// Extend returns a handler that is asked first at the operators' listener, where
 	// the instance announces itself; it returns false for what is not its own.
 	Extend func(*ingress.Instance) func(*fasthttp.RequestCtx) bool
