--- a/bench/simulate/duties.go
+++ b/bench/simulate/duties.go
@@ -74,7 +74,7 @@
 			input = &placement.Input{Services: map[string]placement.Service{}, NoRebalance: !balance}
 			inputs[service.Spec.Pool] = input
 		}
-		input.Services[name] = placement.Service{Imbalance: 10, Churn: 1, Unavailable: 1, Moves: 2}
+		input.Services[name] = placement.Service{Imbalance: 10, Churn: 1, Unavailable: 1, Moves: 2, Ranged: ranged(name)}
 		for number, shard := range m.state.Ownership.Shards[name] {
 			owner := shard.Owner
 			if shard.Phase == ownership.PhaseReleasing {
@@ -107,7 +107,7 @@
 
 func (m *member) proposePlan(plan placement.Plan) {
 	if len(plan.Assign) > 0 {
-		m.lead(fleet.Command{Assign: &fleet.Assign{Decisions: decisions(plan.Assign), Cause: "placement"}})
+		m.lead(fleet.Command{Assign: fleet.NewAssign(decisions(plan.Assign), "placement")})
 	}
 	if len(plan.Transfer) > 0 {
 		m.world.counts["transfers begun"] += len(plan.Transfer)
@@ -115,6 +115,9 @@
 	}
 }
 
+// ranged makes every other service one that is divided into ranges.
+func ranged(service string) bool { return service[len(service)-1]%2 == 0 }
+
 func decisions(list []placement.Decision) []fleet.ShardDecision {
 	converted := make([]fleet.ShardDecision, 0, len(list))
 	for _, decision := range list {
--- a/control/place.go
+++ b/control/place.go
@@ -82,9 +82,7 @@
 	cause := "free shards of pool " + pool + " go to the least utilized nodes"
 	var commands []fleet.Command
 	for _, chunk := range chunks(decisions) {
-		list := shardDecisions(chunk)
-		shareEpochs(list)
-		commands = append(commands, fleet.Command{Assign: &fleet.Assign{Decisions: list, Cause: cause}})
+		commands = append(commands, fleet.Command{Assign: fleet.NewAssign(shardDecisions(chunk), cause)})
 	}
 	m.proposeAll(ctx, "assign shards", commands)
 	m.moves.WithLabelValues("assign").Add(float64(len(decisions)))
@@ -146,17 +144,6 @@
 	return list
 }
 
-// shareEpochs assigns the shards of one service under one epoch.
-func shareEpochs(list []fleet.ShardDecision) {
-	next := map[string]uint64{}
-	for _, decision := range list {
-		next[decision.Key.Service] = max(next[decision.Key.Service], decision.Epoch+1)
-	}
-	for i := range list {
-		list[i].Next = next[list[i].Key.Service]
-	}
-}
-
 // afterApply is told by the replica of each command that took effect.
 func (m *Member) afterApply(changes fleet.Changes, state *fleet.State) {
 	if changes.Empty() {
--- a/fleet/command.go
+++ b/fleet/command.go
@@ -113,6 +113,18 @@
 	Cause     string
 }
 
+// NewAssign assigns the shards of one service under one epoch.
+func NewAssign(list []ShardDecision, cause string) *Assign {
+	next := map[string]uint64{}
+	for _, decision := range list {
+		next[decision.Key.Service] = max(next[decision.Key.Service], decision.Epoch+1)
+	}
+	for i := range list {
+		list[i].Next = next[list[i].Key.Service]
+	}
+	return &Assign{Decisions: list, Cause: cause}
+}
+
 // Transfer asks owners to release shards in favour of others.
 type Transfer struct {
 	Decisions []ShardDecision
