Large answers leave their zone as far as they are late there

Ruled out: slots (documentos at 2.0 of its mean) and keys, which do not concern the route.

Change: a route's late share (admission.Locality) brings the factor down to that of all other answers at 30% late.

--- a/router/answer.go
+++ b/router/answer.go
@@ -47,6 +47,7 @@
 		}
 		fasthttp.ReleaseResponse(result.response)
 		p.service.pool.release(id, admission.OutcomeGood, latency)
+		p.noteEnd(true)
 		return false
 	}
 	p.track(result.conn)
@@ -54,6 +55,7 @@
 	_ = result.conn.Raw.SetDeadline(time.Time{})
 	body := &answerBody{router: r, request: p, attempt: result, stream: result.response.BodyStream(), release: func(outcome admission.Outcome) {
 		p.service.pool.release(id, outcome, latency)
+		p.noteEnd(outcome == admission.OutcomeGood)
 		r.finish(p)
 	}}
 	response.SetBodyStream(body, result.response.Header.ContentLength())
@@ -76,6 +78,7 @@
 func (r *Router) refuse(request *fasthttp.RequestCtx, id string, p *proxied, refused refusal) {
 	r.metrics.count(wire.OutcomeNotRun, refused.reason)
 	if p != nil && p.routed != nil && refused.mayComeBack() {
+		p.noteEnd(false)
 		// To the callers of a route table only this status promises "not run".
 		refused.status = fasthttp.StatusServiceUnavailable
 		refused.retryAfter = max(refused.retryAfter, r.options.Settings.Router.RetryAfter)
--- a/router/locality_test.go
+++ b/router/locality_test.go
@@ -38,7 +38,7 @@
 			gate.Update(time.Minute, list)
 			gate.Observe(own, admission.Load{Slots: 10, RunTime: c.ownTime})
 			gate.Observe(other, admission.Load{Slots: 10, RunTime: 100 * time.Millisecond})
-			p := &proxied{routed: &routedRoute{route: &routing.Route{Kind: c.kind}}}
+			p := &proxied{routed: &routedRoute{route: &routing.Route{Kind: c.kind}, learned: &learned{}}}
 			waiter := &admission.Waiter{Want: admission.Want{Zone: "a", RemoteCost: p.remoteCost()}}
 			is.Equal(gate.Acquire(time.Minute, waiter), admission.Admitted)
 			is.Equal(waiter.Granted, c.want)
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -119,23 +119,18 @@
 	return r.options.Settings.Zone
 }
 
-const (
-	// remoteCost and remoteCostLarge are how much longer an instance of the router's
-	// zone may be expected to take before one of another zone is chosen: bytes
-	// between zones are dear. A large answer goes to another zone only when its own has
-	// no instance that could give it.
-	remoteCost      = 1.5
-	remoteCostLarge = 40
-)
-
-// remoteCost is the factor for instances of other zones.
+// remoteCost is how much longer an instance of the router's zone may be expected to take
+// before one of another zone is chosen.
 func (p *proxied) remoteCost() float64 {
-	if p.routed != nil && p.routed.route.Kind == routing.KindDownload {
-		return remoteCostLarge
+	if p.routed == nil {
+		return unroutedRemoteCost
 	}
-	return remoteCost
+	return p.routed.learned.remoteCost(p.routed.route.Kind == routing.KindDownload)
 }
 
+// unroutedRemoteCost stands for requests whose route has no target latency.
+const unroutedRemoteCost = 1.5
+
 // choose waits for the owner or for an instance, and for a slot there.
 func (r *Router) choose(p *proxied, held *hold, avoid admission.InstanceID, ahead bool) (*wire.NodeView, refusal) {
 	want := admission.Want{
--- a/router/request.go
+++ b/router/request.go
@@ -70,6 +70,14 @@
 	return p.routed.version
 }
 
+// noteEnd tells the request's route whether it was served in time.
+func (p *proxied) noteEnd(served bool) {
+	if p.routed == nil || p.routed.route.TargetLatency == 0 {
+		return
+	}
+	p.routed.learned.noteLate(!served || clock.Now()-p.started > p.routed.route.TargetLatency)
+}
+
 func (p *proxied) attemptCount() int {
 	if p == nil {
 		return 0
@@ -175,7 +183,7 @@
 	p.deadline = now + p.route.Timeout.Std()
 	if wanted, ok := r.callerTimeout(request); ok {
 		p.deadline = min(p.deadline, now+wanted)
-		p.returning = p.routed != nil && p.routed.returns.observe(wanted)
+		p.returning = p.routed != nil && p.routed.learned.returning(wanted)
 	}
 	if found.retiring {
 		return p, refuseRetiring
--- a/router/routes.go
+++ b/router/routes.go
@@ -26,8 +26,8 @@
 	route  *routing.Route
 	limits catalog.Route
 	split  *splitter
-	// returns tells the route's new requests from those that were refused before.
-	returns *returnDetector
+	// learned is what its requests have shown.
+	learned *learned
 	// version of the route table that the route was taken from.
 	version uint64
 }
@@ -60,26 +60,41 @@
 // keep takes over what the route has learned under an earlier version of the table.
 func (r *routedRoute) keep(earlier *routedRoute) {
 	if earlier == nil {
-		r.split, r.returns = newSplitter(r.route.Split), &returnDetector{}
+		r.split, r.learned = newSplitter(r.route.Split), &learned{}
 		return
 	}
-	r.returns = earlier.returns
+	r.learned = earlier.learned
 	r.split = earlier.split
 	if !r.split.serves(r.route.Split) {
 		r.split = newSplitter(r.route.Split)
 	}
 }
 
-// returnDetector is the detector of one route, which all its requests share.
-type returnDetector struct {
-	mutex   sync.Mutex
-	returns admission.Returns
+// learned is what the requests of one route have shown; all versions of it share it.
+type learned struct {
+	mutex    sync.Mutex
+	returns  admission.Returns
+	locality admission.Locality
 }
 
-func (d *returnDetector) observe(allowed time.Duration) bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.returns.Observe(allowed)
+// returning reports whether a request that allows so much time was refused before.
+func (l *learned) returning(allowed time.Duration) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.returns.Observe(allowed)
+}
+
+// noteLate takes whether a request was answered late, or refused.
+func (l *learned) noteLate(late bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.locality.Observe(late)
+}
+
+func (l *learned) remoteCost(large bool) float64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.locality.RemoteCost(large)
 }
 
 func limitsOf(route *routing.Route, limits *routing.Limits) catalog.Route {
