--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -111,10 +111,10 @@
 		return errors.Join(errNothingSent, err)
 	}
 	p.out.Header.Set(p.names.Deadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
-	if !p.track(conn) {
+	if !p.tracker.Track(conn) {
 		return errors.Join(errNothingSent, errCallerGone)
 	}
-	defer p.untrack()
+	defer p.tracker.Untrack()
 	conn.Counted.Written = 0
 	err := p.out.Write(conn.Writer)
 	if err == nil {
@@ -138,11 +138,11 @@
 		result.response = nil
 		result.state, result.reason, result.err = exchangeOpen, reason, err
 	}
-	if !p.track(conn) {
+	if !p.tracker.Track(conn) {
 		fail(reasonCallerGone, errCallerGone)
 		return
 	}
-	defer p.untrack()
+	defer p.tracker.Untrack()
 	if err := response.ReadLimitBody(conn.Reader, 0); err != nil {
 		fail(readFailure(err), eris.Wrapf(err, "read answer of instance %s", p.seen.id))
 		return
@@ -302,7 +302,7 @@
 // Close implements io.Closer; the server calls it when it is done.
 func (b *answerBody) Close() error {
 	b.once.Do(func() {
-		b.passage.untrack()
+		b.passage.tracker.Untrack()
 		if b.finished {
 			b.ingress.finish(b.exchange.conn, b.exchange.response)
 		} else {
--- a/ingress/passage.go
+++ b/ingress/passage.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -38,42 +37,7 @@
 	out       *fasthttp.Request
 	watched   *hangup.Watched
 
-	mutex     sync.Mutex
-	upstream  *upstream.Conn
-	cancelled chan struct{}
-	gone      bool
-}
-
-// track notes the connection on which the request is, so that it can be closed when
-// the caller goes away. It returns false if the caller is gone already.
-func (p *passage) track(conn *upstream.Conn) bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if p.gone {
-		return false
-	}
-	p.upstream = conn
-	return true
-}
-
-func (p *passage) untrack() {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.upstream = nil
-}
-
-// cancel ends the request because its caller is gone.
-func (p *passage) cancel() {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if p.gone {
-		return
-	}
-	p.gone = true
-	close(p.cancelled)
-	if p.upstream != nil {
-		p.upstream.Close()
-	}
+	tracker *upstream.Tracker
 }
 
 // handle is the routers' handler.
@@ -94,8 +58,8 @@
 		i.refuse(request, p, reason, 0)
 		return
 	}
-	p.watched = i.hangups.Add(request.Conn(), p.cancel)
-	switch i.gate.enter(p.asked(), p.cancelled) {
+	p.watched = i.hangups.Add(request.Conn(), p.tracker.Cancel)
+	switch i.gate.enter(p.asked(), p.tracker.Cancelled()) {
 	case entryFull:
 		i.refuse(request, p, wire.BackendReasonFull, i.gate.retryAfter())
 	case entryClosed:
@@ -116,7 +80,7 @@
 	p := &passage{
 		names: names, requestID: string(header.Peek(names.RequestID)), attemptID: string(header.Peek(wire.HeaderAttempt)),
 		service: string(header.Peek(wire.HeaderService)), route: string(header.Peek(wire.HeaderRoute)),
-		head: request.IsHead(), arrived: clock.Now(), cancelled: make(chan struct{}),
+		head: request.IsHead(), arrived: clock.Now(), tracker: upstream.NewTracker(),
 	}
 	p.epoch, _ = strconv.ParseUint(string(header.Peek(wire.HeaderEpoch)), 10, 64)
 	shard, _ := strconv.ParseUint(string(header.Peek(wire.HeaderShard)), 10, 32)
@@ -257,7 +221,7 @@
 		i.end(p)
 		return
 	}
-	p.track(result.conn)
+	p.tracker.Track(result.conn)
 	body := &answerBody{ingress: i, passage: p, exchange: result, stream: result.response.BodyStream()}
 	response.SetBodyStream(body, result.response.Header.ContentLength())
 }
--- a/router/answer.go
+++ b/router/answer.go
@@ -50,7 +50,7 @@
 		p.noteEnd(true)
 		return false
 	}
-	p.track(result.conn)
+	p.tracker.Track(result.conn)
 	// A body may be longer on its way than the route's timeout.
 	_ = result.conn.Raw.SetDeadline(time.Time{})
 	body := &answerBody{router: r, request: p, attempt: result, stream: result.response.BodyStream(), release: func(outcome admission.Outcome) {
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -111,10 +111,10 @@
 		left := request.started + request.routed.route.TargetLatency - now
 		out.Header.Set(wire.HeaderTarget, strconv.FormatInt(max(0, left.Milliseconds()), 10))
 	}
-	if !request.track(conn) {
+	if !request.tracker.Track(conn) {
 		return errors.Join(errNothingSent, errCallerGone)
 	}
-	defer request.untrack()
+	defer request.tracker.Untrack()
 	counted := &conn.Counted
 	counted.Written = 0
 	request.bodyUsed = request.bodyUsed || out.IsBodyStream()
@@ -141,11 +141,11 @@
 		fasthttp.ReleaseResponse(response)
 		result.state, result.reason, result.err = attemptOpen, reason, err
 	}
-	if !request.track(conn) {
+	if !request.tracker.Track(conn) {
 		fail(refuseCallerGone.reason, errCallerGone)
 		return
 	}
-	defer request.untrack()
+	defer request.tracker.Untrack()
 	if err := response.ReadLimitBody(conn.Reader, 0); err != nil {
 		reason := reasonNoAnswer
 		var timeout net.Error
@@ -293,7 +293,7 @@
 // Close implements io.Closer; the server calls it when it is done.
 func (b *answerBody) Close() error {
 	b.once.Do(func() {
-		b.request.untrack()
+		b.request.tracker.Untrack()
 		outcome := admission.OutcomeGood
 		if b.finished {
 			b.router.finishConn(b.attempt.conn, b.attempt.response)
--- a/router/hold.go
+++ b/router/hold.go
@@ -49,7 +49,7 @@
 	select {
 	case <-timer.C:
 	case <-changed:
-	case <-p.cancelled:
+	case <-p.tracker.Cancelled():
 	}
 }
 
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -45,7 +45,7 @@
 		fasthttp.ReleaseRequest(p.out)
 		return
 	}
-	p.watched = r.hangups.Add(p.caller, p.cancel)
+	p.watched = r.hangups.Add(p.caller, p.tracker.Cancel)
 	streaming := r.proxy(request, p)
 	if !streaming {
 		r.finish(p)
@@ -146,7 +146,7 @@
 			}
 			want.Instance = admission.InstanceID(node.Session)
 		}
-		id, refused := p.service.pool.acquire(want, p.cancelled)
+		id, refused := p.service.pool.acquire(want, p.tracker.Cancelled())
 		if refused.refused() {
 			if p.service.spec.Keyed && refused.reason == refuseNoInstance.reason && held.remaining() > 0 {
 				// The owner has just gone: wait for the next one.
@@ -200,7 +200,7 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-		case <-p.cancelled:
+		case <-p.tracker.Cancelled():
 			timer.Stop()
 			return nil, refuseCallerGone
 		}
--- a/router/request.go
+++ b/router/request.go
@@ -8,7 +8,6 @@
 	"net"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -47,11 +46,8 @@
 	caller  net.Conn
 	started time.Duration
 
-	watched   *hangup.Watched
-	mutex     sync.Mutex
-	upstream  *upstream.Conn
-	cancelled chan struct{}
-	gone      bool
+	watched *hangup.Watched
+	tracker *upstream.Tracker
 }
 
 // routeName is the name of the request's route in the route table; empty: none.
@@ -85,39 +81,6 @@
 	return p.attempts
 }
 
-// track notes the connection on which the request is, so that it can be closed
-// when the caller goes away. It returns false if the caller is gone already.
-func (p *proxied) track(conn *upstream.Conn) bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if p.gone {
-		return false
-	}
-	p.upstream = conn
-	return true
-}
-
-func (p *proxied) untrack() {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.upstream = nil
-}
-
-// cancel ends the request because its caller is gone. Closing the connection is
-// how the back end hears of it.
-func (p *proxied) cancel() {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if p.gone {
-		return
-	}
-	p.gone = true
-	close(p.cancelled)
-	if p.upstream != nil {
-		p.upstream.Close()
-	}
-}
-
 func (p *proxied) nextAttemptID() string {
 	p.attempts++
 	return p.id + "." + strconv.Itoa(p.attempts)
@@ -164,7 +127,7 @@
 	now := clock.Now()
 	p := &proxied{
 		id: drawID(), head: request.IsHead(), caller: request.Conn(),
-		started: now, cancelled: make(chan struct{}),
+		started: now, tracker: upstream.NewTracker(),
 	}
 	p.shown = r.callerID(request, p.id)
 	found, rest := r.table.find(string(request.Host()), path)
