Keys told in the answers to heartbeats: a ledger of what an instance may hold, two carriers

Change: package ledger (pure) holds what control gave, what the instance was told and what it said; ingress brings it there by calls, as before, or in answers to heartbeats (ingress.grant_by). An answer waits up to ingress.heartbeat_wait for something to tell.

--- a/agent/backend.go
+++ b/agent/backend.go
@@ -59,6 +59,9 @@
 	Grants(list *wire.BackendGrants) error
 	// Release lets shards go; it returns those on which nothing runs any more.
 	Release(session membership.SessionID, shards []wire.BackendGrant) ([]fleet.ReleasedShard, error)
+	// HandedBack brings shards that the back end does not take under their epoch: control
+	// has to assign them anew. Nil: there never are any.
+	HandedBack() <-chan []fleet.ReleasedShard
 }
 
 // backend talks to the back end beside the agent.
@@ -188,3 +191,6 @@
 	}
 	return eris.Wrapf(json.Unmarshal(response.Body(), answer), "decode answer of back end %s to %s", b.address, path)
 }
+
+// HandedBack implements Backend: a back end called over HTTP takes what it is told.
+func (b *backend) HandedBack() <-chan []fleet.ReleasedShard { return nil }
--- a/agent/session.go
+++ b/agent/session.go
@@ -9,6 +9,7 @@
 
 	"limehold/clock"
 	"limehold/codec"
+	"limehold/fleet"
 	"limehold/logging"
 	"limehold/membership"
 	"limehold/transport"
@@ -60,7 +61,7 @@
 		a.lease.Drop()
 	}
 	a.mutex.Unlock()
-	a.shards.begin(reply.Session)
+	a.shards.begin(reply.Session, incarnation)
 	return reply, nil
 }
 
@@ -126,7 +127,7 @@
 	a.session = 0
 	a.lease.Drop()
 	a.mutex.Unlock()
-	a.shards.begin(0)
+	a.shards.begin(0, "")
 	a.signal()
 }
 
@@ -217,6 +218,8 @@
 			case <-ctx.Done():
 				return nil
 			case <-a.shards.changed():
+			case refused := <-a.backend.HandedBack():
+				a.reportReleased(ctx, session, refused)
 			}
 			continue
 		}
@@ -229,15 +232,20 @@
 			continue
 		}
 		if len(done) > 0 {
-			reply := &wire.ReleasedReply{}
-			if err := a.links.callLeader(ctx, openTimeout, wire.KindReleased, &wire.Released{Session: session, Shards: done}, reply); err != nil {
-				a.logger.Warn("release_not_acknowledged", logging.Step("report released shards", "control", err)...)
-			} else {
-				a.shards.released(session, done)
-			}
+			a.reportReleased(ctx, session, done)
 		}
 		if pause(ctx, retryPause) != nil {
 			return nil
 		}
 	}
 }
+
+// reportReleased tells control of shards that the back end holds no longer.
+func (a *Agent) reportReleased(ctx context.Context, session membership.SessionID, done []fleet.ReleasedShard) {
+	reply := &wire.ReleasedReply{}
+	if err := a.links.callLeader(ctx, openTimeout, wire.KindReleased, &wire.Released{Session: session, Shards: done}, reply); err != nil {
+		a.logger.Warn("release_not_acknowledged", logging.Step("report released shards", "control", err)...)
+		return
+	}
+	a.shards.released(session, done)
+}
--- a/agent/shards.go
+++ b/agent/shards.go
@@ -14,6 +14,8 @@
 type shardSet struct {
 	mutex sync.Mutex
 	set   *assignment.Set
+	// incarnation is the back end's that the session was opened for.
+	incarnation string
 	// early is a whole list that came before the answer that names its session.
 	early  *wire.Assignments
 	change chan struct{}
@@ -24,9 +26,10 @@
 }
 
 // begin forgets everything that belongs to another session.
-func (s *shardSet) begin(session membership.SessionID) {
+func (s *shardSet) begin(session membership.SessionID, incarnation string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.incarnation = incarnation
 	if !s.set.Begin(session) {
 		return
 	}
@@ -76,7 +79,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return &wire.BackendGrants{
-		Session: uint64(s.set.Session()), Revision: s.set.Revision(), Grants: backendGrants(s.set.Granted()),
+		Session: uint64(s.set.Session()), Revision: s.set.Revision(), Incarnation: s.incarnation, Grants: backendGrants(s.set.Granted()),
 	}, s.set.Version()
 }
 
--- a/agent/shards_test.go
+++ b/agent/shards_test.go
@@ -15,8 +15,8 @@
 	shards := newShardSet()
 	list := &wire.Assignments{Session: 7, Revision: 9, Shards: []wire.Assignment{{Service: "numbers", Shard: 1, Epoch: 1}}}
 	is.Equal(shards.take(list), false)
-	shards.begin(7)
+	shards.begin(7, "i-7")
 	is.Equal(shards.count(), 1)
-	shards.begin(8)
+	shards.begin(8, "i-8")
 	is.Equal(shards.count(), 0)
 }
--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -203,6 +203,13 @@
 	return min(max(share, inTime), request.left)
 }
 
+// patienceOf is patience, for callers that do not hold the gate's mutex.
+func (g *gate) patienceOf(request asked) time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.patience(request)
+}
+
 // routeTime is the smoothed time that a route's requests occupy a slot.
 func (g *gate) routeTime(route string) time.Duration {
 	if known := g.byRoute[route]; known != nil {
--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -10,8 +10,11 @@
 
 	"go.uber.org/zap"
 
+	"limehold"
 	"limehold/agent"
 	"limehold/clock"
+	"limehold/fleet"
+	"limehold/ledger"
 	"limehold/wire"
 )
 
@@ -74,21 +77,33 @@
 		options: options, logger: options.Logger, gate: gate,
 		departed: map[string]bool{}, suspect: make(chan struct{}, 1),
 	}
-	i.keys = newKeyHolder(options.Keys, options.Settings.Ingress.HoldTime, options.Logger)
+	i.keys = newKeyHolder(options)
 	return i
 }
 
-// Announce takes an announcement; it counts as acknowledged once this returns.
-func (i *Instance) Announce(announced Announcement) {
+// Heartbeat takes an announcement with what the instance says of its keys, and returns
+// what it is answered with. It may wait a while for something to answer.
+func (i *Instance) Heartbeat(announced Announcement, holds []limehold.KeyRange, released []ledger.ReleasedRange) ledger.Answer {
+	newest := i.Announce(announced)
+	carrier, ok := i.keys.carrier.(*heartbeatCarrier)
+	if !ok || !newest {
+		return ledger.Answer{}
+	}
+	return carrier.beat(ledger.Report{Instance: announced.ID, Sequence: announced.Sequence, Holds: holds, Released: released}, !announced.Draining)
+}
+
+// Announce takes an announcement; it counts as acknowledged once this returns. False: it
+// is not the newest one of its start, or the start has taken its leave.
+func (i *Instance) Announce(announced Announcement) bool {
 	now := clock.Now()
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	if i.departed[announced.ID] {
-		return
+		return false
 	}
 	sameStart := i.known && i.current.ID == announced.ID
 	if sameStart && announced.Sequence <= i.current.Sequence {
-		return
+		return false
 	}
 	before := i.current
 	i.current, i.heard, i.known = announced, now, true
@@ -108,6 +123,7 @@
 		i.leavingSince = 0
 		i.logger.Info("instance_resumed", zap.String("instance", announced.ID), zap.Uint64("sequence", announced.Sequence))
 	}
+	return true
 }
 
 // usable is how many of an instance's slots are used at once.
@@ -159,7 +175,7 @@
 
 // Run watches the instance and renews its keys until ctx ends.
 func (i *Instance) Run(ctx context.Context) error {
-	go i.keys.run(ctx)
+	go i.keys.carrier.Run(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -269,3 +285,6 @@
 	}
 	return agent.Description{Pool: announced.Service, Slots: announced.Slots, Connections: connections, Gated: true, Exclusive: true}
 }
+
+// HandedBack implements agent.Backend.
+func (i *Instance) HandedBack() <-chan []fleet.ReleasedShard { return i.keys.refused }
--- /dev/null
+++ b/ingress/keybeats.go
@@ -0,0 +1,123 @@
+package ingress
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limehold"
+	"limehold/clock"
+	"limehold/ledger"
+	"limehold/settings"
+)
+
+// heartbeatCarrier brings keys to the instance in the answers to its heartbeats. Nothing
+// can be told between two of them, so that an answer waits a while for something to tell:
+// of the time in which a key belongs to nobody, most was waiting for the next heartbeat.
+type heartbeatCarrier struct {
+	holder *keyHolder
+	logger *zap.Logger
+	// wait is how long an answer may wait.
+	wait time.Duration
+}
+
+// letGoPoll is how long LetGo waits for the instance before it returns with nothing, and
+// letGoLook after how long it looks whether what it was told has run out.
+const (
+	letGoPoll = time.Second
+	letGoLook = 50 * time.Millisecond
+)
+
+func newHeartbeatCarrier(holder *keyHolder, config settings.Ingress) *heartbeatCarrier {
+	return &heartbeatCarrier{holder: holder, logger: holder.logger, wait: config.HeartbeatWait}
+}
+
+// Run implements limehold.KeyCarrier: heartbeats come by themselves.
+func (c *heartbeatCarrier) Run(context.Context) {}
+
+// Changed implements limehold.KeyCarrier: answers that wait watch the holder.
+func (c *heartbeatCarrier) Changed() {}
+
+// Dropped implements limehold.KeyCarrier: the next answer leaves the ranges out.
+func (c *heartbeatCarrier) Dropped([]limehold.KeyRange) {}
+
+// LetGo implements limehold.KeyCarrier.
+func (c *heartbeatCarrier) LetGo(ranges []limehold.KeyRange) ([]limehold.ReleasedRange, error) {
+	h := c.holder
+	until := clock.Now() + letGoPoll
+	for {
+		now := clock.Now()
+		h.mutex.Lock()
+		free, changed := h.ledger.LetGo(ranges, now), h.changed
+		h.mutex.Unlock()
+		if len(free) > 0 || now >= until {
+			return free, nil
+		}
+		timer := time.NewTimer(letGoLook)
+		select {
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// beat takes what a heartbeat reports and returns its answer, after waiting for something
+// to answer if mayWait.
+func (c *heartbeatCarrier) beat(report ledger.Report, mayWait bool) ledger.Answer {
+	h := c.holder
+	received := clock.Now()
+	h.mutex.Lock()
+	h.ledger.Begin(report.Instance)
+	taken := h.ledger.Report(report, received)
+	refused := h.ledger.RefusedGrants()
+	h.mutex.Unlock()
+	h.tell()
+	if !taken {
+		return ledger.Answer{}
+	}
+	if len(refused) > 0 {
+		h.handBack(refused)
+	}
+	until := received
+	if mayWait {
+		until += c.wait
+	}
+	for {
+		now := clock.Now()
+		h.mutex.Lock()
+		if now >= until || h.ledger.Pending(report.Sequence, now) {
+			answer := h.ledger.Answer(report.Sequence, now)
+			h.mutex.Unlock()
+			c.answered(report, answer, now-received)
+			return answer
+		}
+		changed := h.changed
+		h.mutex.Unlock()
+		timer := time.NewTimer(until - now)
+		select {
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// answered wakes the requests that wait for keys, and says what was told.
+func (c *heartbeatCarrier) answered(report ledger.Report, answer ledger.Answer, waited time.Duration) {
+	c.holder.tell()
+	fields := []zap.Field{
+		zap.String("instance", report.Instance), zap.Uint64("sequence", report.Sequence), zap.Bool("renews", answer.Renews),
+		zap.Int("held", len(report.Holds)), zap.Int("released", len(report.Released)), zap.Int("rows", len(answer.Rows)),
+		zap.Duration("hold", answer.Hold), zap.Duration("waited", waited),
+	}
+	switch {
+	case answer.Kept+answer.Unfit > 0:
+		c.logger.Warn("answer_full", append(fields, zap.Int("kept", answer.Kept), zap.Int("unfit", answer.Unfit))...)
+	case len(report.Released) > 0 || len(report.Holds) != len(answer.Rows):
+		c.logger.Info("keys_told", fields...)
+	default:
+		c.logger.Debug("keys_told", fields...)
+	}
+}
--- a/ingress/keys.go
+++ b/ingress/keys.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -13,403 +12,214 @@
 	"limehold"
 	"limehold/clock"
 	"limehold/fleet"
-	"limehold/logging"
+	"limehold/ledger"
 	"limehold/membership"
 	"limehold/ownership"
+	"limehold/settings"
 	"limehold/wire"
 )
 
-// keyHolder keeps the instance's grants as control's list says, and knows which of
-// them the instance has confirmed.
-//
-// Invariants:
-//   - The instance is never given keys for longer than the node's own lease runs, its
-//     clock's error included: when control gives them to another node, it holds none.
-//   - A request is let through only while a grant that the instance has confirmed
-//     holds, counted from before the grant was sent.
-//   - A key that is being released lets nothing through from the moment at which the
-//     release begins.
-//   - A release shows the instance a higher fence than its grants had: one that got no
-//     answer, and is carried out seconds later, is refused by it.
+// keyHolder is what the instance holds, for several goroutines: the ledger behind a
+// mutex, and the carrier that brings it to the instance. Invariants: see ledger.Ledger.
 type keyHolder struct {
-	client   limehold.KeyClient
-	holdTime time.Duration
-	logger   *zap.Logger
-
-	// calling is held while a grant is under way: a release is sent after it.
-	calling sync.Mutex
-	mutex   sync.Mutex
-	expiry  time.Duration
-	shards  map[ownership.Key]*heldShard
-	wake    chan struct{}
+	logger  *zap.Logger
+	carrier limehold.KeyCarrier
+
+	// refused brings shards that the instance does not take under their epoch.
+	refused chan []fleet.ReleasedShard
+
+	mutex  sync.Mutex
+	ledger *ledger.Ledger
+	// changed is closed, and made anew, when something may have changed.
+	changed chan struct{}
+}
+
+// answerBytes is the room for rows in an answer to a heartbeat: instances take no answer
+// of more than 4096 bytes, and the rest of it is shorter than 96.
+const answerBytes = 4000
+
+func newKeyHolder(options Options) *keyHolder {
+	config := options.Settings.Ingress
+	h := &keyHolder{logger: options.Logger, refused: make(chan []fleet.ReleasedShard, 1), changed: make(chan struct{})}
+	h.ledger = ledger.New(ledger.Options{Shards: fleet.RoutedShards, Hold: config.HoldTime, AnswerBytes: answerBytes, Began: clock.Now()})
+	switch {
+	case config.GrantBy == settings.GrantByHeartbeat:
+		h.carrier = newHeartbeatCarrier(h, config)
+	case options.Keys != nil:
+		h.carrier = newCallCarrier(h, options.Keys)
+	default:
+		h.carrier = noCarrier{}
+	}
+	return h
 }
 
-// heldShard is one shard of control's list.
-type heldShard struct {
-	epoch uint64
-	token string
-	// until is when the confirmed grant ends; zero: none is confirmed.
-	until time.Duration
-	// renewAt is when the grant is to be sent again.
-	renewAt time.Duration
-	// possible is the latest moment to which any grant that was sent may hold.
-	possible  time.Duration
-	releasing bool
-	// refused is set once the instance has answered that it saw a higher fence.
-	refused bool
-}
+// noCarrier stands beside an instance whose service is never divided by key.
+type noCarrier struct{}
 
-const (
-	// instanceDrift is the error of an instance's clock, in thousandths.
-	instanceDrift = 20
-	permille      = 1000
-	// grantMargin is kept between the end of a grant and the end of the lease.
-	grantMargin = 100 * time.Millisecond
-	// shortestHold is the least time that a grant is worth sending for.
-	shortestHold  = 200 * time.Millisecond
-	grantTimeout  = 700 * time.Millisecond
-	releasePoll   = 5 * time.Second
-	grantRetry    = 100 * time.Millisecond
-	renewalsAHold = 3
-)
+// Run implements limehold.KeyCarrier.
+func (noCarrier) Run(context.Context) {}
 
-func newKeyHolder(client limehold.KeyClient, holdTime time.Duration, logger *zap.Logger) *keyHolder {
-	return &keyHolder{client: client, holdTime: holdTime, logger: logger, shards: map[ownership.Key]*heldShard{}, wake: make(chan struct{}, 1)}
-}
+// Changed implements limehold.KeyCarrier.
+func (noCarrier) Changed() {}
 
-func (h *keyHolder) signal() {
-	select {
-	case h.wake <- struct{}{}:
-	default:
+// LetGo implements limehold.KeyCarrier.
+func (noCarrier) LetGo(ranges []limehold.KeyRange) ([]limehold.ReleasedRange, error) {
+	released := make([]limehold.ReleasedRange, 0, len(ranges))
+	for _, ranged := range ranges {
+		released = append(released, limehold.ReleasedRange{KeyRange: ranged})
 	}
+	return released, nil
 }
 
-// Lease implements agent.Backend.
-func (i *Instance) Lease(_ membership.SessionID, expiry time.Duration) error {
-	i.keys.mutex.Lock()
-	i.keys.expiry = expiry
-	i.keys.mutex.Unlock()
-	i.keys.signal()
-	return nil
+// Dropped implements limehold.KeyCarrier.
+func (noCarrier) Dropped([]limehold.KeyRange) {}
+
+// tell says that the ledger has changed.
+func (h *keyHolder) tell() {
+	h.mutex.Lock()
+	close(h.changed)
+	h.changed = make(chan struct{})
+	h.mutex.Unlock()
+	h.carrier.Changed()
 }
 
-// Grants implements agent.Backend.
-func (i *Instance) Grants(list *wire.BackendGrants) error {
-	i.keys.take(list.Grants)
-	return nil
+// setLease takes until when the node's lease runs.
+func (h *keyHolder) setLease(session membership.SessionID, expiry time.Duration) {
+	h.mutex.Lock()
+	h.ledger.SetLease(uint64(session), expiry)
+	h.mutex.Unlock()
+	h.tell()
 }
 
-func (h *keyHolder) take(grants []wire.BackendGrant) {
+// take takes control's list for a session.
+func (h *keyHolder) take(session uint64, grants []wire.BackendGrant) {
 	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	listed := make(map[ownership.Key]bool, len(grants))
-	added := 0
-	for _, grant := range grants {
-		key := ownership.Key{Service: grant.Service, Shard: grant.Shard}
-		listed[key] = true
-		known := h.shards[key]
-		if known != nil && known.epoch == grant.Epoch {
-			known.releasing = false
-			continue
-		}
-		h.shards[key] = &heldShard{epoch: grant.Epoch, token: grant.Token}
-		added++
-	}
-	dropped := 0
-	var lost []wire.BackendGrant
-	now := clock.Now()
-	for key, known := range h.shards {
-		switch {
-		case listed[key]:
-		case !known.releasing:
-			// It is being released, or belongs to a session that has ended.
-			known.releasing = true
-			dropped++
-			lost = append(lost, wire.BackendGrant{Service: key.Service, Shard: key.Shard, Epoch: known.epoch})
-		case known.possible < now:
-			delete(h.shards, key)
-		}
-	}
-	if dropped > 0 {
-		go h.fenceOff(lost)
+	added, dropped := h.ledger.List(session, ledgerGrants(grants), clock.Now())
+	h.mutex.Unlock()
+	if len(dropped) > 0 {
+		h.carrier.Dropped(h.rangesOf(dropped))
 	}
-	if added > 0 || dropped > 0 {
-		h.logger.Info("keys_listed", zap.Int("shards", len(grants)), zap.Int("added", added), zap.Int("dropped", dropped))
+	if added > 0 || len(dropped) > 0 {
+		h.logger.Info("keys_listed", zap.Int("shards", len(grants)), zap.Int("added", added), zap.Int("dropped", len(dropped)))
 	}
-	h.signal()
+	h.tell()
 }
 
 // holds reports whether the instance may run a request on a shard under an epoch.
 func (h *keyHolder) holds(key ownership.Key, epoch uint64, now time.Duration) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	known := h.shards[key]
-	return known != nil && known.epoch == epoch && !known.releasing && now < known.until && now < h.expiry
-}
-
-// grantRun is a range of neighbouring shards that one call grants.
-type grantRun struct {
-	keys   []ownership.Key
-	ranged limehold.KeyRange
-	token  string
-	due    time.Duration
+	return h.ledger.Holds(key, epoch, now)
 }
 
-// run keeps the instance's grants until ctx ends.
-func (h *keyHolder) run(ctx context.Context) {
-	if h.client == nil {
-		return
-	}
-	timer := time.NewTimer(time.Hour)
+// await returns once the instance holds a shard under an epoch that it is expected to
+// hold soon, or patience is over; false: it does not hold it.
+func (h *keyHolder) await(key ownership.Key, epoch uint64, patience time.Duration, cancelled <-chan struct{}) bool {
+	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	for {
-		next := h.renewDue(ctx)
-		timer.Reset(next)
-		select {
-		case <-ctx.Done():
-			return
-		case <-h.wake:
-		case <-timer.C:
-		}
-	}
-}
-
-// renewDue sends every grant that is due, and returns when the next one is.
-func (h *keyHolder) renewDue(ctx context.Context) time.Duration {
-	runs := h.runs()
-	slices.SortStableFunc(runs, func(a, b grantRun) int { return cmp.Compare(a.due, b.due) })
-	for _, run := range runs {
 		now := clock.Now()
-		if run.due > now {
-			break
-		}
-		hold := h.holdFor(now)
-		if hold < shortestHold {
-			// Without a lease there is nothing to give; the next renewal wakes this loop.
-			return time.Hour
-		}
-		if !h.grant(ctx, run, hold, now) {
-			return grantRetry
+		h.mutex.Lock()
+		held, expected, changed := h.ledger.Holds(key, epoch, now), h.ledger.Expects(key, epoch, now), h.changed
+		h.mutex.Unlock()
+		if held || !expected {
+			return held
 		}
-	}
-	return h.nextDue()
-}
-
-// nextDue is how long it takes until the next grant is due.
-func (h *keyHolder) nextDue() time.Duration {
-	wait, now := time.Hour, clock.Now()
-	for _, run := range h.runs() {
-		wait = min(wait, max(0, run.due-now))
-	}
-	return wait
-}
-
-// holdFor is how long the instance may be given keys at now.
-func (h *keyHolder) holdFor(now time.Duration) time.Duration {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	left := (h.expiry - now - grantMargin) * permille / (permille + instanceDrift)
-	return min(h.holdTime, left)
-}
-
-// grant sends one grant; false when it should be tried again after a pause.
-func (h *keyHolder) grant(ctx context.Context, run grantRun, hold, now time.Duration) bool {
-	possible := now + grantTimeout + hold*(permille+instanceDrift)/permille
-	h.each(run, func(shard *heldShard) { shard.possible = max(shard.possible, possible) })
-	callContext, cancel := context.WithTimeout(ctx, grantTimeout)
-	defer cancel()
-	h.calling.Lock()
-	if !h.stillWanted(run) {
-		h.calling.Unlock()
-		return true
-	}
-	err := h.client.Grant(callContext, run.ranged, hold, run.token)
-	h.calling.Unlock()
-	if err == nil {
-		h.each(run, func(shard *heldShard) {
-			if shard.until == 0 {
-				h.logger.Debug("keys_granted", zap.Uint32("first", run.ranged.First), zap.Uint32("last", run.ranged.Last), zap.Uint64("fence", run.ranged.Fence))
-			}
-			shard.until, shard.renewAt = now+hold, now+hold/renewalsAHold
-		})
-		return true
-	}
-	fenced := errors.Is(err, limehold.ErrFenced)
-	h.logger.Warn("keys_not_granted", append(logging.Step("grant keys", "instance", err),
-		zap.Uint32("first", run.ranged.First), zap.Uint32("last", run.ranged.Last), zap.Uint64("fence", run.ranged.Fence), zap.Bool("fenced", fenced))...)
-	if fenced {
-		h.each(run, func(shard *heldShard) { shard.refused, shard.until = true, 0 })
-		return true
-	}
-	return false
-}
-
-// stillWanted reports whether none of a run's shards is being released by now.
-func (h *keyHolder) stillWanted(run grantRun) bool {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	for _, key := range run.keys {
-		if shard := h.shards[key]; shard == nil || shard.releasing || shard.epoch != run.ranged.Fence {
+		select {
+		case <-changed:
+		case <-timer.C:
+			return false
+		case <-cancelled:
 			return false
-		}
-	}
-	return true
-}
-
-// each changes the shards of a run that are still as they were when it was made.
-func (h *keyHolder) each(run grantRun, change func(*heldShard)) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	for _, key := range run.keys {
-		if shard := h.shards[key]; shard != nil && shard.epoch == run.ranged.Fence && !shard.releasing {
-			change(shard)
 		}
 	}
 }
 
-// runs joins neighbouring shards of one fence and token.
-func (h *keyHolder) runs() []grantRun {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	keys := make([]ownership.Key, 0, len(h.shards))
-	for key, shard := range h.shards {
-		if !shard.releasing && !shard.refused {
-			keys = append(keys, key)
-		}
+// handBack offers control the shards that the instance refuses: their fence has to rise.
+func (h *keyHolder) handBack(grants []ledger.Grant) {
+	shards := make([]fleet.ReleasedShard, 0, len(grants))
+	for _, grant := range grants {
+		shards = append(shards, fleet.ReleasedShard{Key: grant.Key, Epoch: grant.Epoch})
 	}
-	slices.SortFunc(keys, func(a, b ownership.Key) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Shard, b.Shard))
-	})
-	var runs []grantRun
-	for _, key := range keys {
-		shard := h.shards[key]
-		first, last := ownership.Range(key.Shard, fleet.RoutedShards)
-		if count := len(runs); count > 0 {
-			previous := &runs[count-1]
-			neighbour := previous.keys[len(previous.keys)-1]
-			if neighbour.Service == key.Service && previous.ranged.Last+1 == first && previous.ranged.Fence == shard.epoch && previous.token == shard.token {
-				previous.keys = append(previous.keys, key)
-				previous.ranged = previous.ranged.WithLast(last)
-				previous.due = min(previous.due, shard.renewAt)
-				continue
-			}
-		}
-		runs = append(runs, grantRun{keys: []ownership.Key{key}, ranged: limehold.KeyRange{First: first, Last: last, Fence: shard.epoch}, token: shard.token, due: shard.renewAt})
+	select {
+	case h.refused <- shards:
+		h.logger.Warn("keys_refused", zap.Int("shards", len(shards)), zap.Stringer("first", grants[0].Key), zap.Uint64("fence", grants[0].Epoch))
+	default:
 	}
-	return runs
 }
 
-// Release implements agent.Backend: it lets shards go, range by range. A range is
-// let go once the instance says so, or once no grant that was ever sent can hold.
-func (i *Instance) Release(_ membership.SessionID, shards []wire.BackendGrant) ([]fleet.ReleasedShard, error) {
-	return i.keys.release(shards)
+// byHeartbeat reports whether the instance is told its keys in answers to heartbeats.
+func (h *keyHolder) byHeartbeat() bool {
+	_, ok := h.carrier.(*heartbeatCarrier)
+	return ok
 }
 
+// release lets shards go; it returns those that the instance holds no longer.
 func (h *keyHolder) release(shards []wire.BackendGrant) ([]fleet.ReleasedShard, error) {
-	sortGrants(shards)
+	grants := ledgerGrants(shards)
+	slices.SortFunc(grants, func(a, b ledger.Grant) int {
+		return cmp.Or(cmp.Compare(a.Key.Service, b.Key.Service), cmp.Compare(a.Key.Shard, b.Key.Shard))
+	})
 	h.mutex.Lock()
-	for _, item := range shards {
-		key := ownership.Key{Service: item.Service, Shard: item.Shard}
-		if known := h.shards[key]; known != nil && known.epoch == item.Epoch {
-			known.releasing = true
-		}
-	}
+	h.ledger.BeginRelease(grants)
 	h.mutex.Unlock()
-	var released []fleet.ReleasedShard
-	var last error
-	for len(shards) > 0 {
-		count, ranged := neighbours(shards)
-		token, err := h.releaseRange(ranged, shards[:count])
-		if err != nil {
-			last = err
-		} else {
-			for _, item := range shards[:count] {
-				released = append(released, fleet.ReleasedShard{Key: ownership.Key{Service: item.Service, Shard: item.Shard}, Epoch: item.Epoch, Token: token})
-			}
-		}
-		shards = shards[count:]
+	h.tell()
+	byFirst := make(map[uint32]ledger.Grant, len(grants))
+	ranges := h.rangesOf(grants)
+	for i, ranged := range ranges {
+		byFirst[ranged.First] = grants[i]
+	}
+	done, err := h.carrier.LetGo(ranges)
+	released := make([]fleet.ReleasedShard, 0, len(done))
+	for _, ranged := range done {
+		grant := byFirst[ranged.First]
+		released = append(released, fleet.ReleasedShard{Key: grant.Key, Epoch: grant.Epoch, Token: ranged.Token})
 	}
 	if len(released) > 0 {
 		h.logger.Info("keys_released", zap.Int("shards", len(released)))
 		return released, nil
 	}
-	return nil, last
+	return nil, err
 }
 
-// fenceOff shows the instance a higher fence on shards that control's list no longer
-// names, without waiting for anything: a grant of them may still be on its way to it.
-func (h *keyHolder) fenceOff(shards []wire.BackendGrant) {
-	sortGrants(shards)
-	for len(shards) > 0 {
-		count, ranged := neighbours(shards)
-		if _, err := h.releaseRange(ranged, shards[:count]); err != nil {
-			h.logger.Info("keys_not_fenced_off", append(logging.Step("release keys", "instance", err), zap.Uint32("first", ranged.First), zap.Uint32("last", ranged.Last))...)
-		}
-		shards = shards[count:]
-	}
-}
-
-func sortGrants(shards []wire.BackendGrant) {
-	slices.SortFunc(shards, func(a, b wire.BackendGrant) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Shard, b.Shard))
-	})
-}
-
-// neighbours is how many of the first shards one call releases, and their range.
-func neighbours(shards []wire.BackendGrant) (int, limehold.KeyRange) {
-	first, last := ownership.Range(shards[0].Shard, fleet.RoutedShards)
-	ranged := limehold.KeyRange{First: first, Last: last, Fence: shards[0].Epoch}
-	count := 1
-	for count < len(shards) && shards[count].Service == shards[0].Service && shards[count].Shard == shards[count-1].Shard+1 && shards[count].Epoch == shards[0].Epoch {
-		_, last = ownership.Range(shards[count].Shard, fleet.RoutedShards)
-		count++
+func (h *keyHolder) rangesOf(grants []ledger.Grant) []limehold.KeyRange {
+	ranges := make([]limehold.KeyRange, 0, len(grants))
+	for _, grant := range grants {
+		first, last := ownership.Range(grant.Key.Shard, fleet.RoutedShards)
+		ranges = append(ranges, limehold.KeyRange{First: first, Last: last, Fence: grant.Epoch})
 	}
-	return count, ranged.WithLast(last)
+	return ranges
 }
 
-func (h *keyHolder) releaseRange(ranged limehold.KeyRange, shards []wire.BackendGrant) (string, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), releasePoll)
-	defer cancel()
-	// Grants of these shards are not sent any more; one that is under way ends first.
-	h.awaitCall()
-	token, err := h.client.Release(ctx, ranged.WithFence(ranged.Fence+1))
-	if err == nil {
-		h.forget(shards)
-		return token, nil
-	}
-	if h.possiblyHeld(shards) <= clock.Now() {
-		h.forget(shards)
-		return "", nil
+func ledgerGrants(grants []wire.BackendGrant) []ledger.Grant {
+	list := make([]ledger.Grant, 0, len(grants))
+	for _, grant := range grants {
+		list = append(list, ledger.Grant{Key: ownership.Key{Service: grant.Service, Shard: grant.Shard}, Epoch: grant.Epoch, Token: grant.Token})
 	}
-	return "", err
+	return list
 }
 
-// awaitCall returns once no grant is under way that began before.
-func (h *keyHolder) awaitCall() {
-	h.calling.Lock()
-	defer h.calling.Unlock()
+// Lease implements agent.Backend.
+func (i *Instance) Lease(session membership.SessionID, expiry time.Duration) error {
+	i.keys.setLease(session, expiry)
+	return nil
 }
 
-// possiblyHeld is the latest moment to which a grant of the shards may hold.
-func (h *keyHolder) possiblyHeld(shards []wire.BackendGrant) time.Duration {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	var latest time.Duration
-	for _, item := range shards {
-		if known := h.shards[ownership.Key{Service: item.Service, Shard: item.Shard}]; known != nil {
-			latest = max(latest, known.possible)
-		}
+// Grants implements agent.Backend. A list that is not the first whole one of its session
+// yet, or is for another start of the instance, says nothing.
+func (i *Instance) Grants(list *wire.BackendGrants) error {
+	i.mutex.Lock()
+	id := i.current.ID
+	i.mutex.Unlock()
+	if i.keys.byHeartbeat() && (list.Revision == 0 || list.Incarnation != id) {
+		return nil
 	}
-	return latest
+	i.keys.take(list.Session, list.Grants)
+	return nil
 }
 
-func (h *keyHolder) forget(shards []wire.BackendGrant) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	for _, item := range shards {
-		key := ownership.Key{Service: item.Service, Shard: item.Shard}
-		if known := h.shards[key]; known != nil && known.epoch == item.Epoch {
-			delete(h.shards, key)
-		}
-	}
+// Release implements agent.Backend: it lets shards go, range by range. A range is
+// let go once the instance says so, or once nothing that it was ever told can hold.
+func (i *Instance) Release(_ membership.SessionID, shards []wire.BackendGrant) ([]fleet.ReleasedShard, error) {
+	return i.keys.release(shards)
 }
--- a/ingress/keys_test.go
+++ b/ingress/keys_test.go
@@ -13,7 +13,9 @@
 	"limehold"
 	"limehold/clock"
 	"limehold/fleet"
+	"limehold/ledger"
 	"limehold/ownership"
+	"limehold/settings"
 	"limehold/wire"
 )
 
@@ -65,17 +67,24 @@
 	return limehold.KeyRange{First: first * numbers, Last: (last+1)*numbers - 1, Fence: fence}
 }
 
-func newHolder(client limehold.KeyClient, lease time.Duration) *keyHolder {
-	holder := newKeyHolder(client, 10*time.Second, zap.NewNop())
-	holder.expiry = clock.Now() + lease
-	return holder
+// callHolder is a holder whose instance is told its keys by calls.
+type callHolder struct {
+	*keyHolder
+	*callCarrier
+}
+
+func newHolder(client limehold.KeyClient, lease time.Duration) callHolder {
+	options := Options{Settings: settings.Default(), Keys: client, Logger: zap.NewNop()}
+	holder := newKeyHolder(options)
+	holder.setLease(1, clock.Now()+lease)
+	return callHolder{holder, holder.carrier.(*callCarrier)}
 }
 
 func TestNeighboursAreGrantedTogetherAndNoLongerThanTheLease(t *testing.T) {
 	is := is.New(t)
 	client := &fakeKeys{}
 	holder := newHolder(client, 2*time.Second)
-	holder.take(listOf(3, 0, 1, 2, 9))
+	holder.take(1, listOf(3, 0, 1, 2, 9))
 	is.Equal(holder.holds(shardKey(0), 3, clock.Now()), false) // not confirmed yet
 	holder.renewDue(context.Background())
 	is.Equal(client.grants, []limehold.KeyRange{rangeOf(0, 2, 3), rangeOf(9, 9, 3)})
@@ -91,8 +100,8 @@
 func TestNothingIsGrantedWithoutALease(t *testing.T) {
 	is := is.New(t)
 	client := &fakeKeys{}
-	holder := newHolder(client, shortestHold/2)
-	holder.take(listOf(3, 0))
+	holder := newHolder(client, ledger.ShortestHold/2)
+	holder.take(1, listOf(3, 0))
 	holder.renewDue(context.Background())
 	is.Equal(len(client.grants), 0)
 }
@@ -101,7 +110,7 @@
 	is := is.New(t)
 	client := &fakeKeys{}
 	holder := newHolder(client, 5*time.Second)
-	holder.take(listOf(3, 0, 1))
+	holder.take(1, listOf(3, 0, 1))
 	holder.renewDue(context.Background())
 	released, err := holder.release(listOf(3, 1))
 	is.NoErr(err)
@@ -118,14 +127,14 @@
 	is := is.New(t)
 	client := &fakeKeys{}
 	holder := newHolder(client, 5*time.Second)
-	holder.take(listOf(3, 0))
+	holder.take(1, listOf(3, 0))
 	holder.renewDue(context.Background())
 	client.failing = errors.New("no answer")
 	released, err := holder.release(listOf(3, 0))
 	is.True(err != nil)
 	is.Equal(len(released), 0)
 	is.Equal(holder.holds(shardKey(0), 3, clock.Now()), false)
-	holder.shards[shardKey(0)].possible = clock.Now()
+	holder.now = func() time.Duration { return clock.Now() + 20*time.Second }
 	released, err = holder.release(listOf(3, 0))
 	is.NoErr(err)
 	is.Equal(len(released), 1)
@@ -135,7 +144,7 @@
 	is := is.New(t)
 	client := &fakeKeys{failing: limehold.ErrFenced}
 	holder := newHolder(client, 5*time.Second)
-	holder.take(listOf(3, 0))
+	holder.take(1, listOf(3, 0))
 	is.Equal(holder.renewDue(context.Background()), time.Hour)
 	is.Equal(holder.holds(shardKey(0), 3, clock.Now()), false)
 }
--- a/ingress/passage.go
+++ b/ingress/passage.go
@@ -54,11 +54,13 @@
 		request.Error("this is an ingress: send requests to a router\n", fasthttp.StatusBadRequest)
 		return
 	}
+	p.watched = i.hangups.Add(request.Conn(), p.tracker.Cancel)
+	i.awaitKeys(p)
 	if reason := i.refusal(p, clock.Now()); reason != "" {
 		i.refuse(request, p, reason, 0)
+		i.hangups.Remove(p.watched)
 		return
 	}
-	p.watched = i.hangups.Add(request.Conn(), p.tracker.Cancel)
 	switch i.gate.enter(p.asked(), p.tracker.Cancelled()) {
 	case entryFull:
 		i.refuse(request, p, wire.BackendReasonFull, i.gate.retryAfter())
@@ -73,6 +75,14 @@
 	i.hangups.Remove(p.watched)
 }
 
+// awaitKeys waits for the instance to be told of the request's key, if it is about to be:
+// as long as the request could wait for a slot.
+func (i *Ingress) awaitKeys(p *passage) {
+	if p.keyed && i.instance.keys.byHeartbeat() && !i.stopping.Load() {
+		i.instance.keys.await(ownership.Key{Service: p.service, Shard: p.shard}, p.epoch, i.gate.patienceOf(p.asked()), p.tracker.Cancelled())
+	}
+}
+
 // read takes what the router says of the request.
 func (i *Ingress) read(request *fasthttp.RequestCtx) (*passage, bool) {
 	header := &request.Request.Header
--- a/keys.go
+++ b/keys.go
@@ -41,5 +41,27 @@
 	Release(ctx context.Context, keys KeyRange) (token string, err error)
 }
 
+// KeyCarrier brings to an instance what it may hold, and brings back what it has let go.
+type KeyCarrier interface {
+	// Run carries until ctx ends.
+	Run(ctx context.Context)
+	// Changed says that there may be something new to carry. It never blocks.
+	Changed()
+	// LetGo has the instance let ranges go, one a shard in the order of their keys. It
+	// returns those that the instance holds no longer and will not: fewer than were
+	// asked for, or none, when it should be asked again.
+	LetGo(ranges []KeyRange) ([]ReleasedRange, error)
+	// Dropped is told of ranges that are no longer the instance's: it is to let them go,
+	// and nobody waits for it.
+	Dropped(ranges []KeyRange)
+}
+
+// ReleasedRange is a range that an instance has let go.
+type ReleasedRange struct {
+	KeyRange
+	// Token of the state of these keys; empty: none.
+	Token string
+}
+
 // ErrFenced says that the instance has seen a higher fence on a key.
 var ErrFenced = errors.New("the instance has seen a higher fence")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -226,6 +226,12 @@
 	DrainTime time.Duration `yaml:"drain_time"`
 	// HoldTime is the longest that the instance is given keys for at once. Default 10s.
 	HoldTime time.Duration `yaml:"hold_time"`
+	// GrantBy is how the instance is told which keys it holds: call (limehold calls it)
+	// or heartbeat (in the answers to its heartbeats). Default call.
+	GrantBy string `yaml:"grant_by"`
+	// HeartbeatWait is how long the answer to a heartbeat may wait for something new to
+	// tell, in the way heartbeat. Zero: it never waits. Default 0s.
+	HeartbeatWait time.Duration `yaml:"heartbeat_wait"`
 	// StopTime is how long a stopping sidecar finishes requests. Default 5s.
 	StopTime time.Duration `yaml:"stop_time"`
 }
@@ -278,7 +284,7 @@
 			MaxHeaderBytes: 16 << 10, MaxConnections: 20_000,
 			IdleTimeout: time.Minute, DrainTimeout: 30 * time.Second, CloseNotice: 2 * time.Second, Balance: BalanceOwn, Limits: LimitsAdaptive, RetryAfter: time.Second,
 		},
-		Ingress: Ingress{QueueTime: 0.2, SlotShare: 1, AnnounceEvery: time.Second, DrainTime: 2 * time.Second, HoldTime: 10 * time.Second, StopTime: 5 * time.Second},
+		Ingress: Ingress{QueueTime: 0.2, SlotShare: 1, AnnounceEvery: time.Second, DrainTime: 2 * time.Second, HoldTime: 10 * time.Second, GrantBy: GrantByCall, StopTime: 5 * time.Second},
 		Headers: Headers{RequestID: "X-Request-Id", Deadline: "Limehold-Timeout-Ms"},
 		Agent:   Agent{Slots: 18, Connections: 100, StopMode: StopDrain, ProbeEvery: 100 * time.Millisecond, StopTimeout: 20 * time.Second},
 	}
@@ -297,6 +303,12 @@
 	StopRestart = "restart"
 )
 
+// Values of Ingress.GrantBy.
+const (
+	GrantByCall      = "call"
+	GrantByHeartbeat = "heartbeat"
+)
+
 // Values of Router.Limits.
 const (
 	LimitsAdaptive = "adaptive"
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -133,6 +133,10 @@
 	return problems
 }
 
+// maxHeartbeatWait leaves an answer to a heartbeat 200ms of the second in which instances
+// take one.
+const maxHeartbeatWait = 800 * time.Millisecond
+
 func (s *Settings) validateSidecar() problemList {
 	s.Agent.Backend = s.Ingress.Instance
 	problems := append(s.validateRouter(), s.validateAgent()...)
@@ -146,6 +150,8 @@
 	problems.require(s.Ingress.AnnounceEvery >= 10*time.Millisecond, "ingress.announce_every", s.Ingress.AnnounceEvery, "use at least 10ms")
 	problems.require(s.Ingress.DrainTime >= 0, "ingress.drain_time", s.Ingress.DrainTime, "use 0s or more")
 	problems.require(s.Ingress.HoldTime >= time.Second, "ingress.hold_time", s.Ingress.HoldTime, "use at least 1s")
+	problems.require(slices.Contains([]string{GrantByCall, GrantByHeartbeat}, s.Ingress.GrantBy), "ingress.grant_by", s.Ingress.GrantBy, "use call or heartbeat")
+	problems.require(s.Ingress.HeartbeatWait >= 0 && s.Ingress.HeartbeatWait <= maxHeartbeatWait, "ingress.heartbeat_wait", s.Ingress.HeartbeatWait, "use 0s to 800ms: instances take no later answer than 1s")
 	problems.require(s.Ingress.StopTime >= 0, "ingress.stop_time", s.Ingress.StopTime, "use 0s or more")
 	return problems
 }
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -94,9 +94,12 @@
 
 // BackendGrants is the whole list of shards that the back end owns.
 type BackendGrants struct {
-	Session  uint64         `json:"session"`
-	Revision uint64         `json:"revision"`
-	Grants   []BackendGrant `json:"grants"`
+	Session uint64 `json:"session"`
+	// Revision is 0 until control's first list for the session has come.
+	Revision uint64 `json:"revision"`
+	// Incarnation of the back end that the list is for.
+	Incarnation string         `json:"incarnation,omitempty"`
+	Grants      []BackendGrant `json:"grants"`
 }
 
 // BackendGrant is one owned shard.
