--- a/ledger/heartbeat.go
+++ b/ledger/heartbeat.go
@@ -256,9 +256,8 @@
 		if known.told.taken {
 			token = ""
 		}
-		apart := known.told.misses >= missesSplit
-		if last := len(rows) - 1; last >= 0 && !apart && l.entries[before].told.misses < missesSplit &&
-			rows[last].Last+1 == ranged.First && rows[last].Fence == known.epoch && rows[last].Token == token {
+		whole := known.told.misses < missesSplit && (before == ownership.Key{} || l.entries[before].told.misses < missesSplit)
+		if last := len(rows) - 1; last >= 0 && whole && rows[last].Last+1 == ranged.First && rows[last].Fence == known.epoch && rows[last].Token == token {
 			rows[last].KeyRange = rows[last].WithLast(ranged.Last)
 		} else {
 			rows = append(rows, Row{KeyRange: ranged, Token: token})
