A router that lost its member turns to another, and denies no route from an old view

Cause: the member that the sidecar followed was cut off; the list of members had grown meanwhile, so that the next turn, counted modulo its length, was the same member, and a dial into the cut took its 2 s. The view was 3.1 s old, and 404 was said up to 5 s. Ruled out: the core (a leader acknowledged and pushed at once; others had version 6). Change: the next member is the one after the last by its address; 700 ms for the dial; 404 only from a view of 1.5 s, else 503 with Retry-After. Both tests fail without the change.

--- a/router/request.go
+++ b/router/request.go
@@ -178,8 +178,9 @@
 }
 
 // unmatchedBound is the age of the router's view up to which it may say that a
-// service does not exist.
-const unmatchedBound = 5 * time.Second
+// service does not exist. An accepted configuration is in force within two seconds: a
+// view that is older may lack the route.
+const unmatchedBound = 1500 * time.Millisecond
 
 // plainPath refuses paths that the router and a back end might read differently.
 func plainPath(path []byte) bool {
--- a/router/watch.go
+++ b/router/watch.go
@@ -18,6 +18,9 @@
 )
 
 const (
+	// dialTimeout is how long a member may take to be reached: one that is cut off says
+	// nothing, and the view grows older meanwhile.
+	dialTimeout  = 700 * time.Millisecond
 	watchTimeout = 2 * time.Second
 	// reconnectPause is doubled up to reconnectMax while no member confirms the view.
 	reconnectPause = 50 * time.Millisecond
@@ -103,9 +106,9 @@
 	// Routers begin at different members, so that these share the load.
 	first := int(xxhash.Sum64String(r.options.Settings.Name) % firstChoices)
 	pause := reconnectPause
-	for turn := first; ctx.Err() == nil; turn++ {
-		addresses := r.controlAddresses()
-		address := addresses[turn%len(addresses)]
+	address := ""
+	for ctx.Err() == nil {
+		address = nextAddress(r.controlAddresses(), address, first)
 		before := r.freshness.confirmed()
 		err := r.followOne(ctx, address)
 		if ctx.Err() != nil {
@@ -124,6 +127,16 @@
 	return nil
 }
 
+// nextAddress is the one after the last that was tried, whatever has become of the list
+// meanwhile; first chooses where to begin.
+func nextAddress(addresses []string, last string, first int) string {
+	at := slices.Index(addresses, last)
+	if at < 0 {
+		at = first - 1
+	}
+	return addresses[(at+1)%len(addresses)]
+}
+
 // controlAddresses are those of the settings and, where control is found by
 // discovery, those that the members have told. A list that an operator gave stays as
 // it is: it may lead by ways that the members do not know of.
@@ -156,13 +169,15 @@
 }
 
 func (r *Router) followOne(ctx context.Context, address string) error {
-	dialContext, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
+	dialContext, cancelDial := context.WithTimeout(ctx, dialTimeout)
+	defer cancelDial()
 	conn, err := transport.Dial(dialContext, address, r, r.transportOptions())
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
+	watchContext, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
 	request := &wire.Watch{
 		Router: r.options.Settings.Name, Zone: r.options.Settings.Zone,
 		Revision: r.table.inForce(), Services: r.options.Settings.Router.Services,
@@ -170,7 +185,7 @@
 	if r.resync.Swap(false) {
 		request.Revision = 0
 	}
-	if err := conn.Call(dialContext, wire.KindWatch, request, nil); err != nil {
+	if err := conn.Call(watchContext, wire.KindWatch, request, nil); err != nil {
 		return err
 	}
 	r.logger.Info("control_connected", zap.String("peer", conn.Peer.Name), zap.Uint64("revision", request.Revision))
--- a/router/watch_test.go
+++ b/router/watch_test.go
@@ -84,3 +84,37 @@
 		})
 	}
 }
+
+// The list of members changes while a router follows one of them: the next one that it
+// tries is another all the same.
+func TestNextMemberIsAnother(t *testing.T) {
+	for name, c := range map[string]struct {
+		addresses []string
+		last      string
+		first     int
+		want      string
+	}{
+		"first of all":         {[]string{"a", "b", "c"}, "", 64, "b"},
+		"the one after":        {[]string{"a", "b", "c"}, "b", 64, "c"},
+		"after the last":       {[]string{"a", "b", "c"}, "c", 0, "a"},
+		"the list has grown":   {[]string{"a", "b", "c", "d"}, "b", 3, "c"},
+		"it has left the list": {[]string{"a", "c"}, "b", 1, "c"},
+		"there is only one":    {[]string{"a"}, "a", 7, "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(nextAddress(c.addresses, c.last, c.first), c.want)
+		})
+	}
+}
+
+// A view that may lack a route which is in force elsewhere does not say that there is none.
+func TestAnOldViewDoesNotDenyARoute(t *testing.T) {
+	is := is.New(t)
+	r := &Router{}
+	now := clock.Now()
+	r.freshness.confirm(confirmation{sentAt: now - time.Second, revision: 1}, 1)
+	is.Equal(r.refuseUnmatched(), refuseNoService)
+	r = &Router{}
+	r.freshness.confirm(confirmation{sentAt: now - 2*time.Second, revision: 1}, 1)
+	is.Equal(r.refuseUnmatched(), refuseNotCurrent)
+}
