A planned stop goes on serving until others know of it

The ingress drained at once though its process stayed for the notice time of its router, and nobody else can reach the instance; the router closed its listener at once, and callers with new connections got none until readiness had failed twice. Ruled out: the restart itself (0.6 s), keys (the instance keeps them).

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -138,11 +138,13 @@
 	return err
 }
 
-// drain refuses new requests and waits for those that run.
+// drain goes on for the notice time, then refuses new requests and waits for those that
+// run.
 func (i *Ingress) drain() {
+	deadline := time.Now().Add(i.options.Settings.Ingress.StopTime)
+	time.Sleep(i.options.Settings.Ingress.StopNotice)
 	i.stopping.Store(true)
 	i.gate.close()
-	deadline := time.Now().Add(i.options.Settings.Ingress.StopTime)
 	for i.hangups.Count() > 0 && time.Now().Before(deadline) {
 		time.Sleep(stopPoll)
 	}
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -67,12 +67,20 @@
 }
 
 func startIngress(t *testing.T, instance *fakeInstance) *Ingress {
+	t.Helper()
+	started, _ := startStoppable(t, instance, 0)
+	return started
+}
+
+// startStoppable returns what stops the ingress, too.
+func startStoppable(t *testing.T, instance *fakeInstance, notice time.Duration) (*Ingress, context.CancelFunc) {
 	t.Helper()
 	config := settings.Default()
 	config.Ingress.Listen = "127.0.0.1:0"
 	config.Ingress.Instance = instance.listener.Addr().String()
 	config.Headers.NotRun = "X-Not-Run"
 	config.Headers.Instance = "X-Instance"
+	config.Ingress.StopNotice = notice
 	started, err := New(Options{Settings: config, Logger: zap.NewNop(), Metrics: metrics.New()})
 	if err != nil {
 		t.Fatal(err)
@@ -87,7 +95,16 @@
 		}
 	})
 	started.Instance().Announce(Announcement{ID: "i-1", Service: "orders", Slots: 2, Sequence: 1})
-	return started
+	return started, stop
+}
+
+// Nobody else reaches the instance: a planned stop does not turn away what comes while
+// the callers of this machine are still being served.
+func TestStoppingIngressServesThroughItsNotice(t *testing.T) {
+	is := is.New(t)
+	i, stop := startStoppable(t, startInstance(t, whole, false), 3*time.Second)
+	stop()
+	is.Equal(ask(t, i, nil).Header.Get(wire.HeaderOutcome), wire.OutcomeOK)
 }
 
 // ask sends what a router would send.
--- a/router/router.go
+++ b/router/router.go
@@ -243,15 +243,15 @@
 	}
 }
 
-// drain takes no new connections and asks callers to close theirs; those that
-// are idle stay open for the notice time, so that a caller that is just about to
-// use one still gets its answer. Then it waits for what is under way.
+// drain says at once that callers are not to be sent here, and goes on serving those
+// that come before they know it, for the notice time; they are asked to close their
+// connections. Then it takes no new ones, and waits for what is under way.
 func (r *Router) drain() {
 	r.logger.Info("draining", zap.Int("in_flight", r.hangups.Count()))
 	r.draining.Store(true)
 	deadline := time.Now().Add(r.options.Settings.Router.DrainTimeout)
-	r.callers.stop()
 	time.Sleep(r.options.Settings.Router.CloseNotice)
+	r.callers.stop()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := r.server.ShutdownWithContext(ctx); err != nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -159,8 +159,9 @@
 	IdleTimeout time.Duration `yaml:"idle_timeout"`
 	// DrainTimeout bounds how long a stopping router finishes requests. Default 30s.
 	DrainTimeout time.Duration `yaml:"drain_timeout"`
-	// CloseNotice is how long a stopping router keeps idle connections open for
-	// callers that are about to use them. Longer than callers keep theirs. Default 2s.
+	// CloseNotice is how long a stopping router goes on serving callers that do not know
+	// it yet, and keeps idle connections open for those that are about to use one.
+	// Longer than callers keep theirs. Default 2s.
 	CloseNotice time.Duration `yaml:"close_notice"`
 	// Balance is own_observation or round_robin; the latter is a baseline.
 	// Default own_observation.
@@ -234,6 +235,9 @@
 	HeartbeatWait time.Duration `yaml:"heartbeat_wait"`
 	// StopTime is how long a stopping sidecar finishes requests. Default 5s.
 	StopTime time.Duration `yaml:"stop_time"`
+	// StopNotice is how long, of that, it takes new requests of other machines: nobody
+	// else can reach the instance. Default 2s.
+	StopNotice time.Duration `yaml:"stop_notice"`
 }
 
 // Headers names the header fields at the callers and at the instances.
@@ -284,7 +288,7 @@
 			MaxHeaderBytes: 16 << 10, MaxConnections: 20_000,
 			IdleTimeout: time.Minute, DrainTimeout: 30 * time.Second, CloseNotice: 2 * time.Second, Balance: BalanceOwn, Limits: LimitsAdaptive, RetryAfter: time.Second,
 		},
-		Ingress: Ingress{QueueTime: 0.2, SlotShare: 1, AnnounceEvery: time.Second, DrainTime: 2 * time.Second, HoldTime: 10 * time.Second, GrantBy: GrantByCall, StopTime: 5 * time.Second},
+		Ingress: Ingress{QueueTime: 0.2, SlotShare: 1, AnnounceEvery: time.Second, DrainTime: 2 * time.Second, HoldTime: 10 * time.Second, GrantBy: GrantByCall, StopTime: 5 * time.Second, StopNotice: 2 * time.Second},
 		Headers: Headers{RequestID: "X-Request-Id", Deadline: "Limehold-Timeout-Ms"},
 		Agent:   Agent{Slots: 18, Connections: 100, StopMode: StopDrain, ProbeEvery: 100 * time.Millisecond, StopTimeout: 20 * time.Second},
 	}
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -152,6 +152,7 @@
 	problems.require(s.Ingress.HoldTime >= time.Second, "ingress.hold_time", s.Ingress.HoldTime, "use at least 1s")
 	problems.require(slices.Contains([]string{GrantByCall, GrantByHeartbeat}, s.Ingress.GrantBy), "ingress.grant_by", s.Ingress.GrantBy, "use call or heartbeat")
 	problems.require(s.Ingress.HeartbeatWait >= 0 && s.Ingress.HeartbeatWait <= maxHeartbeatWait, "ingress.heartbeat_wait", s.Ingress.HeartbeatWait, "use 0s to 800ms: instances take no later answer than 1s")
+	problems.require(s.Ingress.StopNotice >= 0 && s.Ingress.StopNotice <= s.Ingress.StopTime, "ingress.stop_notice", s.Ingress.StopNotice, "use 0s up to ingress.stop_time")
 	problems.require(s.Ingress.StopTime >= 0, "ingress.stop_time", s.Ingress.StopTime, "use 0s or more")
 	return problems
 }
