--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -20,6 +20,7 @@
 	"limehold"
 	"limehold/hangup"
 	"limehold/metrics"
+	"limehold/routing"
 	"limehold/settings"
 	"limehold/upstream"
 )
@@ -32,8 +33,9 @@
 	// Keys gives keys to the instance and takes them back; nil when its service is
 	// never divided by key.
 	Keys limehold.KeyClient
-	// Connections returns how many connections the instance accepts; zero: unknown.
-	Connections func(service string) int
+	// Service returns what the route table says of a service; the zero value: nothing.
+	// Nil: there is no route table.
+	Service func(name string) routing.Service
 	// RelayTo reports whether connections may be passed on to an address; see relay.
 	// Nil: none are.
 	RelayTo func(address string) bool
--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -278,8 +278,8 @@
 	announced := i.current
 	i.mutex.Unlock()
 	connections := i.options.Settings.Agent.Connections
-	if i.options.Connections != nil {
-		if told := i.options.Connections(announced.Service); told > 0 {
+	if i.options.Service != nil {
+		if told := i.options.Service(announced.Service).Connections; told > 0 {
 			connections = told
 		}
 	}
--- a/ingress/keys.go
+++ b/ingress/keys.go
@@ -211,6 +211,7 @@
 	i.mutex.Lock()
 	id := i.current.ID
 	i.mutex.Unlock()
+	i.checkGrantWay()
 	if i.keys.byHeartbeat() && (list.Revision == 0 || list.Incarnation != id) {
 		return nil
 	}
@@ -218,6 +219,22 @@
 	return nil
 }
 
+// checkGrantWay says when the route table has the instance told its keys in another way
+// than the settings: it will hardly take any. Settings go first, as the machine's own.
+func (i *Instance) checkGrantWay() {
+	if i.options.Service == nil {
+		return
+	}
+	i.mutex.Lock()
+	service := i.current.Service
+	i.mutex.Unlock()
+	own, told := i.options.Settings.Ingress.GrantBy, i.options.Service(service).GrantBy
+	if told != "" && told != own {
+		i.logger.Error("grant_ways_differ", zap.String("service", service), zap.String("field", "ingress.grant_by"), zap.String("value", own),
+			zap.String("route_table", told), zap.String("next", "set ingress.grant_by to what the service says, or change the service"))
+	}
+}
+
 // Release implements agent.Backend: it lets shards go, range by range. A range is
 // let go once the instance says so, or once nothing that it was ever told can hold.
 func (i *Instance) Release(_ membership.SessionID, shards []wire.BackendGrant) ([]fleet.ReleasedShard, error) {
--- a/router/routes.go
+++ b/router/routes.go
@@ -207,17 +207,16 @@
 	}
 }
 
-// InstanceConnections is how many connections an instance of a service accepts, as
-// the route table says; zero: unknown.
-func (r *Router) InstanceConnections(name string) int {
+// RoutedService is what the route table says of a service; the zero value: nothing.
+func (r *Router) RoutedService(name string) routing.Service {
 	r.table.mutex.RLock()
 	defer r.table.mutex.RUnlock()
 	if r.table.routes == nil {
-		return 0
+		return routing.Service{}
 	}
 	service := r.table.routes.document.Service(name)
 	if service == nil {
-		return 0
+		return routing.Service{}
 	}
-	return service.Connections
+	return *service
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -63,8 +63,17 @@
 	Keyed bool
 	// WarmUp is how long keys are slow that come without their last owner's token.
 	WarmUp time.Duration
+	// GrantBy is how instances are told their keys: GrantByCall, GrantByHeartbeat, or
+	// empty where the service does not say.
+	GrantBy string
 }
 
+// Values of Service.GrantBy.
+const (
+	GrantByCall      = "call"
+	GrantByHeartbeat = "heartbeat"
+)
+
 // Limits bounds what a caller may send, and how long it may take or be idle.
 type Limits struct {
 	HeaderBytes   int64
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -101,3 +101,24 @@
 		})
 	}
 }
+
+func TestWayOfGrantsIsChecked(t *testing.T) {
+	for name, c := range map[string]struct {
+		way   string
+		valid bool
+	}{
+		"not said": {"", true}, "by call": {GrantByCall, true}, "by heartbeat": {GrantByHeartbeat, true},
+		"unknown": {"pigeon", false}, "in capitals": {"Call", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			item := service("s")
+			item.Service.GrantBy = c.way
+			invalid := (&Document{Items: []Item{item}}).Validate()
+			is.Equal(invalid == nil, c.valid)
+			if invalid != nil {
+				is.Equal(invalid.Error(), `service s: grants is "`+c.way+`": use call or heartbeat`)
+			}
+		})
+	}
+}
--- a/routing/validate.go
+++ b/routing/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -41,6 +42,9 @@
 			return &Invalid{Item: string(item.Section), Field: "name", Value: item.Name, Want: "name each entry once"}
 		}
 		names[item.Section][item.Name] = true
+		if item.Service != nil && !slices.Contains([]string{"", GrantByCall, GrantByHeartbeat}, item.Service.GrantBy) {
+			return &Invalid{Item: "service " + item.Name, Field: "grants", Value: item.Service.GrantBy, Want: "use call or heartbeat"}
+		}
 		if item.Route == nil {
 			continue
 		}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -32,6 +32,8 @@
 
 const control = "name: control-1\nzone: a\nzones: [a, b]\ndata_folder: /x\n"
 
+const node = "name: node-1\nzone: a\ndiscovery: {seeds: [\"127.0.0.1:1\"]}\nagent: {pool: numbers}\ningress: {listen: \"127.0.0.1:0\", instance: \"127.0.0.1:1\""
+
 func TestBadSettingsNameFieldValueAndRemedy(t *testing.T) {
 	cases := []struct {
 		name, text string
@@ -53,6 +55,9 @@
 		{"router without control", "name: router-1\nzone: a\n", RoleRouter, []string{"router.control"}},
 		{"agent without back end", "name: proofs-1\nzone: a\nagent: {pool: proofs, control: [\"127.0.0.1:1\"]}\n", RoleAgent, []string{"agent.backend"}},
 		{"half of the TLS files", control + "tls: {certificate: a.pem}\n", RoleControl, []string{"tls", "together"}},
+		{"unknown way of grants", node + ", grant_by: pigeon}\n", RoleSidecar, []string{"ingress.grant_by", `"pigeon"`, "call or heartbeat"}},
+		{"heartbeats answered too late", node + ", heartbeat_wait: 900ms}\n", RoleSidecar, []string{"ingress.heartbeat_wait", "900ms", "1s"}},
+		{"notice beyond the stop", node + ", stop_time: 1s, stop_notice: 2s}\n", RoleSidecar, []string{"ingress.stop_notice", "2s", "ingress.stop_time"}},
 		{"illegal name", "name: Control_1\nzone: a\ndata_folder: /x\n", RoleControl, []string{"name", "Control_1"}},
 	}
 	for _, test := range cases {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -64,7 +64,7 @@
 		return nil, err
 	}
 	if p.ingress, err = ingress.New(ingress.Options{
-		Settings: config, Logger: options.Logger, Metrics: options.Metrics, Keys: options.Keys, Connections: p.router.InstanceConnections,
+		Settings: config, Logger: options.Logger, Metrics: options.Metrics, Keys: options.Keys, Service: p.router.RoutedService,
 		RelayTo: p.router.IsControl,
 	}); err != nil {
 		return nil, err
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -52,7 +52,7 @@
 )
 
 // ProtocolVersion is compared at the start of each connection.
-const ProtocolVersion = 4
+const ProtocolVersion = 5
 
 // Role says what kind of process is at the other end.
 type Role string
