--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 soak:
 	$(GO) test ./platform -run TestFaultSoak -count 1 -timeout 30m -soak 15s -soak-seed $(SOAK_SEED) -soak-runs $(SOAK_RUNS) -v
 
-# Slopes for docs/CAPACITY.md, beside 'limebench hollow'.
+# Times of the cores on this machine.
 bench:
 	$(GO) test ./fleet ./wal ./membership ./placement ./admission ./router -run XXX -bench .
 
