--- a/ingress/keybeats.go
+++ b/ingress/keybeats.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"limehold"
 	"limehold/clock"
 	"limehold/ledger"
+	"limehold/metrics"
 	"limehold/settings"
 )
 
@@ -19,7 +22,9 @@
 	holder *keyHolder
 	logger *zap.Logger
 	// wait is how long an answer may wait.
-	wait time.Duration
+	wait    time.Duration
+	answers *prometheus.CounterVec
+	refused prometheus.Counter
 }
 
 // letGoPoll is how long LetGo waits for the instance before it returns with nothing, and
@@ -29,8 +34,12 @@
 	letGoLook = 50 * time.Millisecond
 )
 
-func newHeartbeatCarrier(holder *keyHolder, config settings.Ingress) *heartbeatCarrier {
-	return &heartbeatCarrier{holder: holder, logger: holder.logger, wait: config.HeartbeatWait}
+func newHeartbeatCarrier(holder *keyHolder, config settings.Ingress, registry *metrics.Registry) *heartbeatCarrier {
+	return &heartbeatCarrier{
+		holder: holder, logger: holder.logger, wait: config.HeartbeatWait,
+		answers: registry.CounterVec("ingress", "heartbeats_total", "Heartbeats of the instance that were answered, by whether the answer renewed its keys.", "renews"),
+		refused: registry.Counter("ingress", "keys_refused_total", "Shards that the instance did not take under their epoch."),
+	}
 }
 
 // Run implements limehold.KeyCarrier: heartbeats come by themselves.
@@ -78,6 +87,7 @@
 		return ledger.Answer{}
 	}
 	if len(refused) > 0 {
+		c.refused.Add(float64(len(refused)))
 		h.handBack(refused)
 	}
 	until := received
@@ -107,6 +117,7 @@
 // answered wakes the requests that wait for keys, and says what was told.
 func (c *heartbeatCarrier) answered(report ledger.Report, answer ledger.Answer, waited time.Duration) {
 	c.holder.tell()
+	c.answers.WithLabelValues(strconv.FormatBool(answer.Renews)).Inc()
 	fields := []zap.Field{
 		zap.String("instance", report.Instance), zap.Uint64("sequence", report.Sequence), zap.Bool("renews", answer.Renews),
 		zap.Int("held", len(report.Holds)), zap.Int("released", len(report.Released)), zap.Int("rows", len(answer.Rows)),
--- /dev/null
+++ b/ingress/keybeats_test.go
@@ -0,0 +1,121 @@
+package ingress
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"limehold"
+	"limehold/clock"
+	"limehold/ledger"
+	"limehold/metrics"
+	"limehold/settings"
+	"limehold/wire"
+)
+
+// newBeaten is an instance that is told its keys by heartbeat, with a lease.
+func newBeaten(t *testing.T, wait time.Duration) *Instance {
+	t.Helper()
+	config := settings.Default()
+	config.Ingress.GrantBy, config.Ingress.HeartbeatWait = settings.GrantByHeartbeat, wait
+	instance := newInstance(Options{Settings: config, Logger: zap.NewNop(), Metrics: metrics.New()}, newGate(config.Ingress.QueueTime))
+	if err := instance.Lease(1, clock.Now()+30*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	return instance
+}
+
+func (i *Instance) heartbeat(sequence uint64, holds ...limehold.KeyRange) ledger.Answer {
+	return i.Heartbeat(Announcement{ID: "i-1", Service: "numbers", Slots: 2, Sequence: sequence}, holds, nil)
+}
+
+func grantList(incarnation string, revision, epoch uint64, shards ...uint32) *wire.BackendGrants {
+	return &wire.BackendGrants{Session: 1, Revision: revision, Incarnation: incarnation, Grants: listOf(epoch, shards...)}
+}
+
+// An answer that waits is given as soon as there is something to tell.
+func TestAnswerWaitsForSomethingToTell(t *testing.T) {
+	is := is.New(t)
+	i := newBeaten(t, 30*time.Second)
+	answered := make(chan ledger.Answer, 1)
+	go func() { answered <- i.heartbeat(1) }()
+	for _, known := i.Alive(clock.Now()); !known; _, known = i.Alive(clock.Now()) {
+		time.Sleep(time.Millisecond)
+	}
+	is.NoErr(i.Grants(grantList("i-1", 5, 3, 0, 1)))
+	answer := <-answered
+	is.True(answer.Renews)
+	is.Equal(answer.Rows, []ledger.Row{{KeyRange: rangeOf(0, 1, 3)}})
+	is.True(i.keys.holds(shardKey(1), 3, clock.Now()))
+}
+
+// A list that is not known yet, or is for another start, is no list: an answer that left
+// rows out for it would take the instance's keys away.
+func TestListsThatSayNothingAreNotTaken(t *testing.T) {
+	for name, list := range map[string]*wire.BackendGrants{
+		"before the first list": grantList("i-1", 0, 0),
+		"for another start":     grantList("i-0", 9, 3, 7),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			i := newBeaten(t, 0)
+			i.heartbeat(1)
+			is.NoErr(i.Grants(list))
+			is.Equal(i.heartbeat(2, rangeOf(0, 1, 3)).Renews, false)
+		})
+	}
+}
+
+// A newer heartbeat overtakes one whose answer waits: that one says nothing of keys.
+func TestOvertakenHeartbeatSaysNothing(t *testing.T) {
+	is := is.New(t)
+	i := newBeaten(t, 30*time.Second)
+	i.Announce(Announcement{ID: "i-1", Service: "numbers", Slots: 2, Sequence: 1})
+	is.NoErr(i.Grants(grantList("i-1", 5, 3, 0)))
+	is.True(i.heartbeat(2).Renews)
+	overtaken := make(chan ledger.Answer, 1)
+	go func() { overtaken <- i.heartbeat(3, rangeOf(0, 0, 3)) }()
+	for {
+		i.keys.mutex.Lock()
+		seen := i.keys.ledger.Pending(3, clock.Now())
+		i.keys.mutex.Unlock()
+		if !seen {
+			break // the ledger has taken heartbeat 3, and it waits
+		}
+		time.Sleep(time.Millisecond)
+	}
+	i.Heartbeat(Announcement{ID: "i-1", Service: "numbers", Slots: 2, Draining: true, Sequence: 4}, []limehold.KeyRange{rangeOf(0, 0, 3)}, nil)
+	is.Equal((<-overtaken).Renews, false)
+}
+
+// What the instance has let go reaches control with its token.
+func TestLetGoByHeartbeatCarriesTheToken(t *testing.T) {
+	is := is.New(t)
+	i := newBeaten(t, 0)
+	i.heartbeat(1)
+	is.NoErr(i.Grants(grantList("i-1", 5, 3, 0, 1)))
+	i.heartbeat(2)
+	i.heartbeat(3, rangeOf(0, 1, 3))
+	released := make(chan string, 1)
+	go func() {
+		for {
+			if done, _ := i.Release(1, listOf(3, 1)); len(done) > 0 {
+				released <- done[0].Token
+				return
+			}
+		}
+	}()
+	for sequence := uint64(4); ; sequence++ {
+		answer := i.heartbeat(sequence, rangeOf(0, 1, 3))
+		if len(answer.Rows) == 1 && answer.Rows[0].KeyRange == rangeOf(0, 0, 3) {
+			let := rangeOf(1, 1, 3)
+			i.Heartbeat(Announcement{ID: "i-1", Service: "numbers", Slots: 2, Sequence: sequence + 1}, []limehold.KeyRange{rangeOf(0, 0, 3)},
+				[]ledger.ReleasedRange{{First: let.First, Last: let.Last, Token: "state"}})
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(<-released, "state")
+}
--- a/ingress/keys.go
+++ b/ingress/keys.go
@@ -44,7 +44,7 @@
 	h.ledger = ledger.New(ledger.Options{Shards: fleet.RoutedShards, Hold: config.HoldTime, AnswerBytes: answerBytes, Began: clock.Now()})
 	switch {
 	case config.GrantBy == settings.GrantByHeartbeat:
-		h.carrier = newHeartbeatCarrier(h, config)
+		h.carrier = newHeartbeatCarrier(h, config, options.Metrics)
 	case options.Keys != nil:
 		h.carrier = newCallCarrier(h, options.Keys)
 	default:
