Requests for a key in its gap are refused at once when the owner's heartbeat is too late for them

Cause: a request for a key that its new owner was about to be told of waited as for a slot and was refused then, though the ingress knew that the next heartbeat came later; and it was told to come back after a second, whenever that was. Change: it waits where the heartbeat is due within that time, else it is refused at once with the time until the heartbeat as Retry-After. TestRequestForAKeyInItsGap fails without the change (it does not build: await told nothing).

--- a/ingress/keybeats_test.go
+++ b/ingress/keybeats_test.go
@@ -119,3 +119,31 @@
 	}
 	is.Equal(<-released, "state")
 }
+
+// A request for a key that the instance is about to be told of waits for the heartbeat
+// where that is due in time; else it is refused at once, and told when it is due.
+func TestRequestForAKeyInItsGap(t *testing.T) {
+	for name, c := range map[string]struct {
+		every, patience time.Duration
+		told, comesBack bool
+	}{
+		"the heartbeat is due in time":  {time.Millisecond, 30 * time.Second, true, false},
+		"the heartbeat is due too late": {time.Hour, 30 * time.Second, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			i := newBeaten(t, 0)
+			i.keys.every = c.every
+			i.heartbeat(1)
+			is.NoErr(i.Grants(grantList("i-1", 5, 3, 0)))
+			is.True(i.keys.expects(shardKey(0), 3))
+			is.Equal(i.keys.expects(shardKey(0), 4), false) // under another epoch
+			if c.told {
+				go i.heartbeat(2)
+			}
+			retryAfter := i.keys.await(shardKey(0), 3, c.patience, nil)
+			is.Equal(retryAfter > c.patience, c.comesBack)
+			is.Equal(i.keys.holds(shardKey(0), 3, clock.Now()), c.told)
+		})
+	}
+}
--- a/ingress/keys.go
+++ b/ingress/keys.go
@@ -24,6 +24,8 @@
 type keyHolder struct {
 	logger  *zap.Logger
 	carrier limehold.KeyCarrier
+	// every is the interval of the instance's heartbeats.
+	every time.Duration
 
 	// refused brings shards that the instance does not take under their epoch.
 	refused chan []fleet.ReleasedShard
@@ -40,7 +42,7 @@
 
 func newKeyHolder(options Options) *keyHolder {
 	config := options.Settings.Ingress
-	h := &keyHolder{logger: options.Logger, refused: make(chan []fleet.ReleasedShard, 1), changed: make(chan struct{})}
+	h := &keyHolder{logger: options.Logger, every: config.AnnounceEvery, refused: make(chan []fleet.ReleasedShard, 1), changed: make(chan struct{})}
 	h.ledger = ledger.New(ledger.Options{Shards: fleet.RoutedShards, Hold: config.HoldTime, AnswerBytes: answerBytes, Began: clock.Now()})
 	switch {
 	case config.GrantBy == settings.GrantByHeartbeat:
@@ -113,8 +115,12 @@
 }
 
 // await returns once the instance holds a shard under an epoch that it is expected to
-// hold soon, or patience is over; false: it does not hold it.
-func (h *keyHolder) await(key ownership.Key, epoch uint64, patience time.Duration, cancelled <-chan struct{}) bool {
+// hold soon, or time for that is over. The instance is told at its next heartbeat: where
+// that is due after patience, await returns at once, with the time until then.
+func (h *keyHolder) await(key ownership.Key, epoch uint64, patience time.Duration, cancelled <-chan struct{}) time.Duration {
+	if wait := h.nextHeartbeat(clock.Now()); wait > patience {
+		return wait
+	}
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	for {
@@ -123,18 +129,34 @@
 		held, expected, changed := h.ledger.Holds(key, epoch, now), h.ledger.Expects(key, epoch, now), h.changed
 		h.mutex.Unlock()
 		if held || !expected {
-			return held
+			return 0
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return false
+			return h.nextHeartbeat(clock.Now())
 		case <-cancelled:
-			return false
+			return 0
 		}
 	}
 }
 
+// expects reports whether the instance is about to be told of a shard that it does not
+// hold yet.
+func (h *keyHolder) expects(key ownership.Key, epoch uint64) bool {
+	now := clock.Now()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return !h.ledger.Holds(key, epoch, now) && h.ledger.Expects(key, epoch, now)
+}
+
+// nextHeartbeat is how long it takes until the instance's next heartbeat is due.
+func (h *keyHolder) nextHeartbeat(now time.Duration) time.Duration {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return max(0, h.ledger.Heard()+h.every-now)
+}
+
 // handBack offers control the shards that the instance refuses: their fence has to rise.
 func (h *keyHolder) handBack(grants []ledger.Grant) {
 	shards := make([]fleet.ReleasedShard, 0, len(grants))
--- a/ingress/passage.go
+++ b/ingress/passage.go
@@ -55,9 +55,9 @@
 		return
 	}
 	p.watched = i.hangups.Add(request.Conn(), p.tracker.Cancel)
-	i.awaitKeys(p)
+	retryAfter := i.awaitKeys(p)
 	if reason := i.refusal(p, clock.Now()); reason != "" {
-		i.refuse(request, p, reason, 0)
+		i.refuse(request, p, reason, retryAfter)
 		i.hangups.Remove(p.watched)
 		return
 	}
@@ -75,12 +75,18 @@
 	i.hangups.Remove(p.watched)
 }
 
-// awaitKeys waits for the instance to be told of the request's key, if it is about to be:
-// as long as the request could wait for a slot.
-func (i *Ingress) awaitKeys(p *passage) {
-	if p.keyed && i.instance.keys.byHeartbeat() && !i.stopping.Load() {
-		i.instance.keys.await(ownership.Key{Service: p.service, Shard: p.shard}, p.epoch, i.gate.patienceOf(p.asked()), p.tracker.Cancelled())
+// awaitKeys waits for the instance to be told of the request's key, if that is due within
+// the time for which the request could wait for a slot. Otherwise it returns at once, with
+// the time after which the request should come back.
+func (i *Ingress) awaitKeys(p *passage) time.Duration {
+	if !p.keyed || !i.instance.keys.byHeartbeat() || i.stopping.Load() {
+		return 0
+	}
+	key := ownership.Key{Service: p.service, Shard: p.shard}
+	if !i.instance.keys.expects(key, p.epoch) {
+		return 0
 	}
+	return i.instance.keys.await(key, p.epoch, i.gate.patienceOf(p.asked()), p.tracker.Cancelled())
 }
 
 // read takes what the router says of the request.
--- a/ledger/heartbeat.go
+++ b/ledger/heartbeat.go
@@ -316,6 +316,9 @@
 	return false
 }
 
+// Heard is when the newest heartbeat came; zero: none has.
+func (l *Ledger) Heard() time.Duration { return l.beats.received }
+
 // LetGo returns those of the shards' ranges that the instance holds no longer and will
 // not: on its word, with the token that it gave, or because all that it was told has run
 // out. The release of the shards must have begun.
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -287,7 +287,11 @@
 	case result.state == attemptNotSent:
 		return refuseUnreachable
 	case result.reason == wire.BackendReasonNotOwner:
-		return refuseNoOwner
+		refused := refuseNoOwner
+		if result.retryAfter > 0 {
+			refused.retryAfter = result.retryAfter
+		}
+		return refused
 	}
 	refused := refuseBackend
 	if result.reason != "" {
