A release that waits for its instance holds up later ones for 100 ms at the most

Cause, found in reading: LetGo returned when one of the asked ranges was free, or after a second; ranges that were to be let go meanwhile were reported only then, and belonged to nobody for as long.

--- a/ingress/keybeats.go
+++ b/ingress/keybeats.go
@@ -27,10 +27,11 @@
 	refused prometheus.Counter
 }
 
-// letGoPoll is how long LetGo waits for the instance before it returns with nothing, and
-// letGoLook after how long it looks whether what it was told has run out.
+// letGoPoll is how long LetGo waits for the instance before it returns with nothing: what
+// is to be let go meanwhile waits for it, and its keys belong to nobody. letGoLook is
+// after how long it looks whether what the instance was told has run out.
 const (
-	letGoPoll = time.Second
+	letGoPoll = 100 * time.Millisecond
 	letGoLook = 50 * time.Millisecond
 )
 
