An earlier start of the instance is not taken back by a late announcement

Found in reading: announcements may be seconds late, and one of the start before the running one counted as another new start: the agent ended the running one's session, and its keys were free though it still held them. Change: a start that another has followed is not taken back, as one that took its leave. TestEarlierStartIsNotTakenBack fails without the change.

--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -39,7 +39,8 @@
 //
 // Invariants:
 //   - An announcement that is older than the newest one of its start changes nothing.
-//   - A start that has taken its leave is not taken back.
+//   - A start that has taken its leave, or that another start has followed, is not taken
+//     back: an announcement of it may be seconds late.
 //   - Once a departure was acknowledged, no request reaches the instance later than
 //     the drain time after it.
 type Instance struct {
@@ -54,7 +55,7 @@
 	known   bool
 	// leavingSince is when the departure was acknowledged; zero: not leaving.
 	leavingSince time.Duration
-	// departed are the starts that have taken their leave.
+	// departed are the starts that have taken their leave or were followed by another.
 	departed map[string]bool
 	// gone is the start that is known to have ended.
 	gone    string
@@ -106,6 +107,9 @@
 		return false
 	}
 	before := i.current
+	if i.known && !sameStart {
+		i.departed[before.ID] = true
+	}
 	i.current, i.heard, i.known = announced, now, true
 	if !sameStart {
 		i.leavingSince = 0
