Test of a log reader that stops counts the batch that its writer has taken

Cause: the test wrote 3 x 4096 lines, of which 4096 fit the queue and up to 6,554 the batch that the writer takes before it is stuck, when it comes to run between the writes; 1,638 lost lines are right then. Ruled out: the queue, which loses nothing that has room.

--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -28,11 +28,15 @@
 	blocked := stuck{release: make(chan struct{})}
 	defer close(blocked.release)
 	lines := newQueue(blocked)
+	line := []byte("line\n")
+	// The writer takes a batch out of the queue before it is stuck: that many lines, and
+	// those in the queue, are not lost, whenever it comes to run.
+	kept := queuedLines + batchBytes/len(line) + 1
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for range 3 * queuedLines {
-			_, _ = lines.Write([]byte("line\n"))
+		for range kept + queuedLines {
+			_, _ = lines.Write(line)
 		}
 	}()
 	select {
