--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -39,8 +39,10 @@
 //
 // Invariants:
 //   - An announcement that is older than the newest one of its start changes nothing.
-//   - A start that has taken its leave, or that another start has followed, is not taken
-//     back: an announcement of it may be seconds late.
+//   - A start that has taken its leave is not taken back.
+//   - A start that another has followed is not taken back while that one is heard: an
+//     announcement of it may be seconds late. Which one runs is only known from who goes
+//     on: a process that has just started may hear of the earlier one last.
 //   - Once a departure was acknowledged, no request reaches the instance later than
 //     the drain time after it.
 type Instance struct {
@@ -55,8 +57,10 @@
 	known   bool
 	// leavingSince is when the departure was acknowledged; zero: not leaving.
 	leavingSince time.Duration
-	// departed are the starts that have taken their leave or were followed by another.
+	// departed are the starts that have taken their leave, followed those after which
+	// another one was heard of.
 	departed map[string]bool
+	followed map[string]bool
 	// gone is the start that is known to have ended.
 	gone    string
 	suspect chan struct{}
@@ -65,6 +69,9 @@
 const (
 	// silentAfter is how many announcements an instance may miss.
 	silentAfter = 6
+	// followerSilent is how many announcements a start has to miss before the one that it
+	// followed is believed again.
+	followerSilent = 2
 	// refusalsGone connections in a row that are refused, goneEvery apart, show that nobody listens.
 	refusalsGone = 3
 	goneEvery    = 100 * time.Millisecond
@@ -76,7 +83,7 @@
 func newInstance(options Options, gate *gate) *Instance {
 	i := &Instance{
 		options: options, logger: options.Logger, gate: gate,
-		departed: map[string]bool{}, suspect: make(chan struct{}, 1),
+		departed: map[string]bool{}, followed: map[string]bool{}, suspect: make(chan struct{}, 1),
 	}
 	i.keys = newKeyHolder(options)
 	return i
@@ -99,7 +106,7 @@
 	now := clock.Now()
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	if i.departed[announced.ID] {
+	if i.departed[announced.ID] || i.followed[announced.ID] && now-i.heard < followerSilent*i.options.Settings.Ingress.AnnounceEvery {
 		return false
 	}
 	sameStart := i.known && i.current.ID == announced.ID
@@ -108,7 +115,8 @@
 	}
 	before := i.current
 	if i.known && !sameStart {
-		i.departed[before.ID] = true
+		i.followed[before.ID] = true
+		delete(i.followed, announced.ID)
 	}
 	i.current, i.heard, i.known = announced, now, true
 	if !sameStart {
