Test deployments wait until every router knows every service

Cause: the router connected while the services were being created and had revision 9; the deployment counted as ready once all routers were there, though its comment said that they have the newest revision. Ruled out: the router, whose view was confirmed and older than the last service by milliseconds, which 'in force within seconds' allows. Now each router has the revision of the last service first.

--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -47,6 +47,8 @@
 	Platform *platform.List
 	Members  []*Member
 	Routers  []*Router
+	// created is the revision of the last service that was created at the start.
+	created uint64
 
 	// mutex guards nodes: some are added while the deployment runs.
 	mutex sync.Mutex
@@ -211,15 +213,17 @@
 	}
 	for _, service := range f.Options.Shape.Services {
 		body := adminapi.CreateService{Name: service.Name, Template: service.Template, Values: service.Values}
-		if err := client.Do(adminapi.Request{Method: http.MethodPost, Path: adminapi.PathServices, Body: body, CommandID: "setup-service-" + service.Name}, nil); err != nil {
+		var changed adminapi.Changed
+		if err := client.Do(adminapi.Request{Method: http.MethodPost, Path: adminapi.PathServices, Body: body, CommandID: "setup-service-" + service.Name}, &changed); err != nil {
 			return err
 		}
+		f.created = max(f.created, changed.Revision)
 	}
 	return nil
 }
 
 // waitServing waits until all nodes are there, every shard has an owner, and
-// every router has the newest revision.
+// every router knows every service.
 func (f *Fleet) waitServing() error {
 	return retryUntil(servingTimeout, func() error {
 		var status adminapi.Status
@@ -233,6 +237,11 @@
 		if len(status.Routers) < len(f.Routers) {
 			return eris.Errorf("%d of %d routers are there", len(status.Routers), len(f.Routers))
 		}
+		for _, router := range status.Routers {
+			if router.Revision < f.created {
+				return eris.Errorf("%s has revision %d, the last service was created at %d", router.Name, router.Revision, f.created)
+			}
+		}
 		return nil
 	})
 }
