Zones are drained and taken back; the bound of a cold instance is kept in front of it

The ingress lets through at most cold_per_s in every sliding second while its instance is cold by its newest word, or may be (another start, zone taken back, nobody listening) until its health path has answered. Renewals carry the capacity, so that keys come back as instances warm.

--- a/adminapi/types.go
+++ b/adminapi/types.go
@@ -169,6 +169,27 @@
 	EventsDropped bool `json:"events_dropped"`
 }
 
+// States of a zone.
+const (
+	// ZoneInService: its nodes get work.
+	ZoneInService = "in-service"
+	// ZoneDraining: nothing new is sent to its nodes, and they still own shards.
+	ZoneDraining = "draining"
+	// ZoneDrained: nothing new is sent to its nodes, and they own nothing.
+	ZoneDrained = "drained"
+)
+
+// Zone as operators see it.
+type Zone struct {
+	Name   string `json:"name"`
+	State  string `json:"state"`
+	Nodes  int    `json:"nodes"`
+	Shards int    `json:"shards"`
+	// Revision and Since are when operators drained it or took it back last.
+	Revision uint64 `json:"revision,omitempty"`
+	Since    string `json:"since,omitempty"`
+}
+
 // MemberChange is the body of a change of members.
 type MemberChange struct {
 	Name    string `json:"name"`
@@ -185,4 +206,5 @@
 	PathExplain   = "/v1/explain"
 	PathJournal   = "/v1/journal"
 	PathSnapshot  = "/v1/snapshot"
+	PathZones     = "/v1/zones"
 )
--- a/agent/session.go
+++ b/agent/session.go
@@ -135,7 +135,11 @@
 func (a *Agent) renewOnce(ctx context.Context, opened *wire.OpenSessionReply) error {
 	ctx, cancel := context.WithTimeout(ctx, max(minRenewTimeout, opened.RenewEvery))
 	defer cancel()
-	request := &wire.Renew{Session: opened.Session, Revision: a.shards.revision(), InFlight: a.backend.Health().InFlight, Healthy: true, Members: a.links.memberVersion()}
+	health := a.backend.Health()
+	request := &wire.Renew{
+		Session: opened.Session, Revision: a.shards.revision(), InFlight: health.InFlight, Healthy: true,
+		Capacity: health.Capacity, Members: a.links.memberVersion(),
+	}
 	sentAt := clock.Now()
 	reply := &wire.RenewReply{}
 	if err := a.links.callLeader(ctx, max(minRenewPerTry, opened.RenewEvery/renewTries), wire.KindRenew, request, reply); err != nil {
--- a/control/admin.go
+++ b/control/admin.go
@@ -82,6 +82,8 @@
 		return m.routeServices(ctx, request, method, name)
 	case "nodes":
 		return m.routeNodes(ctx, request, method, name, action)
+	case "zones":
+		return m.routeZones(ctx, request, method, name, action)
 	case "members":
 		return m.routeMembers(ctx, request, method, name)
 	case "explain":
@@ -135,6 +137,9 @@
 	if result.Failure != nil {
 		return nil, result.Failure
 	}
+	if command.SetZoneDraining != nil && result.Refused > 0 {
+		return nil, m.zoneChanged(command.SetZoneDraining.Zone)
+	}
 	answer := &adminapi.Changed{Revision: result.Revision, CommandID: command.ID}
 	wait := string(request.QueryArgs().Peek("wait"))
 	if wait == "" {
--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -360,6 +361,9 @@
 		answer.Events = append(answer.Events, eventView(event))
 	}
 	answer.Reason = reasonOf(answer)
+	if drained := drainedZones(state); answer.Owner == "" && len(drained) > 0 {
+		answer.Reason += "; drained zones: " + strings.Join(drained, ", ")
+	}
 	return answer, nil
 }
 
--- a/control/inputs.go
+++ b/control/inputs.go
@@ -37,7 +37,7 @@
 func (b *inputBuilder) addNeedy(state *fleet.State) {
 	keys := state.Ownership.Free()
 	for _, node := range state.Membership.Sessions {
-		if !node.Eligible() {
+		if !state.Eligible(node) {
 			keys = append(keys, state.Ownership.Owned(node.Session)...)
 		}
 	}
@@ -94,7 +94,7 @@
 	silent := b.member.sessions.silent(b.now, b.member.options.Settings.Control.LeaseLength/silentShare)
 	for _, node := range state.Membership.Sessions {
 		input := b.inputs[node.Pool]
-		if input == nil || !node.Eligible() {
+		if input == nil || !state.Eligible(node) {
 			continue
 		}
 		input.Nodes = append(input.Nodes, placement.Node{
--- a/control/place.go
+++ b/control/place.go
@@ -11,6 +11,7 @@
 	"limehold/catalog"
 	"limehold/clock"
 	"limehold/fleet"
+	"limehold/membership"
 	"limehold/ownership"
 	"limehold/placement"
 	"limehold/settings"
@@ -107,7 +108,7 @@
 func (m *Member) proposeTransfers(ctx context.Context, leader *leaderState, pool string, decisions []placement.Decision) {
 	byCause := map[string][]placement.Decision{}
 	for _, decision := range decisions {
-		cause := "its node gets no work any more"
+		cause := m.leavingCause(decision.From)
 		if decision.Gain > 0 {
 			cause = fmt.Sprintf("balance of pool %s: weighted gain %.4f exceeds the price of the move", pool, decision.Gain)
 			leader.budgets[decision.Key.Service].Spend(1)
@@ -124,6 +125,17 @@
 	m.moves.WithLabelValues("transfer").Add(float64(len(decisions)))
 }
 
+// leavingCause is why a session may not keep what it owns.
+func (m *Member) leavingCause(from membership.SessionID) string {
+	cause := "its node gets no work any more"
+	m.replica.view(func(state *fleet.State) {
+		if node := state.Membership.Sessions[from]; node != nil && state.Zones[node.Zone].Draining {
+			cause = "zone " + node.Zone + " is drained"
+		}
+	})
+	return cause
+}
+
 func chunks(decisions []placement.Decision) [][]placement.Decision {
 	var parts [][]placement.Decision
 	for len(decisions) > maxDecisions {
@@ -150,6 +162,7 @@
 		return
 	}
 	m.sessions.note(&changes, clock.Now())
+	m.sessions.returned(returnedNodes(&changes, state), clock.Now())
 	m.hub.publish(&changes, state)
 	m.pusher.signal()
 	if needsPlacement(&changes) {
@@ -160,7 +173,23 @@
 	}
 }
 
+// returnedNodes are the sessions of zones that a command took back into service.
+func returnedNodes(changes *fleet.Changes, state *fleet.State) []membership.SessionID {
+	var found []membership.SessionID
+	for _, name := range changes.Zones {
+		if state.Zones[name].Draining {
+			continue
+		}
+		for _, node := range state.Membership.Sessions {
+			if node.Zone == name {
+				found = append(found, node.Session)
+			}
+		}
+	}
+	return found
+}
+
 // needsPlacement reports whether shards may have become free or homeless.
 func needsPlacement(changes *fleet.Changes) bool {
-	return len(changes.Services) > 0 || len(changes.Nodes) > 0 || len(changes.RemovedNodes) > 0 || len(changes.Shards) > 0
+	return len(changes.Services) > 0 || len(changes.Nodes) > 0 || len(changes.RemovedNodes) > 0 || len(changes.Shards) > 0 || len(changes.Zones) > 0
 }
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -25,6 +25,9 @@
 	// listRevision is the revision of each session's newest list of shards.
 	listRevision map[membership.SessionID]uint64
 	opened       map[membership.SessionID]time.Duration
+	// capacity is the share of its usual work that a node bears, by its newest renewal;
+	// nodes that have not said are left out.
+	capacity map[membership.SessionID]float64
 	// baseRevision stands for sessions whose list has not changed since this
 	// member became leader.
 	baseRevision uint64
@@ -35,6 +38,7 @@
 		conns:        map[membership.SessionID]*transport.Conn{},
 		listRevision: map[membership.SessionID]uint64{},
 		opened:       map[membership.SessionID]time.Duration{},
+		capacity:     map[membership.SessionID]float64{},
 	}
 }
 
@@ -87,6 +91,7 @@
 		delete(s.conns, session)
 		delete(s.listRevision, session)
 		delete(s.opened, session)
+		delete(s.capacity, session)
 	}
 }
 
@@ -97,15 +102,33 @@
 	return s.baseRevision
 }
 
-// warmth is the share of its capacity that a node counts for, by its age.
+// returned has sessions whose zone was taken back count as new ones: their instances may
+// be cold, and say so with their next renewal only.
+func (s *sessions) returned(sessions []membership.SessionID, now time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.leases == nil {
+		return
+	}
+	for _, session := range sessions {
+		s.opened[session] = now
+	}
+}
+
+// warmth is the share of its capacity that a node counts for, by its age and by its own
+// word.
 func (s *sessions) warmth(session membership.SessionID, now, warmUp time.Duration) float64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	share, said := s.capacity[session]
+	if !said || share == 0 {
+		share = 1
+	}
 	opened, known := s.opened[session]
 	if !known || warmUp <= 0 {
-		return 1
+		return share
 	}
-	return min(1, float64(now-opened)/float64(warmUp))
+	return min(share, float64(now-opened)/float64(warmUp))
 }
 
 // silent lists the sessions that have not renewed for longer than limit; none when
@@ -184,6 +207,7 @@
 	newest := s.revision(request.Session)
 	if renewed {
 		s.conns[request.Session] = conn
+		s.capacity[request.Session] = request.Capacity
 	}
 	s.mutex.Unlock()
 	m.renewals.Inc()
--- a/control/watch.go
+++ b/control/watch.go
@@ -102,6 +102,9 @@
 		Revision: changes.Revision, RemovedServices: changes.RemovedServices, RemovedNodes: changes.RemovedNodes,
 		Routes: changes.Routes,
 	}
+	for _, name := range changes.Zones {
+		update.Zones = append(update.Zones, zoneView(name, state.Zones[name]))
+	}
 	for _, name := range changes.Services {
 		if service := state.Catalog.Services[name]; service != nil {
 			update.Services = append(update.Services, serviceView(service))
@@ -149,6 +152,10 @@
 	}
 }
 
+func zoneView(name string, zone fleet.Zone) wire.ZoneView {
+	return wire.ZoneView{Name: name, Draining: zone.Draining, Revision: zone.Revision}
+}
+
 func shardView(number uint32, shard ownership.Shard) wire.ShardView {
 	return wire.ShardView{
 		Shard: number, Owner: shard.Owner, Epoch: shard.Epoch,
@@ -183,6 +190,9 @@
 		for _, node := range state.Membership.Sessions {
 			update.Nodes = append(update.Nodes, nodeView(node))
 		}
+		for name, zone := range state.Zones {
+			update.Zones = append(update.Zones, zoneView(name, zone))
+		}
 		if state.Routing.Document.Version > 0 {
 			update.Routes = routing.WholeOf(&state.Routing.Document).WithoutSources()
 		}
--- a/decisions/decisions.go
+++ b/decisions/decisions.go
@@ -24,6 +24,8 @@
 	KindReleased        Kind = "released"
 	KindMemberChanged   Kind = "member_changed"
 	KindRoutesChanged   Kind = "routes_changed"
+	KindZoneDraining    Kind = "zone_draining"
+	KindZoneResumed     Kind = "zone_resumed"
 )
 
 // Event is one decision.
--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -91,6 +91,8 @@
 		return a.release(command.Release)
 	case command.ChangeRoutes != nil:
 		return a.changeRoutes(command.ChangeRoutes)
+	case command.SetZoneDraining != nil:
+		return a.setZoneDraining(command.SetZoneDraining)
 	}
 	return Result{Failure: &catalog.Failure{Code: catalog.FailureInvalid, Message: "the command is empty or of a newer version"}}
 }
@@ -260,7 +262,7 @@
 func (a *application) grant(decision ShardDecision) bool {
 	target := a.state.Membership.Sessions[decision.To]
 	service := a.state.Catalog.Services[decision.Key.Service]
-	if target == nil || !target.Eligible() || service == nil || service.State != catalog.ServiceActive {
+	if target == nil || !a.state.Eligible(target) || service == nil || service.State != catalog.ServiceActive {
 		return false
 	}
 	if target.Pool != service.Spec.Pool {
--- a/fleet/command.go
+++ b/fleet/command.go
@@ -36,6 +36,8 @@
 	Transfer       *Transfer
 	Release        *Release
 	ChangeRoutes   *routing.Change
+
+	SetZoneDraining *SetZoneDraining
 }
 
 // ApplyTemplate creates or replaces a template and changes its services.
@@ -156,8 +158,8 @@
 	Session membership.SessionID
 	// Routes is set for ChangeRoutes.
 	Routes *routing.Outcome
-	// Refused counts the decisions of Assign, Transfer or Release that no
-	// longer fitted the state.
+	// Refused counts the decisions of Assign, Transfer, Release or SetZoneDraining
+	// that no longer fitted the state.
 	Refused int
 }
 
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -49,6 +49,8 @@
 	LastEpoch uint64
 	// Routing is the route table, in deployments that have one.
 	Routing routing.Store
+	// Zones holds the zones that were ever drained, also those that are in service again.
+	Zones map[string]Zone
 }
 
 // NewState returns the state before the first command.
@@ -59,6 +61,7 @@
 		Ownership:  ownership.NewTable(),
 		Journal:    decisions.New(journalLimit),
 		Records:    map[string]Record{},
+		Zones:      map[string]Zone{},
 	}
 }
 
@@ -77,6 +80,9 @@
 	if state.Records == nil {
 		state.Records = map[string]Record{}
 	}
+	if state.Zones == nil {
+		state.Zones = map[string]Zone{}
+	}
 	state.Catalog.Reindex()
 	state.Membership.Reindex()
 	state.Ownership.Reindex()
@@ -97,6 +103,8 @@
 	Sessions map[membership.SessionID][]ownership.Key
 	// Routes is the change of the route table, if there was one.
 	Routes *routing.Change
+	// Zones were drained, or taken back into service.
+	Zones []string
 }
 
 func (c *Changes) session(id membership.SessionID, keys ...ownership.Key) {
@@ -113,7 +121,7 @@
 func (c *Changes) Empty() bool {
 	return !c.Templates && len(c.Services) == 0 && len(c.RemovedServices) == 0 &&
 		len(c.Nodes) == 0 && len(c.RemovedNodes) == 0 && len(c.Shards) == 0 && len(c.Sessions) == 0 &&
-		c.Routes == nil
+		c.Routes == nil && len(c.Zones) == 0
 }
 
 // CheckInvariants returns an error that names the first broken invariant. It
--- /dev/null
+++ b/ingress/cold_test.go
@@ -0,0 +1,135 @@
+package ingress
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// In no second more requests are let through to a cold instance than it bears, whatever was
+// sent before and whatever is heard of it when.
+func TestColdInstanceIsSentNoMoreThanItBears(t *testing.T) {
+	const perSecond = 13
+	for name, c := range map[string]struct {
+		// happens changes what is known at a time in milliseconds.
+		happens func(cold *coldStart, at, now time.Duration)
+		// bounded reports whether the bound has to hold at a time.
+		bounded func(at time.Duration) bool
+	}{
+		"cold from the start": {
+			func(cold *coldStart, at, now time.Duration) {
+				if at == 0 {
+					cold.told(3*second, now)
+				}
+			},
+			func(at time.Duration) bool { return at < 3*second },
+		},
+		"told of after a second of warm traffic": {
+			func(cold *coldStart, at, now time.Duration) {
+				if at == 2*second {
+					cold.told(3*second, now)
+				}
+			},
+			func(at time.Duration) bool { return at >= 2*second && at < 5*second },
+		},
+		"doubted until the answer comes": {
+			func(cold *coldStart, at, now time.Duration) {
+				switch at {
+				case 2 * second:
+					cold.doubt(now)
+				case 4 * second:
+					cold.answered(0, now-second/10, now)
+				}
+			},
+			func(at time.Duration) bool { return at >= 2*second && at < 4*second },
+		},
+		"doubted, and an older question is answered": {
+			func(cold *coldStart, at, now time.Duration) {
+				switch at {
+				case 2 * second:
+					cold.doubt(now)
+				case 2*second + second/10:
+					cold.answered(0, now-second/2, now)
+				}
+			},
+			func(at time.Duration) bool { return at >= 2*second },
+		},
+		"a newer word makes it colder": {
+			func(cold *coldStart, at, now time.Duration) {
+				switch at {
+				case 0:
+					cold.told(second, now)
+				case second / 2:
+					cold.told(4*second, now)
+				}
+			},
+			func(at time.Duration) bool { return at < 4*second+second/2 },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(20) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				const start = 100 * second
+				var cold coldStart
+				cold.bound(perSecond, start)
+				var sent []time.Duration
+				warm := 0
+				for at := time.Duration(0); at < 6*second; at += time.Millisecond {
+					now := start + at
+					c.happens(&cold, at, now)
+					if random.IntN(10) < 3 && cold.wait(now) == 0 {
+						cold.note(now)
+						sent = append(sent, at)
+						if !c.bounded(at) {
+							warm++
+							continue
+						}
+						within := 0
+						for _, other := range sent {
+							if at-other < second {
+								within++
+							}
+						}
+						is.True(within <= perSecond)
+					}
+				}
+				is.True(c.bounded(5900*time.Millisecond) || warm > 20*perSecond) // a warm instance is not held back
+			}
+		})
+	}
+}
+
+// An ingress that has just come up knows of no request that an earlier one has sent.
+func TestNothingIsSentInTheFirstSecondToAColdInstance(t *testing.T) {
+	is := is.New(t)
+	var cold coldStart
+	cold.bound(5, 10*second)
+	cold.told(3*second, 10*second)
+	is.True(cold.wait(10*second+900*time.Millisecond) > 0)
+	is.Equal(cold.wait(11*second+100*time.Millisecond), time.Duration(0))
+}
+
+// Requests that wait for a cold instance are let in as it bears them, and none that cannot
+// be in time waits at all.
+func TestGateLetsRequestsInAsAColdInstanceBearsThem(t *testing.T) {
+	is := is.New(t)
+	g := newGate(1)
+	g.resize(10)
+	now := time.Duration(0)
+	g.changeCold(func(c *coldStart) {
+		c.bound(2, now)
+		c.told(time.Hour, now)
+	})
+	ask := asked{target: 2 * second, left: 2 * second}
+	is.Equal(g.enter(ask, nil), entryAdmitted)
+	is.Equal(g.enter(ask, nil), entryAdmitted)
+	is.True(g.retryAfter() > second/2)
+	is.Equal(g.enter(asked{target: second / 10, left: second / 10}, nil), entryFull)
+	began := time.Now()
+	is.Equal(g.enter(ask, nil), entryAdmitted)
+	is.True(time.Since(began) > second/2)
+	is.True(g.capacity() < 0.1)
+}
--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -15,6 +15,7 @@
 // Invariants:
 //   - running never exceeds slots, except while slots have just been lowered.
 //   - A waiting request is let in at most once.
+//   - The bound of a cold instance is kept; see coldStart.
 //   - Among waiting requests, one of a higher rank is let in first; among equals
 //     the shorter one: an instance's own calls, for which other slots are held, are
 //     much shorter than what callers ask for. Among equals, one that is made for the
@@ -35,6 +36,11 @@
 	// byRoute are the same times of single routes: an instance's own calls are much
 	// shorter than what its callers ask for.
 	byRoute map[string]*routeLoad
+
+	cold coldStart
+	// thaw lets waiting requests in once a cold instance bears a further one; nil while
+	// none is due.
+	thaw *time.Timer
 }
 
 // routeLoad is what one route asks of the instance.
@@ -129,7 +135,42 @@
 func (g *gate) load() loadFigures {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return loadFigures{g.running, len(g.waiting), g.slots, g.runTime}
+	return loadFigures{g.running, len(g.waiting), g.slots, g.slotTime(clock.Now())}
+}
+
+// slotTime is how long one of the slots is taken up by a request: a cold instance bears
+// fewer requests than its slots could run.
+func (g *gate) slotTime(now time.Duration) time.Duration {
+	return max(g.runTime, time.Duration(g.slots)*g.cold.pace(now))
+}
+
+// capacity is the share of its usual requests that the instance bears now.
+func (g *gate) capacity() float64 {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return float64(g.runTime) / float64(g.slotTime(clock.Now()))
+}
+
+// changeCold changes what is known of the instance's cold start, and lets in what may be.
+func (g *gate) changeCold(change func(*coldStart)) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	change(&g.cold)
+	g.admitNext()
+}
+
+// mayBeCold reports whether the instance has to be asked whether it is cold.
+func (g *gate) mayBeCold() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.cold.perSecond > 0 && g.cold.doubtful()
+}
+
+// isCold reports whether the instance is cold, or may be.
+func (g *gate) isCold() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.cold.cold(clock.Now())
 }
 
 // resize takes how many requests the instance runs at once.
@@ -174,8 +215,8 @@
 		g.mutex.Unlock()
 		return entryClosed
 	}
-	if g.running < g.slots && len(g.waiting) == 0 {
-		g.running++
+	if now := clock.Now(); g.running < g.slots && len(g.waiting) == 0 && g.cold.wait(now) == 0 {
+		g.take(now)
 		g.mutex.Unlock()
 		return entryAdmitted
 	}
@@ -191,6 +232,7 @@
 		return -1
 	})
 	g.waiting = slices.Insert(g.waiting, at, mine)
+	g.admitNext()
 	g.mutex.Unlock()
 	return g.await(mine, patience, cancelled)
 }
@@ -265,8 +307,9 @@
 	if g.slots == 0 {
 		return time.Hour
 	}
-	wait := float64(ahead) * float64(g.runTime) / float64(g.slots)
-	return time.Duration(wait / (1 - g.occupiedBefore(place)))
+	now := clock.Now()
+	wait := float64(ahead) * float64(g.slotTime(now)) / float64(g.slots)
+	return max(time.Duration(wait/(1-g.occupiedBefore(place))), g.cold.wait(now))
 }
 
 // occupiedBefore is the part of the slots that go to requests which come later and
@@ -309,7 +352,8 @@
 	if g.slots == 0 {
 		return time.Second
 	}
-	return time.Duration(len(g.waiting)+1) * g.runTime / time.Duration(g.slots)
+	now := clock.Now()
+	return max(g.cold.wait(now), time.Duration(len(g.waiting)+1)*g.slotTime(now)/time.Duration(g.slots))
 }
 
 // leave gives a slot back; ran is how long the request occupied it, zero when it
@@ -347,12 +391,38 @@
 	return time.Duration(float64(before)*runTimeKeep + float64(ran)*(1-runTimeKeep))
 }
 
+// take lets a request through.
+func (g *gate) take(now time.Duration) {
+	g.running++
+	g.cold.note(now)
+}
+
+// admitNext lets in as many of the waiting requests as may be. The next one that a cold
+// instance does not bear yet is let in by a timer.
 func (g *gate) admitNext() {
+	now := clock.Now()
 	for g.running < g.slots && len(g.waiting) > 0 {
+		if wait := g.cold.wait(now); wait > 0 {
+			g.thawAfter(wait)
+			return
+		}
 		next := g.waiting[0]
 		g.waiting = slices.Delete(g.waiting, 0, 1)
-		g.running++
+		g.take(now)
 		next.granted = true
 		close(next.admitted)
 	}
 }
+
+// thawAfter runs admitNext again after a while, unless that is due already.
+func (g *gate) thawAfter(wait time.Duration) {
+	if g.thaw != nil {
+		return
+	}
+	g.thaw = time.AfterFunc(wait, func() {
+		g.mutex.Lock()
+		defer g.mutex.Unlock()
+		g.thaw = nil
+		g.admitNext()
+	})
+}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -36,6 +36,9 @@
 	// Service returns what the route table says of a service; the zero value: nothing.
 	// Nil: there is no route table.
 	Service func(name string) routing.Service
+	// Zone returns whether the ingress's zone is drained, and since when that is known
+	// here; zero: since ever. Nil: zones are never drained.
+	Zone func() (drained bool, since time.Duration)
 	// RelayTo reports whether connections may be passed on to an address; see relay.
 	// Nil: none are.
 	RelayTo func(address string) bool
--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -64,6 +64,9 @@
 	// gone is the start that is known to have ended.
 	gone    string
 	suspect chan struct{}
+	probe   *coldProbe
+	// zoneSeen is the newest change of the zone that has been taken in.
+	zoneSeen time.Duration
 }
 
 const (
@@ -86,6 +89,7 @@
 		departed: map[string]bool{}, followed: map[string]bool{}, suspect: make(chan struct{}, 1),
 	}
 	i.keys = newKeyHolder(options)
+	i.probe = newColdProbe(i)
 	return i
 }
 
@@ -119,8 +123,10 @@
 		delete(i.followed, announced.ID)
 	}
 	i.current, i.heard, i.known = announced, now, true
+	i.takeCold(announced, now)
 	if !sameStart {
 		i.leavingSince = 0
+		i.probe.doubt("another start")
 		i.gate.resize(i.usable(announced.Slots))
 		i.logger.Info("instance_started", zap.String("instance", announced.ID), zap.String("before", before.ID),
 			zap.String("service", announced.Service), zap.Int("slots", announced.Slots), zap.String("version", announced.Version), zap.Uint64("sequence", announced.Sequence))
@@ -138,6 +144,59 @@
 	return true
 }
 
+// takeCold takes what an announcement says of a cold start, and how many requests the
+// instance then bears.
+func (i *Instance) takeCold(announced Announcement, now time.Duration) {
+	perSecond := 0
+	if i.options.Service != nil {
+		perSecond = i.options.Service(announced.Service).ColdPerSecond
+	}
+	i.gate.changeCold(func(c *coldStart) {
+		c.bound(perSecond, now)
+		c.told(announced.Cold, now)
+	})
+}
+
+// healthPath is at which path the instance that runs now says how it is; empty: at none.
+func (i *Instance) healthPath() (id, path string) {
+	i.mutex.Lock()
+	announced := i.current
+	i.mutex.Unlock()
+	if i.options.Service == nil {
+		return announced.ID, ""
+	}
+	return announced.ID, i.options.Service(announced.Service).HealthPath
+}
+
+// zoneRefusal is why a request may not be sent to the instance for its zone's sake; empty:
+// it may. A drained zone takes nothing new but requests for the keys that the instance
+// holds until another one does, for half the time within which all has to end.
+func (i *Instance) zoneRefusal(keyed bool, now time.Duration) string {
+	if i.options.Zone == nil {
+		return ""
+	}
+	drained, changed := i.options.Zone()
+	if drained {
+		if keyed && now-changed < i.options.Settings.Ingress.ZoneDrainTime/zoneKeysShare {
+			return ""
+		}
+		return wire.BackendReasonZoneDrained
+	}
+	i.mutex.Lock()
+	returned := changed > i.zoneSeen
+	i.zoneSeen = max(i.zoneSeen, changed)
+	i.mutex.Unlock()
+	if returned {
+		i.probe.doubt("its zone was drained")
+	}
+	return ""
+}
+
+// zoneKeysShare of the zone's drain time is for how long keys are served that have not
+// moved out yet: control moves them within a second, and what is still here later waits
+// for an owner elsewhere.
+const zoneKeysShare = 2
+
 // usable is how many of an instance's slots are used at once.
 func (i *Instance) usable(slots int) int {
 	return max(1, int(float64(slots)*i.options.Settings.Ingress.SlotShare))
@@ -188,6 +247,7 @@
 // Run watches the instance and renews its keys until ctx ends.
 func (i *Instance) Run(ctx context.Context) error {
 	go i.keys.carrier.Run(ctx)
+	go i.probe.run(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -203,6 +263,7 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return
 	}
+	i.probe.doubt("nobody listened at its address")
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	i.askWhetherGone()
@@ -277,7 +338,7 @@
 func (i *Instance) Health() wire.BackendHealth {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	health := wire.BackendHealth{Status: wire.BackendOK, Incarnation: i.current.ID, InFlight: i.gate.load().running}
+	health := wire.BackendHealth{Status: wire.BackendOK, Incarnation: i.current.ID, InFlight: i.gate.load().running, Capacity: i.gate.capacity()}
 	if i.leavingSince != 0 {
 		health.Status = wire.BackendDraining
 	}
--- a/ingress/passage.go
+++ b/ingress/passage.go
@@ -119,6 +119,7 @@
 // refusal returns why the request may not go to the instance; empty: it may.
 func (i *Ingress) refusal(p *passage, now time.Duration) string {
 	p.seen = i.instance.view(now)
+	zoneRefused := i.instance.zoneRefusal(p.keyed, now)
 	switch {
 	case i.stopping.Load():
 		return wire.BackendReasonDraining
@@ -126,6 +127,8 @@
 		return p.seen.refused
 	case p.seen.service != p.service:
 		return reasonOtherService
+	case zoneRefused != "":
+		return zoneRefused
 	case p.deadline-now < minimumRemaining:
 		return wire.BackendReasonDeadline
 	case p.keyed && !i.instance.keys.holds(ownership.Key{Service: p.service, Shard: p.shard}, p.epoch, now):
--- a/router/pool.go
+++ b/router/pool.go
@@ -26,12 +26,12 @@
 	})}
 }
 
-// update takes the pool's nodes.
-func (p *pool) update(nodes []*wire.NodeView) {
+// update takes the pool's nodes, and the zones that were ever drained.
+func (p *pool) update(nodes []*wire.NodeView, zones map[string]zone) {
 	list := make([]admission.Instance, 0, len(nodes))
 	for _, node := range nodes {
 		list = append(list, admission.Instance{
-			ID: admission.InstanceID(node.Session), Zone: node.Zone, Draining: node.Draining,
+			ID: admission.InstanceID(node.Session), Zone: node.Zone, Draining: node.Draining || zones[node.Zone].draining,
 			Slots: min(node.Slots, node.Connections), Gated: node.Gated,
 		})
 	}
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -220,7 +220,7 @@
 			// Nobody else may run it, and the owner has no room for as long as it says.
 			return false
 		}
-		if result.reason == wire.BackendReasonNotOwner || result.reason == wire.BackendReasonDraining && p.service.spec.Keyed {
+		if result.reason == wire.BackendReasonNotOwner || p.service.spec.Keyed && leaving(result.reason) {
 			held.refusedEpoch = p.epoch
 			return held.remaining() > 0
 		}
@@ -253,6 +253,11 @@
 	return true
 }
 
+// leaving reports whether an owner refuses as its shards are about to be another's.
+func leaving(reason string) bool {
+	return reason == wire.BackendReasonDraining || reason == wire.BackendReasonZoneDrained
+}
+
 // end refuses a request; after an attempt with an open outcome the truth is
 // that it is unknown whether the request ran.
 func (r *Router) end(request *fasthttp.RequestCtx, p *proxied, open bool, refused refusal) {
--- a/router/table.go
+++ b/router/table.go
@@ -28,6 +28,8 @@
 	newPool func(name string) *pool
 	// routes is the route table; nil until there is one.
 	routes *routeTable
+	// zones are those that were ever drained.
+	zones map[string]zone
 }
 
 // service is one service as the router uses it.
@@ -51,7 +53,7 @@
 	return &table{
 		services: map[string]*service{}, nodes: map[membership.SessionID]*wire.NodeView{},
 		byMatch: map[catalog.Match]*service{}, pools: map[string]*pool{},
-		changed: make(chan struct{}), newPool: newPool,
+		changed: make(chan struct{}), newPool: newPool, zones: map[string]zone{},
 	}
 }
 
@@ -76,6 +78,7 @@
 	if update.Snapshot {
 		t.dropMissing(update, touched)
 	}
+	t.applyZones(update, touched)
 	t.applyNodes(update, touched)
 	t.applyServices(update)
 	t.applyShards(update)
@@ -84,7 +87,7 @@
 	}
 	t.revision = update.Revision
 	for name := range touched {
-		t.pools[name].update(t.instances(name))
+		t.pools[name].update(t.instances(name), t.zones)
 	}
 	close(t.changed)
 	t.changed = make(chan struct{})
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -61,6 +61,10 @@
 	Connections int
 	// Keyed services divide the numbers 0 to KeySpace-1 among their instances.
 	Keyed bool
+	// ColdFor is how long an instance is cold after its start, ColdPerSecond how many
+	// requests a second it bears then; zero: it bears all.
+	ColdFor       time.Duration
+	ColdPerSecond int
 	// WarmUp is how long keys are slow that come without their last owner's token.
 	WarmUp time.Duration
 	// GrantBy is how instances are told their keys: GrantByCall, GrantByHeartbeat, or
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -225,6 +225,9 @@
 	// DrainTime is how long after a departure was acknowledged requests may still
 	// reach the instance. Default 2s.
 	DrainTime time.Duration `yaml:"drain_time"`
+	// ZoneDrainTime is how long after a zone was drained requests may still reach its
+	// instances. Default 5s.
+	ZoneDrainTime time.Duration `yaml:"zone_drain_time"`
 	// HoldTime is the longest that the instance is given keys for at once. Default 10s.
 	HoldTime time.Duration `yaml:"hold_time"`
 	// GrantBy is how the instance is told which keys it holds: call (limehold calls it)
@@ -257,6 +260,12 @@
 	NotRun string `yaml:"not_run"`
 	// Load is an instance's load: running, waiting, slots.
 	Load string `yaml:"load"`
+	// Identity is, in answers of an instance's health path, the identity of the one that
+	// answers. Empty: it does not say.
+	Identity string `yaml:"identity"`
+	// Cold is, in the same answers, for how many milliseconds the instance is still cold.
+	// Empty: it does not say.
+	Cold string `yaml:"cold"`
 }
 
 // Runtime bounds what the process takes of its machine.
@@ -288,7 +297,7 @@
 			MaxHeaderBytes: 16 << 10, MaxConnections: 20_000,
 			IdleTimeout: time.Minute, DrainTimeout: 30 * time.Second, CloseNotice: 2 * time.Second, Balance: BalanceOwn, Limits: LimitsAdaptive, RetryAfter: time.Second,
 		},
-		Ingress: Ingress{QueueTime: 0.2, SlotShare: 1, AnnounceEvery: time.Second, DrainTime: 2 * time.Second, HoldTime: 10 * time.Second, GrantBy: GrantByCall, StopTime: 5 * time.Second, StopNotice: 2 * time.Second},
+		Ingress: Ingress{QueueTime: 0.2, SlotShare: 1, AnnounceEvery: time.Second, DrainTime: 2 * time.Second, ZoneDrainTime: 5 * time.Second, HoldTime: 10 * time.Second, GrantBy: GrantByCall, StopTime: 5 * time.Second, StopNotice: 2 * time.Second},
 		Headers: Headers{RequestID: "X-Request-Id", Deadline: "Limehold-Timeout-Ms"},
 		Agent:   Agent{Slots: 18, Connections: 100, StopMode: StopDrain, ProbeEvery: 100 * time.Millisecond, StopTimeout: 20 * time.Second},
 	}
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -59,6 +59,8 @@
 	BackendReasonDraining = "draining"
 	BackendReasonDeadline = "deadline"
 	BackendReasonStarting = "starting"
+	// BackendReasonZoneDrained: the back end's zone gets nothing new.
+	BackendReasonZoneDrained = "zone-drained"
 )
 
 // BackendHealth is the answer to BackendPathHealth.
@@ -68,6 +70,9 @@
 	// Incarnation is drawn by each process when it starts.
 	Incarnation string `json:"incarnation"`
 	InFlight    int    `json:"in_flight"`
+	// Capacity is the share of its usual requests that the back end bears now, from 0 to
+	// 1; zero: it does not say.
+	Capacity float64 `json:"capacity,omitempty"`
 }
 
 // States in BackendHealth.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -52,7 +52,7 @@
 )
 
 // ProtocolVersion is compared at the start of each connection.
-const ProtocolVersion = 5
+const ProtocolVersion = 6
 
 // Role says what kind of process is at the other end.
 type Role string
@@ -190,6 +190,9 @@
 	// InFlight and Health are the back end's, as the agent last saw them.
 	InFlight int
 	Healthy  bool
+	// Capacity is the share of its usual requests that the back end bears now; zero: it
+	// does not say.
+	Capacity float64
 	// Members is the version of the list of members that the agent has.
 	Members uint64
 }
@@ -300,6 +303,15 @@
 	Gated bool
 }
 
+// ZoneView is a zone that was ever drained, as routers see it.
+type ZoneView struct {
+	Name string
+	// Draining is set while nothing new may be sent to the zone's nodes.
+	Draining bool
+	// Revision at which that changed last.
+	Revision uint64
+}
+
 // ShardView is a shard as routers see it; Owner zero means none.
 type ShardView struct {
 	Shard     uint32
@@ -328,6 +340,8 @@
 	Shards          []ServiceShards
 	// Routes changes the route table; in a snapshot it is the whole table.
 	Routes *routing.Change
+	// Zones that were drained or taken back; in a snapshot all that ever were.
+	Zones []ZoneView
 }
 
 // Confirm asks whether the router's view is current. The router counts its
