Shards are weighed by what is asked of them, nodes by the pace that instances tell

Cause: a shard's load was the time that its owner took, waits included, and its refusals: a slow or full owner made its shards look heavy wherever they went. Instances of one service differ by a factor of three for as long as they run; each counted for its slots.

--- a/control/sessions.go
+++ b/control/sessions.go
@@ -25,8 +25,8 @@
 	// listRevision is the revision of each session's newest list of shards.
 	listRevision map[membership.SessionID]uint64
 	opened       map[membership.SessionID]time.Duration
-	// capacity is the share of its usual work that a node bears, by its newest renewal;
-	// nodes that have not said are left out.
+	// capacity is how much work a node does, relative to what is usual for its slots, by
+	// its newest renewal; nodes that have not said are left out.
 	capacity map[membership.SessionID]float64
 	// baseRevision stands for sessions whose list has not changed since this
 	// member became leader.
@@ -115,8 +115,7 @@
 	}
 }
 
-// warmth is the share of its capacity that a node counts for, by its age and by its own
-// word.
+// warmth is how much of its capacity a node counts for, by its age and by its own word.
 func (s *sessions) warmth(session membership.SessionID, now, warmUp time.Duration) float64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -128,7 +127,7 @@
 	if !known || warmUp <= 0 {
 		return share
 	}
-	return min(share, float64(now-opened)/float64(warmUp))
+	return share * min(1, float64(now-opened)/float64(warmUp))
 }
 
 // silent lists the sessions that have not renewed for longer than limit; none when
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -161,6 +161,7 @@
 		fail(reasonFalsePromise, eris.Errorf("instance %s answered %d without saying that it did not run the request", p.seen.id, response.StatusCode()))
 		return
 	}
+	i.instance.pace.observe(response.Header.Peek(p.names.Load), clock.Now())
 	result.state, result.response = exchangeAnswered, response
 	conn.KeepFor = keepAlive(response)
 	length := response.Header.ContentLength()
--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -65,6 +65,7 @@
 	gone    string
 	suspect chan struct{}
 	probe   *coldProbe
+	pace    pace
 	// zoneSeen is the newest change of the zone that has been taken in.
 	zoneSeen time.Duration
 }
@@ -127,6 +128,7 @@
 	if !sameStart {
 		i.leavingSince = 0
 		i.probe.doubt("another start")
+		i.pace.forget()
 		i.gate.resize(i.usable(announced.Slots))
 		i.logger.Info("instance_started", zap.String("instance", announced.ID), zap.String("before", before.ID),
 			zap.String("service", announced.Service), zap.Int("slots", announced.Slots), zap.String("version", announced.Version), zap.Uint64("sequence", announced.Sequence))
@@ -338,7 +340,7 @@
 func (i *Instance) Health() wire.BackendHealth {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	health := wire.BackendHealth{Status: wire.BackendOK, Incarnation: i.current.ID, InFlight: i.gate.load().running, Capacity: i.gate.capacity()}
+	health := wire.BackendHealth{Status: wire.BackendOK, Incarnation: i.current.ID, InFlight: i.gate.load().running, Capacity: i.gate.capacity() * i.pace.speed()}
 	if i.leavingSince != 0 {
 		health.Status = wire.BackendDraining
 	}
--- a/router/answer.go
+++ b/router/answer.go
@@ -18,9 +18,7 @@
 // and hold the slot until their end.
 func (r *Router) answer(request *fasthttp.RequestCtx, p *proxied, result *attempt, id admission.InstanceID, sent time.Duration) bool {
 	latency := clock.Now() - sent
-	if p.service.spec.Keyed {
-		r.work.add(p.service.name, p.shard, len(p.service.shards), latency)
-	}
+	p.noteWork(latency)
 	response := &request.Response
 	result.response.Header.CopyTo(&response.Header)
 	dropAnswerHeaders(&response.Header)
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -45,6 +45,7 @@
 		fasthttp.ReleaseRequest(p.out)
 		return
 	}
+	r.countAsked(p)
 	p.watched = r.hangups.Add(p.caller, p.tracker.Cancel)
 	streaming := r.proxy(request, p)
 	if !streaming {
@@ -80,7 +81,6 @@
 			return r.answer(request, p, result, id, sent)
 		}
 		p.service.pool.release(id, instanceOutcome(result), clock.Now()-sent)
-		r.countRefused(p, result)
 		r.noteAttempt(p, node, result)
 		open = open || result.state == attemptOpen
 		if !r.mayRetry(p, held, result, number) {
@@ -91,11 +91,13 @@
 	}
 }
 
-// countRefused counts the work that an owner had no room for as load of its shard:
-// measured by what it has run alone, an owner that is full would never look fuller.
-func (r *Router) countRefused(p *proxied, result *attempt) {
-	if p.service.spec.Keyed && result.state == attemptNotRun && result.reason == wire.BackendReasonFull {
-		r.work.add(p.service.name, p.shard, len(p.service.shards), result.load.RunTime)
+// countAsked counts a request as load of its shard, by what requests of its kind take
+// wherever they run. Measured by what its owner has run, a shard would look light at an
+// owner that is full, and heavy at one that is slow, and would be the same wherever it
+// went; one that returns after a refusal has been counted before.
+func (r *Router) countAsked(p *proxied) {
+	if p.service.spec.Keyed && !p.returning {
+		r.work.add(p.service.name, p.shard, len(p.service.shards), p.usualWork())
 	}
 }
 
--- a/router/request.go
+++ b/router/request.go
@@ -74,6 +74,25 @@
 	p.routed.learned.noteLate(!served || clock.Now()-p.started > p.routed.route.TargetLatency)
 }
 
+// noteWork tells the request's route what it took.
+func (p *proxied) noteWork(took time.Duration) {
+	if p.service.spec.Keyed {
+		p.kind().noteWork(took)
+	}
+}
+
+// usualWork is what requests like this one take.
+func (p *proxied) usualWork() time.Duration { return p.kind().usualWork() }
+
+// kind is what was learned of requests like this one: of its route in the route table, or
+// of its service.
+func (p *proxied) kind() *learned {
+	if p.routed != nil {
+		return p.routed.learned
+	}
+	return p.service.learned
+}
+
 func (p *proxied) attemptCount() int {
 	if p == nil {
 		return 0
--- a/router/routes.go
+++ b/router/routes.go
@@ -75,6 +75,8 @@
 	mutex    sync.Mutex
 	returns  admission.Returns
 	locality admission.Locality
+	// work is the smoothed time that a request takes from the owner's ingress on.
+	work time.Duration
 }
 
 // returning reports whether a request that allows so much time was refused before.
@@ -91,6 +93,33 @@
 	l.locality.Observe(late)
 }
 
+const (
+	// firstWork stands for the work of a request before one was answered.
+	firstWork = 50 * time.Millisecond
+	// workKeep is how much of the smoothed work a request leaves.
+	workKeep = 0.98
+)
+
+// noteWork takes what a request took.
+func (l *learned) noteWork(took time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.work == 0 {
+		l.work = took
+	}
+	l.work = time.Duration(float64(l.work)*workKeep + float64(took)*(1-workKeep))
+}
+
+// usualWork is what a request takes.
+func (l *learned) usualWork() time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.work == 0 {
+		return firstWork
+	}
+	return l.work
+}
+
 func (l *learned) remoteCost(large bool) float64 {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/router/table.go
+++ b/router/table.go
@@ -41,6 +41,8 @@
 	shards   []shardOwner
 	pool     *pool
 	budget   *serviceBudget
+	// learned is what requests have shown that did not come by way of the route table.
+	learned *learned
 }
 
 type shardOwner struct {
@@ -160,10 +162,10 @@
 		}
 		next := &service{
 			name: view.Name, revision: view.Revision, retiring: view.Retiring,
-			spec: &view.Spec, pool: t.pool(view.Spec.Pool), budget: newServiceBudget(view.Spec.RetryBudgetPercent),
+			spec: &view.Spec, pool: t.pool(view.Spec.Pool), budget: newServiceBudget(view.Spec.RetryBudgetPercent), learned: &learned{},
 		}
 		if known != nil {
-			next.shards, next.budget = known.shards, known.budget
+			next.shards, next.budget, next.learned = known.shards, known.budget, known.learned
 			next.budget.setPercent(view.Spec.RetryBudgetPercent)
 			t.unmatch(known)
 		}
--- a/router/work.go
+++ b/router/work.go
@@ -7,7 +7,7 @@
 	"limehold/wire"
 )
 
-// workTable gathers the work sent to each shard until it is reported.
+// workTable gathers the work asked of each shard until it is reported.
 type workTable struct {
 	mutex    sync.Mutex
 	services map[string][]float32
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -70,8 +70,8 @@
 	// Incarnation is drawn by each process when it starts.
 	Incarnation string `json:"incarnation"`
 	InFlight    int    `json:"in_flight"`
-	// Capacity is the share of its usual requests that the back end bears now, from 0 to
-	// 1; zero: it does not say.
+	// Capacity is how much work the back end does now, relative to one of its slots that
+	// is as quick as usual; zero: it does not say.
 	Capacity float64 `json:"capacity,omitempty"`
 }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -190,8 +190,8 @@
 	// InFlight and Health are the back end's, as the agent last saw them.
 	InFlight int
 	Healthy  bool
-	// Capacity is the share of its usual requests that the back end bears now; zero: it
-	// does not say.
+	// Capacity is how much work the back end does, relative to what is usual for its
+	// slots; zero: it does not say.
 	Capacity float64
 	// Members is the version of the list of members that the agent has.
 	Members uint64
