What an instance's runs come to is told to routers; gates that let nothing through are left alone

Cause: an instance that says it is well and fails all answers soonest of all, and each of 67 routers had to fail five requests to find out; one that is gone was asked by three attempts of a request in a row. A splitter began at its largest share at each router. Change: the ingress tells the share of runs that end well (20 runs show a failing one, 4 s forgive), and routers divide by its square; a gate that refuses for another reason than room is left alone for 100 ms, doubling to 2 s, and asked by one request; all instances that have refused a request are avoided; instances that have told nothing count as the mean. Splitters begin anywhere in the round.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -185,3 +186,84 @@
 		}
 	}
 }
+
+// gatedNode is an instance that keeps its own limits.
+func gatedNode(id InstanceID) Instance { return Instance{ID: id, Zone: "a", Slots: 18, Gated: true} }
+
+func TestGatedInstanceIsChosenByWhatItSays(t *testing.T) {
+	usual := Load{Slots: 18, RunTime: 300 * time.Millisecond, Well: 1}
+	with := func(change func(*Load)) Load {
+		load := usual
+		change(&load)
+		return load
+	}
+	for name, c := range map[string]struct {
+		// first and second are the words of two instances; one without slots says nothing.
+		first, second Load
+		avoid         []InstanceID
+		// refused counts how often the second has refused to let anything through.
+		refused int
+		// chosen is how many of a hundred requests the second gets, at least and at most.
+		least, most int
+	}{
+		"alike":                            {usual, usual, nil, 0, 30, 70},
+		"one fails all":                    {usual, with(func(l *Load) { l.Well = 0; l.RunTime = 10 * time.Millisecond }), nil, 0, 0, 0},
+		"one fails a tenth, as others may": {with(func(l *Load) { l.Well = 0.9 }), with(func(l *Load) { l.Well = 0.9 }), nil, 0, 30, 70},
+		"one has said nothing yet":         {usual, Load{}, nil, 0, 0, 70},
+		"one is four times slower":         {usual, with(func(l *Load) { l.RunTime *= 4 }), nil, 0, 0, 20},
+		"one has refused the request":      {usual, with(func(l *Load) { l.RunTime /= 4 }), []InstanceID{2}, 0, 0, 0},
+		"both have refused it":             {with(func(l *Load) { l.RunTime *= 8 }), usual, []InstanceID{1, 2}, 0, 80, 100},
+		"one lets nothing through":         {usual, with(func(l *Load) { l.RunTime /= 4 }), nil, 2, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := gate(Options{}, gatedNode(1), gatedNode(2))
+			g.options.Random = rand.New(rand.NewPCG(1, 2)).IntN
+			g.Observe(1, c.first)
+			g.Observe(2, c.second)
+			for range c.refused {
+				acquire(g, Want{Instance: 2})
+				g.Release(0, 2, OutcomeRefused, 0)
+			}
+			chosen := 0
+			for range 100 {
+				waiter, _ := acquire(g, Want{Avoid: c.avoid})
+				if waiter.Granted == 2 {
+					chosen++
+				}
+				g.Release(0, waiter.Granted, OutcomeNeutral, 0)
+				g.Observe(1, c.first)
+				g.Observe(2, c.second)
+			}
+			is.True(chosen >= c.least && chosen <= c.most)
+		})
+	}
+}
+
+// An instance whose gate let nothing through is asked again by one request, after pauses
+// that grow, and gets its share once it has answered.
+func TestInstanceThatLetNothingThroughIsAskedByOneRequest(t *testing.T) {
+	is := is.New(t)
+	g := gate(Options{}, gatedNode(1), gatedNode(2))
+	fast := Load{Slots: 18, RunTime: 10 * time.Millisecond, Well: 1}
+	slow := Load{Slots: 18, RunTime: 300 * time.Millisecond, Well: 1}
+	g.Observe(1, slow)
+	g.Observe(2, fast)
+	asked := 0
+	for now := time.Duration(0); now < 4*time.Second; now += 10 * time.Millisecond {
+		waiter := &Waiter{Want: Want{GroupLimit: 10}, Notify: func() {}}
+		is.Equal(g.Acquire(now, waiter), Admitted)
+		outcome := OutcomeGood
+		if waiter.Granted == 2 {
+			asked++
+			outcome = OutcomeRefused
+		}
+		g.Release(now, waiter.Granted, outcome, 0)
+		g.Observe(1, slow)
+	}
+	is.True(asked >= 4 && asked <= 7)
+	g.Release(6*time.Second, 2, OutcomeGood, 0)
+	waiter := &Waiter{Want: Want{GroupLimit: 10}, Notify: func() {}}
+	is.Equal(g.Acquire(6*time.Second, waiter), Admitted)
+	is.Equal(waiter.Granted, InstanceID(2))
+}
--- a/admission/choose.go
+++ b/admission/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -17,15 +18,15 @@
 	if g.gated() {
 		return g.chooseGated(now, want)
 	}
-	local := g.candidates(now, func(i *instance) bool { return i.zone == want.Zone && i.id != want.Avoid })
+	local := g.candidates(now, func(i *instance) bool { return i.zone == want.Zone && !want.avoids(i.id) })
 	if len(local) > 0 {
 		return g.pick(now, local)
 	}
-	remote := g.candidates(now, func(i *instance) bool { return i.id != want.Avoid })
+	remote := g.candidates(now, func(i *instance) bool { return !want.avoids(i.id) })
 	if len(remote) > 0 {
 		return g.pick(now, remote)
 	}
-	if want.Avoid == 0 {
+	if len(want.Avoid) == 0 {
 		return nil
 	}
 	return g.pick(now, g.candidates(now, func(*instance) bool { return true }))
@@ -44,20 +45,25 @@
 // gated reports whether the pool's instances keep their own limits.
 func (g *Gate) gated() bool { return len(g.order) > 0 && g.order[0].gated }
 
+// avoids reports whether an instance has failed or refused the request.
+func (w *Want) avoids(id InstanceID) bool { return slices.Contains(w.Avoid, id) }
+
 // chooseGated returns the instance that is expected to answer first. One that has
-// just refused the request, or that is ejected, is taken only when there is no other.
+// just refused the request, that is ejected, or whose gate lets nothing through, is taken
+// only when there is no other.
 func (g *Gate) chooseGated(now time.Duration, want Want) *instance {
 	var best *instance
 	bestCost := math.Inf(1)
+	usual := g.usualRunTime()
 	for _, known := range g.order {
 		if known.draining {
 			continue
 		}
-		cost := g.gatedCost(known, now)
+		cost := g.gatedCost(known, usual, now)
 		if want.RemoteCost > 0 && known.zone != want.Zone {
 			cost *= want.RemoteCost
 		}
-		if known.id == want.Avoid || known.ejectedTill > now {
+		if want.avoids(known.id) || known.ejectedTill > now || known.refusedTill > now {
 			cost *= avoidedCost
 		}
 		if cost < bestCost {
@@ -77,16 +83,18 @@
 	// before its slots are all taken.
 	busyCost    = 1.0
 	spreadSteps = 1 << 10
-	// unmeasuredRunTime in milliseconds stands for an instance that has told nothing yet.
+	// unmeasuredRunTime in milliseconds stands for instances while none has told anything.
 	unmeasuredRunTime = 50
+	// leastWell bounds by how much an instance that fails its runs is put behind others.
+	leastWell = 0.05
 )
 
 // gatedCost is the time in milliseconds in which an instance is expected to answer,
 // by its own word and by what has been sent since.
-func (g *Gate) gatedCost(known *instance, now time.Duration) float64 {
+func (g *Gate) gatedCost(known *instance, usual float64, now time.Duration) float64 {
 	runTime := float64(known.load.RunTime) / float64(time.Millisecond)
 	if known.load.Slots == 0 {
-		runTime = unmeasuredRunTime
+		runTime = usual
 	}
 	if age := now - known.since; g.options.SlowStart > 0 && age < g.options.SlowStart {
 		runTime *= 2
@@ -96,9 +104,30 @@
 	if busy >= 1 {
 		cost += runTime * (busy - 1) * float64(known.slots)
 	}
+	if known.load.Slots > 0 {
+		// What fails is asked for again, if it may be, and is lost otherwise.
+		well := max(leastWell, known.load.Well)
+		cost /= well * well
+	}
 	return cost * (1 + costSpread*float64(g.options.Random(spreadSteps))/spreadSteps)
 }
 
+// usualRunTime is the mean run time in milliseconds of the instances that have told theirs:
+// one that has told nothing yet is hardly quicker, and may be cold.
+func (g *Gate) usualRunTime() float64 {
+	sum, count := 0.0, 0
+	for _, known := range g.order {
+		if known.load.Slots > 0 {
+			sum += float64(known.load.RunTime) / float64(time.Millisecond)
+			count++
+		}
+	}
+	if count == 0 {
+		return unmeasuredRunTime
+	}
+	return sum / float64(count)
+}
+
 // hasRoom compares what is in flight with the limit; a new instance's limit is
 // ramped up. A key's owner is not ramped: nobody else may take its requests.
 func (g *Gate) hasRoom(known *instance, now time.Duration, ramp bool) bool {
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -68,6 +68,10 @@
 	failures    int
 	ejectedTill time.Duration
 	ejections   int
+	// refusals counts those in a row that were not for want of room, and refusedTill is
+	// until when the instance is not asked again.
+	refusals    int
+	refusedTill time.Duration
 }
 
 const (
@@ -79,6 +83,11 @@
 	ejectMax        = 10 * time.Second
 	ejectFloorShare = 0.5
 	slowStartFloor  = 0.15
+	// refusedBase is how long a gate that lets nothing through is left alone at first; it
+	// doubles up to refusedMax, about as long as an instance takes to come up.
+	refusedBase      = 100 * time.Millisecond
+	refusedMax       = 2 * time.Second
+	refusedDoublings = 5
 )
 
 // NewGate returns a gate without instances.
@@ -105,6 +114,8 @@
 	Slots   int
 	// RunTime is the smoothed time that a request takes.
 	RunTime time.Duration
+	// Well is the share of runs that end well.
+	Well float64
 }
 
 // Observe takes a gated instance's word on its load.
@@ -153,8 +164,8 @@
 	Instance InstanceID
 	// Zone of the router; instances there are preferred while they have room.
 	Zone string
-	// Avoid is an instance that has just failed the request.
-	Avoid InstanceID
+	// Avoid are the instances that have failed or refused the request.
+	Avoid []InstanceID
 	// Deadline after which the request need not be sent any more.
 	Deadline time.Duration
 	// Ahead puts the request before new ones: it has been under way already.
@@ -177,10 +188,19 @@
 	queued bool
 }
 
-// take counts a request that is sent to the instance.
-func (i *instance) take() {
+// take counts a request that is sent to the instance. One that has refused is asked by a
+// single request first.
+func (i *instance) take(now time.Duration) {
 	i.inFlight++
 	i.sentSince++
+	if i.refusals > 0 {
+		i.refusedTill = now + i.refusedPause()
+	}
+}
+
+// refusedPause is how long an instance is left alone whose gate lets nothing through.
+func (i *instance) refusedPause() time.Duration {
+	return min(refusedMax, refusedBase<<min(i.refusals-1, refusedDoublings))
 }
 
 // Verdict is the answer to a request for a slot.
@@ -205,7 +225,7 @@
 	}
 	if len(g.queue) == 0 || g.gated() || waiter.Want.Ahead || waiter.Want.Instance != 0 {
 		if chosen := g.choose(now, waiter.Want); chosen != nil {
-			chosen.take()
+			chosen.take(now)
 			waiter.Granted = chosen.id
 			return Admitted
 		}
@@ -270,6 +290,8 @@
 	OutcomeShed
 	// OutcomeFailed: no connection, no answer, or a broken one.
 	OutcomeFailed
+	// OutcomeRefused: the gate in front of the instance lets nothing through to it.
+	OutcomeRefused
 	// OutcomeNeutral says nothing, for example when the caller went away.
 	OutcomeNeutral
 )
@@ -287,10 +309,15 @@
 	switch outcome {
 	case OutcomeGood:
 		known.failures = 0
+		known.refusals, known.refusedTill = 0, 0
 		known.ejections = 0
 		known.limit = math.Min(float64(known.slots), known.limit+growStep/known.limit)
 		known.latency = latencyKeep*known.latency + (1-latencyKeep)*float64(latency)/float64(time.Millisecond)
+	case OutcomeRefused:
+		known.refusals++
+		known.refusedTill = now + known.refusedPause()
 	case OutcomeShed:
+		known.refusals, known.refusedTill = 0, 0
 		if !g.options.FixedLimits {
 			known.limit = math.Max(1, known.limit*shedFactor)
 		}
@@ -335,7 +362,7 @@
 			kept = append(kept, waiter)
 			continue
 		}
-		chosen.take()
+		chosen.take(now)
 		g.leaveQueue(waiter)
 		waiter.Granted = chosen.id
 		granted = append(granted, waiter)
--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -66,6 +66,7 @@
 	suspect chan struct{}
 	probe   *coldProbe
 	pace    pace
+	success success
 	// zoneSeen is the newest change of the zone that has been taken in.
 	zoneSeen time.Duration
 }
@@ -129,6 +130,7 @@
 		i.leavingSince = 0
 		i.probe.doubt("another start")
 		i.pace.forget()
+		i.success.forget()
 		i.gate.resize(i.usable(announced.Slots))
 		i.logger.Info("instance_started", zap.String("instance", announced.ID), zap.String("before", before.ID),
 			zap.String("service", announced.Service), zap.Int("slots", announced.Slots), zap.String("version", announced.Version), zap.Uint64("sequence", announced.Sequence))
--- a/ingress/passage.go
+++ b/ingress/passage.go
@@ -149,6 +149,7 @@
 	i.buildOut(request, p)
 	p.sent = clock.Now()
 	result := i.send(p)
+	i.noteEnd(result)
 	i.runs.Observe((clock.Now() - p.sent).Seconds())
 	switch result.state {
 	case exchangeAnswered:
@@ -169,6 +170,16 @@
 	i.end(p)
 }
 
+// noteEnd takes how a run ended, as far as that says something of the instance.
+func (i *Ingress) noteEnd(result *exchange) {
+	switch {
+	case result.state == exchangeAnswered:
+		i.instance.success.ended(result.response.StatusCode() < fasthttp.StatusInternalServerError, clock.Now())
+	case result.state == exchangeOpen && result.reason != reasonCallerGone:
+		i.instance.success.ended(false, clock.Now())
+	}
+}
+
 // end gives the request's slot back.
 func (i *Ingress) end(p *passage) {
 	ran := time.Duration(0)
@@ -267,7 +278,8 @@
 func (i *Ingress) tellLoad(response *fasthttp.Response) {
 	load := i.gate.load()
 	text := strconv.AppendInt(nil, int64(load.running), 10)
-	for _, number := range []int64{int64(load.waiting), int64(load.slots), load.runTime.Milliseconds()} {
+	wellPermille := int64(i.instance.success.share(clock.Now()) * permille)
+	for _, number := range []int64{int64(load.waiting), int64(load.slots), load.runTime.Milliseconds(), wellPermille} {
 		text = append(text, ',')
 		text = strconv.AppendInt(text, number, 10)
 	}
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -208,12 +208,15 @@
 	}
 	return admission.Load{
 		Running: numbers[0], Waiting: numbers[1], Slots: numbers[2],
-		RunTime: time.Duration(numbers[3]) * time.Millisecond,
+		RunTime: time.Duration(numbers[3]) * time.Millisecond, Well: float64(numbers[4]) / permille,
 	}
 }
 
 // loadParts is how many numbers wire.HeaderLoad has.
-const loadParts = 4
+const (
+	loadParts = 5
+	permille  = 1000
+)
 
 // identityLength is what fasthttp reports for an answer that ends with the connection.
 const identityLength = -2
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -64,7 +64,7 @@
 func (r *Router) proxy(request *fasthttp.RequestCtx, p *proxied) bool {
 	held := newHold(p)
 	open := false // an attempt whose outcome is unknown has been made
-	var avoid admission.InstanceID
+	var avoid []admission.InstanceID
 	for number := 1; ; number++ {
 		node, refused := r.choose(p, held, avoid, number > 1)
 		if refused.refused() {
@@ -80,14 +80,14 @@
 		if result.state == attemptAnswered {
 			return r.answer(request, p, result, id, sent)
 		}
-		p.service.pool.release(id, instanceOutcome(result), clock.Now()-sent)
+		p.service.pool.release(id, instanceOutcome(p, result), clock.Now()-sent)
 		r.noteAttempt(p, node, result)
 		open = open || result.state == attemptOpen
 		if !r.mayRetry(p, held, result, number) {
 			r.endAfter(request, p, open, result)
 			return false
 		}
-		avoid = id
+		avoid = append(avoid, id)
 	}
 }
 
@@ -101,12 +101,14 @@
 	}
 }
 
-func instanceOutcome(result *attempt) admission.Outcome {
+func instanceOutcome(p *proxied, result *attempt) admission.Outcome {
 	switch {
 	case result.reason == refuseCallerGone.reason, result.reason == refuseDeadline.reason:
 		return admission.OutcomeNeutral
 	case result.state == attemptNotRun && result.reason == wire.BackendReasonFull:
 		return admission.OutcomeShed
+	case result.state == attemptNotRun && !result.reached && !p.service.spec.Keyed:
+		return admission.OutcomeRefused
 	case result.state == attemptNotRun:
 		return admission.OutcomeNeutral
 	}
@@ -134,7 +136,7 @@
 const unroutedRemoteCost = 1.5
 
 // choose waits for the owner or for an instance, and for a slot there.
-func (r *Router) choose(p *proxied, held *hold, avoid admission.InstanceID, ahead bool) (*wire.NodeView, refusal) {
+func (r *Router) choose(p *proxied, held *hold, avoid []admission.InstanceID, ahead bool) (*wire.NodeView, refusal) {
 	want := admission.Want{
 		Zone: r.preferredZone(p), Deadline: p.deadline, Ahead: ahead, Avoid: avoid,
 		Group: p.service.name, GroupLimit: p.service.spec.QueueLength, RemoteCost: p.remoteCost(),
--- a/router/routes.go
+++ b/router/routes.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -145,10 +146,22 @@
 	credit []float64
 }
 
+// newSplitter begins anywhere in the round: where hundreds of routers see a few requests
+// each, the largest share would otherwise get the first one of every router.
 func newSplitter(shares []routing.Share) *splitter {
-	return &splitter{shares: shares, credit: make([]float64, len(shares))}
+	s := &splitter{shares: shares, credit: make([]float64, len(shares))}
+	if len(shares) > 1 {
+		for range rand.IntN(splitterStarts) {
+			s.next()
+		}
+	}
+	return s
 }
 
+// splitterStarts is how many places there are to begin at: weights are mostly percentages,
+// whose round has a hundred steps.
+const splitterStarts = 100
+
 // serves reports whether the splitter spreads over the same shares.
 func (s *splitter) serves(shares []routing.Share) bool {
 	if len(shares) != len(s.shares) {
--- /dev/null
+++ b/router/split_test.go
@@ -0,0 +1,41 @@
+package router
+
+import (
+	"math"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"limehold/routing"
+)
+
+// Hundreds of routers that see a few requests each give every share its part in sum.
+func TestSharesAreRightInSumOverManyRouters(t *testing.T) {
+	const routers, requests = 280, 200
+	for name, weights := range map[string][]float64{
+		"halves": {50, 50}, "seven to three": {70, 30}, "nine to one": {90, 10}, "small numbers": {2, 1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			total := 0.0
+			var shares []routing.Share
+			for i, weight := range weights {
+				shares = append(shares, routing.Share{Service: string(rune('a' + i)), Weight: weight})
+				total += weight
+			}
+			splitters := make([]*splitter, routers)
+			for i := range splitters {
+				splitters[i] = newSplitter(shares)
+			}
+			counts := map[string]float64{}
+			for i := range requests {
+				counts[splitters[i%routers].next()]++
+			}
+			for i, share := range shares {
+				// Four times the deviation that drawing each request would have.
+				part := weights[i] / total
+				is.True(math.Abs(counts[share.Service]/requests-part) < 4*math.Sqrt(part*(1-part)/requests))
+			}
+		})
+	}
+}
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -28,7 +28,8 @@
 	// which the request has not reached.
 	HeaderInFront = "Limehold-In-Front"
 	// HeaderLoad on an ingress's answer tells its load: requests that run, requests
-	// that wait, slots, and the smoothed time in milliseconds that one takes.
+	// that wait, slots, the smoothed time in milliseconds that one takes, and how many of a
+	// thousand runs end well.
 	HeaderLoad = "Limehold-Load"
 	// HeaderRoute, HeaderPriority and HeaderTarget tell the ingress the route, its
 	// rank (0 is the highest) and what is left of its target latency in milliseconds.
