Large answers are sent one after the other at the link's speed; cold probes come to an end

Change: ingress.link_mbps (a setting of the machine). A large answer is read whole, gives the slot back, and waits for its turn on 85% of the link, the shorter one first, late ones last; a request whose answer would wait longer than it may is refused at once with the time until there is room. Routers learn for how long the link is taken.

--- a/admission/choose.go
+++ b/admission/choose.go
@@ -60,6 +60,9 @@
 			continue
 		}
 		cost := g.gatedCost(known, usual, now)
+		if want.Large {
+			cost += float64(known.load.Link) / float64(time.Millisecond)
+		}
 		if want.RemoteCost > 0 && known.zone != want.Zone {
 			cost *= want.RemoteCost
 		}
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -116,6 +116,8 @@
 	RunTime time.Duration
 	// Well is the share of runs that end well.
 	Well float64
+	// Link is for how long the link is taken by large answers.
+	Link time.Duration
 }
 
 // Observe takes a gated instance's word on its load.
@@ -173,6 +175,8 @@
 	// RemoteCost is the factor by which a gated instance of another zone must be
 	// expected to be quicker than one of the router's own. Zero: zones are alike.
 	RemoteCost float64
+	// Large is set for requests with large answers: they wait for the instance's link.
+	Large bool
 	// Group and GroupLimit bound how many requests of one service wait.
 	Group      string
 	GroupLimit int
--- a/ingress/coldprobe.go
+++ b/ingress/coldprobe.go
@@ -43,6 +43,12 @@
 func (p *coldProbe) doubt(cause string) {
 	p.instance.gate.changeCold(func(c *coldStart) { c.doubt(clock.Now()) })
 	p.instance.logger.Info("instance_may_be_cold", zap.String("cause", cause))
+	p.settle()
+}
+
+// settle has the instance asked if there is a doubt. The bound of its service may become
+// known after the doubt has arisen: an ingress that has just come up has no route table.
+func (p *coldProbe) settle() {
 	select {
 	case p.wake <- struct{}{}:
 	default:
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -176,7 +176,7 @@
 		}
 		result.whole = true
 		conn.Close()
-	case length >= 0 && length <= wholeLimit:
+	case length >= 0 && (length <= wholeLimit || i.link.mayHold(length)):
 		if err := readWhole(response, length); err != nil {
 			fail(reasonBrokenAnswer, eris.Wrapf(err, "read answer body of instance %s", p.seen.id))
 			return
--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -159,6 +159,14 @@
 	g.admitNext()
 }
 
+// coldBound is how many requests a second the instance is sent while it is cold; zero: it
+// is not bounded.
+func (g *gate) coldBound() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.cold.perSecond
+}
+
 // mayBeCold reports whether the instance has to be asked whether it is cold.
 func (g *gate) mayBeCold() bool {
 	g.mutex.Lock()
@@ -252,6 +260,13 @@
 	return g.patience(request)
 }
 
+// routeTimeOf is routeTime, for callers that do not hold the gate's mutex.
+func (g *gate) routeTimeOf(route string) time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.routeTime(route)
+}
+
 // routeTime is the smoothed time that a route's requests occupy a slot.
 func (g *gate) routeTime(route string) time.Duration {
 	if known := g.byRoute[route]; known != nil {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -52,6 +52,7 @@
 	server    *fasthttp.Server
 	instance  *Instance
 	gate      *gate
+	link      *link
 	upstreams *upstream.Pool
 	hangups   *hangup.Watcher
 	stopping  atomic.Bool
@@ -86,6 +87,7 @@
 	i := &Ingress{
 		options: options, logger: options.Logger, listener: listener,
 		gate:      newGate(options.Settings.Ingress.QueueTime),
+		link:      newLink(options.Settings.Ingress.LinkMbps),
 		upstreams: upstream.NewPool(instanceIdle), hangups: hangup.NewWatcher(),
 	}
 	i.instance = newInstance(options, i.gate)
--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -148,17 +148,31 @@
 	return true
 }
 
-// takeCold takes what an announcement says of a cold start, and how many requests the
-// instance then bears.
+// takeCold takes what an announcement says of a cold start.
 func (i *Instance) takeCold(announced Announcement, now time.Duration) {
+	i.gate.changeCold(func(c *coldStart) { c.told(announced.Cold, now) })
+	i.boundCold(announced.Service, now)
+	i.probe.settle()
+}
+
+// unknownColdPerSecond is how many requests a second a cold instance is sent of whose
+// service the route table has not come yet: fewer than any deployment has its own bear.
+const unknownColdPerSecond = 10
+
+// boundCold takes how many requests the instance bears while it is cold, by the route table
+// that is in force here now.
+func (i *Instance) boundCold(service string, now time.Duration) {
 	perSecond := 0
 	if i.options.Service != nil {
-		perSecond = i.options.Service(announced.Service).ColdPerSecond
+		told := i.options.Service(service)
+		perSecond = told.ColdPerSecond
+		if told.Name == "" {
+			perSecond = unknownColdPerSecond
+		}
+	}
+	if i.gate.coldBound() != perSecond {
+		i.gate.changeCold(func(c *coldStart) { c.bound(perSecond, now) })
 	}
-	i.gate.changeCold(func(c *coldStart) {
-		c.bound(perSecond, now)
-		c.told(announced.Cold, now)
-	})
 }
 
 // healthPath is at which path the instance that runs now says how it is; empty: at none.
--- /dev/null
+++ b/ingress/link.go
@@ -0,0 +1,221 @@
+package ingress
+
+import (
+	"sync"
+	"time"
+
+	"limehold/clock"
+)
+
+// link shares the machine's link among the instance's large answers. Left to themselves,
+// all of them are under way side by side: each is late, and the small answers of other
+// requests, for which callers elsewhere hold slots, wait behind them. Here one goes after
+// the other, and a request whose answer would wait too long is not let in.
+//
+// Invariants:
+//   - Large answers together take no more than rate bytes a second of the link.
+//   - Of the answers that wait, one that is still in time goes before one that is late, and
+//     among these the shorter one.
+//   - Every answer gets its turn, unless its caller leaves.
+type link struct {
+	// rate in bytes a second; zero: the link's speed is not known, and nothing waits.
+	rate float64
+
+	mutex sync.Mutex
+	// freeAt is when what has had its turn will have been sent.
+	freeAt  time.Duration
+	waiting []*transfer
+	// queued is the size in bytes of those that wait.
+	queued float64
+	// coming is the expected size of answers whose requests run or wait for a slot.
+	coming float64
+	// sizes are the smoothed sizes of the routes' answers.
+	sizes map[string]float64
+	timer *time.Timer
+}
+
+// transfer is one answer that waits for its turn.
+type transfer struct {
+	size float64
+	// due is when it has to be sent to be in time.
+	due  time.Duration
+	turn chan struct{}
+}
+
+const (
+	// linkShare is the part of the link for large answers; the rest is for small ones, for
+	// what the router beside the ingress sends, and for packets that are sent again.
+	linkShare = 0.85
+	// largeAnswer is the size in bytes from which answers wait for the link: a tenth of a
+	// second's worth of a hundred answers of a kilobyte.
+	largeAnswer = 16 << 10
+	// heldLimit bounds the bytes of answers that wait; answers beyond it are streamed.
+	heldLimit = 24 << 20
+	// heldAnswer is the largest answer that is held.
+	heldAnswer = 2 << 20
+	// sizeKeep is how much of a route's smoothed size an answer leaves.
+	sizeKeep = 0.95
+	// bytesAMegabit is how many bytes a second a megabit a second is.
+	bytesAMegabit = 1e6 / 8
+	// maxSizes bounds the routes whose sizes are kept.
+	maxSizes = 1024
+	// turnAtOnce is how much earlier than the link is free a turn may be given.
+	turnAtOnce = time.Millisecond
+)
+
+// newLink takes the link's speed in megabits a second.
+func newLink(megabits float64) *link {
+	return &link{rate: megabits * bytesAMegabit * linkShare, sizes: map[string]float64{}}
+}
+
+// paced reports whether answers wait for the link at all.
+func (l *link) paced() bool { return l.rate > 0 }
+
+// expected is the size in bytes of a route's next answer; zero for small ones.
+func (l *link) expected(route string) float64 {
+	if size := l.sizes[route]; size >= largeAnswer {
+		return size
+	}
+	return 0
+}
+
+// wait is how long the answer to a request of a route would wait for the link if it came
+// now, and its own time on it included; zero for routes with small answers.
+func (l *link) wait(route string, now time.Duration) time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	size := l.expected(route)
+	if !l.paced() || size == 0 {
+		return 0
+	}
+	return l.backlog(now) + l.time(size)
+}
+
+// backlog is how long the link is taken by what waits, and by what is expected of requests
+// under way.
+func (l *link) backlog(now time.Duration) time.Duration {
+	return max(0, l.freeAt-now) + l.time(l.queued+l.coming)
+}
+
+// load is the backlog, for routers that choose among instances.
+func (l *link) load(now time.Duration) time.Duration {
+	if !l.paced() {
+		return 0
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.backlog(now)
+}
+
+func (l *link) time(size float64) time.Duration {
+	return time.Duration(size / l.rate * float64(time.Second))
+}
+
+// begin counts a request that was let in; end must follow with what it returns.
+func (l *link) begin(route string) float64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	size := l.expected(route)
+	l.coming += size
+	return size
+}
+
+// end takes back what begin returned: the answer is there, or there is none.
+func (l *link) end(expected float64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.coming = max(0, l.coming-expected)
+}
+
+// learn takes the size of a route's answer.
+func (l *link) learn(route string, size int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	known, seen := l.sizes[route]
+	if !seen {
+		if len(l.sizes) >= maxSizes {
+			return
+		}
+		known = float64(size)
+	}
+	l.sizes[route] = known*sizeKeep + float64(size)*(1-sizeKeep)
+}
+
+// mayHold reports whether an answer of a size may be held until its turn.
+func (l *link) mayHold(size int) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.paced() && size >= largeAnswer && size <= heldAnswer && l.queued+float64(size) <= heldLimit
+}
+
+// await returns when it is an answer's turn, or when its caller has left.
+func (l *link) await(size int, due time.Duration, cancelled <-chan struct{}) {
+	mine := &transfer{size: float64(size), due: due, turn: make(chan struct{})}
+	l.mutex.Lock()
+	l.waiting = append(l.waiting, mine)
+	l.queued += mine.size
+	l.next()
+	l.mutex.Unlock()
+	select {
+	case <-mine.turn:
+	case <-cancelled:
+		l.leave(mine)
+	}
+}
+
+// leave gives up a turn; one that has come already stays taken.
+func (l *link) leave(mine *transfer) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for i, other := range l.waiting {
+		if other == mine {
+			l.remove(i)
+			return
+		}
+	}
+}
+
+func (l *link) remove(i int) {
+	l.queued = max(0, l.queued-l.waiting[i].size)
+	l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
+}
+
+// next gives turns for as long as the link is free, and sets a timer for the next one.
+func (l *link) next() {
+	for len(l.waiting) > 0 {
+		now := clock.Now()
+		if free := l.freeAt - now; free > turnAtOnce {
+			l.after(free)
+			return
+		}
+		i := l.first(now)
+		chosen := l.waiting[i]
+		l.remove(i)
+		l.freeAt = max(l.freeAt, now) + l.time(chosen.size)
+		close(chosen.turn)
+	}
+}
+
+// first is which of the waiting answers goes next.
+func (l *link) first(now time.Duration) int {
+	best := 0
+	for i, other := range l.waiting {
+		late, bestLate := other.due < now+l.time(other.size), l.waiting[best].due < now+l.time(l.waiting[best].size)
+		if late != bestLate && !late || late == bestLate && other.size < l.waiting[best].size {
+			best = i
+		}
+	}
+	return best
+}
+
+func (l *link) after(free time.Duration) {
+	if l.timer != nil {
+		return
+	}
+	l.timer = time.AfterFunc(free, func() {
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		l.timer = nil
+		l.next()
+	})
+}
--- a/ingress/passage.go
+++ b/ingress/passage.go
@@ -33,9 +33,11 @@
 	deadline  time.Duration
 	arrived   time.Duration
 	sent      time.Duration
-	seen      view
-	out       *fasthttp.Request
-	watched   *hangup.Watched
+	// coming is what the link expects of the answer; see link.begin.
+	coming  float64
+	seen    view
+	out     *fasthttp.Request
+	watched *hangup.Watched
 
 	tracker *upstream.Tracker
 }
@@ -61,6 +63,12 @@
 		i.hangups.Remove(p.watched)
 		return
 	}
+	if wait, allowed := i.linkWait(p); wait > allowed {
+		i.refuse(request, p, wire.BackendReasonFull, wait-allowed)
+		i.hangups.Remove(p.watched)
+		return
+	}
+	p.coming = i.link.begin(p.route)
 	switch i.gate.enter(p.asked(), p.tracker.Cancelled()) {
 	case entryFull:
 		i.refuse(request, p, wire.BackendReasonFull, i.gate.retryAfter())
@@ -72,9 +80,20 @@
 		i.pass(request, p)
 		return
 	}
+	i.link.end(p.coming)
 	i.hangups.Remove(p.watched)
 }
 
+// linkWait is how long the request's answer is expected to wait for the link, and how long
+// it may: it runs meanwhile, and has to be in time after both.
+func (i *Ingress) linkWait(p *passage) (wait, allowed time.Duration) {
+	wait = i.link.wait(p.route, clock.Now())
+	if wait == 0 {
+		return 0, 0
+	}
+	return wait, i.gate.patienceOf(p.asked()) + i.gate.routeTimeOf(p.route)
+}
+
 // awaitKeys waits for the instance to be told of the request's key, if that is due within
 // the time for which the request could wait for a slot. Otherwise it returns at once, with
 // the time after which the request should come back.
@@ -119,6 +138,7 @@
 // refusal returns why the request may not go to the instance; empty: it may.
 func (i *Ingress) refusal(p *passage, now time.Duration) string {
 	p.seen = i.instance.view(now)
+	i.instance.boundCold(p.service, now)
 	zoneRefused := i.instance.zoneRefusal(p.keyed, now)
 	switch {
 	case i.stopping.Load():
@@ -180,13 +200,24 @@
 	}
 }
 
-// end gives the request's slot back.
+// end gives the request's slot back, and forgets it.
 func (i *Ingress) end(p *passage) {
+	i.leave(p)
+	i.forget(p)
+}
+
+// leave gives the request's slot back: the instance does nothing for it any more.
+func (i *Ingress) leave(p *passage) {
 	ran := time.Duration(0)
 	if p.sent > 0 {
 		ran = clock.Now() - p.sent
 	}
 	i.gate.leave(p.route, p.returning, ran)
+	i.link.end(p.coming)
+}
+
+// forget drops what is kept of a request while its caller may leave.
+func (i *Ingress) forget(p *passage) {
 	i.hangups.Remove(p.watched)
 	if p.out != nil {
 		fasthttp.ReleaseRequest(p.out)
@@ -236,10 +267,7 @@
 		request.SetConnectionClose()
 	}
 	i.outcomes.WithLabelValues(wire.OutcomeOK, "").Inc()
-	if line := i.logger.Check(zap.InfoLevel, logging.EventPassed); line != nil {
-		line.Write(zap.String("request", p.requestID), zap.String("attempt", p.attemptID), zap.String("instance", p.seen.id),
-			zap.Int("status", response.StatusCode()), zap.Duration("waited", p.sent-p.arrived), zap.Duration("ran", clock.Now()-p.sent))
-	}
+	ran := clock.Now() - p.sent
 	if result.whole {
 		if p.head {
 			response.Header.SetContentLength(result.response.Header.ContentLength())
@@ -247,15 +275,38 @@
 		} else {
 			response.SetBodyRaw(result.response.Body())
 		}
+		body := len(result.response.Body())
 		fasthttp.ReleaseResponse(result.response)
-		i.end(p)
+		i.leave(p)
+		i.awaitLink(p, body)
+		i.forget(p)
+		i.logPassed(p, response.StatusCode(), body, ran)
 		return
 	}
+	i.logPassed(p, response.StatusCode(), result.response.Header.ContentLength(), ran)
 	p.tracker.Track(result.conn)
 	body := &answerBody{ingress: i, passage: p, exchange: result, stream: result.response.BodyStream()}
 	response.SetBodyStream(body, result.response.Header.ContentLength())
 }
 
+// logPassed says how long the request waited for a slot, ran, and waited for the link. The
+// size in bytes is negative where the instance does not say it.
+func (i *Ingress) logPassed(p *passage, status, size int, ran time.Duration) {
+	if line := i.logger.Check(zap.InfoLevel, logging.EventPassed); line != nil {
+		line.Write(zap.String("request", p.requestID), zap.String("attempt", p.attemptID), zap.String("instance", p.seen.id),
+			zap.String("route", p.route), zap.Int("priority", p.priority), zap.Int("status", status), zap.Int("size", size), zap.Duration("target", p.target),
+			zap.Duration("waited", p.sent-p.arrived), zap.Duration("ran", ran), zap.Duration("link", clock.Now()-p.sent-ran))
+	}
+}
+
+// awaitLink holds an answer that is there whole until it is its turn to be sent.
+func (i *Ingress) awaitLink(p *passage, size int) {
+	i.link.learn(p.route, size)
+	if i.link.mayHold(size) {
+		i.link.await(size, p.arrived+p.target, p.tracker.Cancelled())
+	}
+}
+
 // refuse answers a request that the instance has not seen.
 func (i *Ingress) refuse(request *fasthttp.RequestCtx, p *passage, reason string, retryAfter time.Duration) {
 	i.write(request, p, fasthttp.StatusServiceUnavailable, wire.OutcomeNotRun, reason)
@@ -264,7 +315,7 @@
 		load := i.gate.load()
 		line.Write(zap.String("request", p.requestID), zap.String("attempt", p.attemptID), zap.String("reason", reason),
 			zap.String("instance", p.seen.id), zap.Int("running", load.running), zap.Int("waiting", load.waiting), zap.Int("slots", load.slots),
-			zap.Bool("returning", p.returning), zap.Uint32("shard", p.shard), zap.Uint64("epoch", p.epoch), zap.Duration("waited", clock.Now()-p.arrived))
+			zap.Bool("returning", p.returning), zap.String("route", p.route), zap.Duration("target", p.target), zap.Uint32("shard", p.shard), zap.Uint64("epoch", p.epoch), zap.Duration("waited", clock.Now()-p.arrived))
 	}
 	if retryAfter > 0 {
 		request.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
@@ -279,7 +330,7 @@
 	load := i.gate.load()
 	text := strconv.AppendInt(nil, int64(load.running), 10)
 	wellPermille := int64(i.instance.success.share(clock.Now()) * permille)
-	for _, number := range []int64{int64(load.waiting), int64(load.slots), load.runTime.Milliseconds(), wellPermille} {
+	for _, number := range []int64{int64(load.waiting), int64(load.slots), load.runTime.Milliseconds(), wellPermille, i.link.load(clock.Now()).Milliseconds()} {
 		text = append(text, ',')
 		text = strconv.AppendInt(text, number, 10)
 	}
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -209,12 +209,13 @@
 	return admission.Load{
 		Running: numbers[0], Waiting: numbers[1], Slots: numbers[2],
 		RunTime: time.Duration(numbers[3]) * time.Millisecond, Well: float64(numbers[4]) / permille,
+		Link: time.Duration(numbers[5]) * time.Millisecond,
 	}
 }
 
 // loadParts is how many numbers wire.HeaderLoad has.
 const (
-	loadParts = 5
+	loadParts = 6
 	permille  = 1000
 )
 
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -129,7 +129,12 @@
 	if p.routed == nil {
 		return unroutedRemoteCost
 	}
-	return p.routed.learned.remoteCost(p.routed.route.Kind == routing.KindDownload)
+	return p.routed.learned.remoteCost(p.large())
+}
+
+// large reports whether the request's answer is a large one.
+func (p *proxied) large() bool {
+	return p.routed != nil && p.routed.route.Kind == routing.KindDownload
 }
 
 // unroutedRemoteCost stands for requests whose route has no target latency.
@@ -139,7 +144,7 @@
 func (r *Router) choose(p *proxied, held *hold, avoid []admission.InstanceID, ahead bool) (*wire.NodeView, refusal) {
 	want := admission.Want{
 		Zone: r.preferredZone(p), Deadline: p.deadline, Ahead: ahead, Avoid: avoid,
-		Group: p.service.name, GroupLimit: p.service.spec.QueueLength, RemoteCost: p.remoteCost(),
+		Group: p.service.name, GroupLimit: p.service.spec.QueueLength, RemoteCost: p.remoteCost(), Large: p.large(),
 	}
 	for {
 		var node *wire.NodeView
--- a/router/routes.go
+++ b/router/routes.go
@@ -20,6 +20,7 @@
 	document routing.Document
 	index    *routing.Index
 	routes   map[*routing.Route]*routedRoute
+	services map[string]*routing.Service
 }
 
 // routedRoute is one route with what the router needs of it.
@@ -43,10 +44,13 @@
 			earlier[known.route.Name] = known
 		}
 	}
-	next := &routeTable{document: before.Edited(change), routes: map[*routing.Route]*routedRoute{}}
+	next := &routeTable{document: before.Edited(change), routes: map[*routing.Route]*routedRoute{}, services: map[string]*routing.Service{}}
 	next.index = routing.NewIndex(&next.document)
 	limits := next.document.Limits()
 	for i := range next.document.Items {
+		if service := next.document.Items[i].Service; service != nil {
+			next.services[service.Name] = service
+		}
 		route := next.document.Items[i].Route
 		if route == nil {
 			continue
@@ -256,7 +260,7 @@
 	if r.table.routes == nil {
 		return routing.Service{}
 	}
-	service := r.table.routes.document.Service(name)
+	service := r.table.routes.services[name]
 	if service == nil {
 		return routing.Service{}
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -236,6 +236,10 @@
 	// HeartbeatWait is how long the answer to a heartbeat may wait for something new to
 	// tell, in the way heartbeat. Zero: it never waits. Default 0s.
 	HeartbeatWait time.Duration `yaml:"heartbeat_wait"`
+	// LinkMbps is the speed of the machine's link in megabits a second: large answers of
+	// the instance are sent one after the other at a little less. Zero: it is not known,
+	// and they are sent side by side. Default 0.
+	LinkMbps float64 `yaml:"link_mbps"`
 	// StopTime is how long a stopping sidecar finishes requests. Default 5s.
 	StopTime time.Duration `yaml:"stop_time"`
 	// StopNotice is how long, of that, it takes new requests of other machines: nobody
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -29,7 +29,7 @@
 	HeaderInFront = "Limehold-In-Front"
 	// HeaderLoad on an ingress's answer tells its load: requests that run, requests
 	// that wait, slots, the smoothed time in milliseconds that one takes, and how many of a
-	// thousand runs end well.
+	// thousand runs end well, and for how many milliseconds its link is taken.
 	HeaderLoad = "Limehold-Load"
 	// HeaderRoute, HeaderPriority and HeaderTarget tell the ingress the route, its
 	// rank (0 is the highest) and what is left of its target latency in milliseconds.
