Large answers go in pieces and make room for all else; short requests may wait longer

A booking kept its slot for 690 ms in place of some 400. And calls were refused when 115 ms of wait were foreseen, though 800 were left and the caller's slot and run were lost with them: a fifth of the lookups' runs ended in a failure. Change: what router and ingress send otherwise is counted on the link before large answers; these go in pieces of 16 KiB; requests that return after a refusal get a quarter of the backlog. A request shorter than half of the mean may wait for 0.6 of the time left.

--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -246,11 +246,17 @@
 }
 
 // patience is how long a request may wait for a slot: as long as it can be served
-// within its target latency, or else for the share of the settings.
+// within its target latency, or else for the share of the settings. One that is short may
+// wait longer: it takes little of the instance, and mostly is the call of another instance,
+// which keeps a slot meanwhile and has worked for nothing if it is refused.
 func (g *gate) patience(request asked) time.Duration {
 	share := time.Duration(float64(request.target) * g.queueTime)
 	inTime := request.target - runsReserved*g.routeTime(request.route)/runsWhole
-	return min(max(share, inTime), request.left)
+	patience := max(share, inTime)
+	if shortRuns*g.routeTime(request.route) < g.runTime {
+		patience = max(patience, time.Duration(float64(request.left)*shortPatience))
+	}
+	return min(patience, request.left)
 }
 
 // patienceOf is patience, for callers that do not hold the gate's mutex.
@@ -280,6 +286,11 @@
 	// hand so that it can still be served within its target latency.
 	runsReserved = 3
 	runsWhole    = 2
+	// shortRuns of a short request's run time are less than the mean of all that the
+	// instance runs.
+	shortRuns = 2
+	// shortPatience is the share of the time left until its deadline that it may wait.
+	shortPatience = 0.6
 )
 
 func (g *gate) await(mine *ticket, patience time.Duration, cancelled <-chan struct{}) entry {
--- a/ingress/link.go
+++ b/ingress/link.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"io"
 	"sync"
 	"time"
 
@@ -10,10 +11,12 @@
 // link shares the machine's link among the instance's large answers. Left to themselves,
 // all of them are under way side by side: each is late, and the small answers of other
 // requests, for which callers elsewhere hold slots, wait behind them. Here one goes after
-// the other, and a request whose answer would wait too long is not let in.
+// the other, a piece at a time, so that what is small passes between the pieces; and a
+// request whose answer would wait too long is not let in.
 //
 // Invariants:
-//   - Large answers together take no more than rate bytes a second of the link.
+//   - Large answers and what else is known to be sent take no more than rate bytes a second
+//     of the link together; the latter never waits.
 //   - Of the answers that wait, one that is still in time goes before one that is late, and
 //     among these the shorter one.
 //   - Every answer gets its turn, unless its caller leaves.
@@ -40,12 +43,16 @@
 	// due is when it has to be sent to be in time.
 	due  time.Duration
 	turn chan struct{}
+	// starts is when its first piece may be written, once turn is closed.
+	starts time.Duration
 }
 
 const (
-	// linkShare is the part of the link for large answers; the rest is for small ones, for
-	// what the router beside the ingress sends, and for packets that are sent again.
-	linkShare = 0.85
+	// linkShare is the part of the link that is planned: the rest is for packets' heads, for
+	// packets that are sent again, and for connections that open and close.
+	linkShare = 0.9
+	// pieceBytes is how much of an answer is written at once: 13 ms of a link of 10 Mbit/s.
+	pieceBytes = 16 << 10
 	// largeAnswer is the size in bytes from which answers wait for the link: a tenth of a
 	// second's worth of a hundred answers of a kilobyte.
 	largeAnswer = 16 << 10
@@ -97,6 +104,16 @@
 	return max(0, l.freeAt-now) + l.time(l.queued+l.coming)
 }
 
+// sent notes bytes that went over the link without waiting for a turn.
+func (l *link) sent(bytes int, now time.Duration) {
+	if !l.paced() {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.freeAt = max(l.freeAt, now) + l.time(float64(bytes))
+}
+
 // load is the backlog, for routers that choose among instances.
 func (l *link) load(now time.Duration) time.Duration {
 	if !l.paced() {
@@ -148,8 +165,9 @@
 	return l.paced() && size >= largeAnswer && size <= heldAnswer && l.queued+float64(size) <= heldLimit
 }
 
-// await returns when it is an answer's turn, or when its caller has left.
-func (l *link) await(size int, due time.Duration, cancelled <-chan struct{}) {
+// await returns when it is an answer's turn, with the time at which that begins; or when
+// its caller has left.
+func (l *link) await(size int, due time.Duration, cancelled <-chan struct{}) time.Duration {
 	mine := &transfer{size: float64(size), due: due, turn: make(chan struct{})}
 	l.mutex.Lock()
 	l.waiting = append(l.waiting, mine)
@@ -158,9 +176,45 @@
 	l.mutex.Unlock()
 	select {
 	case <-mine.turn:
+		return mine.starts
 	case <-cancelled:
 		l.leave(mine)
 	}
+	return clock.Now()
+}
+
+// pacedBody is an answer on its way over the link: a piece at a time, at the link's rate.
+type pacedBody struct {
+	link *link
+	// rest has not been read yet; begun is when its first piece may go.
+	rest  []byte
+	begun time.Duration
+	// closed is called once, when the server is done with the answer.
+	closed func()
+}
+
+// Read implements io.Reader.
+func (b *pacedBody) Read(data []byte) (int, error) {
+	if len(b.rest) == 0 {
+		return 0, io.EOF
+	}
+	// The server reads less than a piece at once: a piece may go ahead of its time.
+	if wait := b.begun - clock.Now(); wait > b.link.time(pieceBytes) {
+		time.Sleep(wait)
+	}
+	count := copy(data, b.rest)
+	b.rest = b.rest[count:]
+	b.begun += b.link.time(float64(count))
+	return count, nil
+}
+
+// Close implements io.Closer.
+func (b *pacedBody) Close() error {
+	if b.closed != nil {
+		b.closed()
+		b.closed = nil
+	}
+	return nil
 }
 
 // leave gives up a turn; one that has come already stays taken.
@@ -191,7 +245,8 @@
 		i := l.first(now)
 		chosen := l.waiting[i]
 		l.remove(i)
-		l.freeAt = max(l.freeAt, now) + l.time(chosen.size)
+		chosen.starts = max(l.freeAt, now)
+		l.freeAt = chosen.starts + l.time(chosen.size)
 		close(chosen.turn)
 	}
 }
--- a/ingress/passage.go
+++ b/ingress/passage.go
@@ -91,9 +91,18 @@
 	if wait == 0 {
 		return 0, 0
 	}
-	return wait, i.gate.patienceOf(p.asked()) + i.gate.routeTimeOf(p.route)
+	allowed = i.gate.patienceOf(p.asked()) + i.gate.routeTimeOf(p.route)
+	if p.returning {
+		allowed /= linkReturning
+	}
+	return wait, allowed
 }
 
+// linkReturning is by how much shorter the link's backlog has to be for a request that was
+// refused before: where more is asked of the link than it carries, those that are made for
+// the first time can still be served in full time.
+const linkReturning = 4
+
 // awaitKeys waits for the instance to be told of the request's key, if that is due within
 // the time for which the request could wait for a slot. Otherwise it returns at once, with
 // the time after which the request should come back.
@@ -269,18 +278,15 @@
 	i.outcomes.WithLabelValues(wire.OutcomeOK, "").Inc()
 	ran := clock.Now() - p.sent
 	if result.whole {
+		body := result.response.Body()
 		if p.head {
 			response.Header.SetContentLength(result.response.Header.ContentLength())
 			response.SkipBody = true
-		} else {
-			response.SetBodyRaw(result.response.Body())
 		}
-		body := len(result.response.Body())
 		fasthttp.ReleaseResponse(result.response)
 		i.leave(p)
-		i.awaitLink(p, body)
-		i.forget(p)
-		i.logPassed(p, response.StatusCode(), body, ran)
+		i.sendWhole(response, p, body)
+		i.logPassed(p, response.StatusCode(), len(body), ran)
 		return
 	}
 	i.logPassed(p, response.StatusCode(), result.response.Header.ContentLength(), ran)
@@ -299,17 +305,34 @@
 	}
 }
 
-// awaitLink holds an answer that is there whole until it is its turn to be sent.
-func (i *Ingress) awaitLink(p *passage, size int) {
-	i.link.learn(p.route, size)
-	if i.link.mayHold(size) {
-		i.link.await(size, p.arrived+p.target, p.tracker.Cancelled())
+// sendWhole has an answer sent that is there whole: a large one when it is its turn, and at
+// the link's rate. The slice was made for this answer by readWhole and belongs to no pool.
+func (i *Ingress) sendWhole(response *fasthttp.Response, p *passage, body []byte) {
+	i.link.learn(p.route, len(body))
+	if p.head || !i.link.mayHold(len(body)) {
+		if !p.head {
+			response.SetBodyRaw(body)
+		}
+		i.NoteSent(len(body))
+		i.forget(p)
+		return
 	}
+	begins := i.link.await(len(body), p.arrived+p.target, p.tracker.Cancelled())
+	response.SetBodyStream(&pacedBody{link: i.link, rest: body, begun: begins, closed: func() { i.forget(p) }}, len(body))
 }
 
+// NoteSent takes how long a body was that the process sent over the machine's link, to
+// whomever: large answers make room for it.
+func (i *Ingress) NoteSent(body int) { i.link.sent(body+headBytes, clock.Now()) }
+
+// headBytes is about the size of what goes with a body: header fields, and the packets by
+// which it is acknowledged.
+const headBytes = 600
+
 // refuse answers a request that the instance has not seen.
 func (i *Ingress) refuse(request *fasthttp.RequestCtx, p *passage, reason string, retryAfter time.Duration) {
 	i.write(request, p, fasthttp.StatusServiceUnavailable, wire.OutcomeNotRun, reason)
+	i.NoteSent(0)
 	request.Response.Header.Set(wire.HeaderInFront, "1")
 	if line := i.logger.Check(zap.InfoLevel, "attempt_refused"); line != nil {
 		load := i.gate.load()
--- a/router/answer.go
+++ b/router/answer.go
@@ -29,6 +29,7 @@
 		request.SetConnectionClose()
 	}
 	r.metrics.count(wire.OutcomeOK, "")
+	r.options.noteSent(max(0, result.response.Header.ContentLength()))
 	if line := r.logger.Check(zap.InfoLevel, logging.EventAnswered); line != nil {
 		line.Write(zap.String("request", p.shown), zap.String("service", p.service.name), zap.String("route", p.routeName()),
 			zap.Uint64("version", p.tableVersion()), zap.Int("status", response.StatusCode()), zap.Int("attempts", p.attempts),
@@ -75,6 +76,7 @@
 // refuse answers a request that was not run.
 func (r *Router) refuse(request *fasthttp.RequestCtx, id string, p *proxied, refused refusal) {
 	r.metrics.count(wire.OutcomeNotRun, refused.reason)
+	r.options.noteSent(0)
 	if p != nil && p.routed != nil && refused.mayComeBack() {
 		p.noteEnd(false)
 		// To the callers of a route table only this status promises "not run".
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -122,6 +122,7 @@
 	if err == nil {
 		err = conn.Writer.Flush()
 	}
+	r.options.noteSent(int(counted.Written))
 	if err != nil && counted.Written == 0 && !out.IsBodyStream() {
 		return errors.Join(errNothingSent, err)
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -43,6 +43,9 @@
 	RouteTable bool
 	// NoAdmin is set for a router whose process has an operators' listener of its own.
 	NoAdmin bool
+	// Sent is told the size of each body that goes over the machine's link, to instances
+	// and to callers. Nil: nobody wants to know.
+	Sent func(bytes int)
 }
 
 // listeningEvent is the log's event at the start; a router that is part of a process
@@ -54,6 +57,13 @@
 	return "listening"
 }
 
+// noteSent tells of a body that goes over the machine's link.
+func (o *Options) noteSent(bytes int) {
+	if o.Sent != nil {
+		o.Sent(bytes)
+	}
+}
+
 // Router is one router process.
 type Router struct {
 	options   Options
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -59,7 +59,7 @@
 	var err error
 	if p.router, err = router.New(router.Options{
 		Settings: config, Logger: options.Logger, Metrics: options.Metrics,
-		CallerService: config.Agent.Pool, RouteTable: true, NoAdmin: true,
+		CallerService: config.Agent.Pool, RouteTable: true, NoAdmin: true, Sent: func(bytes int) { p.ingress.NoteSent(bytes) },
 	}); err != nil {
 		return nil, err
 	}
