Owners that shed while they have room are asked once more

Change: such a request is sent to its owner again, within max_attempts and the retry budget; that is 17% of the requests in place of 10, of the fifth that is allowed, and its start one request a router in place of three, which added up to more than small deployments allow.

--- a/admission/budget.go
+++ b/admission/budget.go
@@ -8,8 +8,9 @@
 }
 
 const (
-	// budgetReserve lets a service with little traffic retry at all.
-	budgetReserve = 3
+	// budgetReserve lets a service with little traffic retry at all. It adds up over all
+	// routers: more than one each would be more than a small deployment allows.
+	budgetReserve = 1
 	budgetCap     = 50
 	percentWhole  = 100
 )
--- a/fleet/routes.go
+++ b/fleet/routes.go
@@ -22,8 +22,10 @@
 	routedChurn     = float64(referenceShards) / RoutedShards
 	referenceShards = 256
 	// routedQueue bounds the requests that wait at one router.
-	routedQueue       = 256
-	routedRetryBudget = 10
+	routedQueue = 256
+	// routedRetryBudget in percent of the requests is a little less than the fifth that
+	// deployments allow in sum over all routers.
+	routedRetryBudget = 17
 	// routedStaleness lets a router that is cut off from control go on: owners are
 	// fenced by their leases, and a table has no bound of its own.
 	routedStaleness = 24 * time.Hour
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -225,7 +225,7 @@
 	}
 	switch result.state {
 	case attemptNotRun:
-		if p.service.spec.Keyed && result.reason == wire.BackendReasonFull {
+		if p.service.spec.Keyed && result.reason == wire.BackendReasonFull && !result.shedsWithRoom() {
 			// Nobody else may run it, and the owner has no room for as long as it says.
 			return false
 		}
@@ -262,6 +262,16 @@
 	return true
 }
 
+// shedsWithRoom reports whether a back end has refused the request though not many of its
+// slots are taken: it does not want for room, and may take the next one.
+func (a *attempt) shedsWithRoom() bool {
+	return a.reached && a.load.Slots > 0 && float64(a.load.Running) < roomShare*float64(a.load.Slots)
+}
+
+// roomShare of its slots are taken at a back end that is nearly full: some refuse before
+// all of them are.
+const roomShare = 0.8
+
 // leaving reports whether an owner refuses as its shards are about to be another's.
 func leaving(reason string) bool {
 	return reason == wire.BackendReasonDraining || reason == wire.BackendReasonZoneDrained
--- /dev/null
+++ b/router/shed_test.go
@@ -0,0 +1,31 @@
+package router
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"limehold/admission"
+)
+
+// A back end that sheds while most of its slots are free may take the same request next;
+// one that is nearly full, or whose gate has refused the request in front of it, does not.
+func TestBackEndThatShedsWithRoomMayBeAskedAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		reached bool
+		load    admission.Load
+		again   bool
+	}{
+		"nearly idle":            {true, admission.Load{Running: 2, Slots: 18}, true},
+		"four fifths taken":      {true, admission.Load{Running: 15, Slots: 18}, false},
+		"full":                   {true, admission.Load{Running: 18, Slots: 18}, false},
+		"refused in front of it": {false, admission.Load{Running: 2, Slots: 18}, false},
+		"does not tell its load": {true, admission.Load{}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			made := &attempt{state: attemptNotRun, reached: c.reached, load: c.load}
+			is.Equal(made.shedsWithRoom(), c.again)
+		})
+	}
+}
