Waits are foreseen by what those ahead take, and looked at again while waiting

Change: the wait is the sum of the run times of those ahead; a waiting request looks five times whether it is still worth it, and is refused at once when it is not.

--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -68,6 +68,8 @@
 // ticket is one request that waits.
 type ticket struct {
 	rank
+	// run is what a request of its route takes.
+	run      time.Duration
 	admitted chan struct{}
 	granted  bool
 }
@@ -232,7 +234,7 @@
 		g.mutex.Unlock()
 		return entryFull
 	}
-	mine := &ticket{rank: place, admitted: make(chan struct{})}
+	mine := &ticket{rank: place, run: g.routeTime(request.route), admitted: make(chan struct{})}
 	at, _ := slices.BinarySearchFunc(g.waiting, place, func(other *ticket, place rank) int {
 		if place.before(other.rank) {
 			return 1
@@ -293,15 +295,26 @@
 	shortPatience = 0.6
 )
 
+// awaitLooks is how often, of its patience, a waiting request looks again whether it is
+// worth it: one that is overtaken by others is refused while its caller can still be served
+// elsewhere or later.
+const awaitLooks = 5
+
+// await waits for a slot, for as long as the wait that is foreseen is worth it.
 func (g *gate) await(mine *ticket, patience time.Duration, cancelled <-chan struct{}) entry {
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
+	until := clock.Now() + patience
+	ticker := time.NewTicker(max(time.Millisecond, patience/awaitLooks))
+	defer ticker.Stop()
 	outcome := entryFull
-	select {
-	case <-mine.admitted:
-	case <-timer.C:
-	case <-cancelled:
-		outcome = entryCancelled
+	for looking := true; looking; {
+		select {
+		case <-mine.admitted:
+			looking = false
+		case <-ticker.C:
+			looking = g.worthWaiting(mine, until)
+		case <-cancelled:
+			outcome, looking = entryCancelled, false
+		}
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -321,20 +334,30 @@
 	return outcome
 }
 
-// foreseen is the wait that a request of a rank is to expect: those before it, and
-// itself, need slots that become free at the measured rate.
+// worthWaiting reports whether a request that waits may still be let in by a time.
+func (g *gate) worthWaiting(mine *ticket, until time.Duration) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := clock.Now()
+	return !mine.granted && !g.closed && now < until && g.foreseen(mine.rank) <= until-now
+}
+
+// foreseen is the wait that a request of a rank is to expect: those before it need slots
+// for as long as requests of their routes take, and it needs one that becomes free.
 func (g *gate) foreseen(place rank) time.Duration {
-	ahead := 1
-	for _, other := range g.waiting {
-		if !place.before(other.rank) {
-			ahead++
-		}
-	}
 	if g.slots == 0 {
 		return time.Hour
 	}
 	now := clock.Now()
-	wait := float64(ahead) * float64(g.slotTime(now)) / float64(g.slots)
+	// A cold instance bears so many requests, however short they are.
+	least := time.Duration(g.slots) * g.cold.pace(now)
+	ahead := g.slotTime(now)
+	for _, other := range g.waiting {
+		if other.rank.before(place) {
+			ahead += max(other.run, least)
+		}
+	}
+	wait := float64(ahead) / float64(g.slots)
 	return max(time.Duration(wait/(1-g.occupiedBefore(place))), g.cold.wait(now))
 }
 
