--- a/ingress/gate_test.go
+++ b/ingress/gate_test.go
@@ -196,3 +196,47 @@
 	is.Equal(g.foreseen(rank{length: length}), 100*time.Millisecond)
 	is.Equal(g.foreseen(rank{length: length, returning: true}), 400*time.Millisecond)
 }
+
+// What those ahead take counts, not how many they are: a few long ones are a long wait.
+func TestWaitIsWhatThoseAheadTake(t *testing.T) {
+	const ms = time.Millisecond
+	for name, c := range map[string]struct {
+		ahead []time.Duration
+		slots int
+		wait  time.Duration
+	}{
+		"nobody":            {nil, 1, 100 * ms},
+		"two short ones":    {[]time.Duration{20 * ms, 20 * ms}, 1, 140 * ms},
+		"two long ones":     {[]time.Duration{600 * ms, 600 * ms}, 1, 1300 * ms},
+		"long ones, slots":  {[]time.Duration{600 * ms, 600 * ms, 600 * ms, 600 * ms}, 5, 500 * ms},
+		"no slots any more": {nil, 0, time.Hour},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newGate(0.2)
+			g.slots, g.runTime = c.slots, 100*ms
+			for _, run := range c.ahead {
+				g.waiting = append(g.waiting, &ticket{rank: rank{priority: 1}, run: run})
+			}
+			is.Equal(g.foreseen(rank{priority: 2}), c.wait)
+		})
+	}
+}
+
+// A request that others overtake, so that it cannot be let in any more, is refused then, and
+// not at the end of its patience.
+func TestOvertakenRequestIsRefusedBeforeItsPatienceIsOver(t *testing.T) {
+	is := is.New(t)
+	g := newGate(1)
+	g.resize(1)
+	is.Equal(g.enter(asked{priority: 1, target: time.Hour, left: time.Hour}, nil), entryAdmitted)
+	const patience = 20 * second
+	mine := &ticket{rank: rank{priority: 2}, admitted: make(chan struct{})}
+	g.mutex.Lock()
+	g.waiting = []*ticket{{rank: rank{priority: 1}, run: time.Hour, admitted: make(chan struct{})}, mine}
+	g.mutex.Unlock()
+	began := time.Now()
+	is.Equal(g.await(mine, patience/10, nil), entryFull)
+	is.True(time.Since(began) < patience/20)
+	is.Equal(g.load().waiting, 1)
+}
