An instance whose health path does not answer is believed warm by its later announcements

Cause (found reading the change): an instance in doubt counted as cold until its health path answered; one that says it is ill, or hangs there, would have stayed bounded for ever. Change: an announcement that comes 6 s after the doubt, longer than announcements are late, settles it. Test: a doubt that is never answered, with announcements after 4 and 7 s; it fails without the change (nothing is let through freely after 7 s).

--- a/ingress/cold.go
+++ b/ingress/cold.go
@@ -44,8 +44,18 @@
 	c.perSecond, c.recent, c.next = perSecond, recent, 0
 }
 
-// told takes the instance's word on how much longer it stays cold.
-func (c *coldStart) told(remaining, now time.Duration) { c.until = now + remaining }
+// told takes the instance's word on how much longer it stays cold. Announcements may be late:
+// one settles a doubt only when that is doubtTime old.
+func (c *coldStart) told(remaining, now time.Duration) {
+	c.until = now + remaining
+	if c.doubtful() && now-c.doubted > doubtTime {
+		c.asked = c.doubted
+	}
+}
+
+// doubtTime is longer than announcements are late, a few seconds: an instance whose health
+// path does not answer would else count as cold for ever.
+const doubtTime = 6 * time.Second
 
 // doubt notes that the instance may have turned cold.
 func (c *coldStart) doubt(now time.Duration) { c.doubted = now }
