--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -262,8 +262,19 @@
 		g.Observe(1, slow)
 	}
 	is.True(asked >= 4 && asked <= 7)
-	g.Release(6*time.Second, 2, OutcomeGood, 0)
+	// While the one that asks has no answer yet, others go elsewhere.
+	at := 8 * time.Second
+	for number := range 4 {
+		waiter := &Waiter{Want: Want{GroupLimit: 10}, Notify: func() {}}
+		is.Equal(g.Acquire(at, waiter), Admitted)
+		is.Equal(waiter.Granted == 2, number == 0)
+	}
+	for range 3 {
+		g.Release(at, 1, OutcomeNeutral, 0)
+	}
+	g.Release(at, 2, OutcomeNeutral, 0)
+	g.Release(9*time.Second, 2, OutcomeGood, 0)
 	waiter := &Waiter{Want: Want{GroupLimit: 10}, Notify: func() {}}
-	is.Equal(g.Acquire(6*time.Second, waiter), Admitted)
+	is.Equal(g.Acquire(9*time.Second, waiter), Admitted)
 	is.Equal(waiter.Granted, InstanceID(2))
 }
--- /dev/null
+++ b/ingress/restraint_test.go
@@ -0,0 +1,70 @@
+package ingress
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"limehold/clock"
+	"limehold/routing"
+	"limehold/wire"
+)
+
+// What comes to an instance of a drained zone all the same is refused in front of it; keys
+// are served until half of the time is over, as they may not have moved yet.
+func TestRequestsToADrainedZoneAreRefusedInFrontOfTheInstance(t *testing.T) {
+	const drainTime = 4 * second
+	for name, c := range map[string]struct {
+		draining bool
+		// ago is how long ago the zone's last change became known.
+		ago   time.Duration
+		keyed bool
+		// refused is the reason; doubted says whether the instance may be cold.
+		refused string
+		doubted bool
+	}{
+		"in service, never drained":   {false, time.Hour, false, "", false},
+		"drained":                     {true, second, false, wire.BackendReasonZoneDrained, false},
+		"drained, a key at first":     {true, second, true, "", false},
+		"drained, a key later":        {true, 3 * second, true, wire.BackendReasonZoneDrained, false},
+		"taken back":                  {false, second, false, "", true},
+		"taken back, a key":           {false, second, true, "", true},
+		"drained long ago, any other": {true, time.Hour, false, wire.BackendReasonZoneDrained, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			i := newBeaten(t, 0)
+			i.options.Settings.Ingress.ZoneDrainTime = drainTime
+			i.options.Service = func(name string) routing.Service { return routing.Service{Name: name, ColdPerSecond: 5} }
+			is.True(i.Announce(Announcement{ID: "i-1", Service: "numbers", Slots: 2, Sequence: 1}))
+			now := clock.Now()
+			i.gate.changeCold(func(cold *coldStart) { cold.answered(0, now, now) })
+			i.zoneSeen = now - 2*drainTime
+			i.options.Zone = func() (bool, time.Duration) { return c.draining, now - c.ago }
+			is.Equal(i.zoneRefusal(c.keyed, now), c.refused)
+			is.Equal(i.gate.isCold(), c.doubted)
+		})
+	}
+}
+
+// The bound of a cold instance is that of its service in the route table in force; while
+// the table has not come, it is a small one.
+func TestBoundOfAColdInstanceFollowsTheRouteTable(t *testing.T) {
+	for name, c := range map[string]struct {
+		told  routing.Service
+		bound int
+	}{
+		"no table yet":         {routing.Service{}, unknownColdPerSecond},
+		"a service with one":   {routing.Service{Name: "numbers", ColdPerSecond: 13}, 13},
+		"a service without it": {routing.Service{Name: "numbers"}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			i := newBeaten(t, 0)
+			i.options.Service = func(string) routing.Service { return c.told }
+			i.boundCold("numbers", clock.Now())
+			is.Equal(i.gate.coldBound(), c.bound)
+		})
+	}
+}
