A stopping router waits for its accept queue before its server is shut down

Change: stop returns once the queue is empty and the listener closed, and closing it again is no failure. Also a test of the cold bound that read 'now' as zero: it failed on a machine that has been up for more than an hour; it takes the clock now and asks for the same.

--- a/ingress/cold_test.go
+++ b/ingress/cold_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"limehold/clock"
 )
 
 // In no second more requests are let through to a cold instance than it bears, whatever was
@@ -129,7 +131,7 @@
 	is := is.New(t)
 	g := newGate(1)
 	g.resize(10)
-	now := time.Duration(0)
+	now := clock.Now()
 	g.changeCold(func(c *coldStart) {
 		c.bound(2, now)
 		c.told(time.Hour, now)
--- a/router/listener.go
+++ b/router/listener.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,13 +18,39 @@
 type drainListener struct {
 	*net.TCPListener
 	stopping atomic.Bool
+	// drained is closed once what was waiting has been accepted.
+	drained chan struct{}
+	once    sync.Once
 }
 
-// stop accepts what is waiting and then closes the listener. Accept returns
-// io.EOF after the last connection.
+// drainPatience bounds the wait for connections to be accepted that are waiting: some
+// microseconds each, where anybody accepts at all.
+const drainPatience = time.Second
+
+func newDrainListener(listener *net.TCPListener) *drainListener {
+	return &drainListener{TCPListener: listener, drained: make(chan struct{})}
+}
+
+// stop has what is waiting accepted, and returns once the listener is closed: the server
+// closes it as well when it is shut down, and must not do so before. Accept returns io.EOF
+// after the last connection.
 func (l *drainListener) stop() {
 	l.stopping.Store(true)
 	_ = l.SetDeadline(time.Now())
+	select {
+	case <-l.drained:
+	case <-time.After(drainPatience):
+	}
+}
+
+// Close implements net.Listener. Closing again what has been closed is no failure: a server
+// that is shut down would return with it, and wait for none of its requests.
+func (l *drainListener) Close() error {
+	err := l.TCPListener.Close()
+	if l.stopping.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
 }
 
 // Accept implements net.Listener.
@@ -38,6 +65,7 @@
 		return conn, nil
 	}
 	l.Close()
+	l.once.Do(func() { close(l.drained) })
 	return nil, io.EOF
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -149,7 +149,7 @@
 	if err != nil {
 		return nil, nil, eris.Wrapf(err, "listen for callers on %s (router.listen)", config.Listen)
 	}
-	listener := &drainListener{TCPListener: opened.(*net.TCPListener)}
+	listener := newDrainListener(opened.(*net.TCPListener))
 	if config.Certificate == "" {
 		return listener, listener, nil
 	}
