--- a/router/table_test.go
+++ b/router/table_test.go
@@ -183,14 +183,18 @@
 	is := is.New(t)
 	opened, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	listener := &drainListener{TCPListener: opened.(*net.TCPListener)}
+	listener := newDrainListener(opened.(*net.TCPListener))
 	const waiting = 5
 	for range waiting {
 		conn, err := net.Dial("tcp", listener.Addr().String())
 		is.NoErr(err)
 		defer conn.Close()
 	}
-	listener.stop()
+	stopped := make(chan struct{})
+	go func() {
+		listener.stop()
+		close(stopped)
+	}()
 	for range waiting {
 		conn, err := listener.Accept()
 		is.NoErr(err)
@@ -198,6 +202,7 @@
 	}
 	_, err = listener.Accept()
 	is.True(err != nil)
+	<-stopped
 	_, err = net.Dial("tcp", listener.Addr().String())
 	is.True(err != nil) // later callers are refused and go elsewhere
 }
