Test of splits in sum begins at every place alike

The places are given now, each as often as the others, with the same bound; that routers draw them is a test of its own, which fails only if 280 draws are alike. No behaviour changes.

--- a/router/routes.go
+++ b/router/routes.go
@@ -153,9 +153,14 @@
 // newSplitter begins anywhere in the round: where hundreds of routers see a few requests
 // each, the largest share would otherwise get the first one of every router.
 func newSplitter(shares []routing.Share) *splitter {
+	return newSplitterAt(shares, rand.IntN(splitterStarts))
+}
+
+// newSplitterAt begins at a place in the round.
+func newSplitterAt(shares []routing.Share, start int) *splitter {
 	s := &splitter{shares: shares, credit: make([]float64, len(shares))}
 	if len(shares) > 1 {
-		for range rand.IntN(splitterStarts) {
+		for range start {
 			s.next()
 		}
 	}
--- a/router/split_test.go
+++ b/router/split_test.go
@@ -25,7 +25,8 @@
 			}
 			splitters := make([]*splitter, routers)
 			for i := range splitters {
-				splitters[i] = newSplitter(shares)
+				// As many routers begin at each place of the round, as they do on average.
+				splitters[i] = newSplitterAt(shares, i%splitterStarts)
 			}
 			counts := map[string]float64{}
 			for i := range requests {
@@ -39,3 +40,15 @@
 		})
 	}
 }
+
+// Routers begin at places that they draw: of hundreds, not all send their first request to
+// the same share.
+func TestRoutersBeginAtDrawnPlaces(t *testing.T) {
+	is := is.New(t)
+	shares := []routing.Share{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}
+	first := map[string]int{}
+	for range 280 {
+		first[newSplitter(shares).next()]++
+	}
+	is.Equal(len(first), 2)
+}
