Sight of old views: how old, since when, at which member and step, on both sides

Cause of the change: neither logs nor metrics could tell the hypotheses of the incident at 280 machines apart: how old the view was that matched a request, which step at which member failed, how long a confirmation takes, whether other routers at the same member lag too. Added, without a change of logic: view_age in the lines of requests; view_old and view_current once each; step, time and age in control_connection_lost; confirm_seconds, connections lost by step, route table version. At members: router_behind and router_current once each, confirmation_failed with its step, gauges of routers and of the longest lag. Tests: TestOldViewIsToldOnce, TestLagOfARouterCountsFromWhenItHadEverything. Not measured: the cost of the lines; a view that is current writes none.

--- a/control/member.go
+++ b/control/member.go
@@ -55,8 +55,10 @@
 
 	renewals prometheus.Counter
 	moves    *prometheus.CounterVec
-	started  chan struct{}
-	born     time.Duration
+	// unconfirmed counts the questions of routers that could not be answered.
+	unconfirmed *prometheus.CounterVec
+	started     chan struct{}
+	born        time.Duration
 }
 
 // up is how long this process has been running.
@@ -83,6 +85,7 @@
 	m.formed.Store(disk.identity.Formed)
 	m.renewals = options.Metrics.Counter("control", "lease_renewals_total", "Lease renewals that reached this member while it led.")
 	m.moves = options.Metrics.CounterVec("control", "shard_moves_total", "Shards that this member proposed to move, by kind of decision.", "kind")
+	m.registerRouterMetrics()
 	m.server = transport.NewServer(listener, m, m.transportOptions())
 	m.advertised = config.Control.Advertise
 	if m.advertised == "" {
@@ -175,6 +178,7 @@
 	group.Go(func() error { return m.watchConfiguration(running) })
 	group.Go(func() error { return m.lead(running) })
 	group.Go(func() error { return m.relayLoads(running) })
+	group.Go(func() error { return m.watchRouters(running) })
 	group.Go(func() error { return m.followPlatform(running) })
 	group.Go(func() error { return m.seekAdmission(running) })
 	group.Go(func() error { return m.keepVoters(running) })
@@ -306,7 +310,7 @@
 	case wire.KindWatch:
 		return decoded(payload, func(r *wire.Watch) (any, error) { return struct{}{}, m.watch(conn, r) })
 	case wire.KindConfirm:
-		return decoded(payload, func(r *wire.Confirm) (*wire.ConfirmReply, error) { return m.confirm(ctx, r) })
+		return decoded(payload, func(r *wire.Confirm) (*wire.ConfirmReply, error) { return m.confirm(ctx, conn, r) })
 	}
 	return nil, &wire.Error{Code: wire.CodeInvalid, Message: "unknown kind of request", Step: "dispatch", Peer: m.options.Settings.Name}
 }
--- a/control/routers.go
+++ b/control/routers.go
@@ -11,6 +11,7 @@
 	"limehold/consensus"
 	"limehold/fleet"
 	"limehold/ownership"
+	"limehold/transport"
 	"limehold/wire"
 )
 
@@ -32,14 +33,29 @@
 	zone     string
 	revision uint64
 	heard    time.Duration
+	// conn is the connection that the router was last heard over.
+	conn *transport.Conn
+	// newest is this member's newest revision when the router was last heard, and current
+	// is when the router last had everything that this member had.
+	newest  uint64
+	current time.Duration
+	// told is set while the log has the router as behind.
+	told bool
 }
 
 func newRouterTable() *routerTable { return &routerTable{routers: map[string]*routerEntry{}} }
 
-func (t *routerTable) connected(name, zone string, revision uint64) {
+// heardOf takes a router's word on its revision; newest is this member's.
+func (t *routerTable) heardOf(conn *transport.Conn, name, zone string, revision, newest uint64) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.routers[name] = &routerEntry{zone: zone, revision: revision, heard: clock.Now()}
+	entry := t.routers[name]
+	if entry == nil || entry.conn != conn {
+		entry = &routerEntry{}
+		t.routers[name] = entry
+	}
+	entry.zone, entry.conn = zone, conn
+	entry.heardAt(clock.Now(), revision, newest)
 }
 
 // list returns the routers heard of lately.
@@ -62,16 +78,18 @@
 
 // confirm tells a router what it must have in force to be as current as now,
 // and takes its measured loads.
-func (m *Member) confirm(ctx context.Context, request *wire.Confirm) (*wire.ConfirmReply, error) {
+func (m *Member) confirm(ctx context.Context, conn *transport.Conn, request *wire.Confirm) (*wire.ConfirmReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	m.routers.connected(request.Router, request.Zone, request.Revision)
+	m.routers.heardOf(conn, request.Router, request.Zone, request.Revision, m.hub.lastRevision())
 	m.addLoads(request.Work)
 	index, err := m.currentIndex(ctx)
 	if err != nil {
+		m.noteUnconfirmed(stepReadIndex, request, err)
 		return nil, err
 	}
 	if err := m.replica.waitApplied(ctx, index); err != nil {
+		m.noteUnconfirmed(stepApply, request, err)
 		return nil, err
 	}
 	return &wire.ConfirmReply{Revision: m.hub.lastRevision(), Members: m.memberListFor(request.Members)}, nil
--- a/control/watch.go
+++ b/control/watch.go
@@ -224,7 +224,7 @@
 
 // watch begins a subscription; it runs until the connection ends.
 func (m *Member) watch(conn *transport.Conn, request *wire.Watch) error {
-	m.routers.connected(request.Router, request.Zone, request.Revision)
+	m.routers.heardOf(conn, request.Router, request.Zone, request.Revision, m.hub.lastRevision())
 	subscription := &subscription{member: m, conn: conn, services: request.Services, sent: request.Revision}
 	if request.Revision == 0 {
 		subscription.needSnapshot = true
--- a/router/answer.go
+++ b/router/answer.go
@@ -32,7 +32,7 @@
 	r.options.noteSent(max(0, result.response.Header.ContentLength()))
 	if line := r.logger.Check(zap.InfoLevel, logging.EventAnswered); line != nil {
 		line.Write(zap.String("request", p.shown), zap.String("service", p.service.name), zap.String("route", p.routeName()),
-			zap.Uint64("version", p.tableVersion()), zap.Int("status", response.StatusCode()), zap.Int("attempts", p.attempts),
+			zap.Uint64("version", p.tableVersion()), zap.Duration("view_age", p.viewAge), zap.Int("status", response.StatusCode()), zap.Int("attempts", p.attempts),
 			zap.Uint64("session", uint64(id)), zap.Duration("took", clock.Now()-p.started))
 	}
 	r.metrics.latency.Observe((clock.Now() - p.started).Seconds())
@@ -97,7 +97,7 @@
 	}
 	if line := r.logger.Check(zap.InfoLevel, "request_refused"); line != nil {
 		line.Write(zap.String("request", id), zap.String("service", service), zap.String("route", p.routeName()), zap.Uint64("version", p.tableVersion()),
-			zap.String("reason", refused.reason), zap.Int("status", refused.status), zap.Duration("retry_after", refused.retryAfter),
+			zap.Duration("view_age", p.matchedAtAge()), zap.String("reason", refused.reason), zap.Int("status", refused.status), zap.Duration("retry_after", refused.retryAfter),
 			zap.Int("attempts", p.attemptCount()), zap.Bool("returning", p != nil && p.returning))
 	}
 }
@@ -109,7 +109,7 @@
 		"the request was sent, and it is unknown whether it ran: look before you send it again")
 	setRevision(&request.Response, p)
 	r.logger.Info("request_unknown", zap.String("request", p.shown), zap.String("service", p.service.name), zap.String("route", p.routeName()),
-		zap.Uint64("version", p.tableVersion()), zap.String("reason", reason), zap.Bool("repeatable", p.repeatable),
+		zap.Uint64("version", p.tableVersion()), zap.Duration("view_age", p.viewAge), zap.String("reason", reason), zap.Bool("repeatable", p.repeatable),
 		zap.Int("attempts", p.attempts), zap.Duration("took", clock.Now()-p.started))
 }
 
--- a/router/request.go
+++ b/router/request.go
@@ -39,8 +39,10 @@
 	shard     uint32
 	epoch     uint64
 	deadline  time.Duration
-	out       *fasthttp.Request
-	bodyUsed  bool
+	// viewAge is how old the router's view was when it matched the request.
+	viewAge  time.Duration
+	out      *fasthttp.Request
+	bodyUsed bool
 	// body is set when the request's body is streamed.
 	body    *limitedBody
 	caller  net.Conn
@@ -93,6 +95,14 @@
 	return p.service.learned
 }
 
+// matchedAtAge is how old the router's view was when it matched the request.
+func (p *proxied) matchedAtAge() time.Duration {
+	if p == nil {
+		return 0
+	}
+	return p.viewAge
+}
+
 func (p *proxied) attemptCount() int {
 	if p == nil {
 		return 0
@@ -149,6 +159,7 @@
 		started: now, tracker: upstream.NewTracker(),
 	}
 	p.shown = r.callerID(request, p.id)
+	p.viewAge = r.freshness.age(now)
 	found, rest := r.table.find(string(request.Host()), path)
 	if found == nil {
 		p.routed, found = r.table.findRoute(string(request.Host()), path)
--- a/router/router.go
+++ b/router/router.go
@@ -82,6 +82,8 @@
 	metrics   routerMetrics
 	// members is the newest list of control members that one of them has told.
 	members atomic.Pointer[wire.MemberList]
+	// following is what the router does to get its view.
+	following atomic.Pointer[following]
 }
 
 type routerMetrics struct {
@@ -90,6 +92,9 @@
 	budgetEmpty prometheus.Counter
 	cutAnswers  prometheus.Counter
 	latency     prometheus.Histogram
+	confirmTime prometheus.Histogram
+	lost        *prometheus.CounterVec
+	oldViews    prometheus.Counter
 }
 
 func (m *routerMetrics) count(outcome, reason string) {
@@ -177,10 +182,15 @@
 		cutAnswers:  registry.Counter("router", "cut_answers_total", "Answers that a back end broke off after their head had been passed on."),
 		latency: registry.Histogram("router", "answer_seconds", "Time from a request's arrival to the head of its answer.",
 			[]float64{.0005, .001, .002, .005, .01, .015, .025, .05, .1, .25, .5, 1, 2.5, 5}),
+		confirmTime: registry.Histogram("router", "confirm_seconds", "Time until a control member confirmed that the view is current.",
+			[]float64{.002, .005, .01, .025, .05, .1, .25, .5, 1, 2.5}),
+		lost:     registry.CounterVec("router", "control_connections_lost_total", "Control members that were left, by the step that failed.", "step"),
+		oldViews: registry.Counter("router", "configuration_old_total", "Times at which the view of the configuration had not been confirmed for 1.5 s."),
 	}
 	registry.Gauge("router", "in_flight", "Requests under way.", func() float64 { return float64(r.hangups.Count()) })
 	registry.Gauge("router", "configuration_age_seconds", "Age of the router's view of the configuration.", func() float64 { return r.freshness.age(clock.Now()).Seconds() })
 	registry.Gauge("router", "configuration_revision", "Revision in force.", func() float64 { return float64(r.table.inForce()) })
+	registry.Gauge("router", "route_table_version", "Version of the route table in force; 0: none.", func() float64 { return float64(r.table.routeVersion()) })
 }
 
 // Address is the callers' listener.
@@ -204,6 +214,7 @@
 	group.Go(func() error { return r.follow(serving) })
 	group.Go(func() error { return r.hangups.Run(serving) })
 	group.Go(func() error { return r.sweep(serving) })
+	group.Go(func() error { return r.watchView(serving) })
 	group.Go(func() error {
 		if r.admin == nil {
 			return nil
--- a/router/watch.go
+++ b/router/watch.go
@@ -110,6 +110,7 @@
 	for ctx.Err() == nil {
 		address = nextAddress(r.controlAddresses(), address, first)
 		before := r.freshness.confirmed()
+		began := clock.Now()
 		err := r.followOne(ctx, address)
 		if ctx.Err() != nil {
 			return nil
@@ -118,7 +119,10 @@
 		if r.freshness.confirmed() > before {
 			pause = reconnectPause
 		}
-		r.logger.Warn("control_connection_lost", logging.Step("follow configuration", address, err)...)
+		step := r.where().step
+		r.metrics.lost.WithLabelValues(step).Inc()
+		r.logger.Warn("control_connection_lost", append(logging.Step(step, address, err), zap.Duration("after", clock.Now()-began),
+			zap.Duration("age", r.freshness.age(clock.Now())), zap.Uint64("revision", r.table.inForce()))...)
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
@@ -169,6 +173,8 @@
 }
 
 func (r *Router) followOne(ctx context.Context, address string) error {
+	r.setFollowing(address, stepDial)
+	began := clock.Now()
 	dialContext, cancelDial := context.WithTimeout(ctx, dialTimeout)
 	defer cancelDial()
 	conn, err := transport.Dial(dialContext, address, r, r.transportOptions())
@@ -176,6 +182,7 @@
 		return err
 	}
 	defer conn.Close()
+	r.setFollowing(address, stepWatch)
 	watchContext, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	request := &wire.Watch{
@@ -188,7 +195,9 @@
 	if err := conn.Call(watchContext, wire.KindWatch, request, nil); err != nil {
 		return err
 	}
-	r.logger.Info("control_connected", zap.String("peer", conn.Peer.Name), zap.Uint64("revision", request.Revision))
+	r.logger.Info("control_connected", zap.String("peer", conn.Peer.Name), zap.Uint64("revision", request.Revision),
+		zap.Duration("took", clock.Now()-began), zap.Duration("age", r.freshness.age(clock.Now())))
+	r.setFollowing(address, stepConfirm)
 	return r.confirmLoop(ctx, conn)
 }
 
@@ -231,6 +240,7 @@
 	if err := conn.Call(ctx, wire.KindConfirm, request, &reply); err != nil {
 		return err
 	}
+	r.metrics.confirmTime.Observe((clock.Now() - sentAt).Seconds())
 	if reply.Members != nil {
 		r.members.Store(reply.Members)
 	}
