--- a/bench/faultproxy/proxy.go
+++ b/bench/faultproxy/proxy.go
@@ -15,7 +15,6 @@
 type Proxy struct {
 	listener net.Listener
 	target   atomic.Pointer[string]
-	delay    atomic.Int64
 	forward  *gate
 	backward *gate
 	refuse   atomic.Bool
@@ -24,9 +23,10 @@
 	closed   bool
 }
 
-// gate holds bytes back while it is shut, as a network that drops packets holds
-// back a TCP stream.
+// gate is one direction. It delays bytes, and holds them back while it is shut, as a
+// network that drops packets holds back a TCP stream.
 type gate struct {
+	delay atomic.Int64
 	mutex sync.Mutex
 	open  chan struct{}
 	shut  bool
@@ -65,7 +65,7 @@
 		return nil, eris.Wrap(err, "listen for a proxy")
 	}
 	proxy := &Proxy{listener: listener, forward: newGate(), backward: newGate(), conns: map[net.Conn]struct{}{}}
-	proxy.delay.Store(int64(delay))
+	proxy.SetDelays(delay, delay)
 	go proxy.accept()
 	return proxy, nil
 }
@@ -76,8 +76,11 @@
 // SetTarget changes where new connections go.
 func (p *Proxy) SetTarget(address string) { p.target.Store(&address) }
 
-// SetDelay changes the one-way delay.
-func (p *Proxy) SetDelay(delay time.Duration) { p.delay.Store(int64(delay)) }
+// SetDelays changes the delay towards the target (forward) and from it (backward).
+func (p *Proxy) SetDelays(forward, backward time.Duration) {
+	p.forward.delay.Store(int64(forward))
+	p.backward.delay.Store(int64(backward))
+}
 
 // Stall holds back bytes towards the target (forward) and from it (backward).
 // What is held back passes once the stall is lifted.
@@ -216,7 +219,7 @@
 		for {
 			buffer := make([]byte, chunkSize)
 			count, err := from.Read(buffer)
-			piece := chunk{data: buffer[:count], due: time.Now().Add(time.Duration(p.delay.Load())), err: err}
+			piece := chunk{data: buffer[:count], due: time.Now().Add(time.Duration(g.delay.Load())), err: err}
 			select {
 			case pieces <- piece:
 			case <-stopped:
