A stopping router takes no more SYNs before its listener is closed

Cause: between the last look at the accept queue and the close of the listener a caller may complete its handshake; it has connected, and is reset. TestStoppingListenerResetsNobody fails with the filter out.

--- a/router/listener_test.go
+++ b/router/listener_test.go
@@ -84,3 +84,69 @@
 	is.Equal(accepted.Load(), int64(callers))
 	is.NoErr(listener.Close())
 }
+
+// Callers that open one connection after the other while a listener stops are answered or do
+// not connect; none is reset.
+func TestStoppingListenerResetsNobody(t *testing.T) {
+	is := is.New(t)
+	const listeners, callers, before = 60, 4, 40
+	var resets atomic.Int64
+	var all sync.WaitGroup
+	for range listeners {
+		listener, err := listenDraining("127.0.0.1:0")
+		is.NoErr(err)
+		all.Go(func() { serveBytes(listener) })
+		answers := make(chan struct{}, callers*before)
+		for range callers {
+			all.Go(func() {
+				for {
+					conn, err := net.Dial("tcp", listener.Addr().String())
+					if err != nil {
+						return
+					}
+					if exchangeByte(conn) != nil {
+						resets.Add(1)
+					}
+					select {
+					case answers <- struct{}{}:
+					default:
+					}
+				}
+			})
+		}
+		for range before {
+			<-answers
+		}
+		listener.stop()
+	}
+	all.Wait()
+	is.Equal(resets.Load(), int64(0))
+}
+
+// serveBytes answers each connection by what it has sent, until the listener is closed.
+func serveBytes(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go echoByte(conn)
+	}
+}
+
+func echoByte(conn net.Conn) {
+	defer conn.Close()
+	one := make([]byte, 1)
+	if _, err := conn.Read(one); err == nil {
+		_, _ = conn.Write(one)
+	}
+}
+
+func exchangeByte(conn net.Conn) error {
+	defer conn.Close()
+	if _, err := conn.Write([]byte("x")); err != nil {
+		return err
+	}
+	_, err := conn.Read(make([]byte, 1))
+	return err
+}
--- a/router/router.go
+++ b/router/router.go
@@ -150,11 +150,10 @@
 // listen opens the callers' listener; the second one is the first, secured if
 // the settings say so.
 func listen(config settings.Router) (*drainListener, net.Listener, error) {
-	opened, err := net.Listen("tcp", config.Listen)
+	listener, err := listenDraining(config.Listen)
 	if err != nil {
 		return nil, nil, eris.Wrapf(err, "listen for callers on %s (router.listen)", config.Listen)
 	}
-	listener := newDrainListener(opened.(*net.TCPListener))
 	if config.Certificate == "" {
 		return listener, listener, nil
 	}
