A router keeps the member that tells it changes until another one confirms

Cause (root): time limits shorter than the wait for the router's own link, and a way that was given up before another was found. Class: premature timeout under queueing delay that is the process's own, with retries that begin at the end of the queue again (livelock); break before make. On full links the first failing step closed the connection over which updates came, and none of the next ones could succeed. Change: a follower seeks further members beside the one that has gone silent for 0.8 s (as before), one each 250 ms, up to 8, and drops the others once one confirms and tells updates. Reaching, subscribing and each question have 4 s; questions do not wait for the answers to earlier ones; a member that cannot confirm for a while (an election) is kept. Tries of a dial go on beside later ones, and relays beside them, up to the 3 s of before. TestDialTriesAgainSoonerThanTheSystem asked that each try be ended at 250, 500, 1000 ms, which is the fault: it now asks for the times at which tries begin and for the end after 3 s, in virtual time; TestDialThatIsAnsweredLateIsNotGivenUp is new. freshness takes the time as a value.

--- a/router/bench_test.go
+++ b/router/bench_test.go
@@ -95,6 +95,6 @@
 		Services: []wire.ServiceView{{Name: "orders", Revision: 1, Spec: spec}},
 		Nodes:    []wire.NodeView{{Session: 1, Name: "a", Zone: "a", Address: backend, Pool: "orders", Slots: 1000, Connections: 1000}},
 	})
-	router.freshness.confirm(confirmation{sentAt: clock.Now() + time.Hour, revision: 1}, 1)
+	router.freshness.confirm(clock.Now(), confirmation{sentAt: clock.Now() + time.Hour, revision: 1}, 1)
 	return router
 }
--- a/router/watch_test.go
+++ b/router/follow_test.go
@@ -112,9 +112,9 @@
 	is := is.New(t)
 	r := &Router{}
 	now := clock.Now()
-	r.freshness.confirm(confirmation{sentAt: now - time.Second, revision: 1}, 1)
+	r.freshness.confirm(now, confirmation{sentAt: now - time.Second, revision: 1}, 1)
 	is.Equal(r.refuseUnmatched(), refuseNoService)
 	r = &Router{}
-	r.freshness.confirm(confirmation{sentAt: now - 2*time.Second, revision: 1}, 1)
+	r.freshness.confirm(now, confirmation{sentAt: now - 2*time.Second, revision: 1}, 1)
 	is.Equal(r.refuseUnmatched(), refuseNotCurrent)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -81,9 +81,10 @@
 	draining  atomic.Bool
 	metrics   routerMetrics
 	// members is the newest list of control members that one of them has told.
-	members atomic.Pointer[wire.MemberList]
-	// following is what the router does to get its view.
-	following atomic.Pointer[following]
+	members  atomic.Pointer[wire.MemberList]
+	follower *follower
+	// reported is when measured work was last told to control.
+	reported atomic.Int64
 }
 
 type routerMetrics struct {
@@ -117,6 +118,7 @@
 	r := &Router{options: options, logger: options.Logger, upstreams: upstream.NewPool(upstream.DefaultIdleLimit), hangups: hangup.NewWatcher(), work: newWorkTable()}
 	policy := policyOf(config.Router.Balance)
 	r.table = newTable(func(name string) *pool { return newPool(name, policy, config.Router.Limits == settings.LimitsFixed) })
+	r.follower = newFollower(r)
 	r.registerMetrics()
 	var err error
 	if r.callers, r.listener, err = listen(config.Router); err != nil {
--- a/router/table_test.go
+++ b/router/table_test.go
@@ -106,12 +106,12 @@
 	is := is.New(t)
 	var fresh freshness
 	is.Equal(fresh.within(0, time.Hour), false)
-	fresh.confirm(confirmation{sentAt: 10 * time.Second, revision: 5}, 4)
+	fresh.confirm(time.Minute, confirmation{sentAt: 10 * time.Second, revision: 5}, 4)
 	is.Equal(fresh.within(10*time.Second, time.Hour), false) // revision 5 is still on its way
-	fresh.arrived(5)
+	fresh.arrived(time.Minute, 5)
 	is.True(fresh.within(12*time.Second, 2*time.Second))
 	is.Equal(fresh.within(13*time.Second, 2*time.Second), false)
-	fresh.confirm(confirmation{sentAt: 9 * time.Second, revision: 5}, 5) // an older answer comes late
+	fresh.confirm(time.Minute, confirmation{sentAt: 9 * time.Second, revision: 5}, 5) // an older answer comes late
 	is.True(fresh.within(12*time.Second, 2*time.Second))
 }
 
--- a/router/viewage.go
+++ b/router/viewage.go
@@ -7,41 +7,12 @@
 	"go.uber.org/zap"
 
 	"limehold/clock"
-	"limehold/logging"
 )
 
 // viewLookEvery is how often the age of the view is looked at: a quarter of a second tells
 // when it grew old to a fifth of unmatchedBound.
 const viewLookEvery = 250 * time.Millisecond
 
-// following says where the router's view comes from.
-type following struct {
-	// member is the address that the router follows, or tries to.
-	member string
-	// step is what it is doing there.
-	step string
-}
-
-// Steps of following a member.
-const (
-	stepDial    = "reach member"
-	stepWatch   = "subscribe"
-	stepConfirm = "confirm view"
-)
-
-// setFollowing notes what the router is doing to get its view.
-func (r *Router) setFollowing(member, step string) {
-	r.following.Store(&following{member: member, step: step})
-}
-
-// where is what the router is doing to get its view.
-func (r *Router) where() following {
-	if known := r.following.Load(); known != nil {
-		return *known
-	}
-	return following{}
-}
-
 // viewWatch turns looks at the age of the view into what operators are to be told: once
 // that it is old, and once that it is current again.
 type viewWatch struct {
@@ -94,14 +65,13 @@
 }
 
 func (r *Router) tellView(watch *viewWatch, news viewNews, now time.Duration) {
-	at := r.where()
 	switch news {
 	case viewGrewOld:
 		r.metrics.oldViews.Inc()
-		r.logger.Warn("view_old", append(logging.Step(at.step, at.member, nil), zap.Duration("age", now-watch.since),
-			zap.Uint64("revision", watch.revision), zap.Uint64("version", r.table.routeVersion()))...)
+		r.logger.Warn("view_old", zap.String("members", r.follower.where()), zap.Duration("age", now-watch.since),
+			zap.Uint64("revision", watch.revision), zap.Uint64("version", r.table.routeVersion()))
 	case viewIsCurrent:
-		r.logger.Info("view_current", zap.String("peer", at.member), zap.Duration("lasted", now-watch.since),
+		r.logger.Info("view_current", zap.String("members", r.follower.where()), zap.Duration("lasted", now-watch.since),
 			zap.Uint64("from", watch.revision), zap.Uint64("revision", r.table.inForce()), zap.Uint64("version", r.table.routeVersion()))
 	}
 }
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -5,11 +5,13 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"io"
 	"net"
-	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -186,16 +188,59 @@
 // A machine that comes back drops the first packet of a connection; the dialer does not
 // wait for the system to send it again, and gives up after helloPatience all the same.
 func TestDialTriesAgainSoonerThanTheSystem(t *testing.T) {
-	is := is.New(t)
-	var patience []time.Duration
-	dropped := func(_ context.Context, _ string, limit time.Duration) (net.Conn, error) {
-		patience = append(patience, limit)
-		return nil, os.ErrDeadlineExceeded
-	}
-	_, err := (&dialer{once: dropped}).connect(context.Background(), "a")
-	is.True(errors.Is(err, os.ErrDeadlineExceeded))
-	is.Equal(patience[:3], []time.Duration{firstDialPatience, 2 * firstDialPatience, 4 * firstDialPatience})
-	is.True(len(patience) < 6)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		var mutex sync.Mutex
+		var starts []time.Duration
+		silent := func(ctx context.Context, _ string, _ time.Duration) (net.Conn, error) {
+			mutex.Lock()
+			starts = append(starts, time.Since(began))
+			mutex.Unlock()
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		_, err := (&dialer{once: silent}).connect(context.Background(), "a")
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		mutex.Lock()
+		defer mutex.Unlock()
+		is.Equal(starts, []time.Duration{0, firstDialPatience, 3 * firstDialPatience, 7 * firstDialPatience})
+		is.Equal(time.Since(began), helloPatience)
+	})
+}
+
+// Where packets wait for a full link, a try that is given up for a new one begins at the
+// end of the queue again: the first one goes on beside the later ones, and what comes after
+// it is closed.
+func TestDialThatIsAnsweredLateIsNotGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const wait = 4 * firstDialPatience
+		var mutex sync.Mutex
+		var ours, theirs []net.Conn
+		late := func(context.Context, string, time.Duration) (net.Conn, error) {
+			near, far := net.Pipe()
+			mutex.Lock()
+			ours, theirs = append(ours, near), append(theirs, far)
+			mutex.Unlock()
+			time.Sleep(wait)
+			return near, nil
+		}
+		began := time.Now()
+		raw, err := (&dialer{once: late}).connect(context.Background(), "a")
+		is.NoErr(err)
+		is.Equal(time.Since(began), wait)
+		time.Sleep(wait)
+		synctest.Wait()
+		mutex.Lock()
+		defer mutex.Unlock()
+		is.True(raw == ours[0])
+		for _, far := range theirs[1:] {
+			_, err := far.Read(make([]byte, 1))
+			is.Equal(err, io.EOF)
+		}
+		is.True(len(theirs) > 1)
+	})
 }
 
 // Nobody who listens is an answer: it is passed on at once.
