Ingresses refuse what a newer route table does not send to their service

Whatever makes a view old (a full link, a starved processor, a cut) became a request at a former service. Change: requests carry the version of the table that matched them; an ingress whose table is newer matches host and path again, and refuses as not run what does not lead to its service. Other routes go on. What waited at the ingress when the table changed is served. Not measured at size yet.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -37,6 +37,10 @@
 	// Service returns what the route table says of a service; the zero value: nothing.
 	// Nil: there is no route table.
 	Service func(name string) routing.Service
+	// Leads reports whether the route table in force here, of the version returned, sends
+	// requests of a host and path to a service; they were matched by the version matched. A
+	// table that is not newer says nothing against it. Nil: there is no route table.
+	Leads func(host, path []byte, service string, matched uint64) (inForce uint64, leads bool)
 	// Zone returns whether the ingress's zone is drained, and since when that is known
 	// here; zero: since ever. Nil: zones are never drained.
 	Zone func() (drained bool, since time.Duration)
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -285,3 +285,43 @@
 	is.NoErr(err)
 	is.Equal(string(body), "ok")
 }
+
+// A request that a newer route table does not send here is refused as not run, with the
+// table's version; what else came by way of a table, and what did not, goes on.
+func TestSupersededRequestsAreRefused(t *testing.T) {
+	const inForce = 7
+	for name, c := range map[string]struct {
+		version string
+		leads   bool
+		refused bool
+	}{
+		"its route has moved":         {"5", false, true},
+		"its route leads here":        {"5", true, false},
+		"it did not come by a table":  {"", false, false},
+		"its version is not a number": {"x", false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			instance := startInstance(t, whole, false)
+			i := startIngress(t, instance)
+			var asked string
+			i.options.Leads = func(host, path []byte, service string, matched uint64) (uint64, bool) {
+				asked = fmt.Sprintf("%s%s to %s by %d", host, path, service, matched)
+				return inForce, c.leads
+			}
+			response := ask(t, i, func(header http.Header) { header.Set(wire.HeaderRouteVersion, c.version) })
+			if c.version == "5" {
+				is.Equal(asked, i.Address()+"/orders/1 to orders by 5")
+			}
+			if !c.refused {
+				is.Equal(response.StatusCode, http.StatusOK)
+				return
+			}
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+			is.Equal(response.Header.Get(wire.HeaderOutcome), wire.OutcomeNotRun)
+			is.Equal(response.Header.Get(wire.HeaderReason), wire.BackendReasonSuperseded)
+			is.Equal(response.Header.Get(wire.HeaderRouteVersion), "7")
+			is.Equal(instance.received.Load(), int64(0))
+		})
+	}
+}
--- a/ingress/passage.go
+++ b/ingress/passage.go
@@ -23,6 +23,8 @@
 	attemptID string
 	service   string
 	route     string
+	// version of the route table that matched the request; zero: it is not known.
+	version   uint64
 	shard     uint32
 	epoch     uint64
 	keyed     bool
@@ -56,6 +58,11 @@
 		request.Error("this is an ingress: send requests to a router\n", fasthttp.StatusBadRequest)
 		return
 	}
+	if inForce, leads := i.leads(request, p); !leads {
+		i.refuse(request, p, wire.BackendReasonSuperseded, 0)
+		request.Response.Header.Set(wire.HeaderRouteVersion, strconv.FormatUint(inForce, 10))
+		return
+	}
 	p.watched = i.hangups.Add(request.Conn(), p.tracker.Cancel)
 	retryAfter := i.awaitKeys(p)
 	if reason := i.refusal(p, clock.Now()); reason != "" {
@@ -84,6 +91,16 @@
 	i.hangups.Remove(p.watched)
 }
 
+// leads reports whether the route table still sends the request here. A router whose view is
+// old cannot know that its route has changed; this is the last place where it shows, as a
+// fence does for keys. What waits here when the table changes was in time.
+func (i *Ingress) leads(request *fasthttp.RequestCtx, p *passage) (inForce uint64, leads bool) {
+	if i.options.Leads == nil || p.version == 0 {
+		return 0, true
+	}
+	return i.options.Leads(request.Host(), request.URI().PathOriginal(), p.service, p.version)
+}
+
 // linkWait is how long the request's answer is expected to wait for the link, and how long
 // it may: it runs meanwhile, and has to be in time after both.
 func (i *Ingress) linkWait(p *passage) (wait, allowed time.Duration) {
@@ -127,6 +144,7 @@
 		head: request.IsHead(), arrived: clock.Now(), tracker: upstream.NewTracker(),
 	}
 	p.epoch, _ = strconv.ParseUint(string(header.Peek(wire.HeaderEpoch)), 10, 64)
+	p.version, _ = strconv.ParseUint(string(header.Peek(wire.HeaderRouteVersion)), 10, 64)
 	shard, _ := strconv.ParseUint(string(header.Peek(wire.HeaderShard)), 10, 32)
 	p.shard = uint32(shard)
 	p.keyed = p.epoch > 0
@@ -257,7 +275,7 @@
 
 // betweenUs are the headers that routers add for ingresses.
 var betweenUs = []string{
-	wire.HeaderAttempt, wire.HeaderService, wire.HeaderShard, wire.HeaderEpoch, wire.HeaderRoute,
+	wire.HeaderAttempt, wire.HeaderService, wire.HeaderShard, wire.HeaderEpoch, wire.HeaderRoute, wire.HeaderRouteVersion,
 	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderReturning, wire.HeaderRepeatable, wire.HeaderDeadline,
 }
 
@@ -338,7 +356,7 @@
 		load := i.gate.load()
 		line.Write(zap.String("request", p.requestID), zap.String("attempt", p.attemptID), zap.String("reason", reason),
 			zap.String("instance", p.seen.id), zap.Int("running", load.running), zap.Int("waiting", load.waiting), zap.Int("slots", load.slots),
-			zap.Bool("returning", p.returning), zap.String("route", p.route), zap.Duration("target", p.target), zap.Uint32("shard", p.shard), zap.Uint64("epoch", p.epoch), zap.Duration("waited", clock.Now()-p.arrived))
+			zap.Bool("returning", p.returning), zap.String("route", p.route), zap.Uint64("version", p.version), zap.Duration("target", p.target), zap.Uint32("shard", p.shard), zap.Uint64("epoch", p.epoch), zap.Duration("waited", clock.Now()-p.arrived))
 	}
 	if retryAfter > 0 {
 		request.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -46,6 +46,8 @@
 	// reached is true unless the request was refused in front of the back end: by
 	// the ingress beside it, or because no connection was had.
 	reached bool
+	// routeVersion is that of the route table by which the ingress refused.
+	routeVersion uint64
 	// load is what the ingress of the instance says of it, if it does.
 	load admission.Load
 }
@@ -243,6 +245,7 @@
 	result.state = attemptNotRun
 	result.reason = string(response.Header.Peek(wire.HeaderReason))
 	result.reached = len(response.Header.Peek(wire.HeaderInFront)) == 0
+	result.takeRouteVersion(&response.Header)
 	if seconds, err := strconv.ParseFloat(string(response.Header.Peek(fasthttp.HeaderRetryAfter)), 64); err == nil && seconds > 0 && seconds < maxRetryAfter.Seconds() {
 		result.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -83,6 +83,14 @@
 		p.service.pool.release(id, instanceOutcome(p, result), clock.Now()-sent)
 		r.noteAttempt(p, node, result)
 		open = open || result.state == attemptOpen
+		if by := result.supersededBy(); by > 0 && p.routed != nil {
+			if refused := r.rematch(request, p, by); refused.refused() {
+				r.end(request, p, open, refused)
+				return false
+			}
+			held, avoid, number = newHold(p), nil, 0
+			continue
+		}
 		if !r.mayRetry(p, held, result, number) {
 			r.endAfter(request, p, open, result)
 			return false
@@ -105,6 +113,8 @@
 	switch {
 	case result.reason == refuseCallerGone.reason, result.reason == refuseDeadline.reason:
 		return admission.OutcomeNeutral
+	case result.supersededBy() > 0:
+		return admission.OutcomeNeutral
 	case result.state == attemptNotRun && result.reason == wire.BackendReasonFull:
 		return admission.OutcomeShed
 	case result.state == attemptNotRun && !result.reached && !p.service.spec.Keyed:
--- a/router/request.go
+++ b/router/request.go
@@ -26,6 +26,8 @@
 	id       string
 	shown    string
 	attempts int
+	// rematches counts how often the request's route was found to have changed.
+	rematches int
 	// reached counts the attempts that came as far as a back end.
 	reached int
 	service *service
@@ -39,6 +41,8 @@
 	shard     uint32
 	epoch     uint64
 	deadline  time.Duration
+	// latest is until when the caller waits; zero: it does not say.
+	latest time.Duration
 	// viewAge is how old the router's view was when it matched the request.
 	viewAge  time.Duration
 	out      *fasthttp.Request
@@ -167,35 +171,44 @@
 	if found == nil {
 		return nil, r.refuseUnmatched()
 	}
+	if wanted, ok := r.callerTimeout(request); ok {
+		p.latest = now + wanted
+		p.returning = p.routed != nil && p.routed.learned.returning(wanted)
+	}
+	return p, r.assign(request, p, found, rest)
+}
+
+// assign gives a request to a service, or refuses it; rest is the path behind the service's
+// own prefix.
+func (r *Router) assign(request *fasthttp.RequestCtx, p *proxied, found *service, rest string) refusal {
 	p.service = found
 	if p.routed != nil {
 		p.route, p.repeatable = &p.routed.limits, p.routed.route.Kind.Repeatable()
 	} else {
 		p.route, p.repeatable = found.spec.RouteFor(string(request.Method()), rest)
 	}
-	p.deadline = now + p.route.Timeout.Std()
-	if wanted, ok := r.callerTimeout(request); ok {
-		p.deadline = min(p.deadline, now+wanted)
-		p.returning = p.routed != nil && p.routed.learned.returning(wanted)
+	p.deadline = p.started + p.route.Timeout.Std()
+	if p.latest > 0 {
+		p.deadline = min(p.deadline, p.latest)
 	}
 	if found.retiring {
-		return p, refuseRetiring
+		return refuseRetiring
 	}
-	if !r.freshness.within(now, found.spec.StalenessBound.Std()) {
-		return p, refuseNotCurrent
+	if !r.freshness.within(clock.Now(), found.spec.StalenessBound.Std()) || p.routed != nil && p.routed.supersededBy.Load() > 0 {
+		return refuseNotCurrent
 	}
 	if int64(request.Request.Header.ContentLength()) > p.route.MaxRequestBytes {
-		return p, refuseBodyTooBig
+		return refuseBodyTooBig
 	}
 	if found.spec.Keyed {
 		key := r.findKey(request, found.spec.Key, rest)
 		shard, ok := shardOf(found, key)
 		if !ok {
-			return p, refuseNoKey
+			return refuseNoKey
 		}
 		p.shard = shard
 	}
-	return p, refusal{}
+	return refusal{}
 }
 
 // refuseUnmatched says that there is no such service only if the router's view
@@ -274,10 +287,15 @@
 	out.SetRequestURIBytes(request.Request.RequestURI())
 	out.Header.SetHostBytes(request.Host())
 	out.Header.Set(r.options.Settings.Headers.RequestID, p.shown)
-	out.Header.Set(wire.HeaderService, p.service.name)
-	out.Header.Set(wire.HeaderShard, strconv.FormatUint(uint64(p.shard), 10))
-	r.setRouted(request, p, out)
 	p.out = out
+	r.describe(request, p)
+}
+
+// describe tells back ends, and the ingresses before them, what the request was matched to.
+func (r *Router) describe(request *fasthttp.RequestCtx, p *proxied) {
+	p.out.Header.Set(wire.HeaderService, p.service.name)
+	p.out.Header.Set(wire.HeaderShard, strconv.FormatUint(uint64(p.shard), 10))
+	r.setRouted(request, p, p.out)
 }
 
 // takeBody reads a short body into memory, so that the request can be sent again
--- a/router/routes.go
+++ b/router/routes.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -32,6 +33,9 @@
 	learned *learned
 	// version of the route table that the route was taken from.
 	version uint64
+	// supersededBy is a newer version under which the route leads elsewhere, as an ingress
+	// has told; zero: none is known.
+	supersededBy atomic.Uint64
 }
 
 // changed returns the table after a change.
@@ -251,6 +255,7 @@
 	}
 	route := p.routed.route
 	out.Header.Set(wire.HeaderRoute, route.Name)
+	out.Header.Set(wire.HeaderRouteVersion, strconv.FormatUint(p.routed.version, 10))
 	out.Header.Set(wire.HeaderPriority, strconv.Itoa(route.Priority))
 	out.Header.Set(wire.HeaderRepeatable, strconv.FormatBool(p.repeatable))
 	if p.returning {
--- a/router/viewage.go
+++ b/router/viewage.go
@@ -78,10 +78,6 @@
 
 // routeVersion is the version of the route table in force; zero: none.
 func (t *table) routeVersion() uint64 {
-	t.mutex.RLock()
-	defer t.mutex.RUnlock()
-	if t.routes == nil {
-		return 0
-	}
-	return t.routes.document.Version
+	version, _ := t.routesInForce()
+	return version
 }
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -36,6 +36,9 @@
 	HeaderRoute    = "Limehold-Route"
 	HeaderPriority = "Limehold-Priority"
 	HeaderTarget   = "Limehold-Target-Ms"
+	// HeaderRouteVersion tells the ingress the version of the route table that matched the
+	// request; on a refusal as BackendReasonSuperseded, it is the version in force there.
+	HeaderRouteVersion = "Limehold-Route-Version"
 	// HeaderReturning is "true" on requests that have been refused before.
 	HeaderReturning = "Limehold-Returning"
 	// HeaderRepeatable is "true" on requests that may run more than once.
@@ -60,6 +63,8 @@
 	BackendReasonDraining = "draining"
 	BackendReasonDeadline = "deadline"
 	BackendReasonStarting = "starting"
+	// BackendReasonSuperseded: a newer route table does not send the request to the service.
+	BackendReasonSuperseded = "route-superseded"
 	// BackendReasonZoneDrained: the back end's zone gets nothing new.
 	BackendReasonZoneDrained = "zone-drained"
 )
