Ingress: the gate says that it is the one of slots; headers that are no numbers are refused

admission.Gate chooses among instances, the ingress's gate shares one instance's slots: the latter is slotGate now (type and file; no change of behaviour). Numbers in the headers between routers and ingresses were turned into zero when they could not be read; the request is refused with a line that names the header now.

--- a/ingress/foresee.go
+++ b/ingress/foresee.go
@@ -34,7 +34,7 @@
 
 // slotTime is how long one of the slots is taken up by a request: a cold instance bears
 // fewer requests than its slots could run.
-func (g *gate) slotTime(now time.Duration) time.Duration {
+func (g *slotGate) slotTime(now time.Duration) time.Duration {
 	return max(g.runTime, time.Duration(g.slots)*g.cold.pace(now))
 }
 
@@ -42,7 +42,7 @@
 // within its target latency, or else for the share of the settings. One that is short may
 // wait longer: it takes little of the instance, and mostly is the call of another instance,
 // which keeps a slot meanwhile and has worked for nothing if it is refused.
-func (g *gate) patience(request asked) time.Duration {
+func (g *slotGate) patience(request asked) time.Duration {
 	share := time.Duration(float64(request.target) * g.queueTime)
 	inTime := request.target - runsReserved*g.routeTime(request.route)/runsWhole
 	patience := max(share, inTime)
@@ -53,21 +53,21 @@
 }
 
 // patienceOf is patience, for callers that do not hold the gate's mutex.
-func (g *gate) patienceOf(request asked) time.Duration {
+func (g *slotGate) patienceOf(request asked) time.Duration {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return g.patience(request)
 }
 
 // routeTimeOf is routeTime, for callers that do not hold the gate's mutex.
-func (g *gate) routeTimeOf(route string) time.Duration {
+func (g *slotGate) routeTimeOf(route string) time.Duration {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return g.routeTime(route)
 }
 
 // routeTime is the smoothed time that a route's requests occupy a slot.
-func (g *gate) routeTime(route string) time.Duration {
+func (g *slotGate) routeTime(route string) time.Duration {
 	if known := g.byRoute[route]; known != nil {
 		return known.runTime
 	}
@@ -89,7 +89,7 @@
 )
 
 // worthWaiting reports whether a request that waits may still be let in by a time.
-func (g *gate) worthWaiting(mine *ticket, until time.Duration) bool {
+func (g *slotGate) worthWaiting(mine *ticket, until time.Duration) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := clock.Now()
@@ -98,7 +98,7 @@
 
 // foreseen is the wait that a request of a rank is to expect: those before it need slots
 // for as long as requests of their routes take, and it needs one that becomes free.
-func (g *gate) foreseen(place rank) time.Duration {
+func (g *slotGate) foreseen(place rank) time.Duration {
 	if g.slots == 0 {
 		return time.Hour
 	}
@@ -117,7 +117,7 @@
 
 // occupiedBefore is the part of the slots that go to requests which come later and
 // are let in before one of the place all the same.
-func (g *gate) occupiedBefore(place rank) float64 {
+func (g *slotGate) occupiedBefore(place rank) float64 {
 	occupied := 0.0
 	for _, known := range g.byRoute {
 		length := lengthStep(known.runTime)
@@ -135,7 +135,7 @@
 func lengthStep(runTime time.Duration) int { return bits.Len64(uint64(runTime / time.Millisecond)) }
 
 // takeLoad takes in what the routes have occupied since the last time.
-func (g *gate) takeLoad(now time.Duration) {
+func (g *slotGate) takeLoad(now time.Duration) {
 	passed := now - g.loadTaken
 	if passed < loadEvery || g.slots == 0 {
 		return
@@ -149,7 +149,7 @@
 }
 
 // retryAfter is when a refused request is likely to find a slot.
-func (g *gate) retryAfter() time.Duration {
+func (g *slotGate) retryAfter() time.Duration {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if g.slots == 0 {
@@ -159,7 +159,7 @@
 	return max(g.cold.wait(now), time.Duration(len(g.waiting)+1)*g.slotTime(now)/time.Duration(g.slots))
 }
 
-func (g *gate) learn(route string, returning bool, ran time.Duration) {
+func (g *slotGate) learn(route string, returning bool, ran time.Duration) {
 	known := g.byRoute[route]
 	if known == nil {
 		if len(g.byRoute) >= maxRoutes {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -56,7 +56,7 @@
 	listener  net.Listener
 	server    *fasthttp.Server
 	instance  *Instance
-	gate      *gate
+	gate      *slotGate
 	link      *link
 	upstreams *upstream.Pool
 	hangups   *hangup.Watcher
@@ -91,7 +91,7 @@
 	}
 	i := &Ingress{
 		options: options, logger: options.Logger, listener: listener,
-		gate:      newGate(options.Settings.Ingress.QueueTime),
+		gate:      newSlotGate(options.Settings.Ingress.QueueTime),
 		link:      newLink(options.Settings.Ingress.LinkMbps),
 		upstreams: upstream.NewPool(instanceIdle), hangups: hangup.NewWatcher(),
 	}
--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -48,7 +48,7 @@
 type Instance struct {
 	options Options
 	logger  *zap.Logger
-	gate    *gate
+	gate    *slotGate
 	keys    *keyHolder
 
 	mutex   sync.Mutex
@@ -85,7 +85,7 @@
 	drainMargin = 200 * time.Millisecond
 )
 
-func newInstance(options Options, gate *gate) *Instance {
+func newInstance(options Options, gate *slotGate) *Instance {
 	i := &Instance{
 		options: options, logger: options.Logger, gate: gate,
 		departed: map[string]bool{}, followed: map[string]bool{}, suspect: make(chan struct{}, 1),
--- a/ingress/passage.go
+++ b/ingress/passage.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
@@ -143,18 +144,47 @@
 		service: string(header.Peek(wire.HeaderService)), route: string(header.Peek(wire.HeaderRoute)),
 		head: request.IsHead(), arrived: clock.Now(), tracker: upstream.NewTracker(),
 	}
-	p.epoch, _ = strconv.ParseUint(string(header.Peek(wire.HeaderEpoch)), 10, 64)
-	p.version, _ = strconv.ParseUint(string(header.Peek(wire.HeaderRouteVersion)), 10, 64)
-	shard, _ := strconv.ParseUint(string(header.Peek(wire.HeaderShard)), 10, 32)
-	p.shard = uint32(shard)
+	numbers := headerNumbers{header: header}
+	p.epoch = numbers.count(wire.HeaderEpoch)
+	p.version = numbers.count(wire.HeaderRouteVersion)
+	p.shard = uint32(numbers.count(wire.HeaderShard))
 	p.keyed = p.epoch > 0
-	p.priority, _ = strconv.Atoi(string(header.Peek(wire.HeaderPriority)))
+	p.priority = int(numbers.signed(wire.HeaderPriority))
 	p.returning = len(header.Peek(wire.HeaderReturning)) > 0
-	target, _ := strconv.ParseInt(string(header.Peek(wire.HeaderTarget)), 10, 64)
-	p.target = time.Duration(target) * time.Millisecond
-	left, err := strconv.ParseInt(string(header.Peek(wire.HeaderDeadline)), 10, 64)
-	p.deadline = p.arrived + time.Duration(left)*time.Millisecond
-	return p, err == nil && p.attemptID != "" && p.service != ""
+	p.target = time.Duration(numbers.count(wire.HeaderTarget)) * time.Millisecond
+	p.deadline = p.arrived + time.Duration(numbers.count(wire.HeaderDeadline))*time.Millisecond
+	if numbers.err != nil {
+		i.logger.Warn("request_unreadable", append(logging.Step("read headers", request.RemoteAddr().String(), numbers.err), zap.String("request", p.requestID))...)
+	}
+	return p, numbers.err == nil && p.attemptID != "" && p.service != "" && len(header.Peek(wire.HeaderDeadline)) > 0
+}
+
+// headerNumbers reads numbers out of headers, and keeps the first error.
+type headerNumbers struct {
+	header *fasthttp.RequestHeader
+	err    error
+}
+
+// signed returns a header's number; zero where there is no such header.
+func (n *headerNumbers) signed(name string) int64 {
+	text := n.header.Peek(name)
+	if len(text) == 0 {
+		return 0
+	}
+	number, err := strconv.ParseInt(string(text), 10, 64)
+	if err != nil && n.err == nil {
+		n.err = eris.Wrapf(err, "header %s", name)
+	}
+	return number
+}
+
+// count is signed for what cannot be below zero.
+func (n *headerNumbers) count(name string) uint64 {
+	number := n.signed(name)
+	if number < 0 && n.err == nil {
+		n.err = eris.Errorf("header %s is %d: it cannot be below 0", name, number)
+	}
+	return uint64(max(0, number))
 }
 
 // asked is what the gate has to know of the request.
--- a/ingress/gate.go
+++ b/ingress/slotgate.go
@@ -8,7 +8,7 @@
 	"limehold/clock"
 )
 
-// gate shares the instance's slots among requests. Those that find none free wait
+// slotGate shares the instance's slots among requests. Those that find none free wait
 // by rank, as long as the wait that is foreseen is worth it.
 //
 // Invariants:
@@ -21,7 +21,7 @@
 //     first time: it can still be served in full time, one that returns after a refusal
 //     cannot. Among equals, the one that has to begin first to be served within its
 //     target latency.
-type gate struct {
+type slotGate struct {
 	// queueTime is the share of a request's target latency that it may wait.
 	queueTime float64
 	mutex     sync.Mutex
@@ -91,8 +91,8 @@
 	mostOccupied = 0.95
 )
 
-func newGate(queueTime float64) *gate {
-	return &gate{queueTime: queueTime, runTime: firstRunTime, byRoute: map[string]*routeLoad{}}
+func newSlotGate(queueTime float64) *slotGate {
+	return &slotGate{queueTime: queueTime, runTime: firstRunTime, byRoute: map[string]*routeLoad{}}
 }
 
 // entry is the gate's answer to a request.
@@ -111,21 +111,21 @@
 	runTime                 time.Duration
 }
 
-func (g *gate) load() loadFigures {
+func (g *slotGate) load() loadFigures {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return loadFigures{g.running, len(g.waiting), g.slots, g.slotTime(clock.Now())}
 }
 
 // capacity is the share of its usual requests that the instance bears now.
-func (g *gate) capacity() float64 {
+func (g *slotGate) capacity() float64 {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return float64(g.runTime) / float64(g.slotTime(clock.Now()))
 }
 
 // changeCold changes what is known of the instance's cold start, and lets in what may be.
-func (g *gate) changeCold(change func(*coldStart)) {
+func (g *slotGate) changeCold(change func(*coldStart)) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	change(&g.cold)
@@ -134,28 +134,28 @@
 
 // coldBound is how many requests a second the instance is sent while it is cold; zero: it
 // is not bounded.
-func (g *gate) coldBound() int {
+func (g *slotGate) coldBound() int {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return g.cold.perSecond
 }
 
 // mayBeCold reports whether the instance has to be asked whether it is cold.
-func (g *gate) mayBeCold() bool {
+func (g *slotGate) mayBeCold() bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return g.cold.perSecond > 0 && g.cold.doubtful()
 }
 
 // isCold reports whether the instance is cold, or may be.
-func (g *gate) isCold() bool {
+func (g *slotGate) isCold() bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return g.cold.cold(clock.Now())
 }
 
 // resize takes how many requests the instance runs at once.
-func (g *gate) resize(slots int) {
+func (g *slotGate) resize(slots int) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.slots = slots
@@ -163,7 +163,7 @@
 }
 
 // close refuses everything that is new, and what waits.
-func (g *gate) close() {
+func (g *slotGate) close() {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.closed = true
@@ -185,7 +185,7 @@
 }
 
 // enter waits for a slot. After entryAdmitted, leave must follow.
-func (g *gate) enter(request asked, cancelled <-chan struct{}) entry {
+func (g *slotGate) enter(request asked, cancelled <-chan struct{}) entry {
 	g.mutex.Lock()
 	patience := g.patience(request)
 	place := rank{
@@ -225,7 +225,7 @@
 const awaitLooks = 5
 
 // await waits for a slot, for as long as the wait that is foreseen is worth it.
-func (g *gate) await(mine *ticket, patience time.Duration, cancelled <-chan struct{}) entry {
+func (g *slotGate) await(mine *ticket, patience time.Duration, cancelled <-chan struct{}) entry {
 	until := clock.Now() + patience
 	ticker := time.NewTicker(max(time.Millisecond, patience/awaitLooks))
 	defer ticker.Stop()
@@ -260,7 +260,7 @@
 
 // leave gives a slot back; ran is how long the request occupied it, zero when it
 // did not run.
-func (g *gate) leave(route string, returning bool, ran time.Duration) {
+func (g *slotGate) leave(route string, returning bool, ran time.Duration) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.running--
@@ -272,14 +272,14 @@
 }
 
 // take lets a request through.
-func (g *gate) take(now time.Duration) {
+func (g *slotGate) take(now time.Duration) {
 	g.running++
 	g.cold.note(now)
 }
 
 // admitNext lets in as many of the waiting requests as may be. The next one that a cold
 // instance does not bear yet is let in by a timer.
-func (g *gate) admitNext() {
+func (g *slotGate) admitNext() {
 	now := clock.Now()
 	for g.running < g.slots && len(g.waiting) > 0 {
 		if wait := g.cold.wait(now); wait > 0 {
@@ -295,7 +295,7 @@
 }
 
 // thawAfter runs admitNext again after a while, unless that is due already.
-func (g *gate) thawAfter(wait time.Duration) {
+func (g *slotGate) thawAfter(wait time.Duration) {
 	if g.thaw != nil {
 		return
 	}
