Sight of ends: what an instance ran when it ended, and whether it is the same request

Added: an identity of each request (method, host, target, body, and the caller's own fields) made by the router and told to ingresses, in the lines of failed attempts, failed exchanges and open outcomes; instance_ended with the identities of the runs that broke then; a counter of ends by how they showed. No decision changes.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -42,6 +42,11 @@
 	whole bool
 }
 
+// broke reports whether the connection to the instance broke under the request.
+func (e *exchange) broke() bool {
+	return e.state == exchangeOpen && (e.reason == reasonNoAnswer || e.reason == reasonBrokenAnswer)
+}
+
 // Reasons of exchanges without a usable answer.
 const (
 	reasonUnreachable   = "unreachable"
@@ -294,8 +299,11 @@
 // router's connection, so that a cut answer never looks whole.
 func (b *answerBody) Read(data []byte) (int, error) {
 	count, err := b.stream.Read(data)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		b.finished = true
+	case err != nil:
+		b.ingress.instance.ends.broke(b.passage.brokenAt(clock.Now()))
 	}
 	return count, err
 }
--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"limehold"
@@ -66,6 +67,9 @@
 	suspect chan struct{}
 	probe   *coldProbe
 	pace    pace
+	ends    ends
+	// endings counts the instances that have ended unannounced, by how that showed.
+	endings *prometheus.CounterVec
 	success success
 	// zoneSeen is the newest change of the zone that has been taken in.
 	zoneSeen time.Duration
@@ -90,6 +94,7 @@
 		options: options, logger: options.Logger, gate: gate,
 		departed: map[string]bool{}, followed: map[string]bool{}, suspect: make(chan struct{}, 1),
 	}
+	i.endings = options.Metrics.CounterVec("ingress", "instance_ends_total", "Instances that ended without having said that they would, by how it showed.", "cause")
 	i.keys = newKeyHolder(options)
 	i.probe = newColdProbe(i)
 	return i
@@ -122,6 +127,9 @@
 	before := i.current
 	if i.known && !sameStart {
 		i.followed[before.ID] = true
+		if i.gone != before.ID && !i.departed[before.ID] && i.leavingSince == 0 {
+			i.noteEnded(before.ID, causeAnotherStart)
+		}
 		delete(i.followed, announced.ID)
 	}
 	i.current, i.heard, i.known = announced, now, true
@@ -257,8 +265,11 @@
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	if i.current.ID == id {
+		if i.gone != id && !i.departed[id] && i.leavingSince == 0 {
+			i.noteEnded(id, causeNobodyListens)
+		}
 		i.gone = id
-		i.logger.Warn("instance_gone", zap.String("instance", id), zap.String("cause", "nobody listens at its address"), zap.Int("refused", refused))
+		i.logger.Warn("instance_gone", zap.String("instance", id), zap.String("cause", causeNobodyListens), zap.Int("refused", refused))
 	}
 }
 
--- a/ingress/passage.go
+++ b/ingress/passage.go
@@ -12,6 +12,7 @@
 	"limehold/hangup"
 	"limehold/logging"
 	"limehold/ownership"
+	"limehold/quarantine"
 	"limehold/settings"
 	"limehold/upstream"
 	"limehold/wire"
@@ -22,8 +23,10 @@
 	names     settings.Headers
 	requestID string
 	attemptID string
-	service   string
-	route     string
+	// identity recognises the request when it comes again.
+	identity quarantine.Identity
+	service  string
+	route    string
 	// version of the route table that matched the request; zero: it is not known.
 	version   uint64
 	shard     uint32
@@ -153,6 +156,10 @@
 	p.returning = len(header.Peek(wire.HeaderReturning)) > 0
 	p.target = time.Duration(numbers.count(wire.HeaderTarget)) * time.Millisecond
 	p.deadline = p.arrived + time.Duration(numbers.count(wire.HeaderDeadline))*time.Millisecond
+	var err error
+	if p.identity, err = quarantine.ParseIdentity(header.Peek(wire.HeaderIdentity)); err != nil && numbers.err == nil {
+		numbers.err = eris.Wrapf(err, "header %s", wire.HeaderIdentity)
+	}
 	if numbers.err != nil {
 		i.logger.Warn("request_unreadable", append(logging.Step("read headers", request.RemoteAddr().String(), numbers.err), zap.String("request", p.requestID))...)
 	}
@@ -226,7 +233,7 @@
 	i.buildOut(request, p)
 	p.sent = clock.Now()
 	result := i.send(p)
-	i.noteEnd(result)
+	i.noteEnd(p, result)
 	i.runs.Observe((clock.Now() - p.sent).Seconds())
 	switch result.state {
 	case exchangeAnswered:
@@ -242,19 +249,27 @@
 	if result.err != nil {
 		i.logger.Info("exchange_failed", append(logging.Step("exchange", p.seen.id, result.err),
 			zap.String("request", p.requestID), zap.String("attempt", p.attemptID), zap.String("reason", result.reason),
-			zap.Bool("sent", result.state == exchangeOpen))...)
+			zap.Bool("sent", result.state == exchangeOpen), zap.Stringer("identity", p.identity))...)
 	}
 	i.end(p)
 }
 
 // noteEnd takes how a run ended, as far as that says something of the instance.
-func (i *Ingress) noteEnd(result *exchange) {
+func (i *Ingress) noteEnd(p *passage, result *exchange) {
 	switch {
 	case result.state == exchangeAnswered:
 		i.instance.success.ended(result.response.StatusCode() < fasthttp.StatusInternalServerError, clock.Now())
 	case result.state == exchangeOpen && result.reason != reasonCallerGone:
 		i.instance.success.ended(false, clock.Now())
 	}
+	if result.broke() {
+		i.instance.ends.broke(p.brokenAt(clock.Now()))
+	}
+}
+
+// brokenAt is the request as one whose connection has broken.
+func (p *passage) brokenAt(now time.Duration) brokenRun {
+	return brokenRun{instance: p.seen.id, request: p.requestID, identity: p.identity, at: now}
 }
 
 // end gives the request's slot back, and forgets it.
@@ -306,7 +321,7 @@
 // betweenUs are the headers that routers add for ingresses.
 var betweenUs = []string{
 	wire.HeaderAttempt, wire.HeaderService, wire.HeaderShard, wire.HeaderEpoch, wire.HeaderRoute, wire.HeaderRouteVersion,
-	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderReturning, wire.HeaderRepeatable, wire.HeaderDeadline,
+	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderReturning, wire.HeaderRepeatable, wire.HeaderDeadline, wire.HeaderIdentity,
 }
 
 // answer passes an answer on. Small ones are there whole; others are streamed and
--- a/router/answer.go
+++ b/router/answer.go
@@ -110,7 +110,7 @@
 	setRevision(&request.Response, p)
 	r.logger.Info("request_unknown", zap.String("request", p.shown), zap.String("service", p.service.name), zap.String("route", p.routeName()),
 		zap.Uint64("version", p.tableVersion()), zap.Duration("view_age", p.viewAge), zap.String("reason", reason), zap.Bool("repeatable", p.repeatable),
-		zap.Int("attempts", p.attempts), zap.Duration("took", clock.Now()-p.started))
+		zap.Int("attempts", p.attempts), zap.Duration("took", clock.Now()-p.started), zap.Stringer("identity", p.identity))
 }
 
 // setRevision tells the caller which revision of the service's configuration
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -45,6 +45,7 @@
 		fasthttp.ReleaseRequest(p.out)
 		return
 	}
+	r.identify(request, p)
 	r.countAsked(p)
 	p.watched = r.hangups.Add(p.caller, p.tracker.Cancel)
 	streaming := r.proxy(request, p)
@@ -340,6 +341,6 @@
 	if result.state == attemptOpen || result.state == attemptNotSent {
 		r.logger.Info("attempt_failed", append(logging.Step("attempt", node.Name, result.err),
 			zap.String("request", p.shown), zap.String("service", p.service.name), zap.String("reason", result.reason),
-			zap.Bool("sent", result.state == attemptOpen), zap.Int("attempt", p.attempts))...)
+			zap.Bool("sent", result.state == attemptOpen), zap.Int("attempt", p.attempts), zap.Stringer("identity", p.identity))...)
 	}
 }
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -43,6 +43,8 @@
 	HeaderReturning = "Limehold-Returning"
 	// HeaderRepeatable is "true" on requests that may run more than once.
 	HeaderRepeatable = "Limehold-Repeatable"
+	// HeaderIdentity is what the request is recognised by when it comes again.
+	HeaderIdentity = "Limehold-Identity"
 	// HeaderTimeout is set by callers who want less than the route's timeout.
 	HeaderTimeout = "Limehold-Timeout-Ms"
 	// HeaderRequestID is passed through, or drawn when missing.
