--- a/adminapi/types.go
+++ b/adminapi/types.go
@@ -190,6 +190,39 @@
 	Since    string `json:"since,omitempty"`
 }
 
+// States of a request under which instances have ended.
+const (
+	// RequestSuspected: it was running at an end, and runs.
+	RequestSuspected = "suspected"
+	// RequestQuarantined: no instance runs it any more.
+	RequestQuarantined = "quarantined"
+	// RequestOnTrial: it is quarantined but for one run.
+	RequestOnTrial = "on-trial"
+)
+
+// SuspectRequest is a request under which instances have ended.
+type SuspectRequest struct {
+	Digest  string `json:"digest"`
+	State   string `json:"state"`
+	Service string `json:"service"`
+	// Sample is its method, host and path.
+	Sample string `json:"sample"`
+	// OneCaller is set where others are served the same.
+	OneCaller bool `json:"one_caller"`
+	// Since when it has been quarantined.
+	Since  string        `json:"since,omitempty"`
+	Trials int           `json:"trials"`
+	Ends   []InstanceEnd `json:"ends"`
+}
+
+// InstanceEnd is an end of an instance.
+type InstanceEnd struct {
+	Instance string `json:"instance"`
+	Node     string `json:"node"`
+	Version  string `json:"version,omitempty"`
+	At       string `json:"at"`
+}
+
 // MemberChange is the body of a change of members.
 type MemberChange struct {
 	Name    string `json:"name"`
@@ -207,4 +240,6 @@
 	PathJournal   = "/v1/journal"
 	PathSnapshot  = "/v1/snapshot"
 	PathZones     = "/v1/zones"
+	// PathQuarantine lists requests under which instances have ended, and releases them.
+	PathQuarantine = "/v1/quarantine"
 )
--- a/agent/backend.go
+++ b/agent/backend.go
@@ -28,6 +28,8 @@
 
 // Description is what a back end says of itself.
 type Description struct {
+	// Version of the back end's software; empty: it does not say.
+	Version string
 	// Pool of services that it serves.
 	Pool string
 	// Slots is how many requests it runs at once; Connections how many it accepts.
--- a/agent/session.go
+++ b/agent/session.go
@@ -49,7 +49,7 @@
 	described := a.backend.Description()
 	request := &wire.OpenSession{PredecessorGone: described.Exclusive, Node: membership.Node{
 		Name: config.Name, Incarnation: incarnation, Zone: config.Zone, Address: advertise,
-		Pool: described.Pool, Slots: described.Slots, Connections: described.Connections, Gated: described.Gated,
+		Pool: described.Pool, Slots: described.Slots, Connections: described.Connections, Gated: described.Gated, Version: described.Version,
 	}}
 	reply := &wire.OpenSessionReply{}
 	if err := a.links.callLeader(ctx, openTimeout, wire.KindOpenSession, request, reply); err != nil {
--- a/cli/operator.go
+++ b/cli/operator.go
@@ -74,11 +74,16 @@
 
 // change sends a change and prints what became of it.
 func change(command *cli.Command, method, path string, body any) error {
+	return changeWith(command, method, path, url.Values{}, body)
+}
+
+// changeWith is change with a query.
+func changeWith(command *cli.Command, method, path string, query url.Values, body any) error {
 	client, err := newClient(command)
 	if err != nil {
 		return err
 	}
-	request := adminapi.Request{Method: method, Path: path, Query: url.Values{}, Body: body, CommandID: command.String("command-id")}
+	request := adminapi.Request{Method: method, Path: path, Query: query, Body: body, CommandID: command.String("command-id")}
 	if request.CommandID == "" {
 		request.CommandID = drawCommandID()
 	}
--- /dev/null
+++ b/cli/quarantine.go
@@ -0,0 +1,68 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+
+	"github.com/urfave/cli/v3"
+
+	"limehold/adminapi"
+)
+
+func quarantineCommand() *cli.Command {
+	return &cli.Command{
+		Name: "quarantine", Usage: "list requests under which instances have ended, let them run again",
+		Commands: []*cli.Command{
+			{
+				Name: "list", Usage: "list requests that are quarantined or suspected, with the ends of instances", ArgsUsage: "[DIGEST]",
+				Flags: withFlags(clientFlags, []cli.Flag{staleFlag}),
+				Action: func(_ context.Context, command *cli.Command) error {
+					var list []adminapi.SuspectRequest
+					path := adminapi.PathQuarantine
+					if digest := command.Args().First(); digest != "" {
+						path += "/" + url.PathEscape(digest)
+					}
+					if err := get(command, path, nil, &list); err != nil {
+						return err
+					}
+					return show(command, list, quarantineTable(list))
+				},
+			},
+			{
+				Name: "release", Usage: "let a quarantined request run again, and forget its ends", ArgsUsage: "DIGEST",
+				Flags: withFlags(clientFlags, changeFlags, []cli.Flag{
+					&cli.StringFlag{Name: "reason", Usage: "why it may run again; kept in the journal"},
+				}),
+				Description: "Example:\n   limehold quarantine release 5d41402abc4b --reason \"mended in v12\"",
+				Action: func(_ context.Context, command *cli.Command) error {
+					digest, err := argument(command, 0, "digest")
+					if err != nil {
+						return err
+					}
+					if command.String("reason") == "" {
+						return usageError(errors.New("--reason is empty: say why the request may run again"))
+					}
+					path := adminapi.PathQuarantine + "/" + url.PathEscape(digest) + "/release"
+					return changeWith(command, http.MethodPost, path, url.Values{"reason": {command.String("reason")}}, nil)
+				},
+			},
+		},
+	}
+}
+
+func quarantineTable(list []adminapi.SuspectRequest) *table {
+	rows := &table{header: []string{"DIGEST", "STATE", "ENDS", "SERVICE", "REQUEST", "CALLERS", "SINCE", "TRIALS", "LAST INSTANCE", "AT"}}
+	for _, request := range list {
+		callers, last := "all", adminapi.InstanceEnd{}
+		if request.OneCaller {
+			callers = "one"
+		}
+		if len(request.Ends) > 0 {
+			last = request.Ends[len(request.Ends)-1]
+		}
+		rows.add(request.Digest, request.State, len(request.Ends), request.Service, request.Sample, callers, request.Since, request.Trials, last.Instance, last.Node)
+	}
+	return rows
+}
--- a/control/admin.go
+++ b/control/admin.go
@@ -84,6 +84,8 @@
 		return m.routeNodes(ctx, request, method, name, action)
 	case "zones":
 		return m.routeZones(ctx, request, method, name, action)
+	case "quarantine":
+		return m.routeQuarantine(ctx, request, method, name, action)
 	case "members":
 		return m.routeMembers(ctx, request, method, name)
 	case "explain":
--- a/control/member.go
+++ b/control/member.go
@@ -86,6 +86,7 @@
 	m.renewals = options.Metrics.Counter("control", "lease_renewals_total", "Lease renewals that reached this member while it led.")
 	m.moves = options.Metrics.CounterVec("control", "shard_moves_total", "Shards that this member proposed to move, by kind of decision.", "kind")
 	m.registerRouterMetrics()
+	m.registerQuarantineMetrics()
 	m.server = transport.NewServer(listener, m, m.transportOptions())
 	m.advertised = config.Control.Advertise
 	if m.advertised == "" {
@@ -179,6 +180,7 @@
 	group.Go(func() error { return m.lead(running) })
 	group.Go(func() error { return m.relayLoads(running) })
 	group.Go(func() error { return m.watchRouters(running) })
+	group.Go(func() error { return m.ageQuarantine(running) })
 	group.Go(func() error { return m.followPlatform(running) })
 	group.Go(func() error { return m.seekAdmission(running) })
 	group.Go(func() error { return m.keepVoters(running) })
@@ -278,6 +280,7 @@
 	wire.KindOpenSession: wire.RoleAgent, wire.KindRenew: wire.RoleAgent,
 	wire.KindReleased: wire.RoleAgent, wire.KindDrainSelf: wire.RoleAgent,
 	wire.KindWatch: wire.RoleRouter, wire.KindConfirm: wire.RoleRouter,
+	wire.KindReport: wire.RoleRouter, wire.KindTrial: wire.RoleRouter,
 }
 
 func (m *Member) dispatch(ctx context.Context, conn *transport.Conn, kind wire.Kind, payload []byte) (any, error) {
@@ -309,6 +312,10 @@
 		return decoded(payload, func(r *wire.DrainSelf) (*wire.ReleasedReply, error) { return m.drainSelf(ctx, r) })
 	case wire.KindWatch:
 		return decoded(payload, func(r *wire.Watch) (any, error) { return struct{}{}, m.watch(conn, r) })
+	case wire.KindReport:
+		return decoded(payload, func(r *wire.Report) (any, error) { return m.takeReport(ctx, conn, r) })
+	case wire.KindTrial:
+		return decoded(payload, func(r *wire.Trial) (*wire.TrialReply, error) { return m.giveTrial(ctx, r) })
 	case wire.KindConfirm:
 		return decoded(payload, func(r *wire.Confirm) (*wire.ConfirmReply, error) { return m.confirm(ctx, conn, r) })
 	}
--- /dev/null
+++ b/control/quarantine.go
@@ -0,0 +1,209 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"limehold/adminapi"
+	"limehold/catalog"
+	"limehold/clock"
+	"limehold/consensus"
+	"limehold/fleet"
+	"limehold/logging"
+	"limehold/quarantine"
+	"limehold/transport"
+	"limehold/wire"
+)
+
+const (
+	// ageEvery is how often records of requests are looked at: they age over minutes.
+	ageEvery = 5 * time.Second
+	// maxReports bounds the reports that are taken of one message; a router tells the others again.
+	maxReports = 64
+)
+
+// takeReport makes what a process has observed durable, and known to all.
+func (m *Member) takeReport(ctx context.Context, conn *transport.Conn, request *wire.Report) (any, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	if len(request.Reports) == 0 || len(request.Reports) > maxReports {
+		return nil, &wire.Error{Code: wire.CodeInvalid, Message: "a report tells 1 to 64 things", Step: "take report", Peer: m.options.Settings.Name}
+	}
+	if _, err := m.executeOnce(ctx, fleet.Command{TakeReports: &fleet.TakeReports{Reports: request.Reports}}); err != nil {
+		m.logger.Info("report_not_committed", append(logging.Step("commit report", conn.Peer.Name, err), zap.Int("reports", len(request.Reports)))...)
+		return nil, err
+	}
+	return struct{}{}, nil
+}
+
+// giveTrial gives a trial to the router that asks first.
+func (m *Member) giveTrial(ctx context.Context, request *wire.Trial) (*wire.TrialReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	result, err := m.executeOnce(ctx, fleet.Command{TakeTrial: &fleet.TakeTrial{Digest: request.Digest, Number: request.Number, Holder: request.Router}})
+	if err != nil {
+		return nil, err
+	}
+	return &wire.TrialReply{Given: result.Refused == 0}, nil
+}
+
+// ageQuarantine lets suspects and quarantines end, for as long as this member leads. Ages are
+// counted by every member: another one that comes to lead goes on from there.
+func (m *Member) ageQuarantine(ctx context.Context) error {
+	ages := &quarantine.Ages{}
+	ticker := time.NewTicker(ageEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		command := m.agedCommand(ages)
+		if command == nil || m.replica.status.Load().Role != consensus.RoleLeader {
+			continue
+		}
+		executing, cancel := context.WithTimeout(ctx, forwardTimeout)
+		if _, err := m.executeHere(executing, fleet.Command{AgeQuarantine: command}); err != nil {
+			m.logger.Info("quarantine_not_aged", logging.Step("age quarantine", m.options.Settings.Name, err)...)
+		}
+		cancel()
+	}
+}
+
+// agedCommand is what is due by now; nil: nothing.
+func (m *Member) agedCommand(ages *quarantine.Ages) *fleet.AgeQuarantine {
+	command := &fleet.AgeQuarantine{}
+	m.replica.view(func(state *fleet.State) {
+		expired, offers := ages.Due(&state.Quarantine, func(service string) []string { return versionsOf(state, service) }, clock.Now())
+		command.Expired = expired
+		for _, offer := range offers {
+			command.Trials = append(command.Trials, fleet.TrialOffer{Record: offer.Record, Version: offer.Version, Cause: offer.Cause})
+		}
+	})
+	if len(command.Expired) == 0 && len(command.Trials) == 0 {
+		return nil
+	}
+	return command
+}
+
+// versionsOf are the versions of the software that a service's instances run.
+func versionsOf(state *fleet.State, name string) []string {
+	service := state.Catalog.Services[name]
+	if service == nil {
+		return nil
+	}
+	var versions []string
+	for _, node := range state.Membership.Sessions {
+		if node.Pool == service.Spec.Pool && node.Eligible() {
+			versions = append(versions, node.Version)
+		}
+	}
+	slices.Sort(versions)
+	return slices.Compact(versions)
+}
+
+// routeQuarantine serves the operators' interface.
+func (m *Member) routeQuarantine(ctx context.Context, request *fasthttp.RequestCtx, method, name, action string) (any, error) {
+	if method == http.MethodGet {
+		return m.readQuarantine(ctx, request, name)
+	}
+	if method != http.MethodPost || action != "release" {
+		return nil, methodNotAllowed(method)
+	}
+	reason := strings.TrimSpace(string(request.QueryArgs().Peek("reason")))
+	if reason == "" {
+		return nil, &catalog.Failure{Code: catalog.FailureInvalid, Message: "reason is empty: say why the request may run again (reason=...)"}
+	}
+	if err := m.linearize(ctx); err != nil {
+		return nil, err
+	}
+	var digest quarantine.Digest
+	var failure error
+	m.replica.view(func(state *fleet.State) { digest, failure = digestOf(state, name) })
+	if failure != nil {
+		return nil, failure
+	}
+	return m.change(ctx, request, fleet.Command{ReleaseRequest: &fleet.ReleaseRequest{Digest: digest, Reason: reason}})
+}
+
+// digestOf finds the record whose digest begins as an operator has typed it.
+func digestOf(state *fleet.State, typed string) (quarantine.Digest, error) {
+	var found []quarantine.Digest
+	for i := range state.Quarantine.Records {
+		if typed != "" && strings.HasPrefix(state.Quarantine.Records[i].Digest.Hex(), typed) {
+			found = append(found, state.Quarantine.Records[i].Digest)
+		}
+	}
+	switch len(found) {
+	case 0:
+		return quarantine.Digest{}, notFound("a record of request " + `"` + typed + `"`)
+	case 1:
+		return found[0], nil
+	}
+	return quarantine.Digest{}, &catalog.Failure{Code: catalog.FailureInvalid, Message: "digest is " + `"` + typed + `"` + ": more than one begins so, write more of it"}
+}
+
+func (m *Member) readQuarantine(ctx context.Context, request *fasthttp.RequestCtx, typed string) (any, error) {
+	list := []adminapi.SuspectRequest{}
+	err := m.read(ctx, request, func(state *fleet.State) {
+		for i := range state.Quarantine.Records {
+			if record := &state.Quarantine.Records[i]; strings.HasPrefix(record.Digest.Hex(), typed) {
+				list = append(list, suspectAnswer(record))
+			}
+		}
+	})
+	slices.SortStableFunc(list, func(a, b adminapi.SuspectRequest) int { return len(b.Ends) - len(a.Ends) })
+	return list, err
+}
+
+func suspectAnswer(record *quarantine.Record) adminapi.SuspectRequest {
+	answer := adminapi.SuspectRequest{
+		Digest: record.Digest.Hex(), Service: record.Service, Sample: record.Sample, OneCaller: record.Own,
+		State: adminapi.RequestSuspected, Trials: int(record.Trials),
+	}
+	switch {
+	case record.Trial.Offered():
+		answer.State = adminapi.RequestOnTrial
+	case record.Quarantined:
+		answer.State = adminapi.RequestQuarantined
+	}
+	if record.Quarantined {
+		answer.Since = inText(record.Since)
+	}
+	for _, end := range record.Ends {
+		answer.Ends = append(answer.Ends, adminapi.InstanceEnd{Instance: end.Instance, Node: end.Node, Version: end.Version, At: inText(end.At)})
+	}
+	return answer
+}
+
+// inText shows Unix milliseconds to people.
+func inText(millis int64) string { return time.UnixMilli(millis).UTC().Format(time.RFC3339Nano) }
+
+// registerQuarantineMetrics adds how many requests are suspected and quarantined.
+func (m *Member) registerQuarantineMetrics() {
+	count := func(quarantined bool) func() float64 {
+		return func() float64 {
+			if !m.hasStarted() {
+				return 0
+			}
+			number := 0
+			m.replica.view(func(state *fleet.State) {
+				for i := range state.Quarantine.Records {
+					if state.Quarantine.Records[i].Quarantined == quarantined {
+						number++
+					}
+				}
+			})
+			return float64(number)
+		}
+	}
+	m.options.Metrics.Gauge("control", "requests_quarantined", "Requests that no instance runs any more, as instances ended under them.", count(true))
+	m.options.Metrics.Gauge("control", "requests_suspected", "Requests that were running when an instance ended, and have not run to a good end since.", count(false))
+}
--- a/decisions/decisions.go
+++ b/decisions/decisions.go
@@ -26,6 +26,11 @@
 	KindRoutesChanged   Kind = "routes_changed"
 	KindZoneDraining    Kind = "zone_draining"
 	KindZoneResumed     Kind = "zone_resumed"
+	// KindQuarantined: no instance runs a request any more; KindUnquarantined: it may run
+	// again; KindTrialOffered: one run of it is allowed.
+	KindQuarantined   Kind = "request_quarantined"
+	KindUnquarantined Kind = "request_released"
+	KindTrialOffered  Kind = "trial_offered"
 )
 
 // Event is one decision.
--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -93,6 +93,14 @@
 		return a.changeRoutes(command.ChangeRoutes)
 	case command.SetZoneDraining != nil:
 		return a.setZoneDraining(command.SetZoneDraining)
+	case command.TakeReports != nil:
+		return a.takeReports(command.TakeReports)
+	case command.ReleaseRequest != nil:
+		return a.releaseRequest(command.ReleaseRequest)
+	case command.AgeQuarantine != nil:
+		return a.ageQuarantine(command.AgeQuarantine)
+	case command.TakeTrial != nil:
+		return a.takeTrial(command.TakeTrial)
 	}
 	return Result{Failure: &catalog.Failure{Code: catalog.FailureInvalid, Message: "the command is empty or of a newer version"}}
 }
--- a/fleet/command.go
+++ b/fleet/command.go
@@ -38,6 +38,11 @@
 	ChangeRoutes   *routing.Change
 
 	SetZoneDraining *SetZoneDraining
+
+	TakeReports    *TakeReports
+	ReleaseRequest *ReleaseRequest
+	AgeQuarantine  *AgeQuarantine
+	TakeTrial      *TakeTrial
 }
 
 // ApplyTemplate creates or replaces a template and changes its services.
@@ -158,8 +163,8 @@
 	Session membership.SessionID
 	// Routes is set for ChangeRoutes.
 	Routes *routing.Outcome
-	// Refused counts the decisions of Assign, Transfer, Release or SetZoneDraining
-	// that no longer fitted the state.
+	// Refused counts the decisions of Assign, Transfer, Release, SetZoneDraining,
+	// ReleaseRequest or TakeTrial that no longer fitted the state.
 	Refused int
 }
 
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -9,6 +9,7 @@
 	"limehold/decisions"
 	"limehold/membership"
 	"limehold/ownership"
+	"limehold/quarantine"
 	"limehold/routing"
 )
 
@@ -51,6 +52,8 @@
 	Routing routing.Store
 	// Zones holds the zones that were ever drained, also those that are in service again.
 	Zones map[string]Zone
+	// Quarantine is what is known of requests under which instances have ended.
+	Quarantine quarantine.Table
 }
 
 // NewState returns the state before the first command.
@@ -105,6 +108,8 @@
 	Routes *routing.Change
 	// Zones were drained, or taken back into service.
 	Zones []string
+	// Quarantine are the records that are new, changed or gone; one may be named twice.
+	Quarantine []quarantine.Digest
 }
 
 func (c *Changes) session(id membership.SessionID, keys ...ownership.Key) {
@@ -121,7 +126,7 @@
 func (c *Changes) Empty() bool {
 	return !c.Templates && len(c.Services) == 0 && len(c.RemovedServices) == 0 &&
 		len(c.Nodes) == 0 && len(c.RemovedNodes) == 0 && len(c.Shards) == 0 && len(c.Sessions) == 0 &&
-		c.Routes == nil && len(c.Zones) == 0
+		c.Routes == nil && len(c.Zones) == 0 && len(c.Quarantine) == 0
 }
 
 // CheckInvariants returns an error that names the first broken invariant. It
--- a/ingress/ends.go
+++ b/ingress/ends.go
@@ -1,38 +1,52 @@
 package ingress
 
 import (
+	"context"
+	"errors"
+	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
 	"limehold/clock"
+	"limehold/fleet"
 	"limehold/quarantine"
 )
 
-// ends knows what an instance was running when it ended.
+// ends knows what an instance was running when it ended: what has brought an end about is one
+// of these requests, or none.
 type ends struct {
 	mutex sync.Mutex
 	// broken are the runs whose connections broke lately, oldest first.
 	broken []brokenRun
+	// noted is the instance whose end has been noted last.
+	noted string
 }
 
 // brokenRun is a request that was sent to an instance, and whose connection broke before
 // the whole answer was there.
 type brokenRun struct {
 	instance string
-	request  string
-	identity quarantine.Identity
+	run      quarantine.Run
 	at       time.Duration
 }
 
 const (
 	// endWindow is how long before an instance is found to have ended its runs break: all at
-	// once where the process ends, and the finding takes three refused connections.
+	// once where the process ends, and the finding takes two refused connections.
 	endWindow = time.Second
 	// maxBroken bounds what is kept: an instance runs some twenty requests and queues as many.
 	maxBroken = 64
+	// refusalsEnded connections that are refused, endEvery apart, show after a run has broken that
+	// the instance has ended. Less is asked for than before it is given up, as its keys are not
+	// touched by this.
+	refusalsEnded = 2
+	endEvery      = 25 * time.Millisecond
+	// lookPatience bounds the look whether anybody listens, on the same machine.
+	lookPatience = 20 * time.Millisecond
 )
 
 // broke takes a run whose connection broke.
@@ -45,29 +59,104 @@
 	e.broken = append(e.broken, run)
 }
 
-// take returns the runs that broke when an instance ended, and forgets all.
-func (e *ends) take(instance string, now time.Duration) []brokenRun {
+// any reports whether runs of an instance broke lately of which nothing has come yet.
+func (e *ends) any(instance string, now time.Duration) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, run := range e.broken {
+		if run.instance == instance && now-run.at <= endWindow {
+			return true
+		}
+	}
+	return false
+}
+
+// take returns the runs that broke when an instance ended, and forgets all. first says that
+// its end had not been noted before.
+func (e *ends) take(instance string, now time.Duration) (taken []brokenRun, first bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	var taken []brokenRun
 	for _, run := range e.broken {
 		if run.instance == instance && now-run.at <= endWindow {
 			taken = append(taken, run)
 		}
 	}
 	e.broken = nil
-	return taken
+	first = e.noted != instance
+	e.noted = instance
+	return taken, first
+}
+
+// runBroke notes that the connection to the instance broke under a request, and has it found
+// out whether the instance has ended.
+func (i *Ingress) runBroke(p *passage) {
+	i.instance.ends.broke(brokenRun{instance: p.seen.id, run: quarantine.Run{Identity: p.identity, Sample: p.sample()}, at: clock.Now()})
+	i.instance.askWhetherGone()
 }
 
-// noteEnded notes that an instance has ended without having said that it would.
+// sample shows people which request it is, without what its caller has put into the query.
+func (p *passage) sample() string {
+	return string(p.out.Header.Method()) + " " + string(p.out.Header.Host()) + string(p.out.URI().PathOriginal())
+}
+
+// nobodyListens looks once whether anybody listens at the instance's address.
+func (i *Ingress) nobodyListens() bool {
+	conn, err := net.DialTimeout("tcp", i.options.Settings.Ingress.Instance, lookPatience)
+	if err == nil {
+		conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// awaitEnd looks, after runs have broken, whether their instance has ended.
+func (i *Instance) awaitEnd(ctx context.Context, id string) {
+	for refused := 0; refused < refusalsEnded; refused++ {
+		conn, err := net.DialTimeout("tcp", i.options.Settings.Ingress.Instance, dialPatience)
+		if err == nil {
+			conn.Close()
+		}
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(endEvery):
+		}
+	}
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.current.ID == id {
+		i.noteEnded(id, causeNobodyListens)
+	}
+}
+
+// noteEnded notes that an instance has ended. Nothing is held against what it was running if
+// it had said that it would end. The mutex is held.
 func (i *Instance) noteEnded(id, cause string) {
-	runs := i.ends.take(id, clock.Now())
-	identities := make([]string, 0, len(runs))
-	for _, run := range runs {
-		identities = append(identities, run.identity.String())
+	if i.departed[id] || i.current.ID == id && i.leavingSince != 0 {
+		return
+	}
+	broken, first := i.ends.take(id, clock.Now())
+	if !first && len(broken) == 0 {
+		return
+	}
+	end := quarantine.End{Service: i.current.Service, Instance: id, Node: i.options.Settings.Name, Version: i.current.Version}
+	var identities []string
+	for _, run := range broken {
+		identities = append(identities, run.run.Identity.String())
+		run.run.Identity = i.board.Suspects(run.run.Identity)
+		if run.run.Identity.Known() {
+			end.Runs = append(end.Runs, run.run)
+		}
+	}
+	if first {
+		i.endings.WithLabelValues(cause).Inc()
+	}
+	i.logger.Warn("instance_ended", zap.String("instance", id), zap.String("cause", cause), zap.Int("runs", len(broken)), zap.Int("suspects", len(end.Runs)), zap.String("identities", strings.Join(identities, ",")))
+	if i.current.Service != "" {
+		i.board.Tell(fleet.Report{Ended: &end})
 	}
-	i.endings.WithLabelValues(cause).Inc()
-	i.logger.Warn("instance_ended", zap.String("instance", id), zap.String("cause", cause), zap.Int("runs", len(runs)), zap.String("identities", strings.Join(identities, ",")))
 }
 
 // Causes by which an instance is known to have ended.
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -44,7 +44,7 @@
 
 // broke reports whether the connection to the instance broke under the request.
 func (e *exchange) broke() bool {
-	return e.state == exchangeOpen && (e.reason == reasonNoAnswer || e.reason == reasonBrokenAnswer)
+	return e.state == exchangeOpen && (e.reason == reasonNoAnswer || e.reason == reasonBrokenAnswer || e.reason == wire.BackendReasonEnded)
 }
 
 // Reasons of exchanges without a usable answer.
@@ -303,7 +303,7 @@
 	case err == io.EOF:
 		b.finished = true
 	case err != nil:
-		b.ingress.instance.ends.broke(b.passage.brokenAt(clock.Now()))
+		b.ingress.runBroke(b.passage)
 	}
 	return count, err
 }
@@ -313,6 +313,7 @@
 	b.once.Do(func() {
 		b.passage.tracker.Untrack()
 		if b.finished {
+			b.ingress.survived(b.passage, b.exchange.response.StatusCode())
 			b.ingress.finish(b.exchange.conn, b.exchange.response)
 		} else {
 			b.exchange.conn.Close()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"limehold"
+	"limehold/bulletin"
 	"limehold/clock"
 	"limehold/hangup"
 	"limehold/metrics"
@@ -44,6 +45,9 @@
 	// Zone returns whether the ingress's zone is drained, and since when that is known
 	// here; zero: since ever. Nil: zones are never drained.
 	Zone func() (drained bool, since time.Duration)
+	// Board is what this process and all others have observed of requests. Nil: one of its
+	// own, which nobody else reads.
+	Board *bulletin.Board
 	// RelayTo reports whether connections may be passed on to an address; see relay.
 	// Nil: none are.
 	RelayTo func(address string) bool
@@ -60,6 +64,8 @@
 	link      *link
 	upstreams *upstream.Pool
 	hangups   *hangup.Watcher
+	board     *bulletin.Board
+	apart     *apart
 	stopping  atomic.Bool
 	// tunnels counts the connections that are passed on for others.
 	tunnels  atomic.Int64
@@ -90,12 +96,13 @@
 		return nil, eris.Wrapf(err, "listen for routers on %s (ingress.listen)", options.Settings.Ingress.Listen)
 	}
 	i := &Ingress{
-		options: options, logger: options.Logger, listener: listener,
+		apart: newApart(), options: options, logger: options.Logger, listener: listener,
 		gate:      newSlotGate(options.Settings.Ingress.QueueTime),
 		link:      newLink(options.Settings.Ingress.LinkMbps),
 		upstreams: upstream.NewPool(instanceIdle), hangups: hangup.NewWatcher(),
 	}
 	i.instance = newInstance(options, i.gate)
+	i.board = i.instance.board
 	i.outcomes = options.Metrics.CounterVec("ingress", "requests_total", "Requests of routers, by outcome and reason.", "outcome", "reason")
 	i.waits = options.Metrics.Histogram("ingress", "wait_seconds", "Time that a request waited for one of the instance's slots.", latencyBuckets)
 	i.runs = options.Metrics.Histogram("ingress", "run_seconds", "Time from sending a request to the instance to the head of its answer.", latencyBuckets)
--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -13,6 +13,7 @@
 
 	"limehold"
 	"limehold/agent"
+	"limehold/bulletin"
 	"limehold/clock"
 	"limehold/fleet"
 	"limehold/ledger"
@@ -68,6 +69,7 @@
 	probe   *coldProbe
 	pace    pace
 	ends    ends
+	board   *bulletin.Board
 	// endings counts the instances that have ended unannounced, by how that showed.
 	endings *prometheus.CounterVec
 	success success
@@ -90,8 +92,11 @@
 )
 
 func newInstance(options Options, gate *slotGate) *Instance {
+	if options.Board == nil {
+		options.Board = bulletin.New(options.Settings.Name, options.Logger, options.Metrics)
+	}
 	i := &Instance{
-		options: options, logger: options.Logger, gate: gate,
+		board: options.Board, options: options, logger: options.Logger, gate: gate,
 		departed: map[string]bool{}, followed: map[string]bool{}, suspect: make(chan struct{}, 1),
 	}
 	i.endings = options.Metrics.CounterVec("ingress", "instance_ends_total", "Instances that ended without having said that they would, by how it showed.", "cause")
@@ -127,9 +132,7 @@
 	before := i.current
 	if i.known && !sameStart {
 		i.followed[before.ID] = true
-		if i.gone != before.ID && !i.departed[before.ID] && i.leavingSince == 0 {
-			i.noteEnded(before.ID, causeAnotherStart)
-		}
+		i.noteEnded(before.ID, causeAnotherStart)
 		delete(i.followed, announced.ID)
 	}
 	i.current, i.heard, i.known = announced, now, true
@@ -180,6 +183,7 @@
 type view struct {
 	id      string
 	service string
+	version string
 	// refused is why no request may be sent to it; empty: they may.
 	refused string
 }
@@ -193,7 +197,7 @@
 func (i *Instance) view(now time.Duration) view {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	seen := view{id: i.current.ID, service: i.current.Service}
+	seen := view{id: i.current.ID, service: i.current.Service, version: i.current.Version}
 	switch {
 	case !i.known || i.gone == i.current.ID:
 		seen.refused = reasonNoInstance
@@ -240,6 +244,9 @@
 	i.mutex.Lock()
 	id := i.current.ID
 	i.mutex.Unlock()
+	if i.ends.any(id, clock.Now()) {
+		i.awaitEnd(ctx, id)
+	}
 	refused := 0
 	for refused < refusalsGone {
 		dialer := net.Dialer{Timeout: dialPatience}
@@ -265,9 +272,7 @@
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	if i.current.ID == id {
-		if i.gone != id && !i.departed[id] && i.leavingSince == 0 {
-			i.noteEnded(id, causeNobodyListens)
-		}
+		i.noteEnded(id, causeNobodyListens)
 		i.gone = id
 		i.logger.Warn("instance_gone", zap.String("instance", id), zap.String("cause", causeNobodyListens), zap.Int("refused", refused))
 	}
@@ -318,7 +323,7 @@
 			connections = told
 		}
 	}
-	return agent.Description{Pool: announced.Service, Slots: announced.Slots, Connections: connections, Gated: true, Exclusive: true}
+	return agent.Description{Version: announced.Version, Pool: announced.Service, Slots: announced.Slots, Connections: connections, Gated: true, Exclusive: true}
 }
 
 // HandedBack implements agent.Backend.
--- a/ingress/passage.go
+++ b/ingress/passage.go
@@ -25,8 +25,12 @@
 	attemptID string
 	// identity recognises the request when it comes again.
 	identity quarantine.Identity
-	service  string
-	route    string
+	// trial is the number of the trial that the request may run as; zero: as none.
+	trial uint64
+	// ownTurn is set while it keeps others from running that instances have ended under.
+	ownTurn bool
+	service string
+	route   string
 	// version of the route table that matched the request; zero: it is not known.
 	version   uint64
 	shard     uint32
@@ -67,17 +71,35 @@
 		request.Response.Header.Set(wire.HeaderRouteVersion, strconv.FormatUint(inForce, 10))
 		return
 	}
+	standing, quarantined := i.standing(p)
+	if quarantined {
+		i.refuse(request, p, wire.BackendReasonQuarantined, 0)
+		return
+	}
 	p.watched = i.hangups.Add(request.Conn(), p.tracker.Cancel)
+	if standing.RunsApart() && !i.awaitTurn(p) {
+		i.refuse(request, p, wire.BackendReasonFull, i.gate.retryAfter())
+		i.hangups.Remove(p.watched)
+		return
+	}
+	if i.admit(request, p) {
+		i.pass(request, p)
+		return
+	}
+	i.leaveTurn(p)
+	i.hangups.Remove(p.watched)
+}
+
+// admit waits until the request may go to the instance, or refuses it.
+func (i *Ingress) admit(request *fasthttp.RequestCtx, p *passage) bool {
 	retryAfter := i.awaitKeys(p)
 	if reason := i.refusal(p, clock.Now()); reason != "" {
 		i.refuse(request, p, reason, retryAfter)
-		i.hangups.Remove(p.watched)
-		return
+		return false
 	}
 	if wait, allowed := i.linkWait(p); wait > allowed {
 		i.refuse(request, p, wire.BackendReasonFull, wait-allowed)
-		i.hangups.Remove(p.watched)
-		return
+		return false
 	}
 	p.coming = i.link.begin(p.route)
 	switch i.gate.enter(p.asked(), p.tracker.Cancelled()) {
@@ -88,11 +110,10 @@
 	case entryCancelled:
 		i.refuse(request, p, reasonCallerGone, 0)
 	case entryAdmitted:
-		i.pass(request, p)
-		return
+		return true
 	}
 	i.link.end(p.coming)
-	i.hangups.Remove(p.watched)
+	return false
 }
 
 // leads reports whether the route table still sends the request here. A router whose view is
@@ -155,6 +176,7 @@
 	p.priority = int(numbers.signed(wire.HeaderPriority))
 	p.returning = len(header.Peek(wire.HeaderReturning)) > 0
 	p.target = time.Duration(numbers.count(wire.HeaderTarget)) * time.Millisecond
+	p.trial = numbers.count(wire.HeaderTrial)
 	p.deadline = p.arrived + time.Duration(numbers.count(wire.HeaderDeadline))*time.Millisecond
 	var err error
 	if p.identity, err = quarantine.ParseIdentity(header.Peek(wire.HeaderIdentity)); err != nil && numbers.err == nil {
@@ -225,7 +247,11 @@
 // when the request began to wait is looked at once more.
 func (i *Ingress) pass(request *fasthttp.RequestCtx, p *passage) {
 	i.waits.Observe((clock.Now() - p.arrived).Seconds())
-	if reason := i.refusal(p, clock.Now()); reason != "" {
+	reason := i.refusal(p, clock.Now())
+	if reason == "" {
+		reason = i.lastLook(p)
+	}
+	if reason != "" {
 		i.refuse(request, p, reason, 0)
 		i.end(p)
 		return
@@ -233,6 +259,9 @@
 	i.buildOut(request, p)
 	p.sent = clock.Now()
 	result := i.send(p)
+	if result.broke() && i.nobodyListens() {
+		result.reason = wire.BackendReasonEnded
+	}
 	i.noteEnd(p, result)
 	i.runs.Observe((clock.Now() - p.sent).Seconds())
 	switch result.state {
@@ -259,19 +288,17 @@
 	switch {
 	case result.state == exchangeAnswered:
 		i.instance.success.ended(result.response.StatusCode() < fasthttp.StatusInternalServerError, clock.Now())
+		if result.whole {
+			i.survived(p, result.response.StatusCode())
+		}
 	case result.state == exchangeOpen && result.reason != reasonCallerGone:
 		i.instance.success.ended(false, clock.Now())
 	}
 	if result.broke() {
-		i.instance.ends.broke(p.brokenAt(clock.Now()))
+		i.runBroke(p)
 	}
 }
 
-// brokenAt is the request as one whose connection has broken.
-func (p *passage) brokenAt(now time.Duration) brokenRun {
-	return brokenRun{instance: p.seen.id, request: p.requestID, identity: p.identity, at: now}
-}
-
 // end gives the request's slot back, and forgets it.
 func (i *Ingress) end(p *passage) {
 	i.leave(p)
@@ -284,6 +311,7 @@
 	if p.sent > 0 {
 		ran = clock.Now() - p.sent
 	}
+	i.leaveTurn(p)
 	i.gate.leave(p.route, p.returning, ran)
 	i.link.end(p.coming)
 }
@@ -321,7 +349,7 @@
 // betweenUs are the headers that routers add for ingresses.
 var betweenUs = []string{
 	wire.HeaderAttempt, wire.HeaderService, wire.HeaderShard, wire.HeaderEpoch, wire.HeaderRoute, wire.HeaderRouteVersion,
-	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderReturning, wire.HeaderRepeatable, wire.HeaderDeadline, wire.HeaderIdentity,
+	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderReturning, wire.HeaderRepeatable, wire.HeaderDeadline, wire.HeaderIdentity, wire.HeaderTrial,
 }
 
 // answer passes an answer on. Small ones are there whole; others are streamed and
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -21,6 +21,8 @@
 	Address string
 	// Pool is the set of services that the node serves.
 	Pool string
+	// Version of the back end's software; empty: it does not say.
+	Version string
 	// Slots is how many requests the back end runs at once.
 	Slots int
 	// Connections that the back end accepts.
--- a/quarantine/identity.go
+++ b/quarantine/identity.go
@@ -24,6 +24,9 @@
 // String returns the beginning of the digest, for logs.
 func (d Digest) String() string { return hex.EncodeToString(d[:shownBytes]) }
 
+// Hex returns the whole digest, as operators type it.
+func (d Digest) Hex() string { return hex.EncodeToString(d[:]) }
+
 // Identity is what a request is known by. IDs, deadlines and the ways by which it comes are
 // no part of it: they differ each time.
 type Identity struct {
--- /dev/null
+++ b/quarantine/table_test.go
@@ -0,0 +1,269 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// told is the identity of a request by its name, and by its caller's.
+func told(name, caller string) Identity {
+	request := Request{Method: []byte("GET"), Target: []byte(name), Caller: [][]byte{[]byte(caller)}}
+	identity, _ := request.Identity(nil)
+	return identity
+}
+
+// endOf is the end of an instance at a node while it was running some requests.
+func endOf(instance, node string, running ...Identity) *End {
+	end := &End{Service: "numbers", Instance: instance, Node: node, Version: "v1"}
+	for _, identity := range running {
+		end.Runs = append(end.Runs, Run{Identity: identity, Sample: "GET /"})
+	}
+	return end
+}
+
+// history is a table with the revisions of what it was told.
+type history struct {
+	Table
+	revision uint64
+}
+
+func (h *history) end(instance, node string, running ...Identity) Changes {
+	h.revision++
+	return h.TakeEnd(endOf(instance, node, running...), h.revision, 0)
+}
+
+func (h *history) survived(digest Digest) {
+	h.revision++
+	record, _ := h.Get(digest)
+	h.TakeSurvived(&Survived{Digest: digest, Opened: record.Opened}, h.revision)
+}
+
+func (h *history) quarantined(identity Identity) bool {
+	anybody, _ := h.Get(identity.Any)
+	own, _ := h.Get(identity.Own)
+	return anybody.Quarantined || own.Quarantined
+}
+
+func TestWhoIsQuarantined(t *testing.T) {
+	deadly, other, third := told("deadly", "a"), told("other", "a"), told("third", "a")
+	for name, c := range map[string]struct {
+		story              func(*history)
+		deadly, other, not bool // not: the third one
+	}{
+		"three ends at two nodes": {func(h *history) {
+			h.end("i-1", "n-1", deadly)
+			h.end("i-2", "n-2", deadly)
+			h.end("i-3", "n-1", deadly)
+		}, true, false, false},
+		"two ends": {func(h *history) {
+			h.end("i-1", "n-1", deadly)
+			h.end("i-2", "n-2", deadly)
+		}, false, false, false},
+		"one end, told three times": {func(h *history) {
+			for range 3 {
+				h.end("i-1", "n-1", deadly)
+			}
+		}, false, false, false},
+		"three ends at one node": {func(h *history) {
+			for n := range 4 {
+				h.end(fmt.Sprint("i-", n), "n-1", deadly)
+			}
+		}, false, false, false},
+		"five ends at one node": {func(h *history) {
+			for n := range 5 {
+				h.end(fmt.Sprint("i-", n), "n-1", deadly)
+			}
+		}, true, false, false},
+		"it has survived between": {func(h *history) {
+			h.end("i-1", "n-1", deadly)
+			h.end("i-2", "n-2", deadly)
+			h.survived(deadly.Any)
+			h.survived(deadly.Own)
+			h.end("i-3", "n-1", deadly)
+			h.end("i-4", "n-2", deadly)
+		}, false, false, false},
+		"others survive the same, this caller's does not": {func(h *history) {
+			for n := range 3 {
+				h.end(fmt.Sprint("i-", n), fmt.Sprint("n-", n), deadly)
+				h.survived(deadly.Any)
+			}
+		}, true, false, false},
+		"another was beside it each time, until it was run apart": {func(h *history) {
+			h.end("i-1", "n-1", deadly, other)
+			h.end("i-2", "n-2", deadly, other)
+			h.end("i-3", "n-3", deadly, third) // the other one waits
+			h.survived(other.Any)
+			h.survived(other.Own)
+		}, true, false, false},
+		"what has been in two ends takes the blame alone": {func(h *history) {
+			h.end("i-1", "n-1", deadly)
+			h.end("i-2", "n-2", deadly, other)
+			h.end("i-3", "n-3", deadly, other, third)
+			h.end("i-4", "n-3", third)
+		}, true, false, false},
+		"instances end for other reasons too": {func(h *history) {
+			h.end("i-1", "n-1", deadly)
+			for n := range 4 {
+				h.end(fmt.Sprint("o-", n), fmt.Sprint("n-", n), told(fmt.Sprint("some-", n), ""))
+			}
+			h.end("i-2", "n-2", deadly)
+			h.end("i-3", "n-3", deadly)
+		}, false, false, false},
+		"instances end for other reasons too, but five under it": {func(h *history) {
+			for n := range 5 {
+				h.end(fmt.Sprint("i-", n), fmt.Sprint("n-", n), deadly)
+				h.end(fmt.Sprint("o-", n), fmt.Sprint("n-", n), told(fmt.Sprint("some-", n), ""))
+				h.end(fmt.Sprint("p-", n), fmt.Sprint("n-", n), told(fmt.Sprint("any-", n), ""))
+			}
+		}, true, false, false},
+		"two at the same time": {func(h *history) {
+			for n := range 3 {
+				h.end(fmt.Sprint("i-", n), fmt.Sprint("n-", n), deadly)
+				h.end(fmt.Sprint("o-", n), fmt.Sprint("n-", n), other)
+			}
+		}, true, true, false},
+		"all instances at once, each with other runs": {func(h *history) {
+			for n := range 20 {
+				h.end(fmt.Sprint("i-", n), fmt.Sprint("n-", n), told(fmt.Sprint("one-", n), ""), told(fmt.Sprint("two-", n), ""))
+			}
+		}, false, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := &history{}
+			c.story(h)
+			is.Equal(h.quarantined(deadly), c.deadly)
+			is.Equal(h.quarantined(other), c.other)
+			is.Equal(h.quarantined(third), c.not)
+		})
+	}
+}
+
+// A good run of a caller's own clears what is known of it, one of somebody else's only what is
+// known whoever asks; a word on an earlier record clears nothing that has come up since.
+func TestSurvivalClearsWhatItIsAbout(t *testing.T) {
+	is := is.New(t)
+	h := &history{}
+	deadly := told("deadly", "a")
+	h.end("i-1", "n-1", deadly)
+	first, found := h.Get(deadly.Any)
+	is.True(found)
+	h.survived(deadly.Any)
+	_, found = h.Get(deadly.Any)
+	is.Equal(found, false)
+	_, found = h.Get(deadly.Own)
+	is.True(found)
+	h.end("i-2", "n-2", deadly)
+	h.revision++
+	changes := h.TakeSurvived(&Survived{Digest: deadly.Any, Opened: first.Opened}, h.revision)
+	is.Equal(len(changes.Digests), 0)
+	_, found = h.Get(deadly.Any)
+	is.True(found)
+}
+
+func quarantinedOnce() (*history, Identity) {
+	h, deadly := &history{}, told("deadly", "a")
+	for n := range endsClear {
+		h.end(fmt.Sprint("i-", n), fmt.Sprint("n-", n), deadly)
+	}
+	return h, deadly
+}
+
+func (h *history) offer(digest Digest) uint64 {
+	h.revision++
+	record, _ := h.Get(digest)
+	h.Offer(Aged{Digest: digest, Changed: record.Changed}, "", h.revision)
+	record, _ = h.Get(digest)
+	return record.Trial.Number
+}
+
+func TestOneRouterHasTheTrial(t *testing.T) {
+	is := is.New(t)
+	h, deadly := quarantinedOnce()
+	take := func(number uint64, holder string) bool {
+		h.revision++
+		_, given := h.TakeTrial(deadly.Any, number, holder, h.revision)
+		return given
+	}
+	is.Equal(take(0, "r-1"), false) // none was offered
+	number := h.offer(deadly.Any)
+	is.True(take(number, "r-1"))
+	is.True(take(number, "r-1")) // it asks again
+	is.Equal(take(number, "r-2"), false)
+	h.end("i-9", "n-9", deadly) // it failed
+	is.Equal(take(number, "r-1"), false)
+	record, _ := h.Get(deadly.Any)
+	is.True(record.Quarantined)
+	is.Equal(record.Trials, uint32(1))
+
+	again := h.offer(deadly.Any)
+	is.True(again > number)
+	is.True(take(again, "r-2"))
+	h.survived(deadly.Any)
+	is.Equal(h.quarantined(deadly), false)
+}
+
+// A trial that nobody uses is taken back, and counts as one.
+func TestTrialIsTakenBack(t *testing.T) {
+	is := is.New(t)
+	h, deadly := quarantinedOnce()
+	number := h.offer(deadly.Any)
+	is.Equal(h.offer(deadly.Any), uint64(0))
+	_, given := h.TakeTrial(deadly.Any, number, "r-1", h.revision+1)
+	is.Equal(given, false)
+}
+
+func TestSuspectsExpireAsTheyWereSeen(t *testing.T) {
+	is := is.New(t)
+	h, once := &history{}, told("once", "a")
+	h.end("i-1", "n-1", once)
+	record, _ := h.Get(once.Any)
+	seen := Aged{Digest: once.Any, Changed: record.Changed}
+	h.end("i-2", "n-2", once)
+	h.Expire([]Aged{seen})
+	_, found := h.Get(once.Any)
+	is.True(found) // it has been in another end since
+	record, _ = h.Get(once.Any)
+	h.Expire([]Aged{{Digest: once.Any, Changed: record.Changed}})
+	_, found = h.Get(once.Any)
+	is.Equal(found, false)
+
+	h, deadly := quarantinedOnce()
+	record, _ = h.Get(deadly.Any)
+	h.Expire([]Aged{{Digest: deadly.Any, Changed: record.Changed}})
+	is.True(h.quarantined(deadly)) // what is quarantined does not expire
+}
+
+func TestReleaseForgetsWhollyAndOnce(t *testing.T) {
+	is := is.New(t)
+	h, deadly := quarantinedOnce()
+	changes, found := h.Release(deadly.Any)
+	is.True(found)
+	is.Equal(len(changes.Released), 1)
+	is.Equal(h.quarantined(deadly), false)
+	is.Equal(len(h.Records), 0)
+	is.Equal(len(h.Services), 0)
+	_, found = h.Release(deadly.Any)
+	is.Equal(found, false)
+}
+
+// A caller who has one instance after the other end, under another request each time, fills the
+// table to its bound and no further, and pushes out nothing that is quarantined.
+func TestTableIsBoundedWhoeverFillsIt(t *testing.T) {
+	is := is.New(t)
+	h, deadly := quarantinedOnce()
+	strong := told("strong", "a")
+	h.end("s-1", "n-1", strong)
+	h.end("s-2", "n-2", strong)
+	for n := range maxSuspects {
+		h.end(fmt.Sprint("f-", n), "n-1", told(fmt.Sprint("filler-", n), "b"))
+	}
+	is.Equal(len(h.Records), maxSuspects+1)
+	is.True(h.quarantined(deadly))
+	record, found := h.Get(strong.Any)
+	is.True(found)
+	is.Equal(len(record.Ends), 2)
+	is.True(len(h.Services[0].Recent) <= keptInstances)
+}
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -46,6 +46,11 @@
 		return
 	}
 	r.identify(request, p)
+	if refused := r.admitSuspect(p); refused.refused() {
+		r.refuse(request, p.shown, p, refused)
+		fasthttp.ReleaseRequest(p.out)
+		return
+	}
 	r.countAsked(p)
 	p.watched = r.hangups.Add(p.caller, p.tracker.Cancel)
 	streaming := r.proxy(request, p)
@@ -82,6 +87,7 @@
 			return r.answer(request, p, result, id, sent)
 		}
 		p.service.pool.release(id, instanceOutcome(p, result), clock.Now()-sent)
+		p.noteEnds(result)
 		r.noteAttempt(p, node, result)
 		open = open || result.state == attemptOpen
 		if by := result.supersededBy(); by > 0 && p.routed != nil {
@@ -96,6 +102,10 @@
 			r.endAfter(request, p, open, result)
 			return false
 		}
+		if refused := r.keptBack(p); refused.refused() {
+			r.end(request, p, open, refused)
+			return false
+		}
 		avoid = append(avoid, id)
 	}
 }
@@ -116,6 +126,8 @@
 		return admission.OutcomeNeutral
 	case result.supersededBy() > 0:
 		return admission.OutcomeNeutral
+	case result.reason == wire.BackendReasonQuarantined:
+		return admission.OutcomeNeutral
 	case result.state == attemptNotRun && result.reason == wire.BackendReasonFull:
 		return admission.OutcomeShed
 	case result.state == attemptNotRun && !result.reached && !p.service.spec.Keyed:
@@ -231,7 +243,7 @@
 // mayRetry applies the rules of docs/design/0004-requests.md: never after an open outcome of a
 // request that may not be repeated.
 func (r *Router) mayRetry(p *proxied, held *hold, result *attempt, number int) bool {
-	if p.bodyUsed || clock.Now()+minimumRemaining >= p.deadline {
+	if p.bodyUsed || clock.Now()+minimumRemaining >= p.deadline || p.endangers(result) {
 		return false
 	}
 	switch result.state {
@@ -322,6 +334,8 @@
 		return refuseDeadline
 	case result.state == attemptNotSent:
 		return refuseUnreachable
+	case result.reason == wire.BackendReasonQuarantined:
+		return refuseQuarantined
 	case result.reason == wire.BackendReasonNotOwner:
 		refused := refuseNoOwner
 		if result.retryAfter > 0 {
--- a/router/request.go
+++ b/router/request.go
@@ -39,6 +39,10 @@
 	repeatable bool
 	// identity recognises the request when it comes again.
 	identity quarantine.Identity
+	// ends counts the instances that have ended while they ran it, trial is the number of the
+	// trial that it is; zero: none.
+	ends  int
+	trial uint64
 	// returning is set when the caller has made the request before and was refused.
 	returning bool
 	head      bool
--- a/router/router.go
+++ b/router/router.go
@@ -19,6 +19,7 @@
 
 	"limehold/adminserver"
 	"limehold/admission"
+	"limehold/bulletin"
 	"limehold/clock"
 	"limehold/hangup"
 	"limehold/metrics"
@@ -76,10 +77,13 @@
 	upstreams *upstream.Pool
 	hangups   *hangup.Watcher
 	work      *workTable
-	freshness freshness
-	resync    atomic.Bool
-	draining  atomic.Bool
-	metrics   routerMetrics
+	board     *bulletin.Board
+	// trialSpent is the newest trial of a quarantined request that this router has asked for.
+	trialSpent atomic.Uint64
+	freshness  freshness
+	resync     atomic.Bool
+	draining   atomic.Bool
+	metrics    routerMetrics
 	// members is the newest list of control members that one of them has told.
 	members  atomic.Pointer[wire.MemberList]
 	follower *follower
@@ -116,8 +120,10 @@
 func New(options Options) (*Router, error) {
 	config := options.Settings
 	r := &Router{options: options, logger: options.Logger, upstreams: upstream.NewPool(upstream.DefaultIdleLimit), hangups: hangup.NewWatcher(), work: newWorkTable()}
+	r.board = bulletin.New(config.Name, options.Logger, options.Metrics)
 	policy := policyOf(config.Router.Balance)
 	r.table = newTable(func(name string) *pool { return newPool(name, policy, config.Router.Limits == settings.LimitsFixed) })
+	r.table.board = r.board
 	r.follower = newFollower(r)
 	r.registerMetrics()
 	var err error
@@ -216,6 +222,7 @@
 	group.Go(func() error { return r.hangups.Run(serving) })
 	group.Go(func() error { return r.sweep(serving) })
 	group.Go(func() error { return r.watchView(serving) })
+	group.Go(func() error { return r.report(serving) })
 	group.Go(func() error {
 		if r.admin == nil {
 			return nil
--- a/router/subscription.go
+++ b/router/subscription.go
@@ -42,6 +42,8 @@
 	follower *follower
 	address  string
 	began    time.Duration
+	// conn is the connection, once there is one.
+	conn atomic.Pointer[transport.Conn]
 	// drop ends it: another one is as good.
 	drop context.CancelFunc
 
@@ -98,6 +100,8 @@
 		return err
 	}
 	defer conn.Close()
+	s.conn.Store(conn)
+	defer s.conn.Store(nil)
 	s.do(stepConfirm)
 	return s.follow(ctx, conn)
 }
--- a/router/table.go
+++ b/router/table.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 
+	"limehold/bulletin"
 	"limehold/catalog"
 	"limehold/membership"
 	"limehold/ownership"
@@ -30,6 +31,8 @@
 	routes *routeTable
 	// zones are those that were ever drained.
 	zones map[string]zone
+	// board is told what updates say of requests; nil: nobody is.
+	board *bulletin.Board
 }
 
 // service is one service as the router uses it.
@@ -87,6 +90,9 @@
 	if update.Routes != nil {
 		t.routes = t.routes.changed(update.Routes)
 	}
+	if t.board != nil {
+		t.board.Apply(update.Quarantine, update.Snapshot)
+	}
 	t.revision = update.Revision
 	for name := range touched {
 		t.pools[name].update(t.instances(name), t.zones)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -65,6 +65,7 @@
 	}
 	if p.ingress, err = ingress.New(ingress.Options{
 		Settings: config, Logger: options.Logger, Metrics: options.Metrics, Keys: options.Keys, Service: p.router.RoutedService,
+		Board:   p.router.Board(),
 		RelayTo: p.router.IsControl,
 		Leads:   p.router.Leads,
 		Zone:    func() (bool, time.Duration) { return p.router.Zone(config.Zone) },
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -45,6 +45,8 @@
 	HeaderRepeatable = "Limehold-Repeatable"
 	// HeaderIdentity is what the request is recognised by when it comes again.
 	HeaderIdentity = "Limehold-Identity"
+	// HeaderTrial is the number of the trial that a quarantined request may run as.
+	HeaderTrial = "Limehold-Trial"
 	// HeaderTimeout is set by callers who want less than the route's timeout.
 	HeaderTimeout = "Limehold-Timeout-Ms"
 	// HeaderRequestID is passed through, or drawn when missing.
@@ -67,6 +69,10 @@
 	BackendReasonStarting = "starting"
 	// BackendReasonSuperseded: a newer route table does not send the request to the service.
 	BackendReasonSuperseded = "route-superseded"
+	// BackendReasonQuarantined: instances end under the request; none runs it any more.
+	BackendReasonQuarantined = "quarantined"
+	// BackendReasonEnded: the back end has ended while it ran the request.
+	BackendReasonEnded = "instance-ended"
 	// BackendReasonZoneDrained: the back end's zone gets nothing new.
 	BackendReasonZoneDrained = "zone-drained"
 )
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -12,6 +12,7 @@
 	"limehold/fleet"
 	"limehold/membership"
 	"limehold/ownership"
+	"limehold/quarantine"
 	"limehold/routing"
 )
 
@@ -47,12 +48,14 @@
 	// From routers to any member.
 	KindWatch   Kind = 30
 	KindConfirm Kind = 31
+	KindReport  Kind = 33
+	KindTrial   Kind = 34
 	// From members to routers.
 	KindUpdate Kind = 32
 )
 
 // ProtocolVersion is compared at the start of each connection.
-const ProtocolVersion = 6
+const ProtocolVersion = 7
 
 // Role says what kind of process is at the other end.
 type Role string
@@ -342,6 +345,8 @@
 	Routes *routing.Change
 	// Zones that were drained or taken back; in a snapshot all that ever were.
 	Zones []ZoneView
+	// Quarantine are the records of requests that are new, changed or gone; in a snapshot all.
+	Quarantine []quarantine.Row
 }
 
 // Confirm asks whether the router's view is current. The router counts its
@@ -365,6 +370,23 @@
 	Work []float32
 }
 
+// Report tells control what a process has observed. It is acknowledged once it is durable,
+// and told again until then.
+type Report struct {
+	Router  string
+	Reports []fleet.Report
+}
+
+// Trial asks for the trial of a quarantined request.
+type Trial struct {
+	Router string
+	Digest quarantine.Digest
+	Number uint64
+}
+
+// TrialReply says whether the router that asked has it.
+type TrialReply struct{ Given bool }
+
 // ConfirmReply tells the revision that a router must have in force to be as
 // current as the moment at which it sent its Confirm.
 type ConfirmReply struct {
