--- a/ingress/passage.go
+++ b/ingress/passage.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"limehold/bulletin"
 	"limehold/clock"
 	"limehold/hangup"
 	"limehold/logging"
@@ -178,10 +179,7 @@
 	p.target = time.Duration(numbers.count(wire.HeaderTarget)) * time.Millisecond
 	p.trial = numbers.count(wire.HeaderTrial)
 	p.deadline = p.arrived + time.Duration(numbers.count(wire.HeaderDeadline))*time.Millisecond
-	var err error
-	if p.identity, err = quarantine.ParseIdentity(header.Peek(wire.HeaderIdentity)); err != nil && numbers.err == nil {
-		numbers.err = eris.Wrapf(err, "header %s", wire.HeaderIdentity)
-	}
+	p.identity = bulletin.Identify(&request.Request, names.Caller)
 	if numbers.err != nil {
 		i.logger.Warn("request_unreadable", append(logging.Step("read headers", request.RemoteAddr().String(), numbers.err), zap.String("request", p.requestID))...)
 	}
@@ -349,7 +347,7 @@
 // betweenUs are the headers that routers add for ingresses.
 var betweenUs = []string{
 	wire.HeaderAttempt, wire.HeaderService, wire.HeaderShard, wire.HeaderEpoch, wire.HeaderRoute, wire.HeaderRouteVersion,
-	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderReturning, wire.HeaderRepeatable, wire.HeaderDeadline, wire.HeaderIdentity, wire.HeaderTrial,
+	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderReturning, wire.HeaderRepeatable, wire.HeaderDeadline, wire.HeaderTrial,
 }
 
 // answer passes an answer on. Small ones are there whole; others are streamed and
--- a/quarantine/identity.go
+++ b/quarantine/identity.go
@@ -4,10 +4,8 @@
 
 import (
 	"crypto/sha256"
-	"encoding/base64"
 	"encoding/binary"
 	"encoding/hex"
-	"errors"
 )
 
 // digestBytes is the length of a Digest. With a thousand of them kept and 66 million requests a
@@ -79,32 +77,3 @@
 	parts = binary.LittleEndian.AppendUint64(parts, uint64(len(part)))
 	return append(parts, part...)
 }
-
-// Text returns the identity as it travels between processes.
-func (i Identity) Text() string {
-	var both [2 * digestBytes]byte
-	copy(both[:], i.Any[:])
-	copy(both[digestBytes:], i.Own[:])
-	return base64.RawURLEncoding.EncodeToString(both[:])
-}
-
-// errIdentity says that a text is no identity.
-var errIdentity = errors.New("an identity has 32 bytes in base64")
-
-// ParseIdentity reads what Text returned; an empty text is no identity.
-func ParseIdentity(text []byte) (Identity, error) {
-	var identity Identity
-	if len(text) == 0 {
-		return identity, nil
-	}
-	var both [2 * digestBytes]byte
-	if base64.RawURLEncoding.DecodedLen(len(text)) != len(both) {
-		return identity, errIdentity
-	}
-	if _, err := base64.RawURLEncoding.Decode(both[:], text); err != nil {
-		return identity, errIdentity
-	}
-	copy(identity.Any[:], both[:])
-	copy(identity.Own[:], both[digestBytes:])
-	return identity, nil
-}
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"limehold/admission"
+	"limehold/bulletin"
 	"limehold/catalog"
 	"limehold/clock"
 	"limehold/logging"
@@ -45,7 +46,7 @@
 		fasthttp.ReleaseRequest(p.out)
 		return
 	}
-	r.identify(request, p)
+	p.identity = bulletin.Identify(p.out, r.options.Settings.Headers.Caller)
 	if refused := r.admitSuspect(p); refused.refused() {
 		r.refuse(request, p.shown, p, refused)
 		fasthttp.ReleaseRequest(p.out)
--- a/router/request.go
+++ b/router/request.go
@@ -8,7 +8,6 @@
 	"net"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -336,28 +335,6 @@
 	return refusal{}
 }
 
-// identify finds what the request is recognised by when it comes again, and tells it to
-// whoever stands before the back ends. A body that is streamed is known by its length only:
-// whoever waited for all of it would hold up what can be passed on.
-func (r *Router) identify(request *fasthttp.RequestCtx, p *proxied) {
-	header := &request.Request.Header
-	asked := quarantine.Request{
-		Method: header.Method(), Host: request.Host(), Target: header.RequestURI(), Length: header.ContentLength(),
-		Caller: [][]byte{[]byte(r.options.CallerService), header.Peek(fasthttp.HeaderAuthorization), header.Peek(fasthttp.HeaderCookie)},
-	}
-	if !p.out.IsBodyStream() {
-		asked.Body = p.out.Body()
-		asked.Length = len(asked.Body)
-	}
-	scratch := scratches.Get().(*[]byte)
-	p.identity, *scratch = asked.Identity(*scratch)
-	scratches.Put(scratch)
-	p.out.Header.Set(wire.HeaderIdentity, p.identity.Text())
-}
-
-// scratches are what identities are made in.
-var scratches = sync.Pool{New: func() any { return new([]byte) }}
-
 // namedIn lists the headers that a Connection header names.
 func namedIn(connection []byte) []string {
 	if len(connection) == 0 {
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -43,8 +43,6 @@
 	HeaderReturning = "Limehold-Returning"
 	// HeaderRepeatable is "true" on requests that may run more than once.
 	HeaderRepeatable = "Limehold-Repeatable"
-	// HeaderIdentity is what the request is recognised by when it comes again.
-	HeaderIdentity = "Limehold-Identity"
 	// HeaderTrial is the number of the trial that a quarantined request may run as.
 	HeaderTrial = "Limehold-Trial"
 	// HeaderTimeout is set by callers who want less than the route's timeout.
