What ends by a timer ends at its time though the machine was suspended

Cause: Go's timers and socket deadlines stand still while a machine is suspended; a deadline, a wait for a slot or an owner, the end of a stop went on for as long again, and idle connections counted as young that their peers had closed (class: a belief that ends by a timer instead of a comparison when it is used). Tests leap the clock; each was red before (the request answered two hours late, the idle connection used again).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -174,7 +174,7 @@
 	if config.StopMode == settings.StopRestart {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), config.StopTimeout)
+	ctx, cancel := clock.WithTimeout(context.Background(), config.StopTimeout)
 	defer cancel()
 	if err := a.requestDrain(ctx, "the agent is being stopped"); err != nil {
 		a.logger.Warn("drain_not_requested", logging.Step("drain before stop", "control", err)...)
@@ -252,7 +252,7 @@
 var errNoLease = errors.New("no lease")
 
 func pause(ctx context.Context, length time.Duration) error {
-	timer := time.NewTimer(length)
+	timer := clock.NewTimer(length)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/agent/session.go
+++ b/agent/session.go
@@ -68,7 +68,7 @@
 // renewLoop returns when control no longer knows the session, or when the back
 // end is another process than the one that the session stands for.
 func (a *Agent) renewLoop(ctx context.Context, opened *wire.OpenSessionReply, incarnation string) {
-	next := time.Now()
+	next := clock.Now()
 	for ctx.Err() == nil {
 		current, healthy := a.backend.Alive(clock.Now())
 		if healthy && current != incarnation {
@@ -95,11 +95,8 @@
 			return
 		case err == nil:
 			a.renewals.Inc()
-			next = next.Add(opened.RenewEvery)
-			if behind := time.Now(); next.Before(behind) {
-				next = behind
-			}
-			_ = pause(ctx, time.Until(next))
+			next = max(next+opened.RenewEvery, clock.Now())
+			_ = pause(ctx, next-clock.Now())
 		default:
 			a.failures.Inc()
 			_ = pause(ctx, retryPause)
--- a/cli/processes.go
+++ b/cli/processes.go
@@ -9,11 +9,13 @@
 	"runtime/debug"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
 	"limehold/agent"
+	"limehold/clock"
 	"limehold/control"
 	"limehold/logging"
 	"limehold/metrics"
@@ -111,6 +113,7 @@
 		debug.SetMemoryLimit(int64(config.Runtime.MemoryMB) << 20 * memoryPercent / 100)
 	}
 	defer func() { _ = logger.Sync() }()
+	clock.OnLeap(func(length time.Duration) { logger.Warn("woke_up", zap.Duration("suspended", length)) })
 	built, err := build(config, logger, secured)
 	if err != nil {
 		return startError(logger, err)
--- /dev/null
+++ b/clock/alarm_test.go
@@ -0,0 +1,114 @@
+package clock
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// far is a time that no test waits for.
+const far = time.Hour
+
+// What is due while the machine is suspended is due as soon as it wakes up; what is not goes on.
+func TestAlarmsAreKeptThroughASuspension(t *testing.T) {
+	for name, c := range map[string]struct {
+		leap time.Duration
+		due  bool
+	}{
+		"suspended past the time": {far + time.Second, true},
+		"suspended before it":     {far / 2, false},
+		"not suspended":           {0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			timer := NewTimer(far)
+			defer timer.Stop()
+			called := make(chan struct{})
+			after := AfterFunc(far, func() { close(called) })
+			defer after.Stop()
+			ctx, cancel := WithTimeout(t.Context(), far)
+			defer cancel()
+			one, other := net.Pipe()
+			defer other.Close()
+			deadline, err := NewDeadline(one.SetReadDeadline, Now(), Now()+far)
+			is.NoErr(err)
+			read := make(chan error, 1)
+			go func() {
+				_, err := one.Read(make([]byte, 1))
+				read <- err
+			}()
+			Leap(c.leap)
+			if !c.due {
+				select {
+				case <-timer.C:
+					t.Error("the timer fired")
+				case <-called:
+					t.Error("the function was called")
+				case err := <-read:
+					t.Errorf("the read ended: %v", err)
+				default:
+				}
+				is.NoErr(ctx.Err())
+				is.NoErr(deadline.End())
+				one.Close()
+				return
+			}
+			<-timer.C
+			<-called
+			<-ctx.Done()
+			is.Equal(context.Cause(ctx), context.DeadlineExceeded)
+			is.True(errors.Is(<-read, os.ErrDeadlineExceeded))
+			is.NoErr(deadline.End())
+		})
+	}
+}
+
+// A deadline that has ended is not set again.
+func TestEndedAlarmsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	one, other := net.Pipe()
+	defer other.Close()
+	defer one.Close()
+	deadline, err := NewDeadline(one.SetDeadline, Now(), Now()+far)
+	is.NoErr(err)
+	is.NoErr(deadline.End())
+	timer := NewTimer(far)
+	timer.Stop()
+	Leap(2 * far)
+	is.NoErr(func() error {
+		go func() { _, _ = other.Read(make([]byte, 1)) }()
+		_, err := one.Write([]byte("x"))
+		return err
+	}())
+	select {
+	case <-timer.C:
+		t.Error("a timer fired that was stopped")
+	default:
+	}
+	alarms.mutex.Lock()
+	defer alarms.mutex.Unlock()
+	is.Equal(len(alarms.set), 0)
+}
+
+// Leaps are found by themselves while there is something to end, and nobody looks otherwise.
+func TestLeapIsNoticed(t *testing.T) {
+	timer := NewTimer(far)
+	defer timer.Stop()
+	leapt.Add(int64(2 * far)) // nobody is told
+	<-timer.C
+}
+
+func BenchmarkDeadline(b *testing.B) {
+	set := func(time.Time) error { return nil }
+	b.ReportAllocs()
+	now := Now()
+	for b.Loop() {
+		deadline, _ := NewDeadline(set, now, now+far)
+		_ = deadline.End()
+	}
+}
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -17,7 +17,7 @@
 		// lease can be kept safely.
 		panic("read CLOCK_BOOTTIME: " + err.Error())
 	}
-	return time.Duration(reading.Nano())
+	return time.Duration(reading.Nano() + leapt.Load())
 }
 
 // WallMillis returns the wall clock in Unix milliseconds, for display only.
--- a/ingress/apart.go
+++ b/ingress/apart.go
@@ -27,7 +27,7 @@
 // enter waits for the turn of a request; false: it did not come in time. After true, leave
 // must follow.
 func (a *apart) enter(patience time.Duration, cancelled <-chan struct{}) bool {
-	timer := time.NewTimer(patience)
+	timer := clock.NewTimer(patience)
 	defer timer.Stop()
 	select {
 	case a.turn <- struct{}{}:
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -111,8 +111,9 @@
 // write sends the request. An error that is not errNothingSent leaves open how much
 // of it arrived.
 func (p *passage) write(conn *upstream.Conn) error {
-	remaining := p.deadline - clock.Now()
-	if err := conn.Raw.SetDeadline(time.Now().Add(remaining)); err != nil {
+	now := clock.Now()
+	remaining := p.deadline - now
+	if err := conn.SetDeadline(now, p.deadline); err != nil {
 		return errors.Join(errNothingSent, err)
 	}
 	p.out.Header.Set(p.names.Deadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -177,14 +177,14 @@
 // drain goes on for the notice time, then refuses new requests and waits for those that
 // run.
 func (i *Ingress) drain() {
-	deadline := time.Now().Add(i.options.Settings.Ingress.StopTime)
-	time.Sleep(i.options.Settings.Ingress.StopNotice)
+	until := clock.Now() + i.options.Settings.Ingress.StopTime
+	clock.Sleep(i.options.Settings.Ingress.StopNotice, nil)
 	i.stopping.Store(true)
 	i.gate.close()
-	for i.hangups.Count() > 0 && time.Now().Before(deadline) {
+	for i.hangups.Count() > 0 && clock.Now() < until {
 		time.Sleep(stopPoll)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(stopPoll))
+	ctx, cancel := clock.WithTimeout(context.Background(), until+stopPoll-clock.Now())
 	defer cancel()
 	if err := i.server.ShutdownWithContext(ctx); err != nil {
 		i.logger.Warn("ingress_drain_incomplete", zap.Int("in_flight", i.hangups.Count()))
--- a/ingress/keybeats.go
+++ b/ingress/keybeats.go
@@ -64,7 +64,7 @@
 		if len(free) > 0 || now >= until {
 			return free, nil
 		}
-		timer := time.NewTimer(letGoLook)
+		timer := clock.NewTimer(letGoLook)
 		select {
 		case <-changed:
 		case <-timer.C:
@@ -106,7 +106,7 @@
 		}
 		changed := h.changed
 		h.mutex.Unlock()
-		timer := time.NewTimer(until - now)
+		timer := clock.NewTimer(until - now)
 		select {
 		case <-changed:
 		case <-timer.C:
--- a/ingress/keycalls.go
+++ b/ingress/keycalls.go
@@ -55,17 +55,15 @@
 
 // Run implements limehold.KeyCarrier.
 func (c *callCarrier) Run(ctx context.Context) {
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
-	for {
-		next := c.renewDue(ctx)
-		timer.Reset(next)
+	for ctx.Err() == nil {
+		// A machine that wakes up renews at once what is due by then.
+		timer := clock.NewTimer(c.renewDue(ctx))
 		select {
 		case <-ctx.Done():
-			return
 		case <-c.wake:
 		case <-timer.C:
 		}
+		timer.Stop()
 	}
 }
 
--- a/ingress/keys.go
+++ b/ingress/keys.go
@@ -121,7 +121,7 @@
 	if wait := h.nextHeartbeat(clock.Now()); wait > patience {
 		return wait
 	}
-	timer := time.NewTimer(patience)
+	timer := clock.NewTimer(patience)
 	defer timer.Stop()
 	for {
 		now := clock.Now()
--- a/ingress/link.go
+++ b/ingress/link.go
@@ -40,7 +40,7 @@
 	coming float64
 	// sizes are the smoothed sizes of the routes' answers.
 	sizes map[string]float64
-	timer *time.Timer
+	timer *clock.Timer
 }
 
 // transfer is one answer that waits for its turn.
@@ -207,7 +207,7 @@
 	}
 	// The server reads less than a piece at once: a piece may go ahead of its time.
 	if wait := b.begun - clock.Now(); wait > b.link.time(pieceBytes) {
-		time.Sleep(wait)
+		clock.Sleep(wait, nil)
 	}
 	count := copy(data, b.rest)
 	b.rest = b.rest[count:]
@@ -274,7 +274,7 @@
 	if l.timer != nil {
 		return
 	}
-	l.timer = time.AfterFunc(free, func() {
+	l.timer = clock.AfterFunc(free, func() {
 		l.mutex.Lock()
 		defer l.mutex.Unlock()
 		l.timer = nil
--- a/ingress/slotgate.go
+++ b/ingress/slotgate.go
@@ -39,7 +39,7 @@
 	cold coldStart
 	// thaw lets waiting requests in once a cold instance bears a further one; nil while
 	// none is due.
-	thaw *time.Timer
+	thaw *clock.Timer
 }
 
 // ticket is one request that waits.
@@ -299,7 +299,7 @@
 	if g.thaw != nil {
 		return
 	}
-	g.thaw = time.AfterFunc(wait, func() {
+	g.thaw = clock.AfterFunc(wait, func() {
 		g.mutex.Lock()
 		defer g.mutex.Unlock()
 		g.thaw = nil
--- /dev/null
+++ b/ingress/suspended_test.go
@@ -0,0 +1,38 @@
+package ingress
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"limehold/clock"
+	"limehold/wire"
+)
+
+// What runs at the instance, and what waits for a slot, ends at its deadline though the machine
+// was suspended meanwhile.
+func TestDeadlinesPassWhileTheMachineIsSuspended(t *testing.T) {
+	is := is.New(t)
+	m := startMortal(t)
+	i := watched(t, m.address)
+	i.Instance().Announce(Announcement{ID: "i-1", Service: "orders", Slots: 1, Sequence: 2})
+	outcomes := make(chan string, 2)
+	send := func() {
+		response := askPath(t, i, "/slow", func(header http.Header) {
+			header.Set(wire.HeaderTarget, "3600000")
+			header.Set(wire.HeaderDeadline, "3600000")
+		})
+		outcomes <- response.Header.Get(wire.HeaderOutcome)
+	}
+	go send()
+	m.awaitRunning(t, 1)
+	go send()
+	for i.gate.load().waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	clock.Leap(2 * time.Hour)
+	is.Equal(<-outcomes, wire.OutcomeUnknown) // the one that ran
+	is.Equal(<-outcomes, wire.OutcomeNotRun)  // the one that waited
+}
--- a/router/answer.go
+++ b/router/answer.go
@@ -51,7 +51,9 @@
 	}
 	p.tracker.Track(result.conn)
 	// A body may be longer on its way than the route's timeout.
-	_ = result.conn.Raw.SetDeadline(time.Time{})
+	if err := result.conn.ClearDeadline(); err != nil {
+		r.logger.Info("deadline_not_cleared", append(logging.Step("clear deadline", result.conn.Address, err), zap.String("request", p.shown))...)
+	}
 	body := &answerBody{router: r, request: p, attempt: result, stream: result.response.BodyStream(), release: func(outcome admission.Outcome) {
 		p.service.pool.release(id, outcome, latency)
 		p.noteEnd(outcome == admission.OutcomeGood)
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -102,7 +102,7 @@
 func (r *Router) write(request *proxied, conn *upstream.Conn, attemptID string, node *wire.NodeView) error {
 	now := clock.Now()
 	remaining := request.deadline - now
-	if err := conn.Raw.SetDeadline(time.Now().Add(remaining)); err != nil {
+	if err := conn.SetDeadline(now, request.deadline); err != nil {
 		return errors.Join(errNothingSent, err)
 	}
 	out := request.out
--- a/router/hold.go
+++ b/router/hold.go
@@ -44,7 +44,7 @@
 // pause waits, at most until the hold is over, the table changes, or the caller leaves.
 func (h *hold) pause(r *Router, p *proxied, length time.Duration) {
 	_, _, changed := r.table.owner(p.service, p.shard)
-	timer := time.NewTimer(max(0, min(length, h.remaining())))
+	timer := clock.NewTimer(max(0, min(length, h.remaining())))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/router/pool.go
+++ b/router/pool.go
@@ -66,7 +66,7 @@
 	case admission.NoInstance:
 		return 0, refuseNoInstance
 	}
-	timer := time.NewTimer(want.Deadline - clock.Now())
+	timer := clock.NewTimer(want.Deadline - clock.Now())
 	defer timer.Stop()
 	select {
 	case <-ready:
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -229,7 +229,7 @@
 		if remaining <= 0 {
 			return nil, refuseNoOwner
 		}
-		timer := time.NewTimer(remaining)
+		timer := clock.NewTimer(remaining)
 		select {
 		case <-changed:
 		case <-timer.C:
--- a/router/quarantine_test.go
+++ b/router/quarantine_test.go
@@ -48,9 +48,7 @@
 	spec.Pool = "orders"
 	spec.Complete()
 	first := &wire.Update{Snapshot: true, Revision: 1, Services: []wire.ServiceView{{Name: "orders", Revision: 1, Spec: spec}}}
-	first.Routes = &routing.Change{Version: 1, Whole: true, Upsert: []routing.Item{{Section: routing.SectionRoutes, Name: "r", Route: &routing.Route{
-		Name: "r", Host: "shop.example", PathPrefix: "/moved/", Kind: kind, Timeout: 2 * time.Second, MaxAttempts: 4, Split: []routing.Share{to("orders")},
-	}}}}
+	first.Routes = routesFor(kind, 2*time.Second)
 	for n := range nodes {
 		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 			attempts.Add(1)
@@ -82,6 +80,13 @@
 	return router, attempts
 }
 
+// routesFor is a route table of one route.
+func routesFor(kind routing.Kind, timeout time.Duration) *routing.Change {
+	return &routing.Change{Version: 1, Whole: true, Upsert: []routing.Item{{Section: routing.SectionRoutes, Name: "r", Route: &routing.Route{
+		Name: "r", Host: "shop.example", PathPrefix: "/moved/", Kind: kind, Timeout: timeout, MaxAttempts: 4, Split: []routing.Share{to("orders")},
+	}}}}
+}
+
 // asked is the identity of the requests that askRouter sends.
 func asked(router *Router) quarantine.Identity {
 	request := quarantine.Request{Method: []byte("GET"), Host: []byte("shop.example"), Target: []byte("/moved/1"), Caller: [][]byte{{}, {}, {}}}
--- a/router/router.go
+++ b/router/router.go
@@ -278,10 +278,10 @@
 func (r *Router) drain() {
 	r.logger.Info("draining", zap.Int("in_flight", r.hangups.Count()))
 	r.draining.Store(true)
-	deadline := time.Now().Add(r.options.Settings.Router.DrainTimeout)
-	time.Sleep(r.options.Settings.Router.CloseNotice)
+	until := clock.Now() + r.options.Settings.Router.DrainTimeout
+	clock.Sleep(r.options.Settings.Router.CloseNotice, nil)
 	r.callers.stop()
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := clock.WithTimeout(context.Background(), until-clock.Now())
 	defer cancel()
 	if err := r.server.ShutdownWithContext(ctx); err != nil {
 		r.logger.Warn("drain_incomplete", zap.Int("in_flight", r.hangups.Count()), zap.Error(err))
--- a/router/supersede.go
+++ b/router/supersede.go
@@ -95,7 +95,7 @@
 // awaitRoutes waits until the route table is of a version at least. It reports whether it
 // is.
 func (r *Router) awaitRoutes(p *proxied, version uint64) bool {
-	timer := time.NewTimer(max(0, min(supersededWait, p.deadline-clock.Now())))
+	timer := clock.NewTimer(max(0, min(supersededWait, p.deadline-clock.Now())))
 	defer timer.Stop()
 	for {
 		have, changed := r.table.routesInForce()
--- /dev/null
+++ b/router/suspended_test.go
@@ -0,0 +1,43 @@
+package router
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"limehold/clock"
+	"limehold/routing"
+	"limehold/wire"
+)
+
+// A machine that was suspended past a request's deadline ends it when it wakes up, not as much
+// later as it was suspended: timers have stood still meanwhile.
+func TestDeadlinePassesWhileTheMachineIsSuspended(t *testing.T) {
+	is := is.New(t)
+	arrived, release := make(chan struct{}, 1), make(chan struct{})
+	router, _ := suspectRouter(t, routing.KindUnsafe, 1, func(http.Header) answering {
+		arrived <- struct{}{}
+		<-release
+		return servedWell
+	})
+	defer close(release)
+	routes := routesFor(routing.KindUnsafe, time.Hour)
+	routes.Version = 2
+	router.table.apply(&wire.Update{From: 1, Revision: 2, Routes: routes})
+	answered := make(chan int, 1)
+	go func() {
+		status, _ := askFor(t, router)
+		answered <- status
+	}()
+	<-arrived
+	clock.Leap(time.Minute) // not past it
+	select {
+	case status := <-answered:
+		t.Fatalf("answered with %d before its deadline", status)
+	default:
+	}
+	clock.Leap(time.Hour)
+	is.Equal(<-answered, http.StatusBadGateway) // it was sent, and may have run
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -8,10 +8,13 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"limehold/clock"
 )
 
 const (
@@ -44,7 +47,9 @@
 	// KeepFor is how long the peer keeps the connection without use, once it has
 	// said so. Zero: the pool's limit.
 	KeepFor time.Duration
-	since   time.Time
+	since   time.Duration
+	// deadline is set while a request is on the connection.
+	deadline atomic.Pointer[clock.Deadline]
 }
 
 // CountingWriter counts the bytes that its inner writer took.
@@ -114,11 +119,11 @@
 		conn.Close()
 		return
 	}
-	if err := conn.Raw.SetDeadline(time.Time{}); err != nil {
+	if err := conn.ClearDeadline(); err != nil {
 		conn.Close()
 		return
 	}
-	conn.since = time.Now()
+	conn.since = clock.Now()
 	p.mutex.Lock()
 	p.idle[conn.Address] = append(p.idle[conn.Address], conn)
 	p.mutex.Unlock()
@@ -152,7 +157,7 @@
 	if conn.KeepFor > 0 {
 		limit = min(limit, conn.KeepFor)
 	}
-	return time.Since(conn.since) >= limit
+	return clock.Now()-conn.since >= limit
 }
 
 // Idle is how many connections to an address are kept without use.
@@ -162,8 +167,34 @@
 	return len(p.idle[address])
 }
 
+// SetDeadline has everything on the connection fail from a time on, by the clock that goes on
+// while the machine is suspended; now is a reading of it.
+func (c *Conn) SetDeadline(now, at time.Duration) error {
+	deadline, err := clock.NewDeadline(c.Raw.SetDeadline, now, at)
+	if err != nil {
+		return err
+	}
+	if before := c.deadline.Swap(deadline); before != nil {
+		before.Forget()
+	}
+	return nil
+}
+
+// ClearDeadline ends the deadline.
+func (c *Conn) ClearDeadline() error {
+	if deadline := c.deadline.Swap(nil); deadline != nil {
+		return deadline.End()
+	}
+	return nil
+}
+
 // Close closes the connection.
-func (c *Conn) Close() { c.Raw.Close() }
+func (c *Conn) Close() {
+	if deadline := c.deadline.Swap(nil); deadline != nil {
+		deadline.Forget()
+	}
+	c.Raw.Close()
+}
 
 // clean reports whether an idle connection is open and has nothing to read: a
 // late or second answer, or the other side's close, makes it unusable.
