Requests, messages and documents that would end limehold's own processes end by themselves

Whatever a process panics under comes again, to the next one. Found by looking for it: - a request that a router, ingress or admin listener panics under ended the process: it ends with an open outcome now, gives back slot and turn, is logged with its stack and counted. Open: a member that panics while it applies a command still ends, and again at each replay; to go on it would have to undo half an application.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,10 @@
 	$(GO) test ./transport -run XXX -fuzz FuzzReadFrame -fuzztime $(FUZZ_TIME)
 	$(GO) test ./settings -run XXX -fuzz FuzzLoad -fuzztime $(FUZZ_TIME)
 	$(GO) test ./router -run XXX -fuzz FuzzUnambiguous -fuzztime $(FUZZ_TIME)
+	$(GO) test ./router -run XXX -fuzz FuzzUpdate -fuzztime $(FUZZ_TIME)
+	$(GO) test ./fleet -run XXX -fuzz FuzzApply -fuzztime $(FUZZ_TIME)
+	$(GO) test ./codec -run XXX -fuzz FuzzCheck -fuzztime $(FUZZ_TIME)
+	$(GO) test ./platform -run XXX -fuzz FuzzHeartbeat -fuzztime $(FUZZ_TIME)
 
 clean:
 	rm -rf $(BIN)
--- a/adminserver/adminserver.go
+++ b/adminserver/adminserver.go
@@ -9,7 +9,9 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
 
+	"limehold/logging"
 	"limehold/metrics"
 )
 
@@ -17,6 +19,7 @@
 type Options struct {
 	Listener net.Listener
 	Metrics  *metrics.Registry
+	Logger   *zap.Logger
 	// Healthy returns why a balancer should leave the process out; nil: it is fine.
 	Healthy func() error
 	// Extension is asked first, and returns false for what is not its own. Optional.
@@ -58,7 +61,15 @@
 	return eris.Wrap(err, "serve operators")
 }
 
+// handle answers one question. One that it panics under is answered as failed; whoever asked
+// may ask again, and others are served.
 func (o *Options) handle(request *fasthttp.RequestCtx) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			logging.Panicked(o.Logger, "answer "+string(request.Path()), request.RemoteAddr().String(), cause)
+			request.Error("this process failed while it answered\n", fasthttp.StatusInternalServerError)
+		}
+	}()
 	if o.Extension != nil && o.Extension(request) {
 		return
 	}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -112,6 +112,7 @@
 
 func (a *Agent) transportOptions() transport.Options {
 	return transport.Options{
+		Logger: a.logger,
 		TLS:    a.options.TLS,
 		Relays: a.options.Relays,
 		Local: wire.Hello{
@@ -149,7 +150,7 @@
 		if a.admin == nil {
 			return nil
 		}
-		return adminserver.Run(serving, adminserver.Options{Listener: a.admin, Metrics: a.options.Metrics, Healthy: a.healthy})
+		return adminserver.Run(serving, adminserver.Options{Logger: a.logger, Listener: a.admin, Metrics: a.options.Metrics, Healthy: a.healthy})
 	})
 	group.Go(func() error {
 		select {
--- a/bulletin/bulletin.go
+++ b/bulletin/bulletin.go
@@ -70,7 +70,16 @@
 
 // Tell queues a report for control.
 func (b *Board) Tell(report fleet.Report) {
+	b.queue(report)
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (b *Board) queue(report fleet.Report) {
 	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	if len(b.pending) >= maxPending {
 		b.pending = b.pending[1:]
 		b.first++
@@ -79,11 +88,6 @@
 	}
 	b.pending = append(b.pending, report)
 	b.observe()
-	b.mutex.Unlock()
-	select {
-	case b.wake <- struct{}{}:
-	default:
-	}
 }
 
 // Pending returns the oldest reports that control has not acknowledged, and the number up to
--- /dev/null
+++ b/codec/check.go
@@ -0,0 +1,97 @@
+package codec
+
+import (
+	"encoding/binary"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxDepth bounds how deep values may be nested: the product's own go to a dozen. The decoder
+// calls itself for each level, and a stack that overflows cannot be recovered from.
+const maxDepth = 64
+
+// check returns an error for data that the decoder must not see: lists that claim to be longer
+// than the data, for which it would take memory at once, and values that are nested too deep.
+// A message of a few bytes would otherwise end each process that it is sent to.
+func check(data []byte) error {
+	var open [maxDepth]uint64
+	open[0] = 1
+	for depth := 0; depth >= 0; {
+		if open[depth] == 0 {
+			depth--
+			continue
+		}
+		open[depth]--
+		skip, values, err := header(data)
+		if err != nil {
+			return err
+		}
+		if skip > uint64(len(data)) || values > uint64(len(data))-skip {
+			return eris.Errorf("a value claims %d bytes and %d values where %d bytes are left", skip, values, len(data))
+		}
+		data = data[skip:]
+		if values == 0 {
+			continue
+		}
+		if depth++; depth == maxDepth {
+			return eris.Errorf("values are nested more than %d deep", maxDepth)
+		}
+		open[depth] = values
+	}
+	return nil
+}
+
+// header reads the beginning of a value: how many bytes it takes by itself, and how many values
+// follow that are part of it.
+func header(data []byte) (skip, values uint64, err error) {
+	if len(data) == 0 {
+		return 0, 0, eris.New("the data ends before its values do")
+	}
+	switch first := data[0]; {
+	case first <= 0x7f || first >= 0xe0 || first >= 0xc0 && first <= 0xc3: // small numbers, nil, booleans
+		return 1, 0, nil
+	case first <= 0x8f: // short map
+		return 1, 2 * uint64(first&0x0f), nil
+	case first <= 0x9f: // short list
+		return 1, uint64(first & 0x0f), nil
+	case first <= 0xbf: // short text
+		return 1 + uint64(first&0x1f), 0, nil
+	case first >= 0xca && first <= 0xd3: // numbers
+		return 1 + numberBytes[first-0xca], 0, nil
+	case first >= 0xd4 && first <= 0xd8: // extensions of fixed lengths
+		return 2 + 1<<(first-0xd4), 0, nil
+	}
+	return longHeader(data)
+}
+
+// numberBytes are the lengths of numbers, from float32 to int64.
+var numberBytes = [...]uint64{4, 8, 1, 2, 4, 8, 1, 2, 4, 8}
+
+// longHeader is header for values whose length is written behind the first byte.
+func longHeader(data []byte) (skip, values uint64, err error) {
+	var width int
+	switch data[0] {
+	case 0xc4, 0xc7, 0xd9:
+		width = 1
+	case 0xc5, 0xc8, 0xda, 0xdc, 0xde:
+		width = 2
+	default:
+		width = 4
+	}
+	if len(data) < 1+width {
+		return 0, 0, eris.New("the data ends within a length")
+	}
+	var padded [8]byte
+	copy(padded[8-width:], data[1:1+width])
+	length := binary.BigEndian.Uint64(padded[:])
+	own := uint64(1 + width)
+	switch data[0] {
+	case 0xc7, 0xc8, 0xc9: // extensions carry a type
+		return own + 1 + length, 0, nil
+	case 0xdc, 0xdd:
+		return own, length, nil
+	case 0xde, 0xdf:
+		return own, 2 * length, nil
+	}
+	return own + length, 0, nil
+}
--- /dev/null
+++ b/codec/check_test.go
@@ -0,0 +1,89 @@
+package codec
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// wide is a value of each kind that messages have.
+type wide struct {
+	Number  uint64
+	Small   int8
+	Part    float64
+	Text    string
+	Bytes   []byte
+	List    []wide
+	Map     map[string]int
+	Pointer *wide
+	Digest  [16]byte
+}
+
+// What the product encodes is decoded; what claims more than it brings is refused before any
+// memory is taken for it.
+func TestDataThatClaimsMoreThanItBringsIsRefused(t *testing.T) {
+	long := wide{
+		Number: 1 << 40, Small: -5, Part: 1.5, Text: string(bytes.Repeat([]byte("x"), 70_000)), Bytes: bytes.Repeat([]byte("y"), 300),
+		List: make([]wide, 40), Map: map[string]int{"a": 1, "b": -70000}, Pointer: &wide{Text: "inner"},
+	}
+	whole := MustMarshal(&long)
+	for name, c := range map[string]struct {
+		data []byte
+		ok   bool
+	}{
+		"what was encoded":           {whole, true},
+		"bytes behind it":            {append(bytes.Clone(whole), 0xff), true},
+		"cut":                        {whole[:len(whole)-1], false},
+		"nothing":                    {nil, false},
+		"a list of billions":         {[]byte{0x99, 0, 0, 0, 0, 0, 0xdd, 0x72, 0, 0, 0}, false},
+		"a map of billions":          {[]byte{0xdf, 0xff, 0xff, 0xff, 0xff}, false},
+		"a text of billions":         {[]byte{0xdb, 0xff, 0xff, 0xff, 0xff, 'x'}, false},
+		"nested by the ten thousand": {bytes.Repeat([]byte{0x91}, 10_000), false},
+		"a length that is cut":       {[]byte{0xdc, 0x01}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var read wide
+			err := Unmarshal(c.data, &read)
+			is.Equal(err == nil, c.ok)
+			if c.ok {
+				is.Equal(MustMarshal(&read), whole)
+			}
+		})
+	}
+}
+
+// FuzzCheck compares with the decoder: what it reads to its end has passed, too.
+func FuzzCheck(f *testing.F) {
+	f.Add(MustMarshal(&wide{List: []wide{{}}, Map: map[string]int{"a": 1}}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if len(data) > 1<<10 {
+			return
+		}
+		if check(data) != nil {
+			return
+		}
+		var read any
+		_ = msgpack.Unmarshal(data, &read)
+	})
+}
+
+func BenchmarkUnmarshal(b *testing.B) {
+	data := MustMarshal(&wide{List: make([]wide, 100), Map: map[string]int{"a": 1}})
+	for name, decode := range map[string]func(target *wide) error{
+		"checked":   func(target *wide) error { return Unmarshal(data, target) },
+		"unchecked": func(target *wide) error { return msgpack.Unmarshal(data, target) },
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.SetBytes(int64(len(data)))
+			for b.Loop() {
+				var target wide
+				if err := decode(&target); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/codec/codec.go
+++ b/codec/codec.go
@@ -44,6 +44,9 @@
 
 // Unmarshal decodes data into target, a pointer.
 func Unmarshal(data []byte, target any) error {
+	if err := check(data); err != nil {
+		return eris.Wrapf(err, "decode %T", target)
+	}
 	if err := msgpack.Unmarshal(data, target); err != nil {
 		return eris.Wrapf(err, "decode %T", target)
 	}
@@ -53,6 +56,9 @@
 // UnmarshalPrefix decodes the first fields of an encoded struct and leaves the
 // rest alone. Targets are pointers, one for each field.
 func UnmarshalPrefix(data []byte, targets ...any) error {
+	if err := check(data); err != nil {
+		return eris.Wrap(err, "decode the first fields")
+	}
 	decoder := msgpack.GetDecoder()
 	defer msgpack.PutDecoder(decoder)
 	decoder.Reset(bytes.NewReader(data))
--- a/control/commands.go
+++ b/control/commands.go
@@ -208,7 +208,8 @@
 
 func (m *Member) transportOptions() transport.Options {
 	return transport.Options{
-		TLS: m.options.TLS,
+		Logger: m.logger,
+		TLS:    m.options.TLS,
 		Local: wire.Hello{
 			Version: wire.ProtocolVersion, Cluster: m.options.Settings.Cluster,
 			Role: wire.RoleControl, Name: m.options.Settings.Name, Member: m.storage.identity.ID,
--- a/control/member.go
+++ b/control/member.go
@@ -132,7 +132,7 @@
 		zap.Stringer("member", m.storage.identity.ID), zap.Bool("tls", m.options.TLS != nil), zap.Bool("operator_token", m.options.Token != ""))
 	group.Go(func() error { return m.server.Run(serving) })
 	group.Go(func() error {
-		return adminserver.Run(serving, adminserver.Options{Listener: m.admin, Metrics: m.options.Metrics, Extension: m.extension(), Other: m.handleAdmin})
+		return adminserver.Run(serving, adminserver.Options{Logger: m.logger, Listener: m.admin, Metrics: m.options.Metrics, Extension: m.extension(), Other: m.handleAdmin})
 	})
 	group.Go(func() error {
 		err := m.runReplica(ctx, serving)
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -57,6 +57,7 @@
 	reasonFalsePromise  = "false-promise"
 	reasonCallerGone    = "caller-gone"
 	reasonOtherInstance = "other-instance"
+	reasonPanicked      = "ingress-failed"
 )
 
 const (
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -70,6 +70,7 @@
 	// tunnels counts the connections that are passed on for others.
 	tunnels  atomic.Int64
 	outcomes *prometheus.CounterVec
+	panics   prometheus.Counter
 	waits    prometheus.Histogram
 	runs     prometheus.Histogram
 }
@@ -104,6 +105,7 @@
 	i.instance = newInstance(options, i.gate)
 	i.board = i.instance.board
 	i.outcomes = options.Metrics.CounterVec("ingress", "requests_total", "Requests of routers, by outcome and reason.", "outcome", "reason")
+	i.panics = options.Metrics.Counter("ingress", "panics_total", "Requests under which this process panicked; each ended by itself.")
 	i.waits = options.Metrics.Histogram("ingress", "wait_seconds", "Time that a request waited for one of the instance's slots.", latencyBuckets)
 	i.runs = options.Metrics.Histogram("ingress", "run_seconds", "Time from sending a request to the instance to the head of its answer.", latencyBuckets)
 	options.Metrics.Gauge("ingress", "running", "Requests at the instance.", func() float64 { return float64(i.gate.load().running) })
--- a/ingress/keybeats.go
+++ b/ingress/keybeats.go
@@ -58,9 +58,9 @@
 	until := clock.Now() + letGoPoll
 	for {
 		now := clock.Now()
-		h.mutex.Lock()
-		free, changed := h.ledger.LetGo(ranges, now), h.changed
-		h.mutex.Unlock()
+		var free []limehold.ReleasedRange
+		var changed chan struct{}
+		h.with(func(l *ledger.Ledger) { free, changed = l.LetGo(ranges, now), h.changed })
 		if len(free) > 0 || now >= until {
 			return free, nil
 		}
@@ -78,11 +78,13 @@
 func (c *heartbeatCarrier) beat(report ledger.Report, mayWait bool) ledger.Answer {
 	h := c.holder
 	received := clock.Now()
-	h.mutex.Lock()
-	h.ledger.Begin(report.Instance)
-	taken := h.ledger.Report(report, received)
-	refused := h.ledger.RefusedGrants()
-	h.mutex.Unlock()
+	var taken bool
+	var refused []ledger.Grant
+	h.with(func(l *ledger.Ledger) {
+		l.Begin(report.Instance)
+		taken = l.Report(report, received)
+		refused = l.RefusedGrants()
+	})
 	h.tell()
 	if !taken {
 		return ledger.Answer{}
@@ -97,15 +99,19 @@
 	}
 	for {
 		now := clock.Now()
-		h.mutex.Lock()
-		if now >= until || h.ledger.Pending(report.Sequence, now) {
-			answer := h.ledger.Answer(report.Sequence, now)
-			h.mutex.Unlock()
+		var answer ledger.Answer
+		var changed chan struct{}
+		due := false
+		h.with(func(l *ledger.Ledger) {
+			if due = now >= until || l.Pending(report.Sequence, now); due {
+				answer = l.Answer(report.Sequence, now)
+			}
+			changed = h.changed
+		})
+		if due {
 			c.answered(report, answer, now-received)
 			return answer
 		}
-		changed := h.changed
-		h.mutex.Unlock()
 		timer := clock.NewTimer(until - now)
 		select {
 		case <-changed:
--- a/ingress/keycalls.go
+++ b/ingress/keycalls.go
@@ -82,9 +82,8 @@
 		if run.Due > now {
 			break
 		}
-		c.holder.mutex.Lock()
-		hold := c.holder.ledger.HoldFor(now)
-		c.holder.mutex.Unlock()
+		var hold time.Duration
+		c.holder.with(func(l *ledger.Ledger) { hold = l.HoldFor(now) })
 		if hold < ledger.ShortestHold {
 			// Without a lease there is nothing to give; the next renewal wakes this loop.
 			return time.Hour
@@ -108,15 +107,12 @@
 // grant sends one grant; false when it should be tried again after a pause.
 func (c *callCarrier) grant(ctx context.Context, run ledger.Run, hold, now time.Duration) bool {
 	h := c.holder
-	h.mutex.Lock()
-	h.ledger.Sending(run, now+grantTimeout+hold*(permille+instanceDrift)/permille)
-	h.mutex.Unlock()
+	h.with(func(l *ledger.Ledger) { l.Sending(run, now+grantTimeout+hold*(permille+instanceDrift)/permille) })
 	callContext, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
 	c.calling.Lock()
-	h.mutex.Lock()
-	wanted := h.ledger.Wanted(run)
-	h.mutex.Unlock()
+	var wanted bool
+	h.with(func(l *ledger.Ledger) { wanted = l.Wanted(run) })
 	if !wanted {
 		c.calling.Unlock()
 		return true
--- a/ingress/keys.go
+++ b/ingress/keys.go
@@ -85,19 +85,24 @@
 	h.carrier.Changed()
 }
 
+// with gives access to the ledger. It is let go of also where that panics.
+func (h *keyHolder) with(use func(l *ledger.Ledger)) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	use(h.ledger)
+}
+
 // setLease takes until when the node's lease runs.
 func (h *keyHolder) setLease(session membership.SessionID, expiry time.Duration) {
-	h.mutex.Lock()
-	h.ledger.SetLease(uint64(session), expiry)
-	h.mutex.Unlock()
+	h.with(func(l *ledger.Ledger) { l.SetLease(uint64(session), expiry) })
 	h.tell()
 }
 
 // take takes control's list for a session.
 func (h *keyHolder) take(session uint64, grants []wire.BackendGrant) {
-	h.mutex.Lock()
-	added, dropped := h.ledger.List(session, ledgerGrants(grants), clock.Now())
-	h.mutex.Unlock()
+	var added int
+	var dropped []ledger.Grant
+	h.with(func(l *ledger.Ledger) { added, dropped = l.List(session, ledgerGrants(grants), clock.Now()) })
 	if len(dropped) > 0 {
 		h.carrier.Dropped(h.rangesOf(dropped))
 	}
@@ -125,9 +130,11 @@
 	defer timer.Stop()
 	for {
 		now := clock.Now()
-		h.mutex.Lock()
-		held, expected, changed := h.ledger.Holds(key, epoch, now), h.ledger.Expects(key, epoch, now), h.changed
-		h.mutex.Unlock()
+		var held, expected bool
+		var changed chan struct{}
+		h.with(func(l *ledger.Ledger) {
+			held, expected, changed = l.Holds(key, epoch, now), l.Expects(key, epoch, now), h.changed
+		})
 		if held || !expected {
 			return 0
 		}
@@ -182,9 +189,7 @@
 	slices.SortFunc(grants, func(a, b ledger.Grant) int {
 		return cmp.Or(cmp.Compare(a.Key.Service, b.Key.Service), cmp.Compare(a.Key.Shard, b.Key.Shard))
 	})
-	h.mutex.Lock()
-	h.ledger.BeginRelease(grants)
-	h.mutex.Unlock()
+	h.with(func(l *ledger.Ledger) { l.BeginRelease(grants) })
 	h.tell()
 	byFirst := make(map[uint32]ledger.Grant, len(grants))
 	ranges := h.rangesOf(grants)
--- a/ingress/passage.go
+++ b/ingress/passage.go
@@ -30,8 +30,10 @@
 	trial uint64
 	// ownTurn is set while it keeps others from running that instances have ended under.
 	ownTurn bool
-	service string
-	route   string
+	// admitted is set while it holds a slot.
+	admitted bool
+	service  string
+	route    string
 	// version of the route table that matched the request; zero: it is not known.
 	version   uint64
 	shard     uint32
@@ -53,8 +55,15 @@
 	tracker *upstream.Tracker
 }
 
-// handle is the routers' handler.
+// handle is the routers' handler. A request that it panics under ends with an open outcome, and
+// gives back what it holds.
 func (i *Ingress) handle(request *fasthttp.RequestCtx) {
+	var p *passage
+	defer func() {
+		if cause := recover(); cause != nil {
+			i.afterPanic(request, p, cause)
+		}
+	}()
 	if request.IsConnect() {
 		i.relay(request)
 		return
@@ -62,8 +71,8 @@
 	if i.stopping.Load() {
 		request.SetConnectionClose()
 	}
-	p, ok := i.read(request)
-	if !ok {
+	var ok bool
+	if p, ok = i.read(request); !ok {
 		request.Error("this is an ingress: send requests to a router\n", fasthttp.StatusBadRequest)
 		return
 	}
@@ -111,12 +120,33 @@
 	case entryCancelled:
 		i.refuse(request, p, reasonCallerGone, 0)
 	case entryAdmitted:
+		p.admitted = true
 		return true
 	}
 	i.link.end(p.coming)
 	return false
 }
 
+// afterPanic answers a request that this process panicked under.
+func (i *Ingress) afterPanic(request *fasthttp.RequestCtx, p *passage, cause any) {
+	i.panics.Inc()
+	if p == nil {
+		logging.Panicked(i.logger, "read request", request.RemoteAddr().String(), cause)
+		request.Error("this ingress failed\n", fasthttp.StatusInternalServerError)
+		return
+	}
+	logging.Panicked(i.logger, "pass request", request.RemoteAddr().String(), cause, zap.String("request", p.requestID), zap.String("attempt", p.attemptID))
+	request.SetConnectionClose()
+	i.write(request, p, fasthttp.StatusBadGateway, wire.OutcomeUnknown, reasonPanicked)
+	if p.admitted {
+		i.leave(p)
+	}
+	i.leaveTurn(p)
+	if p.watched != nil {
+		i.hangups.Remove(p.watched)
+	}
+}
+
 // leads reports whether the route table still sends the request here. A router whose view is
 // old cannot know that its route has changed; this is the last place where it shows, as a
 // fence does for keys. What waits here when the table changes was in time.
@@ -309,6 +339,7 @@
 	if p.sent > 0 {
 		ran = clock.Now() - p.sent
 	}
+	p.admitted = false
 	i.leaveTurn(p)
 	i.gate.leave(p.route, p.returning, ran)
 	i.link.end(p.coming)
--- a/ingress/slotgate.go
+++ b/ingress/slotgate.go
@@ -186,26 +186,33 @@
 
 // enter waits for a slot. After entryAdmitted, leave must follow.
 func (g *slotGate) enter(request asked, cancelled <-chan struct{}) entry {
+	mine, patience, answer := g.queueUp(request)
+	if mine == nil {
+		return answer
+	}
+	return g.await(mine, patience, cancelled)
+}
+
+// queueUp answers a request at once, or has it wait: with the ticket it returns for how long.
+func (g *slotGate) queueUp(request asked) (mine *ticket, patience time.Duration, answer entry) {
 	g.mutex.Lock()
-	patience := g.patience(request)
+	defer g.mutex.Unlock()
+	patience = g.patience(request)
 	place := rank{
 		priority: request.priority, length: lengthStep(g.routeTime(request.route)),
 		returning: request.returning, due: clock.Now() + patience,
 	}
 	if g.closed {
-		g.mutex.Unlock()
-		return entryClosed
+		return nil, 0, entryClosed
 	}
 	if now := clock.Now(); g.running < g.slots && len(g.waiting) == 0 && g.cold.wait(now) == 0 {
 		g.take(now)
-		g.mutex.Unlock()
-		return entryAdmitted
+		return nil, 0, entryAdmitted
 	}
 	if g.foreseen(place) > patience {
-		g.mutex.Unlock()
-		return entryFull
+		return nil, 0, entryFull
 	}
-	mine := &ticket{rank: place, run: g.routeTime(request.route), admitted: make(chan struct{})}
+	mine = &ticket{rank: place, run: g.routeTime(request.route), admitted: make(chan struct{})}
 	at, _ := slices.BinarySearchFunc(g.waiting, place, func(other *ticket, place rank) int {
 		if place.before(other.rank) {
 			return 1
@@ -214,8 +221,7 @@
 	})
 	g.waiting = slices.Insert(g.waiting, at, mine)
 	g.admitNext()
-	g.mutex.Unlock()
-	return g.await(mine, patience, cancelled)
+	return mine, patience, entryAdmitted
 }
 
 // awaitLooks is how often, of its patience, a waiting request looks again whether it is
--- a/router/answer.go
+++ b/router/answer.go
@@ -36,6 +36,8 @@
 			zap.Uint64("session", uint64(id)), zap.Duration("took", clock.Now()-p.started))
 	}
 	r.metrics.latency.Observe((clock.Now() - p.started).Seconds())
+	// From here on the slot is given back with the answer.
+	p.at = 0
 	if result.whole {
 		if p.head {
 			response.Header.SetContentLength(result.response.Header.ContentLength())
--- a/router/pool.go
+++ b/router/pool.go
@@ -35,12 +35,18 @@
 			Slots: min(node.Slots, node.Connections), Gated: node.Gated,
 		})
 	}
-	p.mutex.Lock()
-	granted := p.gate.Update(clock.Now(), list)
-	p.mutex.Unlock()
+	var granted []*admission.Waiter
+	p.with(func(gate *admission.Gate) { granted = gate.Update(clock.Now(), list) })
 	notify(granted)
 }
 
+// with gives access to the gate. It is let go of also where that panics.
+func (p *pool) with(use func(gate *admission.Gate)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	use(p.gate)
+}
+
 func notify(granted []*admission.Waiter) {
 	for _, waiter := range granted {
 		waiter.Notify()
@@ -51,13 +57,13 @@
 func (p *pool) acquire(want admission.Want, cancelled <-chan struct{}) (admission.InstanceID, refusal) {
 	waiter := &admission.Waiter{Want: want}
 	var ready chan struct{}
-	p.mutex.Lock()
-	verdict := p.gate.Acquire(clock.Now(), waiter)
-	if verdict == admission.Queued {
-		ready = make(chan struct{})
-		waiter.Notify = func() { close(ready) }
-	}
-	p.mutex.Unlock()
+	var verdict admission.Verdict
+	p.with(func(gate *admission.Gate) {
+		if verdict = gate.Acquire(clock.Now(), waiter); verdict == admission.Queued {
+			ready = make(chan struct{})
+			waiter.Notify = func() { close(ready) }
+		}
+	})
 	switch verdict {
 	case admission.Admitted:
 		return waiter.Granted, refusal{}
@@ -80,9 +86,8 @@
 
 // giveUp leaves the queue; a slot granted at the last moment is given back.
 func (p *pool) giveUp(waiter *admission.Waiter, reason refusal) (admission.InstanceID, refusal) {
-	p.mutex.Lock()
-	left := p.gate.Cancel(waiter)
-	p.mutex.Unlock()
+	var left bool
+	p.with(func(gate *admission.Gate) { left = gate.Cancel(waiter) })
 	if !left {
 		p.release(waiter.Granted, admission.OutcomeNeutral, 0)
 	}
@@ -91,16 +96,13 @@
 
 // observe takes an instance's own word on its load.
 func (p *pool) observe(id admission.InstanceID, load admission.Load) {
-	p.mutex.Lock()
-	p.gate.Observe(id, load)
-	p.mutex.Unlock()
+	p.with(func(gate *admission.Gate) { gate.Observe(id, load) })
 }
 
 // release gives a slot back.
 func (p *pool) release(id admission.InstanceID, outcome admission.Outcome, latency time.Duration) {
-	p.mutex.Lock()
-	granted := p.gate.Release(clock.Now(), id, outcome, latency)
-	p.mutex.Unlock()
+	var granted []*admission.Waiter
+	p.with(func(gate *admission.Gate) { granted = gate.Release(clock.Now(), id, outcome, latency) })
 	notify(granted)
 }
 
@@ -116,8 +118,8 @@
 
 func (b *serviceBudget) earn() {
 	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	b.budget.Earn()
-	b.mutex.Unlock()
 }
 
 func (b *serviceBudget) spend() bool {
@@ -128,6 +130,6 @@
 
 func (b *serviceBudget) setPercent(percent int) {
 	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	b.budget.SetPercent(percent)
-	b.mutex.Unlock()
 }
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -25,12 +25,20 @@
 	maxRefusedInFront = 1
 )
 
-// handle is the callers' handler.
+// handle is the callers' handler. A request that it panics under ends with an open outcome, and
+// gives back what it holds.
 func (r *Router) handle(request *fasthttp.RequestCtx) {
+	var p *proxied
+	defer func() {
+		if cause := recover(); cause != nil {
+			r.afterPanic(request, p, cause)
+		}
+	}()
 	if r.draining.Load() {
 		request.SetConnectionClose()
 	}
-	p, refused := r.prepare(request)
+	var refused refusal
+	p, refused = r.prepare(request)
 	if refused.refused() {
 		id := drawID()
 		if p != nil {
@@ -60,6 +68,29 @@
 	}
 }
 
+// afterPanic answers a request that this process panicked under.
+func (r *Router) afterPanic(request *fasthttp.RequestCtx, p *proxied, cause any) {
+	id := drawID()
+	if p != nil {
+		id = p.shown
+	}
+	r.metrics.panics.Inc()
+	logging.Panicked(r.logger, "handle request", request.RemoteAddr().String(), cause, zap.String("request", id))
+	request.SetConnectionClose()
+	r.metrics.count(wire.OutcomeUnknown, reasonPanicked)
+	r.writeOutcome(request, id, wire.OutcomeUnknown, reasonPanicked, fasthttp.StatusBadGateway,
+		"this router failed while it handled the request, and it is unknown whether it ran: look before you send it again")
+	if p == nil {
+		return
+	}
+	if p.at != 0 {
+		p.service.pool.release(p.at, admission.OutcomeNeutral, 0)
+	}
+	if p.watched != nil {
+		r.hangups.Remove(p.watched)
+	}
+}
+
 // finish forgets a request once nothing reads its body or answer any more.
 func (r *Router) finish(p *proxied) {
 	r.hangups.Remove(p.watched)
@@ -79,6 +110,7 @@
 			return false
 		}
 		id := admission.InstanceID(node.Session)
+		p.at = id
 		sent := clock.Now()
 		result := r.send(p, node)
 		if result.load.Slots > 0 {
@@ -87,6 +119,7 @@
 		if result.state == attemptAnswered {
 			return r.answer(request, p, result, id, sent)
 		}
+		p.at = 0
 		p.service.pool.release(id, instanceOutcome(p, result), clock.Now()-sent)
 		p.noteEnds(result)
 		r.noteAttempt(p, node, result)
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -56,4 +56,5 @@
 	reasonCrossedAnswer = "crossed-answer"
 	reasonLateAnswer    = "late-answer"
 	reasonUnframed      = "unframed-answer"
+	reasonPanicked      = "router-failed"
 )
--- a/router/request.go
+++ b/router/request.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"limehold/admission"
 	"limehold/catalog"
 	"limehold/clock"
 	"limehold/hangup"
@@ -42,6 +43,8 @@
 	// trial that it is; zero: none.
 	ends  int
 	trial uint64
+	// at is the instance whose slot the request holds; zero: none.
+	at admission.InstanceID
 	// returning is set when the caller has made the request before and was refused.
 	returning bool
 	head      bool
--- a/router/router.go
+++ b/router/router.go
@@ -100,6 +100,7 @@
 	confirmTime prometheus.Histogram
 	lost        *prometheus.CounterVec
 	oldViews    prometheus.Counter
+	panics      prometheus.Counter
 }
 
 func (m *routerMetrics) count(outcome, reason string) {
@@ -192,6 +193,7 @@
 		confirmTime: registry.Histogram("router", "confirm_seconds", "Time until a control member confirmed that the view is current.",
 			[]float64{.002, .005, .01, .025, .05, .1, .25, .5, 1, 2.5}),
 		lost:     registry.CounterVec("router", "control_connections_lost_total", "Control members that were left, by the step that failed.", "step"),
+		panics:   registry.Counter("router", "panics_total", "Requests under which this process panicked; each ended by itself."),
 		oldViews: registry.Counter("router", "configuration_old_total", "Times at which the view of the configuration had not been confirmed for 1.5 s."),
 	}
 	registry.Gauge("router", "in_flight", "Requests under way.", func() float64 { return float64(r.hangups.Count()) })
@@ -227,7 +229,7 @@
 		if r.admin == nil {
 			return nil
 		}
-		return adminserver.Run(serving, adminserver.Options{Listener: r.admin, Metrics: r.options.Metrics, Healthy: r.healthy})
+		return adminserver.Run(serving, adminserver.Options{Logger: r.logger, Listener: r.admin, Metrics: r.options.Metrics, Healthy: r.healthy})
 	})
 	group.Go(func() error {
 		// Callers are not taken before there is something to tell them. After
--- a/router/routes.go
+++ b/router/routes.go
@@ -188,9 +188,12 @@
 	return true
 }
 
-// next returns the service that the next request goes to.
+// next returns the service that the next request goes to; empty: there is none.
 func (s *splitter) next() string {
-	if len(s.shares) == 1 {
+	switch len(s.shares) {
+	case 0:
+		return ""
+	case 1:
 		return s.shares[0].Service
 	}
 	s.mutex.Lock()
--- a/router/subscription.go
+++ b/router/subscription.go
@@ -264,6 +264,7 @@
 
 func (r *Router) transportOptions() transport.Options {
 	return transport.Options{
+		Logger: r.logger,
 		TLS:    r.options.TLS,
 		Relays: r.Relays,
 		Local: wire.Hello{
--- a/routing/validate.go
+++ b/routing/validate.go
@@ -38,6 +38,9 @@
 	names := map[Section]map[string]bool{SectionRoutes: {}, SectionServices: {}, SectionLimits: {}}
 	for i := range d.Items {
 		item := &d.Items[i]
+		if names[item.Section] == nil {
+			return &Invalid{Item: "entry " + item.Name, Field: "section", Value: string(item.Section), Want: "use routes, services or limits"}
+		}
 		if names[item.Section][item.Name] {
 			return &Invalid{Item: string(item.Section), Field: "name", Value: item.Name, Want: "name each entry once"}
 		}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -130,7 +130,7 @@
 }
 
 func (p *Process) serveAdmin(ctx context.Context) error {
-	options := adminserver.Options{Listener: p.admin, Metrics: p.options.Metrics, Healthy: p.ready}
+	options := adminserver.Options{Logger: p.logger, Listener: p.admin, Metrics: p.options.Metrics, Healthy: p.ready}
 	if p.options.Extend != nil {
 		options.Extension = p.options.Extend(p.ingress.Instance())
 	}
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -10,13 +10,16 @@
 	"crypto/tls"
 	"errors"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"limehold/codec"
+	"limehold/logging"
 	"limehold/wire"
 )
 
@@ -50,8 +53,9 @@
 // Conn is one connection with the hello done.
 type Conn struct {
 	// Local and Peer are the two sides' hellos.
-	Local wire.Hello
-	Peer  wire.Hello
+	Local  wire.Hello
+	logger *zap.Logger
+	Peer   wire.Hello
 
 	raw      net.Conn
 	reader   *bufio.Reader
@@ -66,13 +70,17 @@
 	received atomic.Uint64
 }
 
-func newConn(raw net.Conn, local wire.Hello, handler Handler) *Conn {
+func newConn(raw net.Conn, options *Options, handler Handler) *Conn {
 	if tcp, ok := raw.(*net.TCPConn); ok {
 		_ = tcp.SetKeepAlivePeriod(keepAlive)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	logger := options.Logger
+	if logger == nil {
+		logger = zap.NewNop()
+	}
 	return &Conn{
-		Local: local, raw: raw, reader: bufio.NewReaderSize(raw, bufferSize),
+		Local: options.Local, logger: logger, raw: raw, reader: bufio.NewReaderSize(raw, bufferSize),
 		queue: make(chan frame, queueLength), ctx: ctx, cancel: cancel,
 		handler: handler, calls: map[uint64]chan frame{},
 	}
@@ -175,8 +183,20 @@
 	}
 }
 
+// handle has a message handled. One that the handler panics under is answered as failed: it
+// would bring down each process that gets it.
+func (c *Conn) handle(request frame) (reply any, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			logging.Panicked(c.logger, "handle message kind "+strconv.Itoa(int(request.kind)), c.Peer.Name, cause)
+			err = eris.Errorf("the handler of messages of kind %d failed", request.kind)
+		}
+	}()
+	return c.handler.Handle(c.ctx, c, request.kind, request.payload)
+}
+
 func (c *Conn) serve(request frame) {
-	reply, err := c.handler.Handle(c.ctx, c, request.kind, request.payload)
+	reply, err := c.handle(request)
 	if request.call == 0 {
 		return
 	}
--- a/transport/relay_test.go
+++ b/transport/relay_test.go
@@ -66,7 +66,7 @@
 	helping := startRelay(t, server.Address())
 	raw, err := darkDialer(useless, helping).connect(context.Background(), darkAddress)
 	is.NoErr(err)
-	conn := newConn(raw, hello(wire.RoleAgent, "a"), echo{})
+	conn := newConn(raw, &Options{Local: hello(wire.RoleAgent, "a")}, echo{})
 	defer conn.Close()
 	is.NoErr(conn.greet(true))
 	go conn.run()
--- a/transport/server.go
+++ b/transport/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"limehold/wire"
 )
@@ -21,6 +22,8 @@
 	// Relays lists addresses of processes that pass connections on to an address which
 	// does not answer; see Tunnel. Optional.
 	Relays func() []string
+	// Logger is told of handlers that panic. Nil: nobody is.
+	Logger *zap.Logger
 	// Rejected is told of connections that failed the hello. Optional.
 	Rejected func(address string, err error)
 }
@@ -72,7 +75,7 @@
 	if s.options.TLS != nil {
 		raw = tls.Server(raw, s.options.TLS)
 	}
-	conn := newConn(raw, s.options.Local, s.handler)
+	conn := newConn(raw, &s.options, s.handler)
 	if err := conn.greet(false); err != nil {
 		conn.Close()
 		if s.options.Rejected != nil {
@@ -123,7 +126,7 @@
 	if options.TLS != nil {
 		raw = tls.Client(raw, clientTLS(options.TLS))
 	}
-	conn := newConn(raw, options.Local, handler)
+	conn := newConn(raw, &options, handler)
 	// A cancelled context must also end a hello that hangs.
 	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
 	err = conn.greet(true)
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -26,6 +26,7 @@
 	kindEcho wire.Kind = 100
 	kindFail wire.Kind = 101
 	kindHang wire.Kind = 102
+	kindDown wire.Kind = 103
 )
 
 func (echo) Inline(wire.Kind) bool { return false }
@@ -34,6 +35,8 @@
 	switch kind {
 	case kindFail:
 		return nil, &wire.Error{Code: wire.CodeInvalid, Message: "no", Step: "test", Peer: "server"}
+	case kindDown:
+		panic("a message that nobody can handle")
 	case kindHang:
 		<-ctx.Done()
 		return nil, ctx.Err()
