--- a/bench/experiment/faults.go
+++ b/bench/experiment/faults.go
@@ -48,6 +48,9 @@
 	// retries can do is add load. Its target is the pool; it is not part of the
 	// standard set.
 	FailingPool FaultKind = "failing-pool"
+	// DeadlyRequest has one and the same request come again and again, under which back ends end.
+	// Its target is the request's stream; it is not part of the standard set.
+	DeadlyRequest FaultKind = "deadly-request"
 )
 
 // Planned stops and changes.
--- a/bench/experiment/inject.go
+++ b/bench/experiment/inject.go
@@ -36,6 +36,7 @@
 		SlowNode:         misbehave(standin.Knobs{SlowFactor: 6}),
 		FailingNode:      misbehave(standin.Knobs{FailAll: true}),
 		FailingPool:      failPool,
+		DeadlyRequest:    sendDeadly,
 		RestartRouters:   restartRouters, RestartBackend: restartBackend, RestartAgent: restartAgent,
 		RestartControl: restartControl, DrainNode: drainNode, ListLeaving: listSays("leaving"), ListGone: listSays("gone"),
 		AddNode: addNode,
--- a/bench/judge/judge.go
+++ b/bench/judge/judge.go
@@ -90,6 +90,7 @@
 	j.judgeDrains()
 	j.judgePlannedStops()
 	j.judgeConfiguration()
+	j.judgeDeadly()
 	j.measure()
 }
 
--- a/bench/load/caller.go
+++ b/bench/load/caller.go
@@ -66,6 +66,8 @@
 	prefix string
 	key    string
 	work   int
+	// deadly requests end the back end that runs them.
+	deadly bool
 }
 
 func (a *ask) path() string {
@@ -73,6 +75,9 @@
 	if a.key != "" {
 		path += "/" + a.key
 	}
+	if a.deadly {
+		path += "/deadly"
+	}
 	return path + "/item?" + standin.QueryBytes + "=" + strconv.Itoa(a.stream.Bytes)
 }
 
@@ -87,6 +92,9 @@
 	if a.work > 0 {
 		request.Header.Set(standin.HeaderWork, strconv.Itoa(a.work))
 	}
+	if a.deadly {
+		request.Header.Set(standin.HeaderDeadly, "1")
+	}
 	if a.stream.BodyBytes > 0 {
 		request.SetBodyRaw(bytes.Repeat([]byte("x"), a.stream.BodyBytes))
 	}
@@ -100,6 +108,16 @@
 	return result
 }
 
+// SendDeadly sends a request of a stream under which the back end that runs it ends; all of a
+// stream are the same request, but for their names.
+func SendDeadly(target Target, stream *shape.Stream, run string) Result {
+	asked := &ask{run: run, stream: stream, prefix: stream.Prefixes[0], deadly: true}
+	if stream.Keys > 0 {
+		asked.key = "deadly"
+	}
+	return newCaller(target).send(asked)
+}
+
 // judge fills in what became of the request.
 func (c *caller) judge(a *ask, response *fasthttp.Response, err error, result *Result) {
 	if err != nil {
--- a/bench/report/report.go
+++ b/bench/report/report.go
@@ -24,6 +24,8 @@
 	ConfigNotInForce    int `json:"config_not_in_force"`
 	RacesWonTwice       int `json:"races_won_twice"`
 	RefusedWithNoAdvice int `json:"refused_without_retry_after"`
+	DeadlySentOn        int `json:"deadly_requests_sent_on"`
+	OthersQuarantined   int `json:"others_quarantined"`
 }
 
 // Named lists the violations with their names, in a fixed order.
@@ -41,6 +43,8 @@
 		{"config_not_in_force", v.ConfigNotInForce},
 		{"races_won_twice", v.RacesWonTwice},
 		{"refused_without_retry_after", v.RefusedWithNoAdvice},
+		{"deadly_requests_sent_on", v.DeadlySentOn},
+		{"others_quarantined", v.OthersQuarantined},
 	}
 }
 
@@ -62,6 +66,13 @@
 	Error   string `json:"error,omitempty"`
 }
 
+// Deadly is what requests have done under which back ends end.
+type Deadly struct {
+	// Ends of back ends, and those later than everybody was to know the request.
+	Ends     int `json:"ends"`
+	EndsLate int `json:"ends_late"`
+}
+
 // Imbalance of work over the instances of a pool, sampled each second.
 type Imbalance struct {
 	MaxOverMean float64 `json:"max_over_mean"`
@@ -134,6 +145,7 @@
 	AddedLoadPercent float64 `json:"added_load_percent"`
 
 	Violations Violations `json:"violations"`
+	Deadly     Deadly     `json:"deadly"`
 	// Evidence describes the first few violations.
 	Evidence []string `json:"evidence,omitempty"`
 	Faults   []Fault  `json:"faults"`
--- a/bench/standin/serve.go
+++ b/bench/standin/serve.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"syscall"
 	"time"
@@ -26,8 +27,13 @@
 	HeaderRun = "X-Run-Id"
 	// HeaderWork is a factor on the service time, in percent.
 	HeaderWork = "X-Work-Percent"
+	// HeaderDeadly has the back end end while it runs the request.
+	HeaderDeadly = "X-Deadly"
 )
 
+// exitDeadly is the code of a process that has ended under a request.
+const exitDeadly = 3
+
 // execution is one request being served.
 type execution struct {
 	attempt string
@@ -75,6 +81,9 @@
 		notRun(request, wire.BackendReasonNotOwner)
 		return
 	}
+	if len(header.Peek(HeaderDeadly)) > 0 {
+		os.Exit(exitDeadly)
+	}
 	s.answer(request, e, knobs)
 }
 
--- a/control/watch.go
+++ b/control/watch.go
@@ -150,6 +150,7 @@
 	return wire.NodeView{
 		Session: node.Session, Name: node.Name, Zone: node.Zone, Address: node.Address,
 		Pool: node.Pool, Slots: node.Slots, Connections: node.Connections, Gated: node.Gated, Draining: !node.Eligible(),
+		Incarnation: node.Incarnation, Version: node.Version,
 	}
 }
 
--- a/router/answer.go
+++ b/router/answer.go
@@ -47,6 +47,7 @@
 			response.SetBodyRaw(result.response.Body())
 		}
 		fasthttp.ReleaseResponse(result.response)
+		r.survived(p, response.StatusCode())
 		p.service.pool.release(id, admission.OutcomeGood, latency)
 		p.noteEnd(true)
 		return false
@@ -56,8 +57,12 @@
 	if err := result.conn.ClearDeadline(); err != nil {
 		r.logger.Info("deadline_not_cleared", append(logging.Step("clear deadline", result.conn.Address, err), zap.String("request", p.shown))...)
 	}
+	status := response.StatusCode()
 	body := &answerBody{router: r, request: p, attempt: result, stream: result.response.BodyStream(), release: func(outcome admission.Outcome) {
 		p.service.pool.release(id, outcome, latency)
+		if outcome == admission.OutcomeGood {
+			r.survived(p, status)
+		}
 		p.noteEnd(outcome == admission.OutcomeGood)
 		r.finish(p)
 	}}
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -110,7 +110,7 @@
 			return false
 		}
 		id := admission.InstanceID(node.Session)
-		p.at = id
+		p.at, p.gated = id, node.Gated
 		sent := clock.Now()
 		result := r.send(p, node)
 		if result.load.Slots > 0 {
@@ -122,6 +122,7 @@
 		p.at = 0
 		p.service.pool.release(id, instanceOutcome(p, result), clock.Now()-sent)
 		p.noteEnds(result)
+		r.noteBroken(p, node, result)
 		r.noteAttempt(p, node, result)
 		open = open || result.state == attemptOpen
 		if by := result.supersededBy(); by > 0 && p.routed != nil {
--- a/router/request.go
+++ b/router/request.go
@@ -45,6 +45,8 @@
 	trial uint64
 	// at is the instance whose slot the request holds; zero: none.
 	at admission.InstanceID
+	// gated is set while it is at an instance with an ingress.
+	gated bool
 	// returning is set when the caller has made the request before and was refused.
 	returning bool
 	head      bool
--- a/router/router.go
+++ b/router/router.go
@@ -78,6 +78,7 @@
 	hangups   *hangup.Watcher
 	work      *workTable
 	board     *bulletin.Board
+	witness   *witness
 	// trialSpent is the newest trial of a quarantined request that this router has asked for.
 	trialSpent atomic.Uint64
 	freshness  freshness
@@ -120,11 +121,11 @@
 // New opens the listeners. Run serves them.
 func New(options Options) (*Router, error) {
 	config := options.Settings
-	r := &Router{options: options, logger: options.Logger, upstreams: upstream.NewPool(upstream.DefaultIdleLimit), hangups: hangup.NewWatcher(), work: newWorkTable()}
+	r := &Router{options: options, logger: options.Logger, upstreams: upstream.NewPool(upstream.DefaultIdleLimit), hangups: hangup.NewWatcher(), work: newWorkTable(), witness: newWitness()}
 	r.board = bulletin.New(config.Name, options.Logger, options.Metrics)
 	policy := policyOf(config.Router.Balance)
 	r.table = newTable(func(name string) *pool { return newPool(name, policy, config.Router.Limits == settings.LimitsFixed) })
-	r.table.board = r.board
+	r.table.board, r.table.replaced = r.board, r.replaced
 	r.follower = newFollower(r)
 	r.registerMetrics()
 	var err error
--- a/router/table.go
+++ b/router/table.go
@@ -33,6 +33,10 @@
 	zones map[string]zone
 	// board is told what updates say of requests; nil: nobody is.
 	board *bulletin.Board
+	// replaced is told of a node in whose place another process has come up; nil: nobody is.
+	replaced func(former wire.NodeView)
+	// former are nodes without an ingress that are gone, by name, until another one comes up.
+	former map[string]wire.NodeView
 }
 
 // service is one service as the router uses it.
@@ -58,7 +62,7 @@
 	return &table{
 		services: map[string]*service{}, nodes: map[membership.SessionID]*wire.NodeView{},
 		byMatch: map[catalog.Match]*service{}, pools: map[string]*pool{},
-		changed: make(chan struct{}), newPool: newPool, zones: map[string]zone{},
+		changed: make(chan struct{}), newPool: newPool, zones: map[string]zone{}, former: map[string]wire.NodeView{},
 	}
 }
 
@@ -128,6 +132,7 @@
 func (t *table) applyNodes(update *wire.Update, touched map[string]bool) {
 	for i := range update.Nodes {
 		node := update.Nodes[i]
+		t.noteReplaced(&node)
 		t.nodes[node.Session] = &node
 		touched[t.pool(node.Pool).name] = true
 	}
@@ -135,10 +140,30 @@
 		if node := t.nodes[session]; node != nil {
 			touched[t.pool(node.Pool).name] = true
 			delete(t.nodes, session)
+			if !node.Gated {
+				t.former[node.Name] = *node
+			}
 		}
 	}
 }
 
+// noteReplaced tells of the process that a new node has taken the place of.
+func (t *table) noteReplaced(node *wire.NodeView) {
+	if t.replaced == nil || node.Gated || t.nodes[node.Session] != nil {
+		return
+	}
+	former, gone := t.former[node.Name]
+	delete(t.former, node.Name)
+	for _, other := range t.nodes {
+		if other.Name == node.Name && other.Session < node.Session {
+			former, gone = *other, true
+		}
+	}
+	if gone && former.Incarnation != node.Incarnation {
+		t.replaced(former)
+	}
+}
+
 func (t *table) pool(name string) *pool {
 	known := t.pools[name]
 	if known == nil {
--- /dev/null
+++ b/router/witness_test.go
@@ -0,0 +1,80 @@
+package router
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"limehold/bulletin"
+	"limehold/clock"
+	"limehold/membership"
+	"limehold/metrics"
+	"limehold/quarantine"
+	"limehold/wire"
+)
+
+// Where instances have no ingress, their routers are the witnesses: what broke at an instance is
+// held against its end once another process serves in its place, and only then.
+func TestRunsThatBrokeAreHeldAgainstTheEndOfTheirInstance(t *testing.T) {
+	node := func(session membership.SessionID, incarnation string) wire.NodeView {
+		return wire.NodeView{Session: session, Name: "orders-1", Pool: "orders", Incarnation: incarnation, Version: "v1"}
+	}
+	draining := node(1, "a")
+	draining.Draining = true
+	gated := node(1, "a")
+	gated.Gated = true
+	for name, c := range map[string]struct {
+		before  wire.NodeView
+		updates []wire.Update
+		ends    int
+	}{
+		"nothing changes":                {node(1, "a"), nil, 0},
+		"another process":                {node(1, "a"), []wire.Update{{Nodes: []wire.NodeView{node(2, "b")}}}, 1},
+		"another session, the same":      {node(1, "a"), []wire.Update{{Nodes: []wire.NodeView{node(2, "a")}}}, 0},
+		"it is only lost":                {node(1, "a"), []wire.Update{{RemovedNodes: []membership.SessionID{1}}}, 0},
+		"lost, and another process":      {node(1, "a"), []wire.Update{{RemovedNodes: []membership.SessionID{1}}, {Nodes: []wire.NodeView{node(2, "b")}}}, 1},
+		"lost, and back again":           {node(1, "a"), []wire.Update{{RemovedNodes: []membership.SessionID{1}}, {Nodes: []wire.NodeView{node(2, "a")}}}, 0},
+		"it was drained":                 {draining, []wire.Update{{Nodes: []wire.NodeView{node(2, "b")}}}, 0},
+		"its ingress is the witness":     {gated, []wire.Update{{Nodes: []wire.NodeView{node(2, "b")}}}, 0},
+		"two processes after each other": {node(1, "a"), []wire.Update{{Nodes: []wire.NodeView{node(2, "b")}}, {Nodes: []wire.NodeView{node(3, "c")}}}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := &Router{table: testTable(), witness: newWitness(), logger: zap.NewNop(), board: bulletin.New("router-1", zap.NewNop(), metrics.New())}
+			r.table.replaced = r.replaced
+			is.True(r.table.apply(&wire.Update{Snapshot: true, Revision: 1, Nodes: []wire.NodeView{c.before}}))
+			identity := quarantine.Identity{Any: quarantine.Digest{1}, Own: quarantine.Digest{2}}
+			if !c.before.Gated {
+				r.witness.broke(1, brokenRun{run: quarantine.Run{Identity: identity}, at: clock.Now()})
+			}
+			for i := range c.updates {
+				c.updates[i].From, c.updates[i].Revision = uint64(i+1), uint64(i+2)
+				is.True(r.table.apply(&c.updates[i]))
+			}
+			reports, _ := r.board.Pending(10)
+			is.Equal(len(reports), c.ends)
+			if c.ends > 0 {
+				end := reports[0].Ended
+				is.Equal(end.Instance, "a")
+				is.Equal(end.Node, "orders-1")
+				is.Equal(end.Runs, []quarantine.Run{{Identity: identity}})
+			}
+		})
+	}
+}
+
+// Runs that broke long before, or at another instance, have nothing to do with the end.
+func TestOldRunsAreNotHeldAgainstAnEnd(t *testing.T) {
+	is := is.New(t)
+	w := newWitness()
+	w.broke(1, brokenRun{at: 0})
+	w.broke(2, brokenRun{at: witnessFor})
+	is.Equal(len(w.take(1, witnessFor+1)), 0)
+	is.Equal(len(w.take(2, witnessFor+1)), 1)
+	is.Equal(len(w.take(2, witnessFor+1)), 0)
+	for n := range 3 * maxWitnessed {
+		w.broke(3, brokenRun{at: witnessFor + 2})
+		is.True(len(w.broken[3]) <= min(n+1, maxWitnessed))
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -304,6 +304,9 @@
 	Connections int
 	// Gated nodes keep their own limits; see membership.Node.
 	Gated bool
+	// Incarnation and Version of the back end; see membership.Node.
+	Incarnation string
+	Version     string
 }
 
 // ZoneView is a zone that was ever drained, as routers see it.
