Blame for an end is shared by what was running, and by causes that are no request

Kept: 150 and 1,100: each deadly request ends five instances at the most (three alone, four on busy ones), 7 others in 1,000 days. TestDaysOfDeadlyRequests keeps it; TestWhoIsQuarantined has the cases.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -12,16 +12,14 @@
 //
 // Invariants:
 //   - An end counts once for a request, however often and by whomever it is told.
-//   - Nothing is quarantined by fewer than endsClear ends of different instances, none of
-//     which it has survived since.
-//   - Where a request that has been in two ends already is running, nothing else is blamed for
-//     the next one.
+//   - Nothing is quarantined by fewer than leastEnds ends of different instances, without a run
+//     that an instance has survived in between.
+//   - The blame for an end is shared by what was running, whatever it is told as, and a cause
+//     that is no request.
 //   - Of a quarantined request at most one run is allowed at a time, in the whole deployment.
 type Table struct {
 	// Records are sorted by digest.
 	Records []Record
-	// Services are sorted by name: those that records are about.
-	Services []ServiceEnds
 }
 
 // Record is what is known of one request, made by anybody or by one caller.
@@ -36,8 +34,8 @@
 	Opened  uint64
 	Changed uint64
 	Ends    []EndRef
-	// Before is how many ends of its service were counted before its first.
-	Before      uint64
+	// Blame is how likely each of its ends was its doing, summed up, in thousandths.
+	Blame       int64
 	Quarantined bool
 	// Since is when it was quarantined, in Unix milliseconds of the leader's wall clock; for
 	// display only.
@@ -69,14 +67,6 @@
 // Offered reports whether there is a trial.
 func (t Trial) Offered() bool { return t.Number > 0 }
 
-// ServiceEnds counts the ends of a service's instances.
-type ServiceEnds struct {
-	Service string
-	Count   uint64
-	// Recent are the instances that ended last.
-	Recent []string
-}
-
 // End is a witness's word that an instance has ended without having said that it would.
 type End struct {
 	Service  string
@@ -106,14 +96,28 @@
 	Node   string
 }
 
+// thousandths are the parts of one end.
+const thousandths = 1000
+
 const (
-	// endsClear is how many ends show that a request brings them about, where it explains
-	// half of its service's ends or more, at more than one node. Two happen by chance in a
-	// bad minute: what runs when an instance ends is sent to another one, at once.
-	endsClear = 3
-	// MostEnds is how many are needed where instances end for other reasons too, or one node
-	// only is concerned. With an instance that ends under one of twelve of its runs, as in a
-	// minute in which one ends each second, five in a row happen to one request in 250,000.
+	// Each end is a thousand thousandths of blame, shared among the requests that were running and
+	// otherCause, all that is no request. A request weighs firstWeight and what it has been
+	// blamed for already: a dozen that nothing is known of are together a little less likely than
+	// another cause, and one that has been in two ends more than all of them.
+	//
+	// Modelled (TestDaysOfDeadlyRequests with 200 seeds, 1,000 days): up to three deadly requests
+	// at once, each beside eleven others, on days on which no run or one in ten dies by itself. Each
+	// ends five instances at the most, and 7 others are quarantined; with 100 for otherCause and
+	// 1,300 as enough 8 are, with 300 and 1,100 deadly requests end six. Three ends counted, with
+	// requests that have been in two blamed alone: up to eight ends, and 625 others.
+	firstWeight = 10
+	otherCause  = 150
+	// enough blame quarantines a request: one end is certain to be its doing, and a tenth more.
+	enough = 1100
+	// leastEnds is how many ends it takes at least, however few others ran.
+	leastEnds = 3
+	// MostEnds is how many show it by themselves, and how many it takes where all are of one
+	// node, which may have a reason of its own.
 	MostEnds = 5
 	// StrongEnds make a suspect that is run apart from others: the next end is to show whether
 	// it is the cause.
@@ -121,13 +125,11 @@
 	// maxEnds bounds the ends that are kept of a record: those that are needed, and a failed
 	// trial a day for a week.
 	maxEnds = 12
-	// maxSuspects bounds the records that are not quarantined: the runs of fifty instances that
-	// end at the same time. Those with the fewest ends go first, the oldest of them.
+	// maxSuspects bounds the records that are not quarantined: the runs of thirty instances that
+	// end at the same time, each with and without its caller. Those with the fewest ends go first, the oldest of them.
 	maxSuspects = 1024
 	// maxQuarantined bounds those that are; the one that was changed longest ago goes first.
 	maxQuarantined = 256
-	// keptInstances is how many ends of a service are recognised when they are told again.
-	keptInstances = 64
 	// maxSample bounds a sample, in bytes.
 	maxSample = 160
 )
@@ -164,77 +166,64 @@
 	return t.Records[at], true
 }
 
-// ends is in how many ends a request was running, made by anybody or by its caller.
-func (t *Table) ends(identity Identity) int {
-	most := 0
-	for _, digest := range []Digest{identity.Any, identity.Own} {
-		if at, found := t.find(digest); found {
-			most = max(most, len(t.Records[at].Ends))
-		}
-	}
-	return most
-}
-
 // TakeEnd takes a witness's word on an end.
 func (t *Table) TakeEnd(end *End, revision uint64, at int64) Changes {
 	var changes Changes
-	service := t.service(end.Service)
-	before := service.Count
-	if slices.Contains(service.Recent, end.Instance) {
-		before--
-	} else {
-		service.note(end.Instance)
-	}
 	ref := EndRef{Instance: end.Instance, Node: end.Node, Version: end.Version, At: at}
-	for _, run := range t.blamed(end) {
-		t.blame(run, end.Service, ref, before, revision, &changes)
+	shares := t.shares(end)
+	for i, run := range end.Runs {
+		t.blame(run, shares[i], end.Service, ref, revision, &changes)
 	}
 	t.bound(&changes)
-	t.forgetServices()
 	return changes
 }
 
-// blamed returns the runs that an end is held against: all, or those alone that have been in
-// most ends, if one of them has been in two already.
-func (t *Table) blamed(end *End) []Run {
-	most := 0
-	for _, run := range end.Runs {
-		most = max(most, t.ends(run.Identity))
+// shares divides the blame for an end among the runs, by what each has been blamed for before.
+func (t *Table) shares(end *End) []int64 {
+	shares := make([]int64, len(end.Runs))
+	total := int64(otherCause)
+	for i, run := range end.Runs {
+		shares[i] = firstWeight + t.blameOf(run.Identity)
+		total += shares[i]
 	}
-	if most < StrongEnds {
-		return end.Runs
+	for i := range shares {
+		shares[i] = thousandths * shares[i] / total
 	}
-	var blamed []Run
-	for _, run := range end.Runs {
-		if t.ends(run.Identity) == most {
-			blamed = append(blamed, run)
+	return shares
+}
+
+// blameOf is what a request has been blamed for, made by anybody or by its caller.
+func (t *Table) blameOf(identity Identity) int64 {
+	most := int64(0)
+	for _, digest := range []Digest{identity.Any, identity.Own} {
+		if at, found := t.find(digest); found {
+			most = max(most, t.Records[at].Blame)
 		}
 	}
-	return blamed
+	return most
 }
 
 // blame holds an end against a request: whoever makes it, and, where others are served the
 // same, its caller's alone.
-func (t *Table) blame(run Run, service string, ref EndRef, before, revision uint64, changes *Changes) {
-	fresh := Record{Service: service, Sample: run.Sample[:min(len(run.Sample), maxSample)], Opened: revision, Before: before}
+func (t *Table) blame(run Run, share int64, service string, ref EndRef, revision uint64, changes *Changes) {
+	fresh := Record{Service: service, Sample: run.Sample[:min(len(run.Sample), maxSample)], Opened: revision}
 	fresh.Digest = run.Identity.Any
-	if run.Identity.Any != (Digest{}) && t.count(fresh, ref, revision, changes) {
+	if fresh.Digest != (Digest{}) && t.count(fresh, share, ref, revision, changes) {
 		// Its caller's own is a part of it.
 		if at, found := t.find(run.Identity.Own); found {
 			t.remove(at, changes)
 		}
 		return
 	}
-	if run.Identity.Own == (Digest{}) {
-		return
-	}
 	fresh.Digest, fresh.Own = run.Identity.Own, true
-	t.count(fresh, ref, revision, changes)
+	if fresh.Digest != (Digest{}) {
+		t.count(fresh, share, ref, revision, changes)
+	}
 }
 
 // count adds an end to the record of fresh's digest, which is fresh if there is none. It
 // reports whether the request is quarantined.
-func (t *Table) count(fresh Record, ref EndRef, revision uint64, changes *Changes) bool {
+func (t *Table) count(fresh Record, share int64, ref EndRef, revision uint64, changes *Changes) bool {
 	at, found := t.find(fresh.Digest)
 	if !found {
 		t.Records = slices.Insert(t.Records, at, fresh)
@@ -246,31 +235,27 @@
 	// What the state hands out does not change under its reader.
 	record.Ends = append(slices.Clone(record.Ends), ref)
 	record.Ends = record.Ends[max(0, len(record.Ends)-maxEnds):]
+	record.Blame += share
 	record.Changed = revision
 	changes.touch(record.Digest)
 	switch {
 	case record.Quarantined:
 		// A trial that has failed, or a run that was under way.
 		record.Trial = Trial{}
-	case record.guilty(t.service(record.Service).Count):
+	case record.guilty():
 		record.Quarantined, record.Since = true, ref.At
 		changes.Quarantined = append(changes.Quarantined, *record)
 	}
 	return record.Quarantined
 }
 
-// guilty reports whether a record's ends show that the request brings them about; ended is how
-// many ends of its service there were in all.
-func (r *Record) guilty(ended uint64) bool {
-	nodes := map[string]bool{}
-	for _, end := range r.Ends {
-		nodes[end.Node] = true
+// guilty reports whether a record's ends show that the request brings them about.
+func (r *Record) guilty() bool {
+	if len(r.Ends) >= MostEnds {
+		return true
 	}
-	explains := 2*uint64(len(r.Ends)) >= ended-r.Before
-	if explains && len(nodes) > 1 {
-		return len(r.Ends) >= endsClear
-	}
-	return len(r.Ends) >= MostEnds
+	ofOneNode := !slices.ContainsFunc(r.Ends, func(end EndRef) bool { return end.Node != r.Ends[0].Node })
+	return len(r.Ends) >= leastEnds && r.Blame >= enough && !ofOneNode
 }
 
 // TakeSurvived takes a witness's word that an instance has survived a request.
@@ -281,7 +266,6 @@
 		return changes
 	}
 	t.remove(at, &changes)
-	t.forgetServices()
 	return changes
 }
 
@@ -293,7 +277,6 @@
 		return changes, false
 	}
 	t.remove(at, &changes)
-	t.forgetServices()
 	return changes, true
 }
 
@@ -305,7 +288,6 @@
 			t.remove(at, &changes)
 		}
 	}
-	t.forgetServices()
 	return changes
 }
 
@@ -393,28 +375,3 @@
 	}
 	return cmp.Or(cmp.Compare(r.Changed, other.Changed), bytes.Compare(r.Digest[:], other.Digest[:])) < 0
 }
-
-// service returns the count of a service, which begins now if there is none.
-func (t *Table) service(name string) *ServiceEnds {
-	at, found := slices.BinarySearchFunc(t.Services, name, func(s ServiceEnds, name string) int { return cmp.Compare(s.Service, name) })
-	if !found {
-		t.Services = slices.Insert(t.Services, at, ServiceEnds{Service: name})
-	}
-	return &t.Services[at]
-}
-
-// note counts an end.
-func (s *ServiceEnds) note(instance string) {
-	s.Count++
-	s.Recent = append(slices.Clone(s.Recent), instance)
-	s.Recent = s.Recent[max(0, len(s.Recent)-keptInstances):]
-}
-
-// forgetServices drops the counts of services that no record is about.
-func (t *Table) forgetServices() {
-	about := map[string]bool{}
-	for i := range t.Records {
-		about[t.Records[i].Service] = true
-	}
-	t.Services = slices.DeleteFunc(t.Services, func(s ServiceEnds) bool { return !about[s.Service] })
-}
