Ledger: a heartbeat received late frees nothing that an answer in flight gave

Cause: a shard in release counted as let go when a report did not name it and 1.1 s had passed since the last answer that did. The rule was also what an earlier fault soak failure came through: late word of a start that has ended set the count back to zero, and the present start's keys were freed at once. Change: a report frees only what the answer before it left out; everything else waits until what was told has run out. Begin keeps when the process began. Conclusion: the shorter wait only ever counted where the answer said nothing at all, as the node had no lease; there the keys now wait for the end of the hold.

--- a/ledger/heartbeat.go
+++ b/ledger/heartbeat.go
@@ -69,10 +69,8 @@
 
 // told is what the instance was told of one shard, and what it said of it.
 type told struct {
-	// sequence of the newest heartbeat whose answer named the shard, and at when that
-	// was answered. Zero: none.
+	// sequence of the newest heartbeat whose answer named the shard. Zero: none.
 	sequence uint64
-	at       time.Duration
 	// omitted is the sequence of the newest answered heartbeat that did not name it.
 	omitted uint64
 	// taken is set while the instance says that it holds the shard.
@@ -101,14 +99,13 @@
 	if instance == l.beats.instance {
 		return
 	}
-	began := l.beats.began
 	if l.beats.instance != "" {
 		l.entries = map[ownership.Key]*entry{}
 		l.listed = false
-		// This start was told nothing by any earlier process.
-		began = 0
 	}
-	l.beats = heartbeats{answerBytes: l.beats.answerBytes, began: began, instance: instance}
+	// An earlier process may have told this start, too: that another one was heard of
+	// first may be late word of one that had ended by then.
+	l.beats = heartbeats{answerBytes: l.beats.answerBytes, began: l.beats.began, instance: instance}
 }
 
 // Report takes what the newest heartbeat says; false for one that is not the newest.
@@ -131,7 +128,7 @@
 				l.miss(known, report.Sequence)
 			}
 		default:
-			l.notHeld(known, ranged, report, now)
+			l.notHeld(known, ranged, report)
 		}
 	}
 	return true
@@ -147,8 +144,11 @@
 	return 0, false
 }
 
-// notHeld takes that the newest heartbeat does not name a shard among what is held.
-func (l *Ledger) notHeld(known *entry, ranged limehold.KeyRange, report Report, now time.Duration) {
+// notHeld takes that the newest heartbeat does not name a shard among what is held. Only one
+// sent after an answer that left the shard out says that it is gone. How late a heartbeat is
+// received says nothing: it may have been sent before the last answer was taken, and read
+// once a frozen process ran on.
+func (l *Ledger) notHeld(known *entry, ranged limehold.KeyRange, report Report) {
 	t := &known.told
 	t.taken = false
 	if !known.releasing {
@@ -160,9 +160,7 @@
 			t.token = row.Token
 		}
 	}
-	told := t.omitted > t.sequence && report.Sequence > t.omitted
-	late := now > max(t.at, l.beats.began)+answerLife+leaseMargin
-	t.gone = told || late
+	t.gone = t.omitted > t.sequence && report.Sequence > t.omitted
 }
 
 // miss counts an answer that named the shard and did not have it taken.
@@ -191,7 +189,7 @@
 			known.told.omitted = sequence
 			continue
 		}
-		known.told.sequence, known.told.at = sequence, now
+		known.told.sequence = sequence
 		known.possible = max(known.possible, b.received+longest(hold))
 		if !known.releasing {
 			known.until = b.received + hold
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -284,3 +284,61 @@
 		})
 	}
 }
+
+// A process that has just begun hears late of a start of the instance that has ended by now,
+// and then of the present one: that one may hold what an earlier process has told it. Seen in
+// the fault soak: the instance was started anew and its sidecar killed; the new sidecar freed
+// its keys at once, and another instance held them beside it until they ran out.
+func TestLateWordOfAnEarlierStartDoesNotFreeKeys(t *testing.T) {
+	for name, earlier := range map[string][]string{
+		"the present start only":     {"i-2"},
+		"an earlier one, heard late": {"i-1", "i-2"},
+		"two that have ended by now": {"i-0", "i-1", "i-2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := New(Options{Shards: testShards, Hold: testHold, Began: start})
+			for _, instance := range earlier {
+				l.Begin(instance)
+			}
+			l.SetLease(7, start+4*second)
+			l.List(7, grantsOf(2, "", 5), start)
+			l.BeginRelease(grantsOf(2, "", 5))
+			ranges := []limehold.KeyRange{rangeOf(5, 5, 2)}
+			is.Equal(len(l.LetGo(ranges, start+second)), 0)                   // it may hold them still
+			is.Equal(len(l.LetGo(ranges, start+longest(testHold)+second)), 1) // what was told has run out
+		})
+	}
+}
+
+// A heartbeat that was sent before the last answer was taken, and is received long after it,
+// does not free what that answer gave. Seen in the simulation at seed 103: a heartbeat was 2 s
+// on its way, and a key had two holders for 0.9 s.
+func TestLateHeartbeatDoesNotFreeWhatAnAnswerGave(t *testing.T) {
+	for name, delay := range map[string]time.Duration{
+		"at once":                      0,
+		"once the answer has aged out": answerLife + second/2,
+		"shortly before the hold ends": 7 * second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := beating(start)
+			l.Report(Report{Instance: "i-1", Sequence: 1}, start)
+			is.Equal(len(l.Answer(1, start).Rows), 1) // the instance takes it after it has sent heartbeat 2
+			l.BeginRelease(grantsOf(2, "", 5))
+			l.Report(Report{Instance: "i-1", Sequence: 2}, start+delay)
+			ranges := []limehold.KeyRange{rangeOf(5, 5, 2)}
+			is.Equal(len(l.LetGo(ranges, start+delay)), 0)
+			is.Equal(len(l.LetGo(ranges, start+longest(testHold))), 1) // what was told has run out
+		})
+	}
+}
+
+// beating is the ledger of an instance that has been given shard 5, and told nothing.
+func beating(now time.Duration) *Ledger {
+	l := New(Options{Shards: testShards, Hold: testHold, Began: now - time.Hour})
+	l.Begin("i-1")
+	l.SetLease(7, now+8*second)
+	l.List(7, grantsOf(2, "", 5), now)
+	return l
+}
