--- a/control/applier.go
+++ b/control/applier.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
@@ -40,6 +41,9 @@
 	configuration consensus.Configuration
 	snapshotIndex uint64
 	snapshotDone  chan snapshotOutcome
+	// writing is set while a snapshot is written in the background: on a slow disk, where
+	// the next one would be due meanwhile, that waits.
+	writing atomic.Bool
 
 	mutex    sync.Mutex
 	progress *sync.Cond
@@ -247,7 +251,7 @@
 
 // maybeSnapshot encodes the state here and writes it in the background.
 func (a *applier) maybeSnapshot() error {
-	if a.index < a.snapshotIndex+uint64(a.options.Settings.Control.SnapshotEvery) {
+	if a.index < a.snapshotIndex+uint64(a.options.Settings.Control.SnapshotEvery) || a.writing.Load() {
 		return nil
 	}
 	data, err := a.state.Encode()
@@ -257,8 +261,11 @@
 	}
 	a.snapshotIndex = a.index
 	snapshot := consensus.Snapshot{Index: a.index, Term: a.term, Data: data, Configuration: a.configuration}
+	a.writing.Store(true)
 	go func() {
-		a.snapshotDone <- snapshotOutcome{snapshot, a.storage.saveSnapshot(snapshot)}
+		outcome := snapshotOutcome{snapshot, a.storage.saveSnapshot(snapshot)}
+		a.writing.Store(false)
+		a.snapshotDone <- outcome
 	}()
 	return nil
 }
--- a/control/storage.go
+++ b/control/storage.go
@@ -2,6 +2,7 @@
 
 import (
 	"path/filepath"
+	"sync"
 
 	"github.com/rotisserie/eris"
 
@@ -19,6 +20,10 @@
 	folder   string
 	identity wal.Identity
 	log      *wal.Log
+
+	// saving lets one snapshot be written at a time; saved is the newest one's index.
+	saving sync.Mutex
+	saved  uint64
 }
 
 // loaded is what the data folder held at the start.
@@ -54,7 +59,7 @@
 	if err := checkContinuity(folder, snapshot, state.entries); err != nil {
 		return nil, loaded{}, err
 	}
-	return &storage{folder: folder, identity: identity, log: log}, state, nil
+	return &storage{folder: folder, identity: identity, log: log, saved: snapshot.Index}, state, nil
 }
 
 // entriesAfter returns the entries that follow the snapshot. A log that does not
@@ -90,9 +95,19 @@
 	return wal.SaveIdentity(s.folder, s.identity)
 }
 
-// saveSnapshot writes a snapshot without touching the log.
+// saveSnapshot writes a snapshot without touching the log. One that is older than the newest
+// is left out: what it holds is there already.
 func (s *storage) saveSnapshot(snapshot consensus.Snapshot) error {
-	return wal.SaveSnapshot(filepath.Join(s.folder, snapshotFolder), snapshot)
+	s.saving.Lock()
+	defer s.saving.Unlock()
+	if snapshot.Index < s.saved {
+		return nil
+	}
+	if err := wal.SaveSnapshot(filepath.Join(s.folder, snapshotFolder), snapshot); err != nil {
+		return err
+	}
+	s.saved = snapshot.Index
+	return nil
 }
 
 // installSnapshot writes a snapshot that replaces the log.
--- a/router/table_test.go
+++ b/router/table_test.go
@@ -108,10 +108,13 @@
 	is.Equal(fresh.within(0, time.Hour), false)
 	fresh.confirm(time.Minute, confirmation{sentAt: 10 * time.Second, revision: 5}, 4)
 	is.Equal(fresh.within(10*time.Second, time.Hour), false) // revision 5 is still on its way
-	fresh.arrived(time.Minute, 5)
+	is.Equal(fresh.settled(), time.Duration(0))
+	is.True(fresh.arrived(time.Minute, 5))
+	is.Equal(fresh.settled(), time.Minute)
 	is.True(fresh.within(12*time.Second, 2*time.Second))
 	is.Equal(fresh.within(13*time.Second, 2*time.Second), false)
-	fresh.confirm(time.Minute, confirmation{sentAt: 9 * time.Second, revision: 5}, 5) // an older answer comes late
+	is.Equal(fresh.confirm(time.Hour, confirmation{sentAt: 9 * time.Second, revision: 5}, 5), false) // an older answer comes late
+	is.Equal(fresh.settled(), time.Minute)
 	is.True(fresh.within(12*time.Second, 2*time.Second))
 }
 
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -221,7 +221,11 @@
 		const wait = 4 * firstDialPatience
 		var mutex sync.Mutex
 		var ours, theirs []net.Conn
-		late := func(context.Context, string, time.Duration) (net.Conn, error) {
+		late := func(_ context.Context, _ string, patience time.Duration) (net.Conn, error) {
+			if patience < wait {
+				time.Sleep(patience)
+				return nil, context.DeadlineExceeded
+			}
 			near, far := net.Pipe()
 			mutex.Lock()
 			ours, theirs = append(ours, near), append(theirs, far)
