Router: what is quarantined while a request waits is not sent, with or without an ingress

Cause: the router looked again only before a further attempt. A request that waited for room at an instance without an ingress was sent though it had been quarantined meanwhile, and nothing behind the router checks there. Found by taking the second look out: no test was red. Change: one look before each sending, the first one too. Two tests; each is red without it. Also: TestDeadlinesPassWhileTheMachineIsSuspended took two answers that come at the same time in a fixed order (failed once in 40); each now has a place of its own, and both are checked.

--- a/ingress/suspended_test.go
+++ b/ingress/suspended_test.go
@@ -18,21 +18,21 @@
 	m := startMortal(t)
 	i := watched(t, m.address)
 	i.Instance().Announce(Announcement{ID: "i-1", Service: "orders", Slots: 1, Sequence: 2})
-	outcomes := make(chan string, 2)
-	send := func() {
+	ran, waited := make(chan string, 1), make(chan string, 1)
+	send := func(outcome chan string) {
 		response := askPath(t, i, "/slow", func(header http.Header) {
 			header.Set(wire.HeaderTarget, "3600000")
 			header.Set(wire.HeaderDeadline, "3600000")
 		})
-		outcomes <- response.Header.Get(wire.HeaderOutcome)
+		outcome <- response.Header.Get(wire.HeaderOutcome)
 	}
-	go send()
+	go send(ran)
 	m.awaitRunning(t, 1)
-	go send()
+	go send(waited)
 	for i.gate.load().waiting == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	clock.Leap(2 * time.Hour)
-	is.Equal(<-outcomes, wire.OutcomeUnknown) // the one that ran
-	is.Equal(<-outcomes, wire.OutcomeNotRun)  // the one that waited
+	is.Equal(<-ran, wire.OutcomeUnknown)
+	is.Equal(<-waited, wire.OutcomeNotRun)
 }
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -110,6 +110,11 @@
 			return false
 		}
 		id := admission.InstanceID(node.Session)
+		if refused := r.keptBack(p); refused.refused() {
+			p.service.pool.release(id, admission.OutcomeNeutral, 0)
+			r.end(request, p, open, refused)
+			return false
+		}
 		p.at, p.gated = id, node.Gated
 		sent := clock.Now()
 		result := r.send(p, node)
@@ -137,10 +142,6 @@
 			r.endAfter(request, p, open, result)
 			return false
 		}
-		if refused := r.keptBack(p); refused.refused() {
-			r.end(request, p, open, refused)
-			return false
-		}
 		avoid = append(avoid, id)
 	}
 }
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -64,7 +64,9 @@
 	return trial.Number
 }
 
-// keptBack returns why a request is not sent on: by now no instance is to run it.
+// keptBack returns why a request is not sent after all: while it waited, or its last attempt
+// ran, it has become one that no instance is to run. Instances without an ingress have no
+// other check behind this one.
 func (r *Router) keptBack(p *proxied) refusal {
 	if p.trial == 0 && r.board.Standing(p.identity).Quarantined {
 		return refuseQuarantined
--- a/router/quarantine_test.go
+++ b/router/quarantine_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"limehold/admission"
 	"limehold/catalog"
 	"limehold/clock"
 	"limehold/codec"
@@ -147,7 +148,12 @@
 // askFor sends a request and returns how it was answered.
 func askFor(t *testing.T, router *Router) (int, http.Header) {
 	t.Helper()
-	request, err := http.NewRequest(http.MethodGet, "http://"+router.Address()+"/moved/1", nil)
+	return askForPath(t, router, "/moved/1")
+}
+
+func askForPath(t *testing.T, router *Router, path string) (int, http.Header) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodGet, "http://"+router.Address()+path, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -191,6 +197,75 @@
 	}
 }
 
+// What becomes quarantined while a request is on its way keeps it from being sent, or sent
+// again, and what has run is not called "not run".
+func TestQuarantineIsLearnedOnTheWay(t *testing.T) {
+	for name, c := range map[string]struct {
+		first   answering
+		status  int
+		outcome string
+	}{
+		"its first attempt may have run": {cutOff, http.StatusBadGateway, wire.OutcomeUnknown},
+		"its first attempt was refused":  {answering{"503", wire.OutcomeNotRun, wire.BackendReasonFull}, http.StatusBadRequest, wire.OutcomeNotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var router *Router
+			router, attempts := suspectRouter(t, routing.KindSafe, 3, func(http.Header) answering {
+				learn(router, quarantine.Row{Digest: asked(router).Any, Opened: 1, Ends: 3, Quarantined: true})
+				return c.first
+			})
+			status, header := askFor(t, router)
+			is.Equal(attempts.Load(), int64(1))
+			is.Equal(status, c.status)
+			is.Equal(header.Get(wire.HeaderOutcome), c.outcome)
+		})
+	}
+}
+
+// The same for a request that waits for room at an instance without an ingress, before its
+// first attempt.
+func TestQuarantineIsLearnedWhileWaiting(t *testing.T) {
+	is := is.New(t)
+	began, goOn := make(chan struct{}, 1), make(chan struct{})
+	router, attempts := suspectRouter(t, routing.KindSafe, 1, func(http.Header) answering {
+		began <- struct{}{}
+		<-goOn
+		return servedWell
+	})
+	withoutIngress(t, router, 1)
+	running, held := make(chan int, 1), make(chan int, 1)
+	ask := func(path string, answered chan int) {
+		status, _ := askForPath(t, router, path)
+		answered <- status
+	}
+	go ask("/moved/other", running)
+	<-began
+	go ask("/moved/1", held)
+	waiting, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	is.NoErr(await(waiting, func() bool {
+		count := 0
+		router.table.services["orders"].pool.with(func(gate *admission.Gate) { count = gate.Waiting() })
+		return count == 1
+	}))
+	learn(router, quarantine.Row{Digest: asked(router).Any, Opened: 1, Ends: 3, Quarantined: true})
+	close(goOn)
+	is.Equal(<-running, http.StatusOK)
+	is.Equal(<-held, http.StatusBadRequest)
+	is.Equal(attempts.Load(), int64(1))
+}
+
+// withoutIngress takes the ingress from a router's only node, and leaves it that many slots.
+func withoutIngress(t *testing.T, router *Router, slots int) {
+	t.Helper()
+	node := *router.table.node(1)
+	node.Gated, node.Slots = false, slots
+	if !router.table.apply(&wire.Update{From: 1, Revision: 2, Nodes: []wire.NodeView{node}}) {
+		t.Fatal("the update was not taken")
+	}
+}
+
 // An update that comes by an older way than the one in force does not bring back what it said.
 func TestOlderUpdatesDoNotReleaseOrQuarantine(t *testing.T) {
 	is := is.New(t)
