Tests of what counts as an end, of trials and good runs, for what mutations showed untested

Taken out one by one, these turned no test red: the window before an end, runs of another start, a leave followed by another start, good runs at the ingress, their age, the trial's second use. Each does now. No change of logic.

--- a/bulletin/bulletin_test.go
+++ b/bulletin/bulletin_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
@@ -104,6 +105,31 @@
 	}
 }
 
+// A good run speaks for a request for a short time: one that has turned deadly has none.
+func TestGoodRunsSpeakForAShortTime(t *testing.T) {
+	known := asked("popular", "a")
+	for name, c := range map[string]struct {
+		identity quarantine.Identity
+		later    time.Duration
+		lately   bool
+	}{
+		"at once":              {known, 0, true},
+		"a little later":       {known, wellFor, true},
+		"later":                {known, wellFor + time.Millisecond, false},
+		"another request":      {asked("rare", "a"), 0, false},
+		"an unknown request":   {quarantine.Identity{}, 0, false},
+		"another caller's own": {quarantine.Identity{Any: asked("rare", "a").Any, Own: asked("popular", "b").Own}, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			well := &wellRuns{}
+			well.note(known, time.Minute)
+			is.Equal(well.lately(c.identity.Any, time.Minute+c.later), c.lately)
+			is.Equal(well.lately(c.identity.Own, time.Minute+c.later), c.lately)
+		})
+	}
+}
+
 // What has just run well is not suspected here, and is cleared when others come to suspect it.
 func TestWhatHasLatelyRunWellSpeaksForItself(t *testing.T) {
 	is := is.New(t)
--- a/ingress/apart_test.go
+++ b/ingress/apart_test.go
@@ -87,6 +87,19 @@
 	is.Equal(len(told(i)), 0) // a failure does not show that it was survived
 }
 
+// Two copies of a trial that wait at the same time: the one that comes first uses it up.
+func TestTrialIsUsedUpOnce(t *testing.T) {
+	is := is.New(t)
+	a := newApart()
+	offered := quarantine.Trial{Number: 9}
+	is.True(a.allows(offered, 9, "v1"))
+	is.True(a.spend(9))
+	is.True(!a.spend(9))
+	is.True(!a.spend(8)) // an older one is no longer of use
+	is.True(!a.allows(offered, 9, "v1"))
+	is.True(a.spend(10))
+}
+
 // What waits for a slot when a request comes to be quarantined is not let through any more.
 func TestWhatWaitsIsLookedAtAgain(t *testing.T) {
 	is := is.New(t)
--- a/ingress/ends_test.go
+++ b/ingress/ends_test.go
@@ -126,24 +126,34 @@
 		i.Instance().Announce(Announcement{ID: id, Service: "orders", Version: "v1", Slots: 8, Draining: draining, Sequence: sequence})
 	}
 	for name, c := range map[string]struct {
-		happens func(*Ingress, *mortal)
-		ends    bool
+		happens  func(*Ingress, *mortal)
+		suspects int
 	}{
-		"the process ends": {func(_ *Ingress, m *mortal) { _ = m.server.Close() }, true},
+		"the process ends": {func(_ *Ingress, m *mortal) { _ = m.server.Close() }, 3},
+		"it has lately run one of them well": {func(i *Ingress, m *mortal) {
+			i.board.Survived(named(i, "/0"))
+			_ = m.server.Close()
+		}, 2},
 		"it ends and is up again at once, as another start": {func(i *Ingress, m *mortal) {
 			_ = m.server.Close()
 			m.restart()
 			announce(i, "i-2", 1, false)
-		}, true},
-		"its connections break, and it goes on": {func(_ *Ingress, m *mortal) { m.breakRuns() }, false},
+		}, 3},
+		"its connections break, and it goes on": {func(_ *Ingress, m *mortal) { m.breakRuns() }, 0},
 		"it ends as it said": {func(i *Ingress, m *mortal) {
 			announce(i, "i-1", 9, true)
 			_ = m.server.Close()
-		}, false},
+		}, 0},
 		"it took its leave": {func(i *Ingress, m *mortal) {
 			i.Instance().Depart("i-1")
 			_ = m.server.Close()
-		}, false},
+		}, 0},
+		"it took its leave, and is up again as another start": {func(i *Ingress, m *mortal) {
+			i.Instance().Depart("i-1")
+			announce(i, "i-2", 1, false)
+			_ = m.server.Close()
+			m.restart()
+		}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -157,14 +167,14 @@
 			m.awaitRunning(t, 3)
 			c.happens(i, m)
 			all.Wait()
-			if !c.ends {
+			if c.suspects == 0 {
 				// As long as it takes to find an end, several times over.
 				time.Sleep(10 * refusalsEnded * endEvery)
 				is.Equal(len(told(i)), 0)
 				return
 			}
 			runs := map[quarantine.Digest]bool{}
-			for until := time.Now().Add(10 * time.Second); len(runs) < 3 && time.Now().Before(until); time.Sleep(time.Millisecond) {
+			for until := time.Now().Add(10 * time.Second); len(runs) < c.suspects && time.Now().Before(until); time.Sleep(time.Millisecond) {
 				for _, report := range told(i) {
 					is.Equal(report.Ended.Instance, "i-1")
 					is.Equal(report.Ended.Service, "orders")
@@ -174,7 +184,37 @@
 					}
 				}
 			}
-			is.Equal(len(runs), 3)
+			is.Equal(len(runs), c.suspects)
+		})
+	}
+}
+
+// Only what broke with an instance's end is held against anything: not the runs of another
+// start, and not what broke long before.
+func TestEndTakesWhatBrokeWithIt(t *testing.T) {
+	const ended = time.Minute
+	for name, c := range map[string]struct {
+		instance string
+		before   time.Duration
+		taken    int
+	}{
+		"at its end":           {"i-1", 0, 1},
+		"shortly before":       {"i-1", endWindow, 1},
+		"long before":          {"i-1", endWindow + time.Millisecond, 0},
+		"under another start":  {"i-0", 0, 0},
+		"of an unknown origin": {"", 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			known := &ends{}
+			known.broke(brokenRun{seen: view{id: c.instance}, at: ended - c.before})
+			is.Equal(known.any("i-1", ended), c.taken > 0)
+			taken, first := known.take("i-1", ended)
+			is.Equal(len(taken), c.taken)
+			is.True(first)
+			taken, first = known.take("i-1", ended)
+			is.Equal(len(taken), 0) // each is told once
+			is.True(!first)
 		})
 	}
 }
