--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -55,6 +55,35 @@
 	return list
 }
 
+// Whatever the blame, two ends never do, and neither do several of one node alone.
+func TestGuiltNeedsSeveralEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		nodes  []string
+		blame  int64
+		guilty bool
+	}{
+		"no end":                    {nil, 10 * enough, false},
+		"one end":                   {[]string{"a"}, 10 * enough, false},
+		"two ends":                  {[]string{"a", "b"}, 10 * enough, false},
+		"three ends":                {[]string{"a", "b", "c"}, enough, true},
+		"three ends, two nodes":     {[]string{"a", "b", "b"}, enough, true},
+		"three ends, little blame":  {[]string{"a", "b", "c"}, enough - 1, false},
+		"three ends of one node":    {[]string{"a", "a", "a"}, 10 * enough, false},
+		"four ends of one node":     {[]string{"a", "a", "a", "a"}, 10 * enough, false},
+		"five ends of one node":     {[]string{"a", "a", "a", "a", "a"}, 0, true},
+		"five ends of several ones": {[]string{"a", "b", "c", "d", "e"}, 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			record := &Record{Blame: c.blame}
+			for _, node := range c.nodes {
+				record.Ends = append(record.Ends, EndRef{Node: node})
+			}
+			is.Equal(record.guilty(), c.guilty)
+		})
+	}
+}
+
 func TestWhoIsQuarantined(t *testing.T) {
 	deadly, other, third := told("deadly", "a"), told("other", "a"), told("third", "a")
 	for name, c := range map[string]struct {
