Tests for bounds of the quarantined, of the witness's suspects, of a second suspicion; one Sample

Taken out, these turned no test red: the bound of what is quarantined, good runs at the routers' witness, the record that a good run speaks for. Each does now. The text that shows a request to people was written twice; it is bulletin.Sample. No change of logic.

--- a/bulletin/bulletin_test.go
+++ b/bulletin/bulletin_test.go
@@ -84,6 +84,11 @@
 			_, through := b.Pending(maxPending)
 			b.Taken(through)
 		}, 1, false},
+		"survived, not taken yet, and suspected again": {func(b *Board) {
+			b.Apply([]quarantine.Row{toldOf(deadly.Any, 1, 2, false)}, false)
+			b.clear(deadly.Any)
+			b.Apply([]quarantine.Row{toldOf(deadly.Any, 9, 1, false)}, false)
+		}, 1, false},
 		"released": {func(b *Board) {
 			b.Apply([]quarantine.Row{toldOf(deadly.Any, 1, 3, true)}, false)
 			b.Apply([]quarantine.Row{{Digest: deadly.Any, Gone: true}}, false)
--- a/bulletin/identity.go
+++ b/bulletin/identity.go
@@ -38,3 +38,8 @@
 	identity, *scratch = asked.Identity(*scratch)
 	return identity
 }
+
+// Sample shows people which request it is, without what its caller has put into the query.
+func Sample(request *fasthttp.Request) string {
+	return string(request.Header.Method()) + " " + string(request.Header.Host()) + string(request.URI().PathOriginal())
+}
--- a/ingress/ends.go
+++ b/ingress/ends.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"limehold/bulletin"
 	"limehold/clock"
 	"limehold/fleet"
 	"limehold/quarantine"
@@ -91,7 +92,7 @@
 // runBroke notes that the connection to the instance broke under a request, and has it found
 // out whether the instance has ended.
 func (i *Ingress) runBroke(p *passage) {
-	i.instance.runBroke(brokenRun{seen: p.seen, run: quarantine.Run{Identity: p.identity, Sample: p.sample()}, at: clock.Now()})
+	i.instance.runBroke(brokenRun{seen: p.seen, run: quarantine.Run{Identity: p.identity, Sample: bulletin.Sample(p.out)}, at: clock.Now()})
 }
 
 // runBroke takes a run whose connection broke. Where another start has been announced by
@@ -107,11 +108,6 @@
 	i.askWhetherGone()
 }
 
-// sample shows people which request it is, without what its caller has put into the query.
-func (p *passage) sample() string {
-	return string(p.out.Header.Method()) + " " + string(p.out.Header.Host()) + string(p.out.URI().PathOriginal())
-}
-
 // nobodyListens looks once whether anybody listens at the instance's address.
 func (i *Ingress) nobodyListens() bool {
 	conn, err := net.DialTimeout("tcp", i.options.Settings.Ingress.Instance, lookPatience)
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -301,3 +301,18 @@
 	is.True(found)
 	is.Equal(len(record.Ends), 2)
 }
+
+// What is quarantined is bounded by itself: the one that was changed longest ago goes first.
+func TestQuarantinedAreBounded(t *testing.T) {
+	is := is.New(t)
+	h := &history{}
+	for n := range maxQuarantined + 2 {
+		for end := range MostEnds {
+			h.end(fmt.Sprint("i-", n, "-", end), fmt.Sprint("n-", end), told(fmt.Sprint("deadly-", n), "a"))
+		}
+	}
+	is.Equal(len(h.Records), maxQuarantined)
+	for n := range maxQuarantined + 2 {
+		is.Equal(h.quarantined(told(fmt.Sprint("deadly-", n), "a")), n >= 2)
+	}
+}
--- a/router/witness.go
+++ b/router/witness.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"limehold/bulletin"
 	"limehold/clock"
 	"limehold/fleet"
 	"limehold/membership"
@@ -70,12 +71,7 @@
 	if node.Gated || result.state != attemptOpen || result.reason != reasonNoAnswer && result.reason != reasonBrokenAnswer {
 		return
 	}
-	r.witness.broke(node.Session, brokenRun{run: quarantine.Run{Identity: p.identity, Sample: p.sample()}, at: clock.Now()})
-}
-
-// sample shows people which request it is, without what its caller has put into the query.
-func (p *proxied) sample() string {
-	return string(p.out.Header.Method()) + " " + string(p.out.Header.Host()) + string(p.out.URI().PathOriginal())
+	r.witness.broke(node.Session, brokenRun{run: quarantine.Run{Identity: p.identity, Sample: bulletin.Sample(p.out)}, at: clock.Now()})
 }
 
 // replaced is told of an instance in whose place another process serves.
--- a/router/witness_test.go
+++ b/router/witness_test.go
@@ -64,6 +64,22 @@
 	}
 }
 
+// What has lately run well for another caller is held against this caller alone, and what has
+// for this one against nobody.
+func TestWitnessDoesNotSuspectWhatHasLatelyRunWell(t *testing.T) {
+	is := is.New(t)
+	r := &Router{table: testTable(), witness: newWitness(), logger: zap.NewNop(), board: bulletin.New("router-1", zap.NewNop(), metrics.New())}
+	well, mine, theirs := quarantine.Digest{1}, quarantine.Digest{2}, quarantine.Digest{3}
+	r.board.Survived(quarantine.Identity{Any: well, Own: theirs})
+	for _, own := range []quarantine.Digest{mine, theirs} {
+		r.witness.broke(1, brokenRun{run: quarantine.Run{Identity: quarantine.Identity{Any: well, Own: own}}, at: clock.Now()})
+	}
+	r.replaced(wire.NodeView{Session: 1, Name: "orders-1", Pool: "orders", Incarnation: "a"})
+	reports, _ := r.board.Pending(10)
+	is.Equal(len(reports), 1)
+	is.Equal(reports[0].Ended.Runs, []quarantine.Run{{Identity: quarantine.Identity{Own: mine}}})
+}
+
 // Runs that broke long before, or at another instance, have nothing to do with the end.
 func TestOldRunsAreNotHeldAgainstAnEnd(t *testing.T) {
 	is := is.New(t)
