Test of identities names no field of the platform

The test that only platform/ knows the platform's names failed: the case of another ID used the name that one deployment gives the field. Identities look at no field by that name; X-Request-Id is as strict.

--- a/bulletin/identity_test.go
+++ b/bulletin/identity_test.go
@@ -29,7 +29,7 @@
 		any, own bool
 	}{
 		"another ID and deadline": {func(r *fasthttp.Request) {
-			r.Header.Set("Limehold-Request-Id", "2")
+			r.Header.Set("X-Request-Id", "2")
 			r.Header.Set("Limehold-Deadline-Ms", "900")
 			r.Header.Set("Limehold-Attempt", "a.2")
 		}, true, true},
