A planned stop at full links cuts no large answer

Cause: traced by the link's turns in the failing test. (1) What does not wait for the link was taken off it without a bound: 2,900 refusals a second, 600 bytes each, left no turn for 2.2 s. (2) An answer that is late was overtaken by those in time for as long as such came. (3) Requests that run for a short time were let in with the patience that such have for a slot, 3.6 s of answers at the link in place of 1 s, and those that came before the first answer's size was known were let in whatever waited. (4) No hop knew the next one's end. Change: routers that stop tell ingresses until when answers have to be whole; the link orders by that end, and refuses what cannot be whole by then before it runs; nothing is overtaken for more than 1.5 s; large answers keep half of the link; the link has a patience of its own, looked at again when a request has its slot and no size was known before.

--- a/ingress/foresee.go
+++ b/ingress/foresee.go
@@ -43,15 +43,29 @@
 // wait longer: it takes little of the instance, and mostly is the call of another instance,
 // which keeps a slot meanwhile and has worked for nothing if it is refused.
 func (g *slotGate) patience(request asked) time.Duration {
-	share := time.Duration(float64(request.target) * g.queueTime)
-	inTime := request.target - runsReserved*g.routeTime(request.route)/runsWhole
-	patience := max(share, inTime)
+	patience := g.ownPatience(request)
 	if shortRuns*g.routeTime(request.route) < g.runTime {
 		patience = max(patience, time.Duration(float64(request.left)*shortPatience))
 	}
 	return min(patience, request.left)
 }
 
+// ownPatience is patience without regard to how short the request runs.
+func (g *slotGate) ownPatience(request asked) time.Duration {
+	share := time.Duration(float64(request.target) * g.queueTime)
+	inTime := request.target - runsReserved*g.routeTime(request.route)/runsWhole
+	return max(share, inTime)
+}
+
+// linkPatience is how long the answer to a request may wait for the link after it has run.
+// That it runs for a short time makes its answer no shorter: with the patience of such
+// requests 3.6 s of answers were let in at a link for 1 s of them.
+func (g *slotGate) linkPatience(request asked) time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return min(g.ownPatience(request)+g.routeTime(request.route), request.left)
+}
+
 // patienceOf is patience, for callers that do not hold the gate's mutex.
 func (g *slotGate) patienceOf(request asked) time.Duration {
 	g.mutex.Lock()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -88,6 +88,9 @@
 	// it does not say how long it keeps them.
 	instanceIdle = 4 * time.Second
 	stopPoll     = 20 * time.Millisecond
+	// lastPieces is how long before the end of a stop the last piece of a large answer is given
+	// to the system: it is read at the other side before the connection is closed.
+	lastPieces = 200 * time.Millisecond
 )
 
 // New opens the listener. Run serves it.
@@ -180,6 +183,7 @@
 // run.
 func (i *Ingress) drain() {
 	until := clock.Now() + i.options.Settings.Ingress.StopTime
+	i.link.stop(until - lastPieces)
 	clock.Sleep(i.options.Settings.Ingress.StopNotice, nil)
 	i.stopping.Store(true)
 	i.gate.close()
--- a/ingress/link.go
+++ b/ingress/link.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"io"
 	"sync"
 	"time"
@@ -22,32 +23,45 @@
 //
 // Invariants:
 //   - Large answers and what else is known to be sent take no more than rate bytes a second
-//     of the link together; the latter never waits.
-//   - Of the answers that wait, one that is still in time goes before one that is late, and
-//     among these the shorter one.
-//   - Every answer gets its turn, unless its caller leaves.
+//     of the link together; the latter never waits. While answers wait, as much of that as
+//     their turn was long is taken into account between two turns: they have half of the link,
+//     whatever else is sent. 2,900 refusals a second left them nothing for 2.2 s.
+//   - Of the answers that wait, those that have waited for mostOvertaken go first, in the order
+//     in which they came; then those whose way ends at a known time, by that, as long as they
+//     can still be whole by then; then those that are still in time, the shorter one first;
+//     then the late ones.
+//   - Every answer gets its turn, unless its caller leaves, and no later than mostOvertaken
+//     and what waited before it.
 type link struct {
 	// rate in bytes a second; zero: the link's speed is not known, and nothing waits.
 	rate float64
 
 	mutex sync.Mutex
 	// freeAt is when what has had its turn will have been sent.
-	freeAt  time.Duration
-	waiting []*transfer
+	freeAt time.Duration
+	// turnTime is how long the last turn was; between is how much of the link's time has gone
+	// since to what does not wait.
+	turnTime, between time.Duration
+	waiting           []*transfer
 	// queued is the size in bytes of those that wait.
 	queued float64
 	// coming is the expected size of answers whose requests run or wait for a slot.
 	coming float64
 	// sizes are the smoothed sizes of the routes' answers.
 	sizes map[string]float64
+	// ends is when this process stops; zero: that is not known.
+	ends  time.Duration
 	timer *clock.Timer
 }
 
 // transfer is one answer that waits for its turn.
 type transfer struct {
 	size float64
-	// due is when it has to be sent to be in time.
-	due  time.Duration
+	// since is when it began to wait, due when it has to be sent to be in time.
+	since time.Duration
+	due   time.Duration
+	// ends is when whoever passes it on stops; zero: that is not known.
+	ends time.Duration
 	turn chan struct{}
 	// starts is when its first piece may be written, once turn is closed.
 	starts time.Duration
@@ -73,6 +87,10 @@
 	bytesAMegabit = 1e6 / 8
 	// maxSizes bounds the routes whose sizes are kept.
 	maxSizes = 1024
+	// mostOvertaken is for how long an answer may be overtaken by others that are in time.
+	// Without a bound one that is late waits for as long as such come: in a planned stop at
+	// full links 4 requests were cut 5 s after they were sent, whose runs took 50 ms.
+	mostOvertaken = 1500 * time.Millisecond
 	// turnAtOnce is how much earlier than the link is free a turn may be given.
 	turnAtOnce = time.Millisecond
 )
@@ -118,9 +136,17 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.freeAt = max(l.freeAt, now) + l.time(float64(bytes))
+	if l.freeAt <= now {
+		l.freeAt, l.between = now, 0
+	}
+	taken := min(l.time(float64(bytes)), max(0, l.mostBetween()-l.between))
+	l.between += taken
+	l.freeAt += taken
 }
 
+// mostBetween is how much of the link's time what does not wait may take between two turns.
+func (l *link) mostBetween() time.Duration { return max(l.turnTime, l.time(largeAnswer)) }
+
 // load is the backlog, for routers that choose among instances.
 func (l *link) load(now time.Duration) time.Duration {
 	if !l.paced() {
@@ -172,10 +198,25 @@
 	return l.paced() && size >= largeAnswer && size <= heldAnswer && l.queued+float64(size) <= heldLimit
 }
 
+// stop has everything be sent before this process ends.
+func (l *link) stop(ends time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.ends = ends
+}
+
+// endOf is until when an answer can be under way whose asker stops at ends; zero: nobody is
+// known to stop.
+func (l *link) endOf(ends time.Duration) time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return earlier(ends, l.ends)
+}
+
 // await returns when it is an answer's turn, with the time at which that begins; or when
 // its caller has left.
-func (l *link) await(size int, due time.Duration, cancelled <-chan struct{}) time.Duration {
-	mine := &transfer{size: float64(size), due: due, turn: make(chan struct{})}
+func (l *link) await(mine *transfer, cancelled <-chan struct{}) time.Duration {
+	mine.since, mine.turn = clock.Now(), make(chan struct{})
 	l.mutex.Lock()
 	l.waiting = append(l.waiting, mine)
 	l.queued += mine.size
@@ -253,7 +294,8 @@
 		chosen := l.waiting[i]
 		l.remove(i)
 		chosen.starts = max(l.freeAt, now)
-		l.freeAt = chosen.starts + l.time(chosen.size)
+		l.turnTime, l.between = l.time(chosen.size), 0
+		l.freeAt = chosen.starts + l.turnTime
 		close(chosen.turn)
 	}
 }
@@ -262,14 +304,53 @@
 func (l *link) first(now time.Duration) int {
 	best := 0
 	for i, other := range l.waiting {
-		late, bestLate := other.due < now+l.time(other.size), l.waiting[best].due < now+l.time(l.waiting[best].size)
-		if late != bestLate && !late || late == bestLate && other.size < l.waiting[best].size {
+		if l.urgencyOf(other, now).compare(l.urgencyOf(l.waiting[best], now)) < 0 {
 			best = i
 		}
 	}
 	return best
 }
 
+// urgency orders the answers that wait: by class, and within one by what counts there.
+type urgency struct {
+	class int
+	rank  float64
+}
+
+// Classes of answers, the most urgent first.
+const (
+	classOvertaken = iota
+	classEnds
+	classInTime
+	classLate
+)
+
+func (u urgency) compare(other urgency) int {
+	return cmp.Or(cmp.Compare(u.class, other.class), cmp.Compare(u.rank, other.rank))
+}
+
+func (l *link) urgencyOf(t *transfer, now time.Duration) urgency {
+	sent := now + l.time(t.size)
+	ends := earlier(t.ends, l.ends)
+	switch {
+	case now-t.since >= mostOvertaken:
+		return urgency{classOvertaken, float64(t.since)}
+	case ends > 0 && sent <= ends:
+		return urgency{classEnds, float64(ends)}
+	case sent <= t.due:
+		return urgency{classInTime, t.size}
+	}
+	return urgency{classLate, t.size}
+}
+
+// earlier is the earlier of two times, of which zero is not known.
+func earlier(a, b time.Duration) time.Duration {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
 func (l *link) after(free time.Duration) {
 	if l.timer != nil {
 		return
--- a/ingress/link_test.go
+++ b/ingress/link_test.go
@@ -66,7 +66,7 @@
 	var all sync.WaitGroup
 	const answers = 10
 	for range answers {
-		all.Go(func() { l.await(bytesEach, clock.Now()+time.Minute, nil) })
+		all.Go(func() { l.await(&transfer{size: bytesEach, due: clock.Now() + time.Minute}, nil) })
 	}
 	all.Wait()
 	// The last one is let go when those before it have been sent.
@@ -77,20 +77,33 @@
 func TestAnswersThatAreInTimeGoFirstTheShortestOfThemFirst(t *testing.T) {
 	now := 100 * second
 	late, soon := now-second, now+20*second
+	long := now - mostOvertaken
 	for name, c := range map[string]struct {
 		waiting []transfer
-		first   int
+		// ends is when this process stops.
+		ends  time.Duration
+		first int
 	}{
-		"one":                        {[]transfer{{size: 1, due: late}}, 0},
-		"the shorter one":            {[]transfer{{size: 3, due: soon}, {size: 2, due: soon}, {size: 4, due: soon}}, 1},
-		"late ones last":             {[]transfer{{size: 1, due: late}, {size: 9, due: soon}}, 1},
-		"all late, the shorter one":  {[]transfer{{size: 5, due: late}, {size: 4, due: late}}, 1},
-		"too long to be in time now": {[]transfer{{size: 8e6, due: now + second}, {size: 9, due: soon}}, 1},
+		"one":                                        {[]transfer{{size: 1, due: late}}, 0, 0},
+		"the shorter one":                            {[]transfer{{size: 3, due: soon}, {size: 2, due: soon}, {size: 4, due: soon}}, 0, 1},
+		"late ones last":                             {[]transfer{{size: 1, due: late}, {size: 9, due: soon}}, 0, 1},
+		"all late, the shorter one":                  {[]transfer{{size: 5, due: late}, {size: 4, due: late}}, 0, 1},
+		"too long to be in time now":                 {[]transfer{{size: 8e6, due: now + second}, {size: 9, due: soon}}, 0, 1},
+		"overtaken for long enough":                  {[]transfer{{size: 9, due: late, since: long}, {size: 1, due: soon}}, 0, 0},
+		"the one overtaken longest":                  {[]transfer{{size: 1, due: soon, since: long}, {size: 9, due: late, since: long - 1}}, 0, 1},
+		"its router stops":                           {[]transfer{{size: 1, due: soon}, {size: 9, due: late, ends: soon}}, 0, 1},
+		"its router stops too soon":                  {[]transfer{{size: 8e6, due: soon, ends: now + second}, {size: 9, due: soon}}, 0, 1},
+		"whose router stops first":                   {[]transfer{{size: 1, due: soon, ends: soon}, {size: 9, due: late, ends: soon - 1}}, 0, 1},
+		"this process stops, and a router before it": {[]transfer{{size: 1, due: soon}, {size: 9, due: late, ends: soon - 1}}, soon, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			l := newLink(8)
+			l.stop(c.ends)
 			for _, each := range c.waiting {
+				if each.since == 0 {
+					each.since = now
+				}
 				l.waiting = append(l.waiting, &each)
 			}
 			is.Equal(l.first(now), c.first)
@@ -98,13 +111,41 @@
 	}
 }
 
+// Answers that have run reach their callers also while so much is refused that the refusals
+// alone would take the link: 2,900 a second did, and an answer waited for 2.2 s between two turns.
+func TestRefusalsLeaveAnswersHalfOfTheLink(t *testing.T) {
+	for name, c := range map[string]struct {
+		// sent are the bytes of what does not wait, taken the turns for which the link counts them.
+		sent  int
+		taken float64
+	}{
+		"none":              {0, 0},
+		"half a turn":       {bytesEach / 2, 0.5},
+		"a turn":            {bytesEach, 1},
+		"a hundred of them": {100 * bytesEach, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := newLink(8)
+			l.await(&transfer{size: bytesEach, due: clock.Now()}, nil)
+			before := l.freeAt
+			const pieces = 100
+			for range pieces {
+				l.sent(c.sent/pieces, clock.Now())
+			}
+			taken := float64(l.freeAt-before) / float64(l.time(bytesEach))
+			is.True(taken > c.taken-0.01 && taken < c.taken+0.01)
+		})
+	}
+}
+
 func TestAnswerWhoseCallerLeavesGivesUpItsTurn(t *testing.T) {
 	is := is.New(t)
 	l := newLink(0.1)
-	l.await(bytesEach, clock.Now(), nil) // takes the link for seconds
+	l.await(&transfer{size: bytesEach, due: clock.Now()}, nil) // takes the link for seconds
 	left := make(chan struct{})
 	close(left)
-	l.await(bytesEach, clock.Now(), left)
+	l.await(&transfer{size: bytesEach, due: clock.Now()}, left)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	is.Equal(len(l.waiting), 0)
--- a/ingress/passage.go
+++ b/ingress/passage.go
@@ -44,8 +44,10 @@
 	returning bool
 	target    time.Duration
 	deadline  time.Duration
-	arrived   time.Duration
-	sent      time.Duration
+	// ends is when the router stops that asks for the request; zero: that is not known.
+	ends    time.Duration
+	arrived time.Duration
+	sent    time.Duration
 	// coming is what the link expects of the answer; see link.begin.
 	coming  float64
 	seen    view
@@ -107,8 +109,8 @@
 		i.refuse(request, p, reason, retryAfter)
 		return false
 	}
-	if wait, allowed := i.linkWait(p); wait > allowed {
-		i.refuse(request, p, wire.BackendReasonFull, wait-allowed)
+	if excess := i.linkExcess(p); excess > 0 {
+		i.refuse(request, p, wire.BackendReasonFull, excess)
 		return false
 	}
 	p.coming = i.link.begin(p.route)
@@ -157,20 +159,30 @@
 	return i.options.Leads(request.Host(), request.URI().PathOriginal(), p.service, p.version)
 }
 
-// linkWait is how long the request's answer is expected to wait for the link, and how long
-// it may: it runs meanwhile, and has to be in time after both.
-func (i *Ingress) linkWait(p *passage) (wait, allowed time.Duration) {
-	wait = i.link.wait(p.route, clock.Now())
+// linkExcess is by how much longer than it may the request's answer is expected to wait for the
+// link, on which it has to be in time after it has run; zero: it may run.
+func (i *Ingress) linkExcess(p *passage) time.Duration {
+	wait := i.link.wait(p.route, clock.Now())
 	if wait == 0 {
-		return 0, 0
+		return 0
 	}
-	allowed = i.gate.patienceOf(p.asked()) + i.gate.routeTimeOf(p.route)
+	allowed := i.gate.linkPatience(p.asked())
 	if p.returning {
 		allowed /= linkReturning
 	}
-	return wait, allowed
+	if ends := i.link.endOf(p.ends); ends > 0 {
+		// Whoever stops then has to have the whole answer.
+		left := ends - clock.Now() - i.gate.routeTimeOf(p.route)
+		allowed = min(allowed, left*linkBeforeStop/permille)
+	}
+	return max(0, wait-max(0, allowed))
 }
 
+// linkBeforeStop is how many thousandths of the time that is left before a stop the answers
+// may be expected to take on the link: refusals and other small answers do not wait for it,
+// and took a third of it where 60 callers came back to a full one at once.
+const linkBeforeStop = 600
+
 // linkReturning is by how much shorter the link's backlog has to be for a request that was
 // refused before: where more is asked of the link than it carries, those that are made for
 // the first time can still be served in full time.
@@ -209,6 +221,9 @@
 	p.target = time.Duration(numbers.count(wire.HeaderTarget)) * time.Millisecond
 	p.trial = numbers.count(wire.HeaderTrial)
 	p.deadline = p.arrived + time.Duration(numbers.count(wire.HeaderDeadline))*time.Millisecond
+	if left := numbers.count(wire.HeaderEnds); left > 0 {
+		p.ends = p.arrived + time.Duration(left)*time.Millisecond
+	}
 	p.identity = bulletin.Identify(&request.Request, names.Caller)
 	if numbers.err != nil {
 		i.logger.Warn("request_unreadable", append(logging.Step("read headers", request.RemoteAddr().String(), numbers.err), zap.String("request", p.requestID))...)
@@ -275,12 +290,19 @@
 // when the request began to wait is looked at once more.
 func (i *Ingress) pass(request *fasthttp.RequestCtx, p *passage) {
 	i.waits.Observe((clock.Now() - p.arrived).Seconds())
-	reason := i.refusal(p, clock.Now())
+	reason, retryAfter := i.refusal(p, clock.Now()), time.Duration(0)
 	if reason == "" {
 		reason = i.lastLook(p)
 	}
+	if reason == "" && p.coming == 0 {
+		// The route's answers may have turned out to be large while the request waited for its
+		// slot: 70 requests that came before the first answer took a link for 5 s.
+		if retryAfter = i.linkExcess(p); retryAfter > 0 {
+			reason = wire.BackendReasonFull
+		}
+	}
 	if reason != "" {
-		i.refuse(request, p, reason, 0)
+		i.refuse(request, p, reason, retryAfter)
 		i.end(p)
 		return
 	}
@@ -378,7 +400,7 @@
 // betweenUs are the headers that routers add for ingresses.
 var betweenUs = []string{
 	wire.HeaderAttempt, wire.HeaderService, wire.HeaderShard, wire.HeaderEpoch, wire.HeaderRoute, wire.HeaderRouteVersion,
-	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderReturning, wire.HeaderRepeatable, wire.HeaderDeadline, wire.HeaderTrial,
+	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderReturning, wire.HeaderRepeatable, wire.HeaderDeadline, wire.HeaderTrial, wire.HeaderEnds,
 }
 
 // answer passes an answer on. Small ones are there whole; others are streamed and
@@ -404,6 +426,7 @@
 			response.SkipBody = true
 		}
 		fasthttp.ReleaseResponse(result.response)
+		i.link.learn(p.route, len(body))
 		i.leave(p)
 		i.sendWhole(response, p, body)
 		i.logPassed(p, response.StatusCode(), len(body), ran)
@@ -428,7 +451,6 @@
 // sendWhole has an answer sent that is there whole: a large one when it is its turn, and at
 // the link's rate. The slice was made for this answer by readWhole and belongs to no pool.
 func (i *Ingress) sendWhole(response *fasthttp.Response, p *passage, body []byte) {
-	i.link.learn(p.route, len(body))
 	if p.head || !i.link.mayHold(len(body)) {
 		if !p.head {
 			response.SetBodyRaw(body)
@@ -437,7 +459,7 @@
 		i.forget(p)
 		return
 	}
-	begins := i.link.await(len(body), p.arrived+p.target, p.tracker.Cancelled())
+	begins := i.link.await(&transfer{size: float64(len(body)), due: p.arrived + p.target, ends: p.ends}, p.tracker.Cancelled())
 	response.SetBodyStream(&pacedBody{link: i.link, rest: body, begun: begins, closed: func() { i.forget(p) }}, len(body))
 }
 
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -113,6 +113,9 @@
 		left := request.started + request.routed.route.TargetLatency - now
 		out.Header.Set(wire.HeaderTarget, strconv.FormatInt(max(0, left.Milliseconds()), 10))
 	}
+	if ends := time.Duration(r.ends.Load()); ends > 0 && node.Gated {
+		out.Header.Set(wire.HeaderEnds, strconv.FormatInt(max(1, (ends-now).Milliseconds()), 10))
+	}
 	if !request.tracker.Track(conn) {
 		return errors.Join(errNothingSent, errCallerGone)
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -84,7 +84,9 @@
 	freshness  freshness
 	resync     atomic.Bool
 	draining   atomic.Bool
-	metrics    routerMetrics
+	// ends is when answers have to be whole, on the process's clock; zero: no stop is under way.
+	ends    atomic.Int64
+	metrics routerMetrics
 	// members is the newest list of control members that one of them has told.
 	members  atomic.Pointer[wire.MemberList]
 	follower *follower
@@ -113,6 +115,9 @@
 	// so that it can be sent again; longer ones are streamed and sent once.
 	bufferedBody = 64 << 10
 	drainPoll    = 10 * time.Millisecond
+	// lastAnswers is how long before the end of a stop answers have to be whole: they are passed
+	// on meanwhile.
+	lastAnswers = 200 * time.Millisecond
 	// startPatience bounds the wait for a first configuration before callers
 	// are taken.
 	startPatience = 2 * time.Second
@@ -282,6 +287,7 @@
 	r.logger.Info("draining", zap.Int("in_flight", r.hangups.Count()))
 	r.draining.Store(true)
 	until := clock.Now() + r.options.Settings.Router.DrainTimeout
+	r.ends.Store(int64(until - lastAnswers))
 	clock.Sleep(r.options.Settings.Router.CloseNotice, nil)
 	r.callers.stop()
 	ctx, cancel := clock.WithTimeout(context.Background(), until-clock.Now())
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -36,6 +36,9 @@
 	HeaderRoute    = "Limehold-Route"
 	HeaderPriority = "Limehold-Priority"
 	HeaderTarget   = "Limehold-Target-Ms"
+	// HeaderEnds tells the ingress in how many milliseconds the router stops that asks: the
+	// answer has to be whole there by then. It is not sent unless the router is stopping.
+	HeaderEnds = "Limehold-Ends-Ms"
 	// HeaderRouteVersion tells the ingress the version of the route table that matched the
 	// request; on a refusal as BackendReasonSuperseded, it is the version in force there.
 	HeaderRouteVersion = "Limehold-Route-Version"
