The last line of a process says how it ended, and is not lost

Cause: Sync looked at the queue and at a flag that the writer sets after it has taken a line: in between, nothing seemed to wait, and the process ended before the line was written. The line that named the cause is written last, so that it was the one to go. Change: lines count as pending until they are written; process_ended (asked or not, the error) is left out by no budget and by no full queue. Red without it: TestNothingIsPendingAfterSync, TestLastLineIsNotLeftOut.

--- a/cli/processes.go
+++ b/cli/processes.go
@@ -105,6 +105,7 @@
 	if err != nil {
 		return usageError(err)
 	}
+	defer func() { _ = logger.Sync() }()
 	secured, err := loadTLS(config)
 	if err != nil {
 		return startError(logger, err)
@@ -112,7 +113,6 @@
 	if config.Runtime.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(config.Runtime.MemoryMB) << 20 * memoryPercent / 100)
 	}
-	defer func() { _ = logger.Sync() }()
 	clock.OnLeap(func(length time.Duration) { logger.Warn("woke_up", zap.Duration("suspended", length)) })
 	built, err := build(config, logger, secured)
 	if err != nil {
@@ -121,10 +121,13 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP)
-	if err := built.Run(ctx); err != nil {
-		logger.Error("failed", logging.Step("run", config.Name, err)...)
+	err = built.Run(ctx)
+	asked := zap.Bool("asked", ctx.Err() != nil)
+	if err != nil {
+		logger.Error(logging.EventEnded, append(logging.Step("run", config.Name, err), asked)...)
 		return cli.Exit("", exitFailure)
 	}
+	logger.Info(logging.EventEnded, asked)
 	return nil
 }
 
--- a/logging/budget.go
+++ b/logging/budget.go
@@ -39,6 +39,9 @@
 
 // allow reports whether a line of the event may be written now.
 func (b *budgets) allow(event string, level zapcore.Level) bool {
+	if event == EventEnded {
+		return true
+	}
 	rate, burst := float64(budgetRateFailure), float64(budgetBurstFailure)
 	if level <= zapcore.InfoLevel && goesWell[event] {
 		rate, burst = budgetRate, budgetBurst
@@ -64,12 +67,14 @@
 // goesWell are the events of requests that went as they should.
 var goesWell = map[string]bool{EventAnswered: true, EventPassed: true}
 
-// Events that have the smaller budget.
+// Events that are bounded in another way than most: the first two have the smaller budget.
 const (
 	// EventAnswered: a router has passed an instance's answer on.
 	EventAnswered = "request_answered"
 	// EventPassed: an ingress has passed an instance's answer on.
 	EventPassed = "request_passed"
+	// EventEnded is the last line of a process; no bound leaves it out.
+	EventEnded = "process_ended"
 )
 
 // leftOut returns how many lines of each event were left out since the last call,
@@ -126,5 +131,8 @@
 			return err
 		}
 	}
+	if entry.Message == EventEnded {
+		c.queue.makeRoom()
+	}
 	return c.Core.Write(entry, fields)
 }
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -74,6 +75,12 @@
 	return b.buffer.Write(data)
 }
 
+func (b *safeBuffer) reset() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.buffer.Reset()
+}
+
 func (b *safeBuffer) text() string {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -105,3 +112,61 @@
 		logger.Info(EventAnswered, zap.String("request", "0123456789abcdef"), zap.Duration("took", time.Second))
 	}
 }
+
+// What was logged before Sync has been written after it: a process that ends by itself lost the
+// line that said why, where the writer had just taken it out of the queue.
+func TestNothingIsPendingAfterSync(t *testing.T) {
+	is := is.New(t)
+	var written safeBuffer
+	lines := newQueue(&written)
+	for range 2_000 {
+		_, _ = lines.Write([]byte("x"))
+		_ = lines.Sync()
+		is.Equal(len(written.text()), 1)
+		written.reset()
+	}
+}
+
+// No bound leaves out how a process ended.
+func TestLastLineIsNotLeftOut(t *testing.T) {
+	for name, c := range map[string]struct {
+		// before is how many lines of the same event come first, queued how many wait.
+		before, queued int
+	}{
+		"the only line":                       {0, 0},
+		"more of them than a budget":          {2 * budgetBurstFailure, 0},
+		"a full queue":                        {0, queuedLines},
+		"a full queue, and more than allowed": {2 * budgetBurstFailure, queuedLines},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var written safeBuffer
+			reading := make(chan struct{})
+			logger, err := newBounded(slow{&written, reading}, "info", "router", "r-1")
+			is.NoErr(err)
+			for i := range c.before {
+				logger.Error(EventEnded, zap.Int("before", i))
+			}
+			for i := range c.queued {
+				// Each event has a budget of its own.
+				logger.Info("event-" + strconv.Itoa(i))
+			}
+			logger.Error(EventEnded, zap.String("error", "the last one"))
+			close(reading)
+			is.NoErr(logger.Sync())
+			is.True(strings.HasSuffix(written.text(), "error=\"the last one\"\n"))
+		})
+	}
+}
+
+// slow is a destination that takes nothing before reading is closed.
+type slow struct {
+	writer  io.Writer
+	reading chan struct{}
+}
+
+// Write implements io.Writer.
+func (s slow) Write(data []byte) (int, error) {
+	<-s.reading
+	return s.writer.Write(data)
+}
--- a/logging/writer.go
+++ b/logging/writer.go
@@ -22,8 +22,9 @@
 	writer io.Writer
 	lines  chan []byte
 	lost   atomic.Int64
-	busy   atomic.Bool
-	once   sync.Once
+	// pending counts the lines that have not been written yet, those in the writer's hands included.
+	pending atomic.Int64
+	once    sync.Once
 }
 
 func newQueue(writer io.Writer) *queue {
@@ -33,19 +34,34 @@
 // Write implements zapcore.WriteSyncer; the line is copied.
 func (q *queue) Write(line []byte) (int, error) {
 	q.once.Do(func() { go q.run() })
+	q.pending.Add(1)
 	select {
 	case q.lines <- append([]byte(nil), line...):
 	default:
+		q.pending.Add(-1)
 		q.lost.Add(1)
 	}
 	return len(line), nil
 }
 
+// makeRoom gives up the oldest line, if there is no room for another one.
+func (q *queue) makeRoom() {
+	if len(q.lines) < cap(q.lines) {
+		return
+	}
+	select {
+	case <-q.lines:
+		q.pending.Add(-1)
+		q.lost.Add(1)
+	default:
+	}
+}
+
 // Sync implements zapcore.WriteSyncer: it waits, for a bounded time, until what was
 // logged before has been written.
 func (q *queue) Sync() error {
 	deadline := time.Now().Add(flushPatience)
-	for (len(q.lines) > 0 || q.busy.Load()) && time.Now().Before(deadline) {
+	for q.pending.Load() > 0 && time.Now().Before(deadline) {
 		time.Sleep(time.Millisecond)
 	}
 	return nil
@@ -54,12 +70,13 @@
 func (q *queue) run() {
 	batch := make([]byte, 0, batchBytes)
 	for line := range q.lines {
-		q.busy.Store(true)
 		batch = append(batch[:0], line...)
+		taken := int64(1)
 		for len(batch) < batchBytes {
 			select {
 			case more := <-q.lines:
 				batch = append(batch, more...)
+				taken++
 				continue
 			default:
 			}
@@ -67,6 +84,6 @@
 		}
 		// A log that cannot be written is no reason to stop.
 		_, _ = q.writer.Write(batch)
-		q.busy.Store(false)
+		q.pending.Add(-taken)
 	}
 }
