Listeners go on through want of descriptors; a part that ends has the others stop

Cause: a server's listener that fails with 'too many open files' ends the server, and both servers of a sidecar at once: the process ends by itself with code 1 in the midst of its requests. Where only one of them failed, the others went on half alive, and the machine was counted as ready. Change: package accept: listeners try again after what passes (5 to 80 ms), with a line and a counter each; the sidecar's parts stop together, with part_ended.

--- a/adminserver/adminserver.go
+++ b/adminserver/adminserver.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"limehold/accept"
 	"limehold/logging"
 	"limehold/metrics"
 )
@@ -53,7 +54,7 @@
 		defer cancel()
 		_ = server.ShutdownWithContext(shutdown)
 	}()
-	err := server.Serve(options.Listener)
+	err := server.Serve(accept.Lasting(options.Listener, "admin", options.Logger, options.Metrics))
 	if ctx.Err() != nil {
 		<-stopped
 		return nil
--- a/adminserver/adminserver_test.go
+++ b/adminserver/adminserver_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
 
 	"limehold/metrics"
 )
@@ -24,7 +25,7 @@
 	ended := make(chan error, 1)
 	go func() {
 		ended <- Run(ctx, Options{
-			Listener: listener, Metrics: registry, Healthy: func() error { return sick },
+			Listener: listener, Metrics: registry, Logger: zap.NewNop(), Healthy: func() error { return sick },
 			Other: func(request *fasthttp.RequestCtx) { request.SetBodyString("other") },
 		})
 	}()
--- a/control/member.go
+++ b/control/member.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"limehold/accept"
 	"limehold/adminserver"
 	"limehold/clock"
 	"limehold/codec"
@@ -87,7 +88,7 @@
 	m.moves = options.Metrics.CounterVec("control", "shard_moves_total", "Shards that this member proposed to move, by kind of decision.", "kind")
 	m.registerRouterMetrics()
 	m.registerQuarantineMetrics()
-	m.server = transport.NewServer(listener, m, m.transportOptions())
+	m.server = transport.NewServer(accept.Lasting(listener, "control", m.logger, options.Metrics), m, m.transportOptions())
 	m.advertised = config.Control.Advertise
 	if m.advertised == "" {
 		m.advertised = m.server.Address()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"limehold"
+	"limehold/accept"
 	"limehold/bulletin"
 	"limehold/clock"
 	"limehold/hangup"
@@ -100,7 +101,8 @@
 		return nil, eris.Wrapf(err, "listen for routers on %s (ingress.listen)", options.Settings.Ingress.Listen)
 	}
 	i := &Ingress{
-		apart: newApart(), options: options, logger: options.Logger, listener: listener,
+		apart: newApart(), options: options, logger: options.Logger,
+		listener:  accept.Lasting(listener, "ingress", options.Logger, options.Metrics),
 		gate:      newSlotGate(options.Settings.Ingress.QueueTime),
 		link:      newLink(options.Settings.Ingress.LinkMbps),
 		upstreams: upstream.NewPool(instanceIdle), hangups: hangup.NewWatcher(),
--- a/router/router.go
+++ b/router/router.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"limehold/accept"
 	"limehold/adminserver"
 	"limehold/admission"
 	"limehold/bulletin"
@@ -137,6 +138,7 @@
 	if r.callers, r.listener, err = listen(config.Router); err != nil {
 		return nil, err
 	}
+	r.listener = accept.Lasting(r.listener, "router", r.logger, options.Metrics)
 	if options.NoAdmin {
 		r.serveWith(config)
 		return r, nil
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -17,9 +17,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"limehold"
+	"limehold/accept"
 	"limehold/adminserver"
 	"limehold/agent"
 	"limehold/ingress"
+	"limehold/logging"
 	"limehold/metrics"
 	"limehold/router"
 	"limehold/settings"
@@ -105,23 +107,40 @@
 	if config.Ingress.Readiness == "" {
 		return nil
 	}
-	if p.readiness, err = net.Listen("tcp", config.Ingress.Readiness); err != nil {
+	readiness, err := net.Listen("tcp", config.Ingress.Readiness)
+	if err != nil {
 		return eris.Wrapf(err, "listen for readiness questions on %s (ingress.readiness)", config.Ingress.Readiness)
 	}
+	p.readiness = accept.Lasting(readiness, "readiness", p.logger, p.options.Metrics)
 	return nil
 }
 
 // Run serves until ctx ends. It then says at once that it is not ready, finishes
-// what is under way, and keeps the agent's session up to the end.
+// what is under way, and keeps the agent's session up to the end. A part that ends before has
+// the others stop in the same way: without it the machine would be counted as serving.
 func (p *Process) Run(ctx context.Context) error {
+	ctx, stopAll := context.WithCancel(ctx)
+	defer stopAll()
 	lastContext, stopLast := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLast()
 	var first, last errgroup.Group
-	last.Go(func() error { return p.agent.Run(lastContext) })
-	last.Go(func() error { return p.serveAdmin(lastContext) })
-	last.Go(func() error { return p.serveReadiness(lastContext) })
-	first.Go(func() error { return p.router.Run(ctx) })
-	first.Go(func() error { return p.ingress.Run(ctx) })
+	part := func(name string, run func(context.Context) error, until context.Context) func() error {
+		return func() error {
+			err := run(until)
+			if ctx.Err() == nil {
+				p.logger.Error("part_ended", logging.Step("run", name, err)...)
+				stopAll()
+			}
+			return err
+		}
+	}
+	last.Go(part("agent", p.agent.Run, lastContext))
+	last.Go(part("admin", p.serveAdmin, lastContext))
+	if p.readiness != nil {
+		last.Go(part("readiness", p.serveReadiness, lastContext))
+	}
+	first.Go(part("router", p.router.Run, ctx))
+	first.Go(part("ingress", p.ingress.Run, ctx))
 	stopNotice := context.AfterFunc(ctx, func() { p.stopping.Store(true) })
 	defer stopNotice()
 	err := first.Wait()
@@ -149,9 +168,6 @@
 
 // serveReadiness answers any GET by whether callers may be sent here.
 func (p *Process) serveReadiness(ctx context.Context) error {
-	if p.readiness == nil {
-		return nil
-	}
 	server := &fasthttp.Server{
 		ReadTimeout: readinessTimeout, NoDefaultServerHeader: true,
 		Handler: func(request *fasthttp.RequestCtx) {
