--- a/admission/budget.go
+++ b/admission/budget.go
@@ -11,8 +11,9 @@
 	// budgetReserve lets a service with little traffic retry at all. It adds up over all
 	// routers: more than one each would be more than a small deployment allows.
 	budgetReserve = 1
-	budgetCap     = 50
-	percentWhole  = 100
+	// budgetCap bounds the retries that are saved up, so that a quiet hour pays for no storm.
+	budgetCap    = 50
+	percentWhole = 100
 )
 
 // NewRetryBudget returns a budget of percent retries for 100 requests.
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -75,18 +75,27 @@
 }
 
 const (
-	shedFactor      = 0.7
-	growStep        = 1.0
-	latencyKeep     = 0.8
+	// shedFactor is what a limit is multiplied by when an instance sheds, growStep the requests
+	// by which it grows once as many as it allows at a time have ended well: additive increase,
+	// multiplicative decrease.
+	shedFactor = 0.7
+	growStep   = 1.0
+	// latencyKeep is how much of the smoothed latency an answer leaves: five answers count.
+	latencyKeep = 0.8
+	// An instance is left out after ejectAfter failures in a row, for ejectBase at first and up to
+	// ejectMax, as long as ejectFloorShare of the instances stay in: where most of them fail, the
+	// cause is not theirs. Chosen, not measured.
 	ejectAfter      = 5
 	ejectBase       = 500 * time.Millisecond
 	ejectMax        = 10 * time.Second
 	ejectFloorShare = 0.5
-	slowStartFloor  = 0.15
+	// slowStartFloor is the share of its limit that an instance begins with.
+	slowStartFloor = 0.15
 	// refusedBase is how long a gate that lets nothing through is left alone at first; it
 	// doubles up to refusedMax, about as long as an instance takes to come up.
-	refusedBase      = 100 * time.Millisecond
-	refusedMax       = 2 * time.Second
+	refusedBase = 100 * time.Millisecond
+	refusedMax  = 2 * time.Second
+	// refusedDoublings of refusedBase exceed refusedMax.
 	refusedDoublings = 5
 )
 
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -75,10 +75,13 @@
 	// downloads filled, words to control took up to 1.3 s. The lease is longer.
 	latePatience = 3 * time.Second
 	// renewTries is how many members can be asked within one interval.
-	renewTries  = 3
+	renewTries = 3
+	// openTimeout bounds one question that opens a session or asks for a drain: two elections.
 	openTimeout = 2 * time.Second
-	retryPause  = 20 * time.Millisecond
-	drainPoll   = 20 * time.Millisecond
+	// retryPause is what lies between two of them, and drainPoll between two looks at a drain;
+	// both are short beside the second within which a new owner is to serve.
+	retryPause = 20 * time.Millisecond
+	drainPoll  = 20 * time.Millisecond
 )
 
 // New opens the operators' listener. Run connects to control.
--- a/agent/backend.go
+++ b/agent/backend.go
@@ -20,9 +20,13 @@
 )
 
 const (
-	probeTimeout   = 300 * time.Millisecond
-	leaseTimeout   = 200 * time.Millisecond
-	grantsTimeout  = 2 * time.Second
+	// probeTimeout is shorter than unhealthyAfter: one lost probe is noticed in time.
+	probeTimeout = 300 * time.Millisecond
+	// leaseTimeout bounds one telling of the lease: the next one has a later end to tell.
+	leaseTimeout = 200 * time.Millisecond
+	// grantsTimeout bounds one telling of grants, which the back end may have to load.
+	grantsTimeout = 2 * time.Second
+	// releaseTimeout is how long the back end may finish what runs on shards that it gives up.
 	releaseTimeout = 5 * time.Second
 )
 
--- a/control/admin.go
+++ b/control/admin.go
@@ -20,6 +20,8 @@
 )
 
 const (
+	// maxInForceWait bounds an operator's question that waits until a change is in force, and
+	// adminCallPatience the whole call, with the way to the leader.
 	maxInForceWait    = 30 * time.Second
 	adminCallPatience = 40 * time.Second
 )
--- a/control/commands.go
+++ b/control/commands.go
@@ -16,6 +16,8 @@
 )
 
 const (
+	// retryPause lies between two tries while there is no leader, and forwardTimeout bounds one
+	// try: two elections, so that an operator is answered by the next leader.
 	retryPause     = 25 * time.Millisecond
 	forwardTimeout = 2 * time.Second
 	// readIndexTimeout bounds one question to the leader: a router whose member is cut
--- a/control/formation.go
+++ b/control/formation.go
@@ -17,10 +17,13 @@
 )
 
 const (
+	// formationEvery is how often a member that waits for a group asks the seeds, and
+	// formationPatience bounds one question.
 	formationEvery    = 200 * time.Millisecond
 	formationPatience = time.Second
-	firstIndex        = 1
-	firstTerm         = 1
+	// firstIndex and firstTerm are those of the entry that every founder writes alike.
+	firstIndex = 1
+	firstTerm  = 1
 )
 
 // formationReply tells another member who this one is.
--- a/control/members.go
+++ b/control/members.go
@@ -17,8 +17,10 @@
 const (
 	// aliveWithin is how recently a member must have answered to count as alive
 	// when a change of members is weighed.
-	aliveWithin     = time.Second
+	aliveWithin = time.Second
+	// catchUpPatience is how long a new member may take to have the whole log.
 	catchUpPatience = 30 * time.Second
+	// memberPollEvery is how often it is looked at meanwhile.
 	memberPollEvery = 20 * time.Millisecond
 )
 
--- a/control/routers.go
+++ b/control/routers.go
@@ -20,7 +20,8 @@
 	routerForgetAfter = 2 * time.Minute
 	// relayEvery is how often a follower passes measured loads on to the leader.
 	relayEvery = 500 * time.Millisecond
-	waitEvery  = 50 * time.Millisecond
+	// waitEvery is how often it is looked whether all routers have a revision.
+	waitEvery = 50 * time.Millisecond
 )
 
 // routerTable is what a member knows of the routers connected to it.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -80,15 +80,19 @@
 	// bufferedBody is the size in bytes up to which a request's body is read before
 	// the request is looked at.
 	bufferedBody = 64 << 10
+	// readTimeout and writeTimeout end connections whose router has gone without a word. They
+	// are longer than routes' timeouts, which end the requests.
 	readTimeout  = 15 * time.Second
 	writeTimeout = 15 * time.Second
 	// idleTimeout is longer than any router keeps an idle connection.
-	idleTimeout    = time.Minute
+	idleTimeout = time.Minute
+	// maxHeaderBytes is more than routers let in, by what they add.
 	maxHeaderBytes = 64 << 10
 	// instanceIdle is how long connections to the instance are kept without use when
 	// it does not say how long it keeps them.
 	instanceIdle = 4 * time.Second
-	stopPoll     = 20 * time.Millisecond
+	// stopPoll is how often a stopping ingress looks whether something still runs.
+	stopPoll = 20 * time.Millisecond
 	// lastPieces is how long before the end of a stop the last piece of a large answer is given
 	// to the system: it is read at the other side before the connection is closed.
 	lastPieces = 200 * time.Millisecond
--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -86,6 +86,7 @@
 	// refusalsGone connections in a row that are refused, goneEvery apart, show that nobody listens.
 	refusalsGone = 3
 	goneEvery    = 100 * time.Millisecond
+	// dialPatience bounds one such connection, on the same machine.
 	dialPatience = 300 * time.Millisecond
 	// drainMargin is kept for a request's way from the gate to the instance.
 	drainMargin = 200 * time.Millisecond
--- a/ingress/keycalls.go
+++ b/ingress/keycalls.go
@@ -35,9 +35,14 @@
 	// instanceDrift is the error of an instance's clock, in thousandths.
 	instanceDrift = 20
 	permille      = 1000
-	grantTimeout  = 700 * time.Millisecond
-	releasePoll   = 5 * time.Second
-	grantRetry    = 100 * time.Millisecond
+	// grantTimeout bounds one grant's way: an instance that is well answers in milliseconds, and
+	// one that is not may take it later; it counts as given until then.
+	grantTimeout = 700 * time.Millisecond
+	// releasePoll is how long a question whether keys are free may wait at the instance.
+	releasePoll = 5 * time.Second
+	// grantRetry is the pause after a grant that failed.
+	grantRetry = 100 * time.Millisecond
+	// renewalsAHold is how many renewals fit into a grant's time: two may be lost.
 	renewalsAHold = 3
 )
 
--- a/ingress/slotgate.go
+++ b/ingress/slotgate.go
@@ -80,7 +80,8 @@
 const (
 	// firstRunTime stands for the run time before anything has been measured.
 	firstRunTime = 50 * time.Millisecond
-	runTimeKeep  = 0.95
+	// runTimeKeep is how much of a smoothed run time one run leaves: twenty count.
+	runTimeKeep = 0.95
 	// maxRoutes bounds the routes whose times are kept.
 	maxRoutes = 1024
 	// loadEvery is the interval after which the routes' parts of the slots are taken
--- a/router/router.go
+++ b/router/router.go
@@ -115,7 +115,8 @@
 	// bufferedBody is the size in bytes up to which a request's body is kept,
 	// so that it can be sent again; longer ones are streamed and sent once.
 	bufferedBody = 64 << 10
-	drainPoll    = 10 * time.Millisecond
+	// drainPoll is how often a starting router looks for its first configuration.
+	drainPoll = 10 * time.Millisecond
 	// lastAnswers is how long before the end of a stop answers have to be whole: they are passed
 	// on meanwhile.
 	lastAnswers = 200 * time.Millisecond
--- a/router/subscription.go
+++ b/router/subscription.go
@@ -24,7 +24,8 @@
 	answerPatience = 4 * time.Second
 	// maxQuestions bounds the questions of one subscription that wait for their answers.
 	maxQuestions = 16
-	reportEvery  = 500 * time.Millisecond
+	// reportEvery is how often measured work is told to control, which weighs it over seconds.
+	reportEvery = 500 * time.Millisecond
 )
 
 // Steps of a subscription.
