Test of encoded values compares values, not bytes that nobody promises

The library sorts maps of texts only; others come in any order. Where bytes have to be equal (commands are recognised by their digest) all maps are of texts, and TestEqualValuesGiveEqualBytes holds that; the comment of Marshal claimed it for all maps. No change of the product but that comment.

--- a/codec/check_test.go
+++ b/codec/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"reflect"
 	"testing"
 
 	"github.com/matryer/is"
@@ -17,6 +18,7 @@
 	Bytes   []byte
 	List    []wide
 	Map     map[string]int
+	Values  map[string]string
 	Pointer *wide
 	Digest  [16]byte
 }
@@ -26,7 +28,7 @@
 func TestDataThatClaimsMoreThanItBringsIsRefused(t *testing.T) {
 	long := wide{
 		Number: 1 << 40, Small: -5, Part: 1.5, Text: string(bytes.Repeat([]byte("x"), 70_000)), Bytes: bytes.Repeat([]byte("y"), 300),
-		List: make([]wide, 40), Map: map[string]int{"a": 1, "b": -70000}, Pointer: &wide{Text: "inner"},
+		List: make([]wide, 40), Map: map[string]int{"a": 1, "b": -70000}, Values: map[string]string{"a": "1", "b": "2"}, Pointer: &wide{Text: "inner"},
 	}
 	whole := MustMarshal(&long)
 	for name, c := range map[string]struct {
@@ -37,7 +39,7 @@
 		"bytes behind it":            {append(bytes.Clone(whole), 0xff), true},
 		"cut":                        {whole[:len(whole)-1], false},
 		"nothing":                    {nil, false},
-		"a list of billions":         {[]byte{0x99, 0, 0, 0, 0, 0, 0xdd, 0x72, 0, 0, 0}, false},
+		"a list of billions":         {[]byte{0x9a, 0, 0, 0, 0, 0, 0xdd, 0x72, 0, 0, 0}, false},
 		"a map of billions":          {[]byte{0xdf, 0xff, 0xff, 0xff, 0xff}, false},
 		"a text of billions":         {[]byte{0xdb, 0xff, 0xff, 0xff, 0xff, 'x'}, false},
 		"nested by the ten thousand": {bytes.Repeat([]byte{0x91}, 10_000), false},
@@ -49,7 +51,7 @@
 			err := Unmarshal(c.data, &read)
 			is.Equal(err == nil, c.ok)
 			if c.ok {
-				is.Equal(MustMarshal(&read), whole)
+				is.True(reflect.DeepEqual(read, long))
 			}
 		})
 	}
--- a/codec/codec.go
+++ b/codec/codec.go
@@ -24,7 +24,7 @@
 	encoder.Reset(buffer)
 	encoder.UseArrayEncodedStructs(true)
 	encoder.UseCompactInts(true)
-	// Equal values give equal bytes.
+	// Equal values give equal bytes, as long as their maps are of texts: no others are sorted.
 	encoder.SetSortMapKeys(true)
 	if err := encoder.Encode(value); err != nil {
 		return nil, eris.Wrapf(err, "encode %T", value)
