--- a/ingress/linkexcess_test.go
+++ b/ingress/linkexcess_test.go
@@ -100,3 +100,40 @@
 	is.Equal(served.Load(), int64(slots)) // those that were running
 	is.Equal(refused.Load(), int64(requests-slots))
 }
+
+// The ends are known at the link: the router's by what it sends, the ingress's own by its stop.
+func TestEndsAreKnownAtTheLink(t *testing.T) {
+	for name, c := range map[string]struct {
+		routerEnds string
+		stops      bool
+		outcome    string
+	}{
+		"nobody stops":     {"", false, wire.OutcomeOK},
+		"the router stops": {"600", false, wire.OutcomeNotRun},
+		"the ingress does": {"", true, wire.OutcomeNotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			i, stop := startStoppable(t, startInstance(t, whole, false), 3*time.Second)
+			i.link = newLink(0.2)
+			i.link.learn("r", bytesEach) // more than a second each
+			if c.stops {
+				stop()
+				for until := time.Now().Add(10 * time.Second); i.link.endOf(0) == 0; {
+					is.True(time.Now().Before(until))
+					time.Sleep(time.Millisecond)
+				}
+				i.link.stop(clock.Now() + time.Second)
+			}
+			response := ask(t, i, func(header http.Header) {
+				header.Set(wire.HeaderRoute, "r")
+				header.Set(wire.HeaderDeadline, "60000")
+				header.Set(wire.HeaderTarget, "30000")
+				if c.routerEnds != "" {
+					header.Set(wire.HeaderEnds, c.routerEnds)
+				}
+			})
+			is.Equal(response.Header.Get(wire.HeaderOutcome), c.outcome)
+		})
+	}
+}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -43,5 +43,6 @@
 	for range 20 {
 		is.Equal(string(ask().Header.Peek(wire.HeaderOutcome)), wire.OutcomeNotRun)
 	}
+	is.True(router.ends.Load() > 0) // what it sends meanwhile says until when
 	is.NoErr(<-ended)
 }
