--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -34,6 +34,9 @@
 	Cold time.Duration
 	// Sequence rises with every announcement of one start.
 	Sequence uint64
+	// Born is the Unix millisecond at which the start began, on its machine's clock. Zero: the
+	// instance does not say.
+	Born int64
 }
 
 // Instance is the instance beside the ingress, as it announces itself. It
@@ -145,7 +148,7 @@
 		i.success.forget()
 		i.gate.resize(i.usable(announced.Slots))
 		i.logger.Info("instance_started", zap.String("instance", announced.ID), zap.String("before", before.ID),
-			zap.String("service", announced.Service), zap.Int("slots", announced.Slots), zap.String("version", announced.Version), zap.Uint64("sequence", announced.Sequence))
+			zap.String("service", announced.Service), zap.Int("slots", announced.Slots), zap.String("version", announced.Version), zap.Uint64("sequence", announced.Sequence), zap.Int64("born", announced.Born))
 	} else if before.Slots != announced.Slots {
 		i.gate.resize(i.usable(announced.Slots))
 	}
--- a/ingress/keycalls.go
+++ b/ingress/keycalls.go
@@ -129,7 +129,7 @@
 	fields := []zap.Field{zap.Uint32("first", run.Range.First), zap.Uint32("last", run.Range.Last), zap.Uint64("fence", run.Range.Fence)}
 	if err == nil {
 		if h.ledger.Confirmed(run, now+hold, now+hold/renewalsAHold) {
-			c.logger.Debug("keys_granted", fields...)
+			c.logger.Info("keys_granted", append(fields, zap.Duration("hold", hold))...)
 		}
 		return true
 	}
