A repeated hand-back raises no fence

Cause: the fence of a session rose with each hand-back that came again, also where nothing was handed back any more; neighbouring shards then have different epochs and are told one by one. Change: it rises once something is handed back.

--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -332,9 +333,6 @@
 }
 
 func (a *application) release(command *Release) Result {
-	if command.Again {
-		a.state.Membership.RaiseFence(command.Session, a.state.Revision)
-	}
 	refused := 0
 	released := newEventGroups(decisions.KindReleased, "the owner finished what was in flight and let go")
 	assigned := newEventGroups(decisions.KindAssigned, "transfer completed")
@@ -346,8 +344,10 @@
 		}
 		a.touch(item.Key, command.Session)
 		released.add(item.Key, a.nodeName(command.Session), "")
-		if command.Again && target == 0 {
-			target = command.Session
+		if command.Again {
+			// Once something is handed back: a repeated command leaves epochs as they are.
+			a.state.Membership.RaiseFence(command.Session, a.state.Revision)
+			target = cmp.Or(target, command.Session)
 		}
 		if target != 0 && a.grant(ShardDecision{Key: item.Key, Epoch: item.Epoch, To: target}) {
 			assigned.add(item.Key, a.nodeName(command.Session), a.nodeName(target))
