--- a/bench/explore/explore.go
+++ b/bench/explore/explore.go
@@ -39,6 +39,9 @@
 	// EndNamesEpoch closes what LateEnds opens: the end of a session names the highest epoch that its sidecar
 	// knows; control refuses it if it has assigned the session a higher one.
 	EndNamesEpoch bool
+	// EndNamesProcess closes the same in the way that the product does: the end of a session names the
+	// process that says it; control refuses it once another one has taken the session up.
+	EndNamesProcess bool
 	// OpensAnew closes the same in another way: a sidecar that comes back gets a new
 	// session for the same life, too.
 	OpensAnew bool
--- a/bench/explore/explore_test.go
+++ b/bench/explore/explore_test.go
@@ -27,11 +27,12 @@
 	return rules
 }
 
-func above(r *Rules)      { r.FenceAboveClear = true }
-func aboveAnew(r *Rules)  { r.FenceAboveClear, r.OpensAnew = true, true }
-func endsNamed(r *Rules)  { r.EndNamesEpoch = true }
-func lateEnds(b *Bounds)  { b.LateEnds = true }
-func afterward(b *Bounds) { b.LateAfterLease = true }
+func above(r *Rules)         { r.FenceAboveClear = true }
+func aboveAnew(r *Rules)     { r.FenceAboveClear, r.OpensAnew = true, true }
+func endsNamed(r *Rules)     { r.EndNamesEpoch = true }
+func endsByProcess(r *Rules) { r.EndNamesProcess = true }
+func lateEnds(b *Bounds)     { b.LateEnds = true }
+func afterward(b *Bounds)    { b.LateAfterLease = true }
 
 // bounds of the cases: one instance starts twice, the other once, which tells the
 // guards apart at half the states of two and two.
@@ -61,6 +62,7 @@
 		"sidecar starts again":       {newRules(), bounds(3, 1, 2, 2, 0)},
 		"move":                       {newRules(), bounds(2, 0, 2, 2, 1)},
 		"late end names its epoch":   {changed(endsNamed), bounds(3, 1, 2, 2, 0, lateEnds)},
+		"late end names its process": {changed(endsByProcess), bounds(3, 1, 2, 2, 0, lateEnds)},
 	}
 	for name, options := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -141,6 +143,7 @@
 	cases := map[string]Options{
 		"all events":                 {changed(endsNamed), wide},
 		"end names its epoch":        {changed(endsNamed), middle},
+		"end names its process":      {changed(endsByProcess), middle},
 		"above clear, sessions anew": {changed(aboveAnew), middle},
 		"three lives":                {newRules(), former},
 	}
--- a/bench/explore/model.go
+++ b/bench/explore/model.go
@@ -354,6 +354,10 @@
 	}
 	if n.current != 0 && n.currentLife == n.sidecar.believes && !g.options.OpensAnew && n.sidecar.ended != n.current {
 		n.sidecar.session = n.current
+		if g.options.EndNamesProcess && n.ending == n.current {
+			// Only another process takes up a session that was ended.
+			n.ending, n.endKnown = 0, 0
+		}
 		g.add("session goes on, number", i, n.currentLife, n.current, v)
 		return
 	}
