Model: the product's own rule for the fence of a clearing

Cause: the model decided by what no sidecar can know exactly. Change: rules ByList, ByListEarly, ByListSameFence; lists that come late, keys handed back to anyone.

--- a/bench/explore/explore.go
+++ b/bench/explore/explore.go
@@ -42,6 +42,16 @@
 	// EndNamesProcess closes the same in the way that the product does: the end of a session names the
 	// process that says it; control refuses it once another one has taken the session up.
 	EndNamesProcess bool
+	// ByList is Connection as the product decides it, in place of the exact time of assignment, which no
+	// sidecar knows. A session that opened over the connection that is cleared first is cleared under its
+	// number. Otherwise the clear waits for a list of the session, and its fence is one above the highest
+	// revision of the lists that the sidecar had; what they named is handed back. It takes Connection,
+	// Clear and Epochs.
+	ByList bool
+	// ByListEarly is ByList whose clear doesn't wait for the list.
+	ByListEarly bool
+	// ByListSameFence is ByList whose clear shows the highest revision itself.
+	ByListSameFence bool
 	// OpensAnew closes the same in another way: a sidecar that comes back gets a new
 	// session for the same life, too.
 	OpensAnew bool
@@ -74,6 +84,11 @@
 	// LateEnds: the end of a session reaches control late, possibly after the sidecar
 	// that sent it has started again.
 	LateEnds bool
+	// HandedBackIsFree: a key that was handed back is anyone's; without it the same session gets it again
+	// at once.
+	HandedBackIsFree bool
+	// LateLists is how many lists reach their sidecar late, or never; the others at once.
+	LateLists uint8
 	// States that are visited at most; 0 is no limit.
 	States int
 }
--- a/bench/explore/explore_test.go
+++ b/bench/explore/explore_test.go
@@ -31,6 +31,12 @@
 func aboveAnew(r *Rules)     { r.FenceAboveClear, r.OpensAnew = true, true }
 func endsNamed(r *Rules)     { r.EndNamesEpoch = true }
 func endsByProcess(r *Rules) { r.EndNamesProcess = true }
+func byList(r *Rules)        { r.ByList, r.EndNamesProcess = true, true }
+func byListEarly(r *Rules)   { r.ByList, r.EndNamesProcess, r.ByListEarly = true, true, true }
+func byListSame(r *Rules)    { r.ByList, r.EndNamesProcess, r.ByListSameFence = true, true, true }
+func handedBack(b *Bounds)   { b.HandedBackIsFree = true }
+func oneAndOne(b *Bounds)    { b.Lives = [nodes]uint8{1, 1} }
+func lateLists(b *Bounds)    { b.LateLists = 1 }
 func lateEnds(b *Bounds)     { b.LateEnds = true }
 func afterward(b *Bounds)    { b.LateAfterLease = true }
 
@@ -63,6 +69,13 @@
 		"move":                       {newRules(), bounds(2, 0, 2, 2, 1)},
 		"late end names its epoch":   {changed(endsNamed), bounds(3, 1, 2, 2, 0, lateEnds)},
 		"late end names its process": {changed(endsByProcess), bounds(3, 1, 2, 2, 0, lateEnds)},
+		// The rule that the product has in place of the exact one.
+		"by list, starts of both":             {changed(byList), bounds(2, 0, 2, 2, 0, twoAndTwo)},
+		"by list, heartbeat of a former life": {changed(byList), bounds(3, 0, 3, 2, 0)},
+		"by list, restart and late list":      {changed(byList), bounds(2, 1, 1, 2, 0, lateLists)},
+		"by list, handed back to anyone":      {changed(byList), bounds(2, 1, 2, 2, 0, handedBack, lateLists, oneAndOne)},
+		"by list, move":                       {changed(byList), bounds(2, 0, 2, 2, 1)},
+		"by list, restart and late end":       {changed(byList), bounds(3, 1, 2, 2, 0, lateEnds)},
 	}
 	for name, options := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -90,11 +103,15 @@
 		"without free on proof": {Options{changed(func(r *Rules) { r.FreeOnProof = false }), bounds(3, 0, 3, 2, 0)}, twoHolders},
 		"without ended":         {Options{changed(func(r *Rules) { r.Ended = false }), bounds(2, 0, 2, 2, 0)}, twoHolders},
 		"without epochs":        {Options{changed(func(r *Rules) { r.Epochs = false }), bounds(3, 0, 3, 3, 0)}, twoHolders},
+		// A clear that waits for no list misses what an earlier process told; one under the highest revision
+		// itself lets a late grant through that carries it.
+		"by list, clear before the list": {Options{changed(byListEarly), bounds(2, 1, 1, 1, 0)}, oldFence},
+		"by list, clear under the same":  {Options{changed(byListSame), bounds(2, 0, 2, 2, 0, handedBack, oneAndOne)}, twoHolders},
 		// What the guards leave open.
 		"fence only above the clear":     {Options{changed(above), bounds(2, 1, 1, 1, 0)}, oldFence},
 		"end of a session is late":       {Options{newRules(), bounds(3, 1, 2, 2, 0, lateEnds)}, twoHolders},
 		"grant later than the lease":     {Options{newRules(), bounds(2, 0, 2, 2, 0, afterward)}, twoHolders},
-		"old, grant later, one life all": {Options{Rules{}, bounds(2, 0, 2, 2, 0, afterward, func(b *Bounds) { b.Lives = [nodes]uint8{1, 1} })}, twoHolders},
+		"old, grant later, one life all": {Options{Rules{}, bounds(2, 0, 2, 2, 0, afterward, oneAndOne)}, twoHolders},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -119,6 +136,9 @@
 		"without connection":         {changed(func(r *Rules) { r.Connection = false }), bounds(2, 0, 2, 2, 0)},
 		"fence only above the clear": {changed(above), bounds(2, 1, 1, 1, 0)},
 		"grant later than the lease": {newRules(), bounds(2, 0, 2, 2, 0, afterward)},
+		"by list, move":              {changed(byList), bounds(1, 1, 1, 2, 1, lateLists, oneAndOne)},
+		"by list, two sessions":      {changed(byList), bounds(2, 0, 2, 2, 0, oneAndOne)},
+		"by list, before the list":   {changed(byListEarly), bounds(2, 1, 1, 1, 0, lateLists)},
 	}
 	for name, options := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -139,11 +159,14 @@
 	wide := Bounds{Lives: [nodes]uint8{3, 2}, Beats: 4, Restarts: 1, Sessions: 4, Assignments: 4, Moves: 1, LateCalls: 2, Doubled: true, LateEnds: true, States: *statesFlag}
 	middle := bounds(3, 1, 3, 3, 0, twoAndTwo, lateEnds)
 	middle.States = *statesFlag
+	byListWide := bounds(3, 1, 3, 3, 1, twoAndTwo, lateEnds, lateLists, handedBack)
+	byListWide.States = *statesFlag
 	former := Bounds{Lives: [nodes]uint8{3, 1}, Beats: 4, Restarts: 1, Sessions: 4, Assignments: 3, LateCalls: 1, Doubled: true, States: *statesFlag}
 	cases := map[string]Options{
 		"all events":                 {changed(endsNamed), wide},
 		"end names its epoch":        {changed(endsNamed), middle},
 		"end names its process":      {changed(endsByProcess), middle},
+		"by list":                    {changed(byList), byListWide},
 		"above clear, sessions anew": {changed(aboveAnew), middle},
 		"three lives":                {newRules(), former},
 	}
--- a/bench/explore/model.go
+++ b/bench/explore/model.go
@@ -119,12 +119,23 @@
 	connected uint8
 	// cleared is the fence of the clear that was answered, 0 before.
 	cleared uint8
+	// listed: a list of the session has arrived; opened: the session began over the present
+	// connection, and no clear was answered since (both Rules.ByList).
+	listed, opened bool
 	// refused: a connection was refused, and (Rules.Ended) none was made since.
 	refused bool
 	// ended is the session that it ended last (Rules.Ended): it takes that no more.
 	ended uint8
 }
 
+// list is one that control made for a session, on its way to the sidecar.
+type list struct {
+	// epoch is 0 if the list does not name the key; revision is of control's log.
+	session, epoch, revision uint8
+	// gone: the session was not the node's any more.
+	gone bool
+}
+
 // node is a sidecar and its instance, and what control knows of them.
 type node struct {
 	// current is control's session of the node, for the life currentLife.
@@ -137,6 +148,8 @@
 	// released is the epoch of a release on its way to control, releaser its session.
 	released, releaser uint8
 	sidecar            sidecar
+	// list is on its way to the sidecar (Bounds.LateLists).
+	list list
 	// lives is how many have started; the last of them runs, if any does.
 	lives    uint8
 	running  bool
@@ -145,7 +158,7 @@
 
 // used counts the events that are bounded.
 type used struct {
-	beats, restarts, sessions, assignments, moves uint8
+	beats, restarts, sessions, assignments, moves, lateLists uint8
 }
 
 // state is all of the model. It is comparable; see canonical.
@@ -252,7 +265,7 @@
 	}
 	v.dead = max(v.dead, n.instance.held)
 	n.running, n.instance = false, instance{}
-	n.sidecar.connected = 0
+	n.sidecar.connected, n.sidecar.opened = 0, false
 	if g.options.Connection {
 		n.sidecar.cleared = 0
 	}
@@ -340,7 +353,7 @@
 	v := g.from
 	if v.nodes[i].sidecar != (sidecar{}) && v.used.restarts < g.options.Restarts {
 		v.used.restarts++
-		v.nodes[i].sidecar = sidecar{}
+		v.nodes[i].sidecar, v.nodes[i].list = sidecar{}, list{}
 		g.add("sidecar starts again", i, 0, 0, v)
 	}
 }
@@ -353,7 +366,8 @@
 		return
 	}
 	if n.current != 0 && n.currentLife == n.sidecar.believes && !g.options.OpensAnew && n.sidecar.ended != n.current {
-		n.sidecar.session = n.current
+		n.sidecar.session, n.list = n.current, list{}
+		n.sidecar.listed, n.sidecar.opened = false, false
 		if g.options.EndNamesProcess && n.ending == n.current {
 			// Only another process takes up a session that was ended.
 			n.ending, n.endKnown = 0, 0
@@ -371,7 +385,8 @@
 	if g.options.Epochs {
 		n.current = v.revision
 	}
-	n.sidecar.session = n.current
+	n.sidecar.session, n.list = n.current, list{}
+	n.sidecar.listed, n.sidecar.opened = false, g.options.ByList && n.sidecar.connected != 0
 	if g.options.FreeOnProof || replaced == 0 {
 		g.add("session opens, number", i, n.currentLife, n.current, v)
 		return
@@ -404,7 +419,7 @@
 	n := &v.nodes[i]
 	s := &n.sidecar
 	s.connected = n.lives
-	s.fresh, n.fresh = false, false
+	s.fresh, n.fresh, s.opened = false, false, false
 	if g.options.Connection {
 		s.cleared = 0
 	}
@@ -424,9 +439,20 @@
 	}
 	fence := max(s.session, s.known)
 	s.cleared = 1
-	if g.options.FenceAboveClear {
+	if g.options.FenceAboveClear || g.options.ByList {
 		s.cleared = fence
 	}
+	if g.options.ByList {
+		switch {
+		case s.opened:
+			fence, s.cleared = s.session, s.session
+		case !s.listed && !g.options.ByListEarly:
+			return
+		case !g.options.ByListSameFence:
+			fence++
+		}
+		s.opened = false
+	}
 	v.nodes[i].proof = s.session
 	if !g.options.Clear {
 		g.add("connection counts as clear", i, v.nodes[i].lives, 0, v)
@@ -443,10 +469,14 @@
 	if s.session == 0 {
 		return
 	}
+	n.list = list{} // lists arrive in the order in which they were made
 	if n.current != s.session {
 		s.session = 0
 	}
-	s.list, s.fresh = 0, false
+	s.list, s.fresh, s.listed = 0, false, g.options.ByList
+	if g.options.ByList {
+		s.known = max(s.known, v.revision)
+	}
 	if v.record.owner == s.session {
 		s.list, s.fresh = v.record.epoch, n.fresh
 		s.known = max(s.known, s.list)
@@ -457,13 +487,60 @@
 		g.add("list arrives, epoch", i, 0, s.list, v)
 	}
 	g.handBack(i)
+	g.lateList(i)
+}
+
+// lateList is made by control, and arrives.
+func (g *generator) lateList(i int) {
+	v := g.from
+	n := &v.nodes[i]
+	session := n.sidecar.session
+	if n.list.session == session {
+		g.add("late list arrives, epoch", i, 0, n.list.epoch, v.withList(g.options, i))
+	}
+	if v.used.lateLists >= g.options.LateLists {
+		return
+	}
+	v.used.lateLists++
+	made := list{session: session, revision: v.revision, gone: n.current != session}
+	if !made.gone && v.record.owner == session {
+		made.epoch = v.record.epoch
+	}
+	n.list = made
+	g.add("control makes a list that will be late, epoch", i, 0, made.epoch, v)
+}
+
+// withList has a sidecar take the list that is on its way to it.
+func (v state) withList(options Options, i int) state {
+	n := &v.nodes[i]
+	s, came := &n.sidecar, n.list
+	n.list = list{}
+	s.list, s.fresh, s.listed = came.epoch, n.fresh && v.record == record{came.session, came.epoch}, options.ByList
+	s.known = max(s.known, came.epoch)
+	if options.ByList {
+		s.known = max(s.known, came.revision)
+	}
+	if came.gone {
+		s.session = 0
+	}
+	return v
 }
 
 func (g *generator) handBack(i int) {
 	v := g.from
 	s := &v.nodes[i].sidecar
 	wanted := g.options.Connection && s.cleared != 0 && s.list != 0 && !g.mayCarry(*s)
-	if !wanted || v.record != (record{s.session, s.list}) || v.used.assignments >= g.options.Assignments {
+	if !wanted || v.record != (record{s.session, s.list}) {
+		return
+	}
+	if g.options.HandedBackIsFree {
+		v = v.withRecord(v.record.withRelease(s.session, s.list), 0)
+		epoch := s.list
+		v.nodes[i].sidecar.list, v.nodes[i].sidecar.fresh = 0, false
+		g.add("key is handed back, epoch", i, 0, epoch, v)
+		return
+	}
+	if v.used.assignments >= g.options.Assignments {
 		return
 	}
 	released := v.record.withRelease(s.session, s.list)
@@ -475,7 +552,7 @@
 
 // mayCarry tells whether a grant may carry the fence of the list.
 func (g *generator) mayCarry(s sidecar) bool {
-	if g.options.FenceAboveClear {
+	if g.options.FenceAboveClear || g.options.ByList {
 		return s.list > s.cleared
 	}
 	return s.fresh
