--- a/ingress/keyclear.go
+++ b/ingress/keyclear.go
@@ -97,9 +97,9 @@
 }
 
 // clearingFence is the fence under which the start that is connected to is cleared: the session's
-// number, if the session began after that connection was made, else the highest of what the session
-// owns, as a start before or an earlier process may have been told it. Not known: what a session owns
-// that did not begin now is known with its list only.
+// number, if the session began after that connection was made, else the next one after all that was
+// ever listed, as a start before or an earlier process may have been told it. Not known: what a session
+// owns that goes on is known with its list only.
 func (c *callCarrier) clearingFence(session uint64) (fence uint64, known bool) {
 	if c.session.number == session && c.session.fresh && c.session.start == c.start {
 		return session, true
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -237,8 +237,8 @@
 	return l.listed && known != nil && known.epoch == epoch && !known.releasing && !known.refused && now < l.expiry
 }
 
-// HoldFor is how long the instance may be told to hold keys from now on, on its clock. A carrier
-// whose word may be taken later says until when.
+// HoldFor is how long the instance may be told to hold keys, on its clock, if it counts from now. A
+// carrier passes the latest moment at which its word is taken.
 func (l *Ledger) HoldFor(now time.Duration) time.Duration {
 	left := (l.expiry - now - leaseMargin) * permille / (permille + instanceDrift)
 	return min(l.hold, left)
