--- a/agent/agent.go
+++ b/agent/agent.go
@@ -61,6 +61,8 @@
 	// superseded is set while the session has superseded others that own shards.
 	superseded bool
 	wake       chan struct{}
+	// term is the newest one of a leader that has answered.
+	term uint64
 	// lost is the session that control does not know any more, by an answer that came late.
 	lost membership.SessionID
 
--- a/agent/backend.go
+++ b/agent/backend.go
@@ -15,6 +15,7 @@
 	"limehold/fleet"
 	"limehold/membership"
 	"limehold/ownership"
+	"limehold/quiescence"
 	"limehold/settings"
 	"limehold/wire"
 )
@@ -48,6 +49,8 @@
 	PredecessorGone bool
 	// Exclusive: see fleet.OpenSession.
 	Exclusive bool
+	// TakesLate: see membership.Node.
+	TakesLate bool
 }
 
 // Backend is what runs beside an agent.
@@ -79,6 +82,12 @@
 	Opened(session membership.SessionID, fresh, superseded bool)
 	// Vacated brings the sessions for which there is that proof. Nil: there never is.
 	Vacated() <-chan membership.SessionID
+	// Claim is what the next renewal says of grants, without process and term; see package
+	// quiescence. Claimed is told of one that control has acknowledged.
+	Claim() quiescence.Claim
+	Claimed(claim quiescence.Claim)
+	// ClaimNow asks for a renewal at once, as there is something new to claim. Nil: there never is.
+	ClaimNow() <-chan struct{}
 }
 
 // backend talks to the back end beside the agent.
@@ -218,5 +227,15 @@
 // Vacated implements Backend: there is no such proof, the lease of earlier sessions runs to its end.
 func (b *backend) Vacated() <-chan membership.SessionID { return nil }
 
+// Claim implements Backend: the back end is told until when by the clock of its own machine, so that
+// what it takes late is over.
+func (b *backend) Claim() quiescence.Claim { return quiescence.Claim{} }
+
+// Claimed implements Backend.
+func (b *backend) Claimed(quiescence.Claim) {}
+
+// ClaimNow implements Backend.
+func (b *backend) ClaimNow() <-chan struct{} { return nil }
+
 // HandedBack implements Backend: a back end called over HTTP takes what it is told.
 func (b *backend) HandedBack() <-chan []fleet.ReleasedShard { return nil }
--- a/agent/fulllink_test.go
+++ b/agent/fulllink_test.go
@@ -15,6 +15,7 @@
 	"limehold/fleet"
 	"limehold/membership"
 	"limehold/metrics"
+	"limehold/quiescence"
 	"limehold/settings"
 	"limehold/transport"
 	"limehold/wire"
@@ -41,6 +42,9 @@
 func (wellBackend) Opening(context.Context)                         {}
 func (wellBackend) Opened(membership.SessionID, bool, bool)         {}
 func (wellBackend) Vacated() <-chan membership.SessionID            { return nil }
+func (wellBackend) Claim() quiescence.Claim                         { return quiescence.Claim{} }
+func (wellBackend) Claimed(quiescence.Claim)                        {}
+func (wellBackend) ClaimNow() <-chan struct{}                       { return nil }
 func (wellBackend) HandedBack() <-chan []fleet.ReleasedShard        { return nil }
 func (wellBackend) Release(membership.SessionID, []wire.BackendGrant) ([]fleet.ReleasedShard, error) {
 	return nil, nil
--- a/agent/session.go
+++ b/agent/session.go
@@ -12,6 +12,7 @@
 	"limehold/fleet"
 	"limehold/logging"
 	"limehold/membership"
+	"limehold/quiescence"
 	"limehold/transport"
 	"limehold/wire"
 )
@@ -49,7 +50,7 @@
 	described := a.backend.Description()
 	request := &wire.OpenSession{PredecessorGone: described.PredecessorGone, Exclusive: described.Exclusive, Node: membership.Node{
 		Name: config.Name, Incarnation: incarnation, Zone: config.Zone, Address: advertise,
-		Pool: described.Pool, Slots: described.Slots, Connections: described.Connections, Gated: described.Gated, Version: described.Version, Born: described.Born, Process: a.process,
+		Pool: described.Pool, Slots: described.Slots, Connections: described.Connections, Gated: described.Gated, Version: described.Version, Born: described.Born, Process: a.process, TakesLate: described.TakesLate,
 	}}
 	reply := &wire.OpenSessionReply{}
 	a.backend.Opening(ctx)
@@ -62,6 +63,7 @@
 		a.lease.Drop()
 	}
 	a.superseded = reply.Superseded
+	a.term = max(a.term, reply.Term)
 	a.mutex.Unlock()
 	a.backend.Opened(reply.Session, reply.Fresh, reply.Superseded)
 	a.shards.begin(reply.Session, incarnation)
@@ -98,8 +100,10 @@
 			return
 		case err == nil:
 			a.renewals.Inc()
-			next = max(next+opened.RenewEvery, clock.Now())
-			_ = pause(ctx, next-clock.Now())
+			now := clock.Now()
+			// One that was made ahead of its time takes the place of the next one.
+			next = min(max(next+opened.RenewEvery, now), now+opened.RenewEvery)
+			a.awaitRenewal(ctx, next-now)
 		default:
 			a.failures.Inc()
 			_ = pause(ctx, retryPause)
@@ -107,6 +111,29 @@
 	}
 }
 
+// awaitRenewal returns when the next renewal is due, or is asked for.
+func (a *Agent) awaitRenewal(ctx context.Context, length time.Duration) {
+	timer := clock.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-a.backend.ClaimNow():
+	}
+}
+
+// claim is what the next renewal says of grants.
+func (a *Agent) claim() quiescence.Claim {
+	claim := a.backend.Claim()
+	if claim.Sequence == 0 {
+		return claim
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	claim.Process, claim.Term = a.process, a.term
+	return claim
+}
+
 // endSession gives the session of a back end up that is known to be gone.
 func (a *Agent) endSession(ctx context.Context, session membership.SessionID) {
 	a.dropSession()
@@ -169,11 +196,14 @@
 	health := a.backend.Health()
 	request := &wire.Renew{
 		Session: opened.Session, Revision: a.shards.revision(), InFlight: health.InFlight, Healthy: true,
-		Capacity: health.Capacity, Members: a.links.memberVersion(),
+		Capacity: health.Capacity, Members: a.links.memberVersion(), Claim: a.claim(),
 	}
 	sentAt := clock.Now()
 	return a.links.renew(ctx, max(minRenewPerTry, opened.RenewEvery/renewTries), request, func(reply *wire.RenewReply, err error) {
 		a.renewalEnded(opened.Session, sentAt, reply, err)
+		if err == nil {
+			a.backend.Claimed(request.Claim)
+		}
 	})
 }
 
@@ -193,6 +223,7 @@
 	case unknown:
 		a.lost = session
 	default:
+		a.term = max(a.term, reply.Term)
 		a.lease.Acknowledge(session, sentAt, reply.LeaseLength)
 	}
 	a.mutex.Unlock()
--- a/bench/explore/canonical.go
+++ b/bench/explore/canonical.go
@@ -147,7 +147,7 @@
 	b = append(b, n.current, n.currentLife, n.proof, n.ending, n.endKnown, n.released, n.releaser, n.lives)
 	b = append(b, s.believes, s.former, s.session, s.list, s.known, s.connected, s.cleared, s.ended)
 	b = append(b, n.list.session, n.list.epoch, n.list.revision)
-	b = append(b, bits(n.fresh, n.running, s.fresh, s.refused, s.listed, s.opened, n.list.gone))
+	b = append(b, bits(n.fresh, n.running, s.fresh, s.refused, s.listed, s.opened, n.list.gone), bits(n.quiet, s.unsure))
 	b = append(b, app.seen, app.holds, app.via, app.held)
 	for _, grant := range app.calls {
 		b = append(b, grant.fence, grant.session)
--- a/bench/explore/explore.go
+++ b/bench/explore/explore.go
@@ -52,6 +52,15 @@
 	ByListEarly bool
 	// ByListSameFence is ByList whose clear shows the highest revision itself.
 	ByListSameFence bool
+	// Quiet closes what LateAfterLease opens: control frees what a session owned with the end of its lease
+	// only if the node has said that no grant of it can be carried out any more, and none is sent until
+	// control knows of it; else once none can be. It takes single calls: one that is doubled has no end.
+	Quiet bool
+	// QuietUncleared is Quiet whose sidecar says so of what an earlier process sent as well, though it has
+	// not cleared the instance.
+	QuietUncleared bool
+	// QuietUntold is Quiet whose sidecar sends grants while control believes that it is quiet.
+	QuietUntold bool
 	// OpensAnew closes the same in another way: a sidecar that comes back gets a new
 	// session for the same life, too.
 	OpensAnew bool
@@ -79,7 +88,7 @@
 	// Doubled grants are carried out any number of times, late, while the life runs.
 	Doubled bool
 	// LateAfterLease: grants are carried out even when the lease of their session is
-	// over. The platform counts no such holds, so that it is false where NEW is judged.
+	// over. Without it the model assumes that all that a session gave ends with its lease.
 	LateAfterLease bool
 	// LateEnds: the end of a session reaches control late, possibly after the sidecar
 	// that sent it has started again.
--- a/bench/explore/explore_test.go
+++ b/bench/explore/explore_test.go
@@ -39,6 +39,16 @@
 func lateLists(b *Bounds)    { b.LateLists = 1 }
 func lateEnds(b *Bounds)     { b.LateEnds = true }
 func afterward(b *Bounds)    { b.LateAfterLease = true }
+func single(b *Bounds)       { b.LateAfterLease, b.Doubled = true, false }
+func quiet(r *Rules)         { byList(r); r.Quiet = true }
+func quietUncleared(r *Rules) {
+	quiet(r)
+	r.QuietUncleared = true
+}
+func quietUntold(r *Rules) {
+	quiet(r)
+	r.QuietUntold = true
+}
 
 // bounds of the cases: one instance starts twice, the other once, which tells the
 // guards apart at half the states of two and two.
@@ -76,6 +86,12 @@
 		"by list, handed back to anyone":      {changed(byList), bounds(2, 1, 2, 2, 0, handedBack, lateLists, oneAndOne)},
 		"by list, move":                       {changed(byList), bounds(2, 0, 2, 2, 1)},
 		"by list, restart and late end":       {changed(byList), bounds(3, 1, 2, 2, 0, lateEnds)},
+		// Grants may be carried out after the lease that they were sent under.
+		"quiet, starts of both":             {changed(quiet), bounds(2, 0, 2, 2, 0, twoAndTwo, single)},
+		"quiet, restart and late list":      {changed(quiet), bounds(3, 1, 2, 2, 0, lateLists, oneAndOne, single)},
+		"quiet, restart and late end":       {changed(quiet), bounds(3, 1, 2, 2, 0, lateEnds, oneAndOne, single)},
+		"quiet, handed back, two late ones": {changed(quiet), bounds(2, 1, 2, 2, 0, handedBack, oneAndOne, single, func(b *Bounds) { b.LateCalls = 2 })},
+		"quiet, move":                       {changed(quiet), bounds(2, 0, 2, 2, 1, single)},
 	}
 	for name, options := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -112,6 +128,10 @@
 		"end of a session is late":       {Options{newRules(), bounds(3, 1, 2, 2, 0, lateEnds)}, twoHolders},
 		"grant later than the lease":     {Options{newRules(), bounds(2, 0, 2, 2, 0, afterward)}, twoHolders},
 		"old, grant later, one life all": {Options{Rules{}, bounds(2, 0, 2, 2, 0, afterward, oneAndOne)}, twoHolders},
+		// The product's rule before and without each half of the claims.
+		"by list, grant later than the lease":  {Options{changed(byList), bounds(2, 0, 2, 2, 0, single, oneAndOne)}, twoHolders},
+		"quiet, said of an earlier process":    {Options{changed(quietUncleared), bounds(3, 1, 2, 2, 0, single, oneAndOne)}, twoHolders},
+		"quiet, grants sent before it is told": {Options{changed(quietUntold), bounds(2, 0, 2, 2, 0, single, oneAndOne)}, twoHolders},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -138,6 +158,7 @@
 		"grant later than the lease": {newRules(), bounds(2, 0, 2, 2, 0, afterward)},
 		"by list, move":              {changed(byList), bounds(1, 1, 1, 2, 1, lateLists, oneAndOne)},
 		"by list, two sessions":      {changed(byList), bounds(2, 0, 2, 2, 0, oneAndOne)},
+		"quiet, before it is told":   {changed(quietUntold), bounds(2, 0, 2, 2, 0, single, oneAndOne)},
 		"by list, before the list":   {changed(byListEarly), bounds(2, 1, 1, 1, 0, lateLists)},
 	}
 	for name, options := range cases {
--- a/bench/explore/model.go
+++ b/bench/explore/model.go
@@ -1,10 +1,12 @@
 // The model: what each part remembers, and each event that may come next. Time is not
 // counted: a lease may end whenever it likes, and the holds that its session gave end
-// before it, because holds are shorter than leases.
+// before it, because holds are shorter than leases. A grant that is carried out after
+// it is another matter: see Bounds.LateAfterLease and Rules.Quiet.
 package explore
 
 import (
 	"fmt"
+	"slices"
 
 	"limehold/membership"
 	"limehold/ownership"
@@ -88,6 +90,11 @@
 	return recordOf(t)
 }
 
+// sent tells whether a grant of a session is under way to the life.
+func (a instance) sent(session uint8) bool {
+	return slices.ContainsFunc(a.calls[:], func(c call) bool { return c.session == session })
+}
+
 // call is a grant that is under way to a life.
 type call struct {
 	fence, session uint8
@@ -126,6 +133,9 @@
 	refused bool
 	// ended is the session that it ended last (Rules.Ended): it takes that no more.
 	ended uint8
+	// unsure: an earlier process may have sent grants, and the instance was not cleared since
+	// (Rules.Quiet).
+	unsure bool
 }
 
 // list is one that control made for a session, on its way to the sidecar.
@@ -148,6 +158,8 @@
 	// released is the epoch of a release on its way to control, releaser its session.
 	released, releaser uint8
 	sidecar            sidecar
+	// quiet: control believes that no grant of the node can be carried out (Rules.Quiet).
+	quiet bool
 	// list is on its way to the sidecar (Bounds.LateLists).
 	list list
 	// lives is how many have started; the last of them runs, if any does.
@@ -243,6 +255,7 @@
 		g.connections(i)
 		g.list(i)
 		g.grants(i)
+		g.quiet(i)
 		g.moves(i)
 		g.ends(i)
 		g.control(i)
@@ -353,7 +366,7 @@
 	v := g.from
 	if v.nodes[i].sidecar != (sidecar{}) && v.used.restarts < g.options.Restarts {
 		v.used.restarts++
-		v.nodes[i].sidecar, v.nodes[i].list = sidecar{}, list{}
+		v.nodes[i].sidecar, v.nodes[i].list = sidecar{unsure: g.options.Quiet}, list{}
 		g.add("sidecar starts again", i, 0, 0, v)
 	}
 }
@@ -438,7 +451,7 @@
 		return
 	}
 	fence := max(s.session, s.known)
-	s.cleared = 1
+	s.cleared, s.unsure = 1, false
 	if g.options.FenceAboveClear || g.options.ByList {
 		s.cleared = fence
 	}
@@ -583,6 +596,9 @@
 	if g.options.Connection && (s.connected == 0 || !g.mayCarry(s)) {
 		return
 	}
+	if g.options.Quiet && n.quiet && !g.options.QuietUntold {
+		return
+	}
 	grant := call{s.list, s.session}
 	for c := range min(g.options.LateCalls, maxCalls) {
 		if n.instance.calls[c] == grant {
@@ -596,6 +612,28 @@
 	}
 }
 
+// quiet has control told that no grant can be carried out any more, or that one may be again. Package
+// quiescence has the order of these words; here they come at once.
+func (g *generator) quiet(i int) {
+	if !g.options.Quiet {
+		return
+	}
+	v := g.from
+	n := &v.nodes[i]
+	s := n.sidecar
+	if n.quiet {
+		n.quiet = false
+		g.add("control hears that grants may be under way", i, 0, 0, v)
+		return
+	}
+	under := n.instance.calls != [maxCalls]call{}
+	if s.session == 0 || s.session != n.current || under && (!s.unsure || !g.options.QuietUncleared) || s.unsure && !g.options.QuietUncleared {
+		return
+	}
+	n.quiet = true
+	g.add("control hears that no grant is under way", i, 0, 0, v)
+}
+
 // moves: control asks for the key; the instance answers the release, under the next
 // fence, and control hears of it, possibly late.
 func (g *generator) moves(i int) {
@@ -695,6 +733,9 @@
 func (g *generator) leaseOver(i int, session uint8) {
 	v := g.from
 	n := &v.nodes[i]
+	if g.options.Quiet && !n.quiet && n.instance.sent(session) {
+		return // until it cannot be carried out any more
+	}
 	if n.instance.via == session {
 		n.instance.holds, n.instance.via = 0, 0
 	}
--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -185,6 +185,8 @@
 			Shards: state.Ownership.OwnedCount(node.Session), SilenceMillis: silences[node.Session].Milliseconds(),
 		}
 		switch {
+		case node.Lost:
+			view.State = "lost"
 		case node.Superseded:
 			view.State = "superseded"
 		case node.Draining && view.Shards == 0:
--- a/control/inputs.go
+++ b/control/inputs.go
@@ -26,7 +26,9 @@
 		}
 		input := b.input(service)
 		for number, shard := range state.Ownership.Shards[name] {
-			b.addShard(input, ownership.Key{Service: name, Shard: uint32(number)}, shard)
+			if !heldBack(state, shard) {
+				b.addShard(input, ownership.Key{Service: name, Shard: uint32(number)}, shard)
+			}
 		}
 	}
 }
@@ -37,7 +39,7 @@
 func (b *inputBuilder) addNeedy(state *fleet.State) {
 	keys := state.Ownership.Free()
 	for _, node := range state.Membership.Sessions {
-		if !state.Eligible(node) {
+		if !state.Eligible(node) && !node.Lost {
 			keys = append(keys, state.Ownership.Owned(node.Session)...)
 		}
 	}
@@ -56,6 +58,12 @@
 	}
 }
 
+// heldBack reports whether a shard is kept from everybody: its owner cannot be asked to let go.
+func heldBack(state *fleet.State, shard ownership.Shard) bool {
+	owner := state.Membership.Sessions[shard.Owner]
+	return owner != nil && owner.Lost
+}
+
 func placeable(service *catalog.Service) bool {
 	return service != nil && service.Spec.Keyed && service.State == catalog.ServiceActive
 }
--- a/control/leader.go
+++ b/control/leader.go
@@ -73,10 +73,10 @@
 	if current != nil && current.term == status.Term {
 		return current
 	}
-	var open []membership.SessionID
+	var open []*membership.Node
 	m.replica.view(func(state *fleet.State) {
-		for session := range state.Membership.Sessions {
-			open = append(open, session)
+		for _, node := range state.Membership.Sessions {
+			open = append(open, node)
 		}
 		// Within the view, so that no change of sessions falls in between.
 		m.sessions.lead(status.Term, m.options.leaseTiming(), open, state.Revision, clock.Now())
@@ -87,13 +87,46 @@
 
 // endExpiredSessions proposes the end of sessions whose leases are over.
 func (m *Member) endExpiredSessions(ctx context.Context, now time.Duration) bool {
-	expired := m.sessions.expired(now)
-	if len(expired) == 0 {
-		return false
+	expired, lost := m.sessions.expired(now)
+	lost, idle := m.owning(lost)
+	expired = append(expired, idle...)
+	timing := m.options.leaseTiming()
+	if len(lost) > 0 {
+		cause := fmt.Sprintf("no renewal received for %v, and the node had not said that its grants were all answered: one may be carried out for %v more", timing.ControlLength(), timing.Lateness)
+		m.logger.Warn("keys_held_back", zap.Uint64s("sessions", numbers(lost)), zap.Duration("at_most", timing.Lateness), zap.String("cause", cause))
+		m.propose(ctx, "hold keys back", fleet.Command{LoseSessions: &fleet.LoseSessions{Sessions: lost, Cause: cause}})
 	}
-	cause := fmt.Sprintf("no renewal received for %v", m.options.leaseTiming().ControlLength())
-	m.propose(ctx, "end sessions", fleet.Command{CloseSessions: &fleet.CloseSessions{Sessions: expired, Cause: cause}})
-	return true
+	if len(expired) > 0 {
+		cause := fmt.Sprintf("no renewal received for %v, and no grant of what they own can be carried out any more", timing.ControlLength())
+		m.logger.Info("leases_over", zap.Uint64s("sessions", numbers(expired)), zap.String("proof", cause))
+		m.propose(ctx, "end sessions", fleet.Command{CloseSessions: &fleet.CloseSessions{Sessions: expired, Cause: cause}})
+	}
+	return len(expired)+len(lost) > 0
+}
+
+// owning divides sessions into those that own shards and the others.
+func (m *Member) owning(sessions []membership.SessionID) (owning, idle []membership.SessionID) {
+	if len(sessions) == 0 {
+		return nil, nil
+	}
+	m.replica.view(func(state *fleet.State) {
+		for _, session := range sessions {
+			if state.Ownership.OwnedCount(session) > 0 {
+				owning = append(owning, session)
+				continue
+			}
+			idle = append(idle, session)
+		}
+	})
+	return owning, idle
+}
+
+func numbers(sessions []membership.SessionID) []uint64 {
+	list := make([]uint64, 0, len(sessions))
+	for _, session := range sessions {
+		list = append(list, uint64(session))
+	}
+	return list
 }
 
 // propose submits a leader's own command and logs a failure: the duty comes
--- a/control/options.go
+++ b/control/options.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"limehold"
 	"limehold/consensus"
 	"limehold/membership"
 	"limehold/metrics"
@@ -63,5 +64,6 @@
 func (o *Options) leaseTiming() membership.LeaseTiming {
 	return membership.LeaseTiming{
 		Length: o.Settings.Control.LeaseLength, DriftPermille: o.Settings.Control.Timing.DriftPermille,
+		Lateness: limehold.GrantLateness,
 	}
 }
--- a/control/place.go
+++ b/control/place.go
@@ -161,7 +161,7 @@
 	if changes.Empty() {
 		return
 	}
-	m.sessions.note(&changes, clock.Now())
+	m.sessions.note(&changes, state, clock.Now())
 	m.sessions.returned(returnedNodes(&changes, state), clock.Now())
 	m.hub.publish(&changes, state)
 	m.pusher.signal()
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -43,15 +43,26 @@
 }
 
 // lead begins a leadership: every open session counts as renewed now.
-func (s *sessions) lead(term uint64, timing membership.LeaseTiming, open []membership.SessionID, revision uint64, now time.Duration) {
+func (s *sessions) lead(term uint64, timing membership.LeaseTiming, open []*membership.Node, revision uint64, now time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.term = term
-	s.leases = membership.NewLeases(timing, open, now)
+	s.leases = membership.NewLeases(timing, nil, now)
+	for _, node := range open {
+		s.leases.Track(node.Session, now)
+		s.leases.Describe(node, now)
+	}
 	s.baseRevision = revision
 	s.listRevision = map[membership.SessionID]uint64{}
 }
 
+// leading is the term of the newest leadership.
+func (s *sessions) leading() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.term
+}
+
 // follow ends a leadership.
 func (s *sessions) follow() {
 	s.mutex.Lock()
@@ -60,18 +71,20 @@
 	s.conns = map[membership.SessionID]*transport.Conn{}
 }
 
-// expired returns the sessions whose leases are over; nil when not leading.
-func (s *sessions) expired(now time.Duration) []membership.SessionID {
+// expired returns the sessions whose leases are over: those of which nothing can be held any more, and
+// those of which a grant may still be carried out. None when not leading.
+func (s *sessions) expired(now time.Duration) (expired, lost []membership.SessionID) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.leases == nil {
-		return nil
+		return nil, nil
 	}
-	return s.leases.Expired(now)
+	expired = s.leases.Expired(now)
+	return expired, s.leases.TakeLost()
 }
 
 // note takes up what a command changed.
-func (s *sessions) note(changes *fleet.Changes, now time.Duration) {
+func (s *sessions) note(changes *fleet.Changes, state *fleet.State, now time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.leases == nil {
@@ -79,6 +92,9 @@
 	}
 	for _, session := range changes.Nodes {
 		s.leases.Track(session, now)
+		if node := state.Membership.Sessions[session]; node != nil {
+			s.leases.Describe(node, now)
+		}
 		if _, known := s.opened[session]; !known {
 			s.opened[session] = now
 		}
@@ -183,7 +199,7 @@
 	return &wire.OpenSessionReply{
 		Session: result.Session, LeaseLength: m.options.Settings.Control.LeaseLength,
 		RenewEvery: m.options.Settings.Control.RenewEvery, Superseded: result.Superseded,
-		Fresh: uint64(result.Session) == result.Revision,
+		Fresh: uint64(result.Session) == result.Revision, Term: m.sessions.leading(),
 	}, nil
 }
 
@@ -206,9 +222,12 @@
 		s.mutex.Unlock()
 		return nil, m.notLeader("renew lease")
 	}
-	renewed := s.leases.Renew(request.Session, now)
+	// A process whose session another one has taken up is not to go on under it.
+	renewed := s.leases.Speaks(request.Session, request.Claim) && s.leases.Renew(request.Session, now)
+	term := s.term
 	newest := s.revision(request.Session)
 	if renewed {
+		s.leases.Claim(request.Session, request.Claim, term)
 		s.conns[request.Session] = conn
 		s.capacity[request.Session] = request.Capacity
 	}
@@ -218,7 +237,7 @@
 		return nil, &wire.Error{Code: wire.CodeUnknownSession, Message: "the session is closed or being closed: open a new one", Step: "renew lease", Peer: m.options.Settings.Name}
 	}
 	m.pusher.reported(request.Session, conn, request.Revision, newest, now)
-	return &wire.RenewReply{LeaseLength: m.options.Settings.Control.LeaseLength, Revision: newest, Members: m.memberListFor(request.Members)}, nil
+	return &wire.RenewReply{LeaseLength: m.options.Settings.Control.LeaseLength, Revision: newest, Members: m.memberListFor(request.Members), Term: term}, nil
 }
 
 // endSession closes a session whose back end is known to be gone: its shards need
--- a/control/watch.go
+++ b/control/watch.go
@@ -112,7 +112,12 @@
 		}
 	}
 	for _, session := range changes.Nodes {
-		if node := state.Membership.Sessions[session]; node != nil {
+		switch node := state.Membership.Sessions[session]; {
+		case node == nil:
+		case node.Lost:
+			// Requests for what it owns are refused at once, and not sent where nobody answers.
+			update.RemovedNodes = append(slices.Clone(update.RemovedNodes), session)
+		default:
 			update.Nodes = append(update.Nodes, nodeView(node))
 		}
 	}
@@ -190,7 +195,9 @@
 			}
 		}
 		for _, node := range state.Membership.Sessions {
-			update.Nodes = append(update.Nodes, nodeView(node))
+			if !node.Lost {
+				update.Nodes = append(update.Nodes, nodeView(node))
+			}
 		}
 		for name, zone := range state.Zones {
 			update.Zones = append(update.Zones, zoneView(name, zone))
--- a/decisions/decisions.go
+++ b/decisions/decisions.go
@@ -22,10 +22,12 @@
 	KindAssigned        Kind = "assigned"
 	KindTransferBegun   Kind = "transfer_begun"
 	KindReleased        Kind = "released"
-	KindMemberChanged   Kind = "member_changed"
-	KindRoutesChanged   Kind = "routes_changed"
-	KindZoneDraining    Kind = "zone_draining"
-	KindZoneResumed     Kind = "zone_resumed"
+	// KindHeldBack: the owner's lease is over, a grant of it may still be carried out.
+	KindHeldBack      Kind = "held_back"
+	KindMemberChanged Kind = "member_changed"
+	KindRoutesChanged Kind = "routes_changed"
+	KindZoneDraining  Kind = "zone_draining"
+	KindZoneResumed   Kind = "zone_resumed"
 	// KindQuarantined: no instance runs a request any more; KindUnquarantined: it may run
 	// again; KindTrialOffered: one run of it is allowed.
 	KindQuarantined   Kind = "request_quarantined"
--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -83,6 +83,8 @@
 		return a.openSession(command.OpenSession)
 	case command.CloseSessions != nil:
 		return a.closeSessions(command.CloseSessions)
+	case command.LoseSessions != nil:
+		return a.loseSessions(command.LoseSessions)
 	case command.SetDraining != nil:
 		return a.setDraining(command.SetDraining)
 	case command.Assign != nil:
@@ -248,6 +250,28 @@
 	return Result{Refused: refused}
 }
 
+func (a *application) loseSessions(command *LoseSessions) Result {
+	refused := 0
+	for _, session := range command.Sessions {
+		owned := a.state.Ownership.Owned(session)
+		if len(owned) == 0 {
+			if !a.closeSession(session, command.Cause) {
+				refused++
+			}
+			continue
+		}
+		node := a.state.Membership.Lose(session, a.state.Revision)
+		if node == nil {
+			refused++
+			continue
+		}
+		a.changes.Nodes = append(a.changes.Nodes, session)
+		a.changes.session(session)
+		a.logShards(decisions.KindHeldBack, owned, node.Name, "", command.Cause)
+	}
+	return Result{Refused: refused}
+}
+
 // closeSession ends one session and frees what it owned; false when there is none.
 func (a *application) closeSession(session membership.SessionID, cause string) bool {
 	node := a.state.Membership.Close(session)
--- a/fleet/command.go
+++ b/fleet/command.go
@@ -31,6 +31,7 @@
 	RemoveService  *RemoveService
 	OpenSession    *OpenSession
 	CloseSessions  *CloseSessions
+	LoseSessions   *LoseSessions
 	SetDraining    *SetDraining
 	Assign         *Assign
 	Transfer       *Transfer
@@ -103,6 +104,14 @@
 	Cause      string
 }
 
+// LoseSessions ends the leases of sessions while a grant that was sent under them may still be carried
+// out. What they own stays theirs until CloseSessions, and nobody is sent to them; those that own
+// nothing are closed.
+type LoseSessions struct {
+	Sessions []membership.SessionID
+	Cause    string
+}
+
 // SetDraining drains a node, or takes it back into service.
 type SetDraining struct {
 	Session  membership.SessionID
--- a/fleet/lives_test.go
+++ b/fleet/lives_test.go
@@ -58,6 +58,21 @@
 		"its end": {func(m *machine, session membership.SessionID) Result {
 			return m.must(Command{CloseSessions: &CloseSessions{Sessions: []membership.SessionID{session}, Process: 1}})
 		}, false, false},
+		"its lease is over, a grant may still be carried out": {func(m *machine, session membership.SessionID) Result {
+			return m.must(Command{LoseSessions: &LoseSessions{Sessions: []membership.SessionID{session}}})
+		}, true, false},
+		"its lease is over, the next session has proved that nothing is held": {func(m *machine, session membership.SessionID) Result {
+			m.must(Command{LoseSessions: &LoseSessions{Sessions: []membership.SessionID{session}}})
+			next := m.must(Command{OpenSession: open(first, 10, 1)})
+			if next.Session == session || !next.Superseded {
+				m.t.Error("a lost session is taken up again")
+			}
+			return m.must(Command{CloseSessions: &CloseSessions{Superseded: next.Session}})
+		}, false, false},
+		"its lease is over, nothing can be carried out any more": {func(m *machine, session membership.SessionID) Result {
+			m.must(Command{LoseSessions: &LoseSessions{Sessions: []membership.SessionID{session}}})
+			return m.must(Command{CloseSessions: &CloseSessions{Sessions: []membership.SessionID{session}}})
+		}, false, false},
 		"its end, by the process before the present one": {func(m *machine, session membership.SessionID) Result {
 			m.must(Command{OpenSession: open(first, 10, 2)})
 			return m.apply(Command{CloseSessions: &CloseSessions{Sessions: []membership.SessionID{session}, Process: 1}})
@@ -106,3 +121,22 @@
 	shard, _ = m.state.Ownership.Get(key)
 	is.Equal(shard.Phase, ownership.PhaseFree) // it may own nothing any more
 }
+
+// A lost session is not routed to, given nothing, and told of once; one that owns nothing ends at once.
+func TestLostSessionKeepsWhatItOwnsAndGetsNothing(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(t)
+	owner, idle := m.node("proofs-1"), m.node("proofs-2")
+	key, other := ownership.Key{Service: "a", Shard: 0}, ownership.Key{Service: "a", Shard: 1}
+	m.must(Command{Assign: &Assign{Decisions: []ShardDecision{{Key: key, To: owner}}}})
+	lose := Command{LoseSessions: &LoseSessions{Sessions: []membership.SessionID{owner, idle}, Cause: "no renewal"}}
+	m.must(lose)
+	is.True(m.state.Membership.Sessions[owner].Lost)
+	is.Equal(m.state.Membership.Sessions[idle] == nil, true)
+	is.Equal(m.apply(lose).Refused, 2) // repeated
+	is.Equal(m.apply(Command{Assign: &Assign{Decisions: []ShardDecision{{Key: other, To: owner}}}}).Refused, 1)
+	is.NoErr(m.state.CheckInvariants())
+	m.must(Command{CloseSessions: &CloseSessions{Sessions: []membership.SessionID{owner}}})
+	shard, _ := m.state.Ownership.Get(key)
+	is.Equal(shard.Phase, ownership.PhaseFree)
+}
--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -425,9 +425,10 @@
 		}
 	}
 	gone, exclusive := i.proofs()
+	_, takesLate := i.keys.carrier.(*callCarrier)
 	return agent.Description{
 		Version: announced.Version, Pool: announced.Service, Slots: announced.Slots, Connections: connections, Gated: true,
-		Born: announced.Born, PredecessorGone: gone, Exclusive: exclusive,
+		Born: announced.Born, PredecessorGone: gone, Exclusive: exclusive, TakesLate: takesLate,
 	}
 }
 
--- a/ingress/keycalls.go
+++ b/ingress/keycalls.go
@@ -40,7 +40,8 @@
 	start uint64
 	wake  chan struct{}
 	// vacated brings sessions under which the start was cleared.
-	vacated chan membership.SessionID
+	vacated  chan membership.SessionID
+	inFlight *grantsInFlight
 	// toldAt is when a grant was sent last that no fence was shown after; zero: none. Guarded by calling.
 	toldAt time.Duration
 	// token is what the start gave when it was cleared last; guarded by calling.
@@ -51,9 +52,7 @@
 }
 
 const (
-	// instanceDrift is the error of an instance's clock, in thousandths.
-	instanceDrift = 20
-	permille      = 1000
+	permille = 1000
 	// grantTimeout bounds one grant's way: an instance that is well answers in milliseconds, and
 	// one that is not may take it later; it counts as given until then.
 	grantTimeout = 700 * time.Millisecond
@@ -67,13 +66,12 @@
 	// made again. Nothing is granted meanwhile: with 5 s, a day on which two orders in five stay without
 	// an answer was worth 0.350, with 1.5 s 0.387 (one play each).
 	clearTimeout = 1500 * time.Millisecond
-	// lateOrders is longer than an order that got no answer is carried out late, some seconds.
-	lateOrders = 15 * time.Second
 )
 
 func newCallCarrier(holder *keyHolder, client limehold.KeyClient, registry *metrics.Registry) *callCarrier {
 	return &callCarrier{
-		holder: holder, client: client, logger: holder.logger, now: clock.Now, wake: make(chan struct{}, 1), vacated: make(chan membership.SessionID, 1),
+		holder: holder, client: client, logger: holder.logger, now: clock.Now, wake: make(chan struct{}, 1),
+		inFlight: newGrantsInFlight(clock.Now(), holder.longest), vacated: make(chan membership.SessionID, 1),
 		clears: registry.CounterVec("ingress", "starts_cleared_total", "Clearings of the instance that listens, by whether another start may have listened before.", "another"),
 	}
 }
@@ -120,8 +118,16 @@
 	}
 	runs := c.runs()
 	slices.SortStableFunc(runs, func(a, b ledger.Run) int { return cmp.Compare(a.Due, b.Due) })
+	if !c.inFlight.mayBegin() {
+		if len(runs) > 0 && runs[0].Due <= c.now() {
+			c.inFlight.ask()
+			return min(next, grantRetry)
+		}
+		return min(next, c.nextDue())
+	}
+	early := c.early(c.now())
 	for _, run := range runs {
-		if run.Due > c.now() {
+		if run.Due > c.now()+early {
 			break
 		}
 		if hold := c.holdFor(c.now()); hold < ledger.ShortestHold {
@@ -132,6 +138,7 @@
 			return grantRetry
 		}
 	}
+	c.settle()
 	return min(next, c.nextDue())
 }
 
@@ -177,8 +184,8 @@
 	hold := c.holdFor(now)
 	wanted := false
 	h.with(func(l *ledger.Ledger) {
-		if wanted = hold >= ledger.ShortestHold && l.Wanted(run); wanted {
-			l.Sending(run, now+grantTimeout+hold*(permille+instanceDrift)/permille)
+		if wanted = hold >= ledger.ShortestHold && l.Wanted(run) && c.inFlight.begin(); wanted {
+			l.Sending(run, lateUntil(now, hold))
 		}
 	})
 	if !wanted {
@@ -187,24 +194,33 @@
 	}
 	c.toldAt = now
 	err := c.client.Grant(callContext, c.start, run.Range, hold, run.Token)
+	answered := c.now()
 	c.calling.Unlock()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	fields := []zap.Field{zap.Uint32("first", run.Range.First), zap.Uint32("last", run.Range.Last), zap.Uint64("fence", run.Range.Fence)}
 	if err == nil {
+		c.inFlight.end()
+		h.ledger.Answered(run, answered+ledger.Longest(hold))
 		if h.ledger.Confirmed(run, now+hold, now+hold/renewalsAHold) {
 			c.logger.Info("keys_granted", append(fields, zap.Duration("hold", hold))...)
 		}
 		return true
 	}
 	if errors.Is(err, limehold.ErrAnotherStart) {
+		c.inFlight.end()
+		h.ledger.Answered(run, 0)
 		h.ledger.Uncleared()
 		c.logger.Info("instance_connections_lost", append(fields, zap.Uint64("start", c.client.Start()))...)
 		return false
 	}
 	fenced := errors.Is(err, limehold.ErrFenced)
 	c.logger.Warn("keys_not_granted", append(append(logging.Step("grant keys", "instance", err), fields...), zap.Bool("fenced", fenced))...)
-	if fenced {
+	if !fenced {
+		c.noteLeft(now, hold, fields)
+	} else {
+		c.inFlight.end()
+		h.ledger.Answered(run, 0)
 		// It may hold the rest of the run all the same: it lets go before control is told.
 		h.ledger.Uncleared()
 	}
--- a/ingress/keyclear.go
+++ b/ingress/keyclear.go
@@ -57,6 +57,7 @@
 		return false
 	}
 	c.toldAt = 0
+	c.inFlight.fenced()
 	cleared := false
 	h.with(func(l *ledger.Ledger) {
 		if cleared = l.Session() == session; cleared {
@@ -138,12 +139,12 @@
 // fenceOff shows whoever listens a fence above all that was sent here, once the lease is over: a
 // grant that got no answer may be carried out seconds later, when control has given its keys to
 // another node. It returns when to try again; an instance that does not answer is asked for
-// lateOrders.
+// limehold.GrantLateness.
 func (c *callCarrier) fenceOff(ctx context.Context) time.Duration {
 	c.calling.Lock()
 	defer c.calling.Unlock()
 	now := c.now()
-	if c.toldAt == 0 || now > c.toldAt+lateOrders {
+	if c.toldAt == 0 || now > c.toldAt+limehold.GrantLateness {
 		c.toldAt = 0
 		return time.Hour
 	}
@@ -160,6 +161,7 @@
 		return grantRetry
 	}
 	c.toldAt = 0
+	c.inFlight.fenced()
 	c.holder.with(func(l *ledger.Ledger) {
 		if l.IsCleared() && l.Session() == session {
 			l.Cleared(fence)
--- a/ingress/keys.go
+++ b/ingress/keys.go
@@ -15,6 +15,7 @@
 	"limehold/ledger"
 	"limehold/membership"
 	"limehold/ownership"
+	"limehold/quiescence"
 	"limehold/settings"
 	"limehold/wire"
 )
@@ -27,6 +28,9 @@
 	// every is the interval of the instance's heartbeats.
 	every time.Duration
 
+	// longest is the longest time for which the instance is told to hold keys at once.
+	longest time.Duration
+
 	// refused brings shards that the instance does not take under their epoch.
 	refused chan []fleet.ReleasedShard
 
@@ -42,8 +46,8 @@
 
 func newKeyHolder(options Options) *keyHolder {
 	config := options.Settings.Ingress
-	h := &keyHolder{logger: options.Logger, every: config.AnnounceEvery, refused: make(chan []fleet.ReleasedShard, 1), changed: make(chan struct{})}
-	h.ledger = ledger.New(ledger.Options{Shards: fleet.RoutedShards, Hold: config.HoldTime, AnswerBytes: answerBytes, Began: clock.Now()})
+	h := &keyHolder{logger: options.Logger, every: config.AnnounceEvery, longest: config.HoldTime, refused: make(chan []fleet.ReleasedShard, 1), changed: make(chan struct{})}
+	h.ledger = ledger.New(ledger.Options{Shards: fleet.RoutedShards, Hold: config.HoldTime, AnswerBytes: answerBytes, Began: clock.Now(), Lateness: lateness(config.GrantBy)})
 	switch {
 	case config.GrantBy == settings.GrantByHeartbeat:
 		h.carrier = newHeartbeatCarrier(h, config, options.Metrics)
@@ -55,6 +59,15 @@
 	return h
 }
 
+// lateness is how late an instance may take what it leaves without an answer. A heartbeat's answer is
+// not taken late, and what it says counts from the heartbeat.
+func lateness(grantBy string) time.Duration {
+	if grantBy == settings.GrantByHeartbeat {
+		return 0
+	}
+	return limehold.GrantLateness
+}
+
 // noCarrier stands beside an instance whose service is never divided by key.
 type noCarrier struct{}
 
@@ -337,6 +350,29 @@
 	return nil
 }
 
+// Claim implements agent.Backend. What an instance is told by heartbeat counts from the heartbeat.
+func (i *Instance) Claim() quiescence.Claim {
+	if carrier, ok := i.keys.carrier.(*callCarrier); ok {
+		return carrier.claim()
+	}
+	return quiescence.Claim{}
+}
+
+// Claimed implements agent.Backend.
+func (i *Instance) Claimed(claim quiescence.Claim) {
+	if carrier, ok := i.keys.carrier.(*callCarrier); ok {
+		carrier.claimed(claim)
+	}
+}
+
+// ClaimNow implements agent.Backend.
+func (i *Instance) ClaimNow() <-chan struct{} {
+	if carrier, ok := i.keys.carrier.(*callCarrier); ok {
+		return carrier.inFlight.asked
+	}
+	return nil
+}
+
 // Release implements agent.Backend: it lets shards go, range by range. A range is
 // let go once the instance says so, or once nothing that it was ever told can hold.
 func (i *Instance) Release(_ membership.SessionID, shards []wire.BackendGrant) ([]fleet.ReleasedShard, error) {
--- a/ingress/keys_test.go
+++ b/ingress/keys_test.go
@@ -107,7 +107,7 @@
 	holder.renewDue(context.Background())
 	is.Equal(client.grants, []limehold.KeyRange{rangeOf(0, 2, 3), rangeOf(9, 9, 3)})
 	for _, hold := range client.holds {
-		is.True(hold*(permille+instanceDrift)/permille < 2*time.Second)
+		is.True(ledger.Longest(hold) < 2*time.Second)
 	}
 	is.True(holder.holds(shardKey(2), 3, clock.Now()))
 	is.Equal(holder.holds(shardKey(2), 4, clock.Now()), false) // another epoch
--- a/keys.go
+++ b/keys.go
@@ -72,6 +72,10 @@
 	Token string
 }
 
+// GrantLateness is how late an instance may carry out a grant that it left without an answer, with its
+// time counting from then. Those that are seen are 2 to 12 s late.
+const GrantLateness = 15 * time.Second
+
 // ErrFenced says that the instance has seen a higher fence on a key.
 var ErrFenced = errors.New("the instance has seen a higher fence")
 
--- a/ledger/heartbeat.go
+++ b/ledger/heartbeat.go
@@ -190,7 +190,7 @@
 			continue
 		}
 		known.told.sequence = sequence
-		known.possible = max(known.possible, b.received+longest(hold))
+		known.possible = max(known.possible, b.received+Longest(hold))
 		if !known.releasing {
 			known.until = b.received + hold
 		}
@@ -328,7 +328,7 @@
 	var free []limehold.ReleasedRange
 	for _, ranged := range ranges {
 		known := byRange[ranged]
-		if known == nil || known.told.gone || known.possible <= now {
+		if known == nil || known.told.gone || known.latest() <= now {
 			released := limehold.ReleasedRange{KeyRange: ranged}
 			if known != nil {
 				released.Token = known.told.token
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -37,10 +37,12 @@
 //   - By calls, a start of the instance is told nothing before it was cleared, and nothing under
 //     a fence below that of the clearing: what was meant for another start never is.
 type Ledger struct {
-	shards  int
-	hold    time.Duration
-	session uint64
-	expiry  time.Duration
+	shards int
+	hold   time.Duration
+	// lateness: see Options.
+	lateness time.Duration
+	session  uint64
+	expiry   time.Duration
 	// listed is set once control's list for the session is known.
 	listed bool
 	// ended is the session that is over as its instance is known to have ended.
@@ -62,9 +64,10 @@
 	until time.Duration
 	// renewAt is when the carrier is to tell the shard again.
 	renewAt time.Duration
-	// possible is the latest moment to which the instance may hold the shard.
-	possible  time.Duration
-	releasing bool
+	// possible is the latest moment to which the instance may hold the shard; sent is that of what is
+	// on its way to it, which has not been answered, and earlier that of what an earlier process told.
+	possible, sent, earlier time.Duration
+	releasing               bool
 	// refused is set once the instance has said that it saw a higher fence.
 	refused bool
 	told    told
@@ -81,6 +84,8 @@
 	AnswerBytes int
 	// Began is when the process began: what an earlier one told may hold from then on.
 	Began time.Duration
+	// Lateness is how late the instance may take what it leaves without an answer.
+	Lateness time.Duration
 }
 
 const (
@@ -97,7 +102,7 @@
 // New returns the ledger of an instance of which nothing is known.
 func New(options Options) *Ledger {
 	return &Ledger{
-		shards: options.Shards, hold: options.Hold, entries: map[ownership.Key]*entry{},
+		shards: options.Shards, hold: options.Hold, lateness: options.Lateness, entries: map[ownership.Key]*entry{},
 		beats: heartbeats{answerBytes: options.AnswerBytes, began: options.Began},
 	}
 }
@@ -177,6 +182,7 @@
 	l.cleared, l.floor = true, fence
 	for _, known := range l.entries {
 		known.refused = known.refused || known.epoch < fence
+		known.earlier = 0
 	}
 }
 
@@ -206,7 +212,7 @@
 			// It is being released, or belongs to a session that has ended.
 			known.releasing = true
 			dropped = append(dropped, Grant{Key: key, Epoch: known.epoch})
-		case known.possible < now:
+		case known.latest() < now:
 			delete(l.entries, key)
 		}
 	}
@@ -217,11 +223,15 @@
 // newEntry is a shard that the instance was not told under this epoch by this process. An
 // earlier process may have told it, or an earlier epoch may still hold.
 func (l *Ledger) newEntry(grant Grant, before *entry) *entry {
-	possible := l.beats.began + longest(l.hold)
+	next := &entry{epoch: grant.Epoch, token: grant.Token, refused: l.cleared && grant.Epoch < l.floor}
+	if !l.cleared {
+		// A start that was cleared has let go of what an earlier process told, and refuses what comes late.
+		next.earlier = l.beats.began + l.lateness + Longest(l.hold)
+	}
 	if before != nil {
-		possible = max(possible, before.possible)
+		next.possible = before.latest()
 	}
-	return &entry{epoch: grant.Epoch, token: grant.Token, possible: possible, refused: l.cleared && grant.Epoch < l.floor}
+	return next
 }
 
 // Holds reports whether the instance may run a request on a shard under an epoch.
@@ -244,8 +254,8 @@
 	return min(l.hold, left)
 }
 
-// longest is the time that a hold may take on a clock that runs slow.
-func longest(hold time.Duration) time.Duration { return hold * (permille + instanceDrift) / permille }
+// Longest is the time that a hold may take on a clock that runs slow.
+func Longest(hold time.Duration) time.Duration { return hold * (permille + instanceDrift) / permille }
 
 // Run is a range of neighbouring shards that one call grants.
 type Run struct {
@@ -294,11 +304,24 @@
 	return limehold.KeyRange{First: first, Last: last, Fence: fence}
 }
 
-// Sending notes that a run is about to be told, and until when it may hold then.
+// Sending notes that a run is about to be told, and until when it may hold if no answer comes.
 func (l *Ledger) Sending(run Run, possible time.Duration) {
-	l.each(run, func(known *entry) { known.possible = max(known.possible, possible) })
+	l.each(run, func(known *entry) { known.possible, known.sent = known.latest(), possible })
 }
 
+// Answered notes that the instance has answered what was told of a run, or was never told it, and until
+// when it may hold then. What stays without an answer may hold for as long as was said before.
+func (l *Ledger) Answered(run Run, possible time.Duration) {
+	for _, key := range run.Keys {
+		if known := l.entries[key]; known != nil && known.epoch == run.Range.Fence {
+			known.possible, known.sent = max(known.possible, possible), 0
+		}
+	}
+}
+
+// latest is the latest moment to which the instance may hold the shard.
+func (e *entry) latest() time.Duration { return max(e.possible, e.sent, e.earlier) }
+
 // Wanted reports whether all of a run's shards are still to be held.
 func (l *Ledger) Wanted(run Run) bool {
 	if !l.MayTell() {
@@ -356,7 +379,7 @@
 	var latest time.Duration
 	for _, grant := range grants {
 		if known := l.entries[grant.Key]; known != nil {
-			latest = max(latest, known.possible)
+			latest = max(latest, known.latest())
 		}
 	}
 	return latest
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -68,7 +68,7 @@
 			is.Equal(answer.Renews, c.renews)
 			if c.renews {
 				is.Equal(answer.Rows, []Row{{KeyRange: rangeOf(0, 2, 3)}, {KeyRange: rangeOf(9, 9, 3)}})
-				is.True(c.received+longest(answer.Hold) < start+4*second) // however slow its clock
+				is.True(c.received+Longest(answer.Hold) < start+4*second) // however slow its clock
 			}
 		})
 	}
@@ -163,7 +163,7 @@
 	is := is.New(t)
 	l := begun(grantsOf(3, "", 0)...)
 	l.SetLease(7, start+9*second)
-	is.True(longest(l.beat(1, start).Hold) < 9*second)
+	is.True(Longest(l.beat(1, start).Hold) < 9*second)
 }
 
 // A heartbeat that crossed the answer which left the row out says nothing of it yet.
@@ -306,7 +306,7 @@
 			l.BeginRelease(grantsOf(2, "", 5))
 			ranges := []limehold.KeyRange{rangeOf(5, 5, 2)}
 			is.Equal(len(l.LetGo(ranges, start+second)), 0)                   // it may hold them still
-			is.Equal(len(l.LetGo(ranges, start+longest(testHold)+second)), 1) // what was told has run out
+			is.Equal(len(l.LetGo(ranges, start+Longest(testHold)+second)), 1) // what was told has run out
 		})
 	}
 }
@@ -329,7 +329,7 @@
 			l.Report(Report{Instance: "i-1", Sequence: 2}, start+delay)
 			ranges := []limehold.KeyRange{rangeOf(5, 5, 2)}
 			is.Equal(len(l.LetGo(ranges, start+delay)), 0)
-			is.Equal(len(l.LetGo(ranges, start+longest(testHold))), 1) // what was told has run out
+			is.Equal(len(l.LetGo(ranges, start+Longest(testHold))), 1) // what was told has run out
 		})
 	}
 }
--- a/ledger/simulate_test.go
+++ b/ledger/simulate_test.go
@@ -224,7 +224,7 @@
 	}
 	hold := answer.Hold
 	if i.slow {
-		hold = longest(hold)
+		hold = Longest(hold)
 	}
 	var told [simShards]bool
 	for _, row := range answer.Rows {
--- a/membership/lease.go
+++ b/membership/lease.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"limehold/quiescence"
 )
 
 const permille = 1000
@@ -16,6 +18,8 @@
 	Length time.Duration
 	// DriftPermille bounds the relative rate error between two machines' clocks.
 	DriftPermille int
+	// Lateness is how late a back end may carry out a grant, for nodes that say that theirs may.
+	Lateness time.Duration
 }
 
 // ControlLength is how long control waits after it received a renewal before it
@@ -34,6 +38,8 @@
 	timing   LeaseTiming
 	renewals map[SessionID]*lease
 	queue    leaseQueue
+	// lost are the sessions of which Expired has found that their end has to be waited for.
+	lost []SessionID
 }
 
 type lease struct {
@@ -45,6 +51,9 @@
 	// closing is set once an end of the session has been proposed: from then
 	// on renewals are refused, whatever becomes of the proposal in this term.
 	closing bool
+	// takesLate is as in Node; belief is whether a grant may still be carried out.
+	takesLate bool
+	belief    quiescence.Belief
 }
 
 // NewLeases begins the knowledge of a leader elected at now.
@@ -67,6 +76,44 @@
 	heap.Push(&l.queue, added)
 }
 
+// Describe takes what the replicated table says of a tracked session: which process has it, whether
+// grants are carried out late by its back end, and whether it is lost already.
+func (l *Leases) Describe(node *Node, now time.Duration) {
+	known := l.renewals[node.Session]
+	if known == nil {
+		return
+	}
+	known.takesLate = node.TakesLate
+	known.belief = known.belief.WithProcess(node.Process)
+	if node.Lost && !known.closing {
+		// An earlier leader found its lease over; how long ago is not known.
+		known.closing, known.expiry = true, now
+	}
+}
+
+// Speaks reports whether a claim is of the process that has the session, as far as is known.
+func (l *Leases) Speaks(session SessionID, claim quiescence.Claim) bool {
+	known := l.renewals[session]
+	return known == nil || known.belief.IsOf(claim)
+}
+
+// Claim takes what a renewal that was granted says of the grants of its node.
+func (l *Leases) Claim(session SessionID, claim quiescence.Claim, term uint64) {
+	if known := l.renewals[session]; known != nil {
+		known.belief = known.belief.WithClaim(claim, term)
+	}
+}
+
+// heldUntil is until when a grant that was sent under a lease may be carried out and hold. It is told
+// for no longer than the lease runs, from the moment at which it is carried out in time; late, for
+// that much longer.
+func (l *Leases) heldUntil(known *lease) time.Duration {
+	if !known.takesLate || known.belief.Quiet() {
+		return known.expiry
+	}
+	return known.expiry + l.timing.Lateness
+}
+
 // Forget drops a session that has been closed.
 func (l *Leases) Forget(session SessionID) { delete(l.renewals, session) }
 
@@ -81,9 +128,10 @@
 	return true
 }
 
-// Expired returns the sessions whose lease has run out, and marks them as
-// closing. A session that is still tracked a lease later is returned again: the
-// proposal to end it may have been lost.
+// Expired returns the sessions whose lease has run out and of which nothing can be held any more, and
+// marks them as closing. A session that is still tracked a lease later is returned again: the
+// proposal to end it may have been lost. Those whose lease has run out while a grant may still be
+// carried out are left for TakeLost, and returned once it cannot.
 func (l *Leases) Expired(now time.Duration) []SessionID {
 	var expired []SessionID
 	for len(l.queue) > 0 && l.queue[0].queuedExpiry <= now {
@@ -97,14 +145,28 @@
 			continue
 		}
 		first.closing = true
-		expired = append(expired, first.session)
 		first.queuedExpiry = now + l.timing.ControlLength()
+		if until := l.heldUntil(first); now < until {
+			l.lost = append(l.lost, first.session)
+			first.queuedExpiry = min(first.queuedExpiry, until)
+		} else {
+			expired = append(expired, first.session)
+		}
 		heap.Push(&l.queue, first)
 	}
 	slices.Sort(expired)
 	return expired
 }
 
+// TakeLost returns, once each time that Expired has found them, the sessions whose lease has run out
+// while a grant that was sent under it may still be carried out.
+func (l *Leases) TakeLost() []SessionID {
+	lost := l.lost
+	l.lost = nil
+	slices.Sort(lost)
+	return lost
+}
+
 // Silence tells how long ago the newest renewal of a session was received.
 func (l *Leases) Silence(session SessionID, now time.Duration) (time.Duration, bool) {
 	known, found := l.renewals[session]
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -50,6 +50,11 @@
 	Opened int64
 	// Revision of the last change of anything above.
 	Revision uint64
+	// TakesLate nodes have a back end that may carry out a grant long after it was sent.
+	TakesLate bool
+	// Lost sessions are superseded ones whose lease is over, while a grant that was sent under it may
+	// still be carried out: what they own is nobody else's until then, and nobody sends them anything.
+	Lost bool
 }
 
 // Eligible reports whether the node may be given shards and new requests.
@@ -106,7 +111,7 @@
 		next := *current
 		next.Address, next.Zone, next.Pool = node.Address, node.Zone, node.Pool
 		next.Slots, next.Connections, next.Gated = node.Slots, node.Connections, node.Gated
-		next.Process = node.Process
+		next.Process, next.TakesLate = node.Process, node.TakesLate
 		next.Revision = revision
 		t.Sessions[next.Session] = &next
 		return &next, nil
@@ -128,6 +133,25 @@
 	return &node, superseded
 }
 
+// Lose takes that the lease of a session is over, and keeps what it owns from others. It returns the
+// changed node, or nil when there is no such session or it is lost already.
+func (t *Table) Lose(session SessionID, revision uint64) *Node {
+	node := t.Sessions[session]
+	if node == nil || node.Lost {
+		return nil
+	}
+	next := *node
+	next.Lost, next.Superseded, next.Revision = true, true, revision
+	t.Sessions[session] = &next
+	if t.byName[node.Name] == session {
+		delete(t.byName, node.Name)
+	}
+	if !node.Superseded {
+		t.superseded[node.Name] = append(t.superseded[node.Name], session)
+	}
+	return &next
+}
+
 // Close removes a session; it returns the node, or nil if there was none.
 func (t *Table) Close(session SessionID) *Node {
 	node := t.Sessions[session]
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"limehold/quiescence"
 )
 
 var testTiming = LeaseTiming{Length: 500 * time.Millisecond, DriftPermille: 10}
@@ -75,3 +77,78 @@
 	table.Close(first.Session)
 	is.Equal(table.Current("proofs-1").Session, second.Session)
 }
+
+// A node whose back end may carry grants out late is ended with its lease only where control knows that
+// no grant is under way; otherwise once none can be carried out any more.
+func TestKeysAreHeldBackWhileAGrantMayBeCarriedOut(t *testing.T) {
+	const session, process, term = SessionID(7), 70, 3
+	timing := LeaseTiming{Length: time.Second, DriftPermille: 10, Lateness: 15 * time.Second}
+	over := timing.ControlLength()
+	claim := func(sequence uint64, quiet bool) quiescence.Claim {
+		return quiescence.Claim{Process: process, Term: term, Sequence: sequence, Quiet: quiet}
+	}
+	for name, c := range map[string]struct {
+		node   Node
+		claims []quiescence.Claim
+		held   bool
+	}{
+		"its back end takes nothing late": {Node{}, nil, false},
+		"nothing was said":                {Node{TakesLate: true}, nil, true},
+		"quiet":                           {Node{TakesLate: true}, []quiescence.Claim{claim(1, true)}, false},
+		"not quiet":                       {Node{TakesLate: true}, []quiescence.Claim{claim(1, false)}, true},
+		"quiet, then not":                 {Node{TakesLate: true}, []quiescence.Claim{claim(1, true), claim(2, false)}, true},
+		"quiet comes late":                {Node{TakesLate: true}, []quiescence.Claim{claim(2, false), claim(1, true)}, true},
+		"quiet under another leader":      {Node{TakesLate: true}, []quiescence.Claim{{Process: process, Term: term - 1, Sequence: 1, Quiet: true}}, true},
+		"quiet says another process":      {Node{TakesLate: true}, []quiescence.Claim{{Process: process + 1, Term: term, Sequence: 1, Quiet: true}}, true},
+		"lost under an earlier leader":    {Node{TakesLate: true, Lost: true}, nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			leases := NewLeases(timing, []SessionID{session}, 0)
+			c.node.Session, c.node.Process = session, process
+			leases.Describe(&c.node, 0)
+			for _, said := range c.claims {
+				leases.Claim(session, said, term)
+			}
+			expired := leases.Expired(over)
+			is.Equal(len(expired) == 0, c.held)
+			is.Equal(len(leases.TakeLost()) > 0, c.held)
+			is.Equal(leases.Renew(session, over), false)
+			if !c.held {
+				return
+			}
+			is.Equal(len(leases.Expired(timing.Lateness-time.Millisecond)), 0)
+			is.Equal(leases.Expired(over+timing.Lateness), []SessionID{session})
+		})
+	}
+}
+
+// The proposal to hold a session's keys back may be lost, as the one that ends it.
+func TestLostSessionIsTakenAgain(t *testing.T) {
+	is := is.New(t)
+	leases := NewLeases(LeaseTiming{Length: time.Second, Lateness: 15 * time.Second}, []SessionID{1}, 0)
+	leases.Describe(&Node{Session: 1, TakesLate: true}, 0)
+	for _, now := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second} {
+		is.Equal(len(leases.Expired(now)), 0)
+		is.Equal(leases.TakeLost(), []SessionID{1})
+	}
+	is.Equal(len(leases.TakeLost()), 0)
+}
+
+func TestLostSessionIsSupersededByTheNextOfItsNode(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	first, _ := table.Open(Node{Name: "proofs-1", Incarnation: "a"}, 10)
+	lost := table.Lose(first.Session, 11)
+	is.True(lost.Lost)
+	is.Equal(lost.Eligible(), false)
+	is.Equal(table.Lose(first.Session, 12) == nil, true)
+	is.Equal(table.Current("proofs-1") == nil, true)
+	table.Reindex()
+	second, _ := table.Open(Node{Name: "proofs-1", Incarnation: "a"}, 13)
+	is.True(second.Session != first.Session) // the same process gets another one
+	is.Equal(table.Superseded("proofs-1"), []SessionID{first.Session})
+	table.Close(first.Session)
+	is.Equal(len(table.Superseded("proofs-1")), 0)
+	is.Equal(table.Current("proofs-1").Session, second.Session)
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -13,6 +13,7 @@
 	"limehold/membership"
 	"limehold/ownership"
 	"limehold/quarantine"
+	"limehold/quiescence"
 	"limehold/routing"
 )
 
@@ -55,7 +56,7 @@
 )
 
 // ProtocolVersion is compared at the start of each connection.
-const ProtocolVersion = 8
+const ProtocolVersion = 9
 
 // Role says what kind of process is at the other end.
 type Role string
@@ -188,6 +189,8 @@
 	Fresh bool
 	// Superseded is set when earlier sessions of the node are still open.
 	Superseded bool
+	// Term is that of the leader that answers.
+	Term uint64
 }
 
 // Renew extends the session's lease.
@@ -203,6 +206,8 @@
 	Capacity float64
 	// Members is the version of the list of members that the agent has.
 	Members uint64
+	// Claim is what the node says of its grants.
+	Claim quiescence.Claim
 }
 
 // RenewReply grants the lease from the moment the renewal was sent.
@@ -212,6 +217,8 @@
 	Revision uint64
 	// Members is set when the agent's list of members is another one.
 	Members *MemberList
+	// Term is that of the leader that answers; see quiescence.Claim.
+	Term uint64
 }
 
 // MemberList tells agents and routers where the control members are.
