By heartbeat, a start that answers for itself frees the keys of those before it

What callers saw: after a loss of power everywhere, requests of a divided service refused as no-owner for 4 s, on deployments whose instances are told their keys by heartbeat and do not say when they began.

Cause: a sidecar that has just started cannot tell from a heartbeat which of two starts is the later one, as one may be late; so the session of the start before had its lease waited out, though nothing was held of it.

Change: a session that has superseded others has its instance asked on the health path who it is. The start that the session is for answers: it runs, one process at a time runs at the address, and the others had been heard of before the question. Control now says which incarnations those are; one that shares the identity proves nothing, nor does an answer in another's name. Then the superseded sessions are ended at once.

--- a/agent/backend.go
+++ b/agent/backend.go
@@ -53,6 +53,17 @@
 	TakesLate bool
 }
 
+// Opened is a session that was got.
+type Opened struct {
+	Session membership.SessionID
+	// Incarnation is that of the back end for which it was asked.
+	Incarnation string
+	// Fresh is set for one that began with this: what is given under it was given after Opening returned.
+	Fresh bool
+	// Former are the incarnations whose sessions it has superseded, and which are still open.
+	Former []string
+}
+
 // Backend is what runs beside an agent.
 type Backend interface {
 	// Run keeps watching the back end until ctx ends.
@@ -75,11 +86,9 @@
 	// HandedBack brings shards that the back end holds no longer and does not take under their
 	// epoch: control has to assign them anew. Nil: there never are any.
 	HandedBack() <-chan []fleet.ReleasedShard
-	// Opening is told before a session is asked for, Opened when it was got: whether it is a fresh
-	// one, and whether it has superseded others. What is given under a fresh one was given after
-	// Opening returned.
+	// Opening is told before a session is asked for, Opened when it was got.
 	Opening(ctx context.Context)
-	Opened(session membership.SessionID, fresh, superseded bool)
+	Opened(opened Opened)
 	// Vacated brings the sessions for which there is that proof. Nil: there never is.
 	Vacated() <-chan membership.SessionID
 	// Claim is what the next renewal says of grants, without process and term; see package
@@ -222,7 +231,7 @@
 func (b *backend) Opening(context.Context) {}
 
 // Opened implements Backend.
-func (b *backend) Opened(membership.SessionID, bool, bool) {}
+func (b *backend) Opened(Opened) {}
 
 // Vacated implements Backend: there is no such proof, the lease of earlier sessions runs to its end.
 func (b *backend) Vacated() <-chan membership.SessionID { return nil }
--- a/agent/fulllink_test.go
+++ b/agent/fulllink_test.go
@@ -40,7 +40,7 @@
 func (wellBackend) Lease(membership.SessionID, time.Duration) error { return nil }
 func (wellBackend) Grants(*wire.BackendGrants) error                { return nil }
 func (wellBackend) Opening(context.Context)                         {}
-func (wellBackend) Opened(membership.SessionID, bool, bool)         {}
+func (wellBackend) Opened(Opened)                                   {}
 func (wellBackend) Vacated() <-chan membership.SessionID            { return nil }
 func (wellBackend) Claim() quiescence.Claim                         { return quiescence.Claim{} }
 func (wellBackend) Claimed(quiescence.Claim)                        {}
--- a/agent/session.go
+++ b/agent/session.go
@@ -62,10 +62,10 @@
 		a.session = reply.Session
 		a.lease.Drop()
 	}
-	a.superseded = reply.Superseded
+	a.superseded = len(reply.Former) > 0
 	a.term = max(a.term, reply.Term)
 	a.mutex.Unlock()
-	a.backend.Opened(reply.Session, reply.Fresh, reply.Superseded)
+	a.backend.Opened(Opened{Session: reply.Session, Incarnation: incarnation, Fresh: reply.Fresh, Former: reply.Former})
 	a.shards.begin(reply.Session, incarnation)
 	return reply, nil
 }
@@ -161,7 +161,7 @@
 			request := &wire.EndSession{Session: session, Before: true, Cause: "its successor has had the instance let go of everything"}
 			err := a.links.callLeader(ctx, openTimeout, wire.KindEndSession, request, nil)
 			if err == nil {
-				a.logger.Info("superseded_ended", zap.Uint64("session", uint64(session)), zap.String("proof", "the instance was cleared under a higher fence"))
+				a.logger.Info("superseded_ended", zap.Uint64("session", uint64(session)), zap.String("proof", "the start that runs holds nothing of them, and they have ended"))
 				break
 			}
 			a.logger.Warn("superseded_not_ended", logging.Step("end superseded sessions", "control", err)...)
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -196,13 +196,28 @@
 		return nil, &wire.Error{Code: wire.CodeInvalid, Message: result.Failure.Message, Step: "open session of " + node.Name, Peer: m.options.Settings.Name}
 	}
 	m.connect(result.Session, conn)
+	var former []string
+	m.replica.view(func(state *fleet.State) { former = formerIncarnations(state, result.Session) })
 	return &wire.OpenSessionReply{
 		Session: result.Session, LeaseLength: m.options.Settings.Control.LeaseLength,
-		RenewEvery: m.options.Settings.Control.RenewEvery, Superseded: result.Superseded,
+		RenewEvery: m.options.Settings.Control.RenewEvery, Former: former,
 		Fresh: uint64(result.Session) == result.Revision, Term: m.sessions.leading(),
 	}, nil
 }
 
+// formerIncarnations are those of the sessions that a session has superseded and that are still open.
+func formerIncarnations(state *fleet.State, session membership.SessionID) []string {
+	node := state.Membership.Sessions[session]
+	if node == nil || node.Superseded {
+		return nil
+	}
+	var former []string
+	for _, earlier := range state.Membership.Superseded(node.Name) {
+		former = append(former, state.Membership.Sessions[earlier].Incarnation)
+	}
+	return former
+}
+
 func (m *Member) connect(session membership.SessionID, conn *transport.Conn) {
 	m.sessions.mutex.Lock()
 	m.sessions.conns[session] = conn
--- a/ingress/coldprobe.go
+++ b/ingress/coldprobe.go
@@ -33,10 +33,15 @@
 }
 
 func newColdProbe(instance *Instance) *coldProbe {
-	return &coldProbe{instance: instance, wake: make(chan struct{}, 1), client: &fasthttp.HostClient{
-		Addr: instance.options.Settings.Ingress.Instance, MaxConns: probeConnections, NoDefaultUserAgentHeader: true,
+	return &coldProbe{instance: instance, wake: make(chan struct{}, 1), client: healthClient(instance.options.Settings.Ingress.Instance)}
+}
+
+// healthClient asks an instance's health path, once each time.
+func healthClient(address string) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr: address, MaxConns: probeConnections, NoDefaultUserAgentHeader: true,
 		MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}}
+	}
 }
 
 // doubt notes that the instance may have turned cold, and has it asked.
--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -84,6 +84,7 @@
 	gone    life.Life
 	suspect chan struct{}
 	probe   *coldProbe
+	sole    *soleStart
 	pace    pace
 	ends    ends
 	board   *bulletin.Board
@@ -128,6 +129,7 @@
 	i.endings = options.Metrics.CounterVec("ingress", "instance_ends_total", "Instances that ended without having said that they would, by how it showed.", "cause")
 	i.keys = newKeyHolder(options)
 	i.probe = newColdProbe(i)
+	i.sole = newSoleStart(i)
 	return i
 }
 
@@ -306,6 +308,7 @@
 func (i *Instance) Run(ctx context.Context) error {
 	go i.keys.carrier.Run(ctx)
 	go i.probe.run(ctx)
+	go i.sole.run(ctx)
 	for {
 		select {
 		case <-ctx.Done():
--- a/ingress/keycalls.go
+++ b/ingress/keycalls.go
@@ -15,7 +15,6 @@
 	"limehold/clock"
 	"limehold/ledger"
 	"limehold/logging"
-	"limehold/membership"
 	"limehold/metrics"
 )
 
@@ -37,10 +36,8 @@
 	// calling is held while a grant is under way: a release is sent after it.
 	calling sync.Mutex
 	// start is the one that was connected to last; guarded by calling.
-	start uint64
-	wake  chan struct{}
-	// vacated brings sessions under which the start was cleared.
-	vacated  chan membership.SessionID
+	start    uint64
+	wake     chan struct{}
 	inFlight *grantsInFlight
 	// toldAt is when a grant was sent last that no fence was shown after; zero: none. Guarded by calling.
 	toldAt time.Duration
@@ -71,8 +68,8 @@
 func newCallCarrier(holder *keyHolder, client limehold.KeyClient, registry *metrics.Registry) *callCarrier {
 	return &callCarrier{
 		holder: holder, client: client, logger: holder.logger, now: clock.Now, wake: make(chan struct{}, 1),
-		inFlight: newGrantsInFlight(clock.Now(), holder.longest), vacated: make(chan membership.SessionID, 1),
-		clears: registry.CounterVec("ingress", "starts_cleared_total", "Clearings of the instance that listens, by whether another start may have listened before.", "another"),
+		inFlight: newGrantsInFlight(clock.Now(), holder.longest),
+		clears:   registry.CounterVec("ingress", "starts_cleared_total", "Clearings of the instance that listens, by whether another start may have listened before.", "another"),
 	}
 }
 
--- a/ingress/keyclear.go
+++ b/ingress/keyclear.go
@@ -72,19 +72,10 @@
 	c.session.fresh = false
 	c.clears.WithLabelValues(strconv.FormatBool(another)).Inc()
 	c.logger.Info("instance_cleared", zap.Uint64("session", session), zap.Uint64("fence", fence), zap.Uint64("start", start), zap.Bool("another_start", another))
-	c.tellVacated(membership.SessionID(session))
+	c.holder.tellVacated(membership.SessionID(session))
 	return true
 }
 
-// tellVacated says under which session the start was cleared last.
-func (c *callCarrier) tellVacated(session membership.SessionID) {
-	select {
-	case <-c.vacated:
-	default:
-	}
-	c.vacated <- session
-}
-
 // toClear is the session under which the start that listens has to be cleared; zero: none.
 func (c *callCarrier) toClear() uint64 {
 	var session uint64
--- a/ingress/keys.go
+++ b/ingress/keys.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"limehold"
+	"limehold/agent"
 	"limehold/clock"
 	"limehold/fleet"
 	"limehold/ledger"
@@ -28,6 +29,8 @@
 	// every is the interval of the instance's heartbeats.
 	every time.Duration
 
+	// vacated brings sessions for which it is proved that nothing is held under those before them.
+	vacated chan membership.SessionID
 	// longest is the longest time for which the instance is told to hold keys at once.
 	longest time.Duration
 
@@ -46,7 +49,7 @@
 
 func newKeyHolder(options Options) *keyHolder {
 	config := options.Settings.Ingress
-	h := &keyHolder{logger: options.Logger, every: config.AnnounceEvery, longest: config.HoldTime, refused: make(chan []fleet.ReleasedShard, 1), changed: make(chan struct{})}
+	h := &keyHolder{logger: options.Logger, every: config.AnnounceEvery, vacated: make(chan membership.SessionID, 1), longest: config.HoldTime, refused: make(chan []fleet.ReleasedShard, 1), changed: make(chan struct{})}
 	h.ledger = ledger.New(ledger.Options{Shards: fleet.RoutedShards, Hold: config.HoldTime, AnswerBytes: answerBytes, Began: clock.Now(), Lateness: lateness(config.GrantBy)})
 	switch {
 	case config.GrantBy == settings.GrantByHeartbeat:
@@ -89,6 +92,15 @@
 // Dropped implements limehold.KeyCarrier.
 func (noCarrier) Dropped([]limehold.KeyRange) {}
 
+// tellVacated says under which session it was proved last that nothing is held of those before.
+func (h *keyHolder) tellVacated(session membership.SessionID) {
+	select {
+	case <-h.vacated:
+	default:
+	}
+	h.vacated <- session
+}
+
 // tell says that the ledger has changed.
 func (h *keyHolder) tell() {
 	h.mutex.Lock()
@@ -336,19 +348,19 @@
 }
 
 // Opened implements agent.Backend.
-func (i *Instance) Opened(session membership.SessionID, fresh, superseded bool) {
-	if carrier, ok := i.keys.carrier.(*callCarrier); ok {
-		carrier.opened(uint64(session), fresh, superseded)
+func (i *Instance) Opened(opened agent.Opened) {
+	switch carrier := i.keys.carrier.(type) {
+	case *callCarrier:
+		carrier.opened(uint64(opened.Session), opened.Fresh, len(opened.Former) > 0)
+	case *heartbeatCarrier:
+		if len(opened.Former) > 0 {
+			i.sole.seek(opened)
+		}
 	}
 }
 
-// Vacated implements agent.Backend. Instances that are told by heartbeat cannot be asked.
-func (i *Instance) Vacated() <-chan membership.SessionID {
-	if carrier, ok := i.keys.carrier.(*callCarrier); ok {
-		return carrier.vacated
-	}
-	return nil
-}
+// Vacated implements agent.Backend.
+func (i *Instance) Vacated() <-chan membership.SessionID { return i.keys.vacated }
 
 // Claim implements agent.Backend. What an instance is told by heartbeat counts from the heartbeat.
 func (i *Instance) Claim() quiescence.Claim {
--- a/life/life.go
+++ b/life/life.go
@@ -7,6 +7,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 )
 
 // Life is one start of an instance. It is a value: it never changes, and two are equal when they
@@ -44,6 +45,11 @@
 	return l.ID + bornMark + strconv.FormatInt(l.Born, 10)
 }
 
+// IsOf reports whether the text of a start names one of an identity.
+func IsOf(text, id string) bool {
+	return text == id || strings.HasPrefix(text, id+bornMark)
+}
+
 // Memory remembers starts, and forgets the oldest first once there are too many: identities come
 // from outside, and an instance may start as often as it likes.
 type Memory struct {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -187,8 +187,8 @@
 	RenewEvery  time.Duration
 	// Fresh is set when the session was opened by this very request.
 	Fresh bool
-	// Superseded is set when earlier sessions of the node are still open.
-	Superseded bool
+	// Former are the incarnations of the node's earlier sessions that are still open.
+	Former []string
 	// Term is that of the leader that answers.
 	Term uint64
 }
