Tests of what the search for late grants' guards left green

Taken out one by one in a copy, four of the mend's guards turned no test red: the lateness of what an earlier process told, that process's grants in a node's word, the permission at the sending itself, and that a lost session is not renewed by the next leader.

--- a/ingress/inflight_test.go
+++ b/ingress/inflight_test.go
@@ -111,25 +111,35 @@
 // A release that stays without an answer frees keys once nothing can hold them any more: a grant that
 // was left without an answer as well may be carried out long after its time.
 func TestUnansweredReleaseWaitsForAGrantThatMayBeLate(t *testing.T) {
+	const late, held = limehold.GrantLateness, 7 * time.Second
 	for name, c := range map[string]struct {
-		mute  bool
-		after time.Duration
-		free  bool
+		// answered are the grants that are sent, one after the other.
+		answered []bool
+		after    time.Duration
+		free     bool
 	}{
-		"the grant was answered":                      {false, 7 * time.Second, true},
-		"the grant was left without an answer":        {true, limehold.GrantLateness, false},
-		"the grant was left without an answer, later": {true, limehold.GrantLateness + 7*time.Second, true},
+		"the grant was answered":                      {[]bool{true}, held, true},
+		"the grant was left without an answer":        {[]bool{false}, late, false},
+		"the grant was left without an answer, later": {[]bool{false}, late + held, true},
+		"the next one was answered":                   {[]bool{false, true}, late, false},
+		"the next one was answered, later":            {[]bool{false, true}, late + held, true},
+		"the next one was left as well":               {[]bool{true, false}, late, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			client := &fakeKeys{}
 			holder := newHolder(client, 5*time.Second)
 			holder.take(1, listOf(3, 0))
-			if c.mute {
-				holder.clear(context.Background())
+			holder.clear(context.Background())
+			for _, answered := range c.answered {
 				client.failing = errMute
+				if answered {
+					client.failing = nil
+				}
+				for _, run := range holder.runs() {
+					holder.grant(context.Background(), run)
+				}
 			}
-			holder.renewDue(context.Background())
 			client.failing = errMute
 			holder.now = func() time.Duration { return clock.Now() + c.after }
 			released, err := holder.release(listOf(3, 0))
@@ -138,3 +148,33 @@
 		})
 	}
 }
+
+// Each word of a node is of all grants that were ever sent to its instance, by this process or before it.
+func TestGrantsInFlight(t *testing.T) {
+	const hold = 5 * time.Second
+	over := lateUntil(0, hold)
+	for name, c := range map[string]struct {
+		then  func(g *grantsInFlight)
+		at    time.Duration
+		quiet bool
+		begin bool
+	}{
+		"an earlier process may have left one":       {func(*grantsInFlight) {}, over - 1, false, true},
+		"an earlier process left it too long ago":    {func(*grantsInFlight) {}, over, true, false},
+		"the instance was cleared":                   {func(g *grantsInFlight) { g.fenced() }, 0, true, false},
+		"one is under way":                           {func(g *grantsInFlight) { g.fenced(); g.begin() }, over, false, true},
+		"one was answered":                           {func(g *grantsInFlight) { g.fenced(); g.begin(); g.end() }, 0, true, false},
+		"one was left":                               {func(g *grantsInFlight) { g.fenced(); g.begin(); g.left(over) }, over - 1, false, true},
+		"one was left, the next one answered":        {func(g *grantsInFlight) { g.fenced(); g.begin(); g.left(over); g.begin(); g.end() }, over - 1, false, true},
+		"one was left, and the instance was cleared": {func(g *grantsInFlight) { g.begin(); g.left(over); g.fenced() }, 0, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newGrantsInFlight(0, hold)
+			c.then(g)
+			is.Equal(g.claim(c.at, false).Quiet, c.quiet)
+			is.Equal(g.begin(), c.begin) // none once it has said that it is quiet
+			is.Equal(g.claim(over, true).Quiet, false)
+		})
+	}
+}
--- a/ledger/clearing_test.go
+++ b/ledger/clearing_test.go
@@ -76,3 +76,25 @@
 	is.Equal(fence, uint64(31))
 	is.True(!known) // what the session owns is not known yet
 }
+
+// What an earlier process told a start that was not cleared may still be taken, as late as it may be.
+func TestWhatAnEarlierProcessToldMayBeTakenLate(t *testing.T) {
+	const lateness = 15 * second
+	for name, c := range map[string]struct {
+		cleared  bool
+		possible bool
+	}{
+		"not cleared": {false, true},
+		"cleared":     {true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := New(Options{Shards: testShards, Hold: testHold, Began: start, Lateness: lateness})
+			l.SetLease(7, start+4*second)
+			l.BeginRelease(grantsOf(9, "", 1))
+			if c.cleared {
+				l.Cleared(12)
+			}
+			is.New(t).Equal(l.Possible(grantsOf(9, "", 1)) >= start+lateness+testHold, c.possible)
+		})
+	}
+}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -123,6 +123,17 @@
 	}
 }
 
+// A session that an earlier leader found lost is not renewed by the next one.
+func TestLostSessionIsNotRenewed(t *testing.T) {
+	for name, lost := range map[string]bool{"open": false, "lost": true} {
+		t.Run(name, func(t *testing.T) {
+			leases := NewLeases(testTiming, []SessionID{1}, 0)
+			leases.Describe(&Node{Session: 1, TakesLate: true, Lost: lost}, 0)
+			is.New(t).Equal(leases.Renew(1, time.Millisecond), !lost)
+		})
+	}
+}
+
 // The proposal to hold a session's keys back may be lost, as the one that ends it.
 func TestLostSessionIsTakenAgain(t *testing.T) {
 	is := is.New(t)
