--- a/bench/faultproxy/proxy.go
+++ b/bench/faultproxy/proxy.go
@@ -20,9 +20,17 @@
 	refuse   atomic.Bool
 	mutex    sync.Mutex
 	conns    map[net.Conn]struct{}
+	lines    map[*line]struct{}
 	closed   bool
 }
 
+// line is one connection through the proxy. Once it is silent nothing passes any more, neither bytes nor
+// the end of a side, and neither side is told.
+type line struct {
+	client, server net.Conn
+	silent         atomic.Bool
+}
+
 // gate is one direction. It delays bytes, and holds them back while it is shut, as a
 // network that drops packets holds back a TCP stream.
 type gate struct {
@@ -64,7 +72,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for a proxy")
 	}
-	proxy := &Proxy{listener: listener, forward: newGate(), backward: newGate(), conns: map[net.Conn]struct{}{}}
+	proxy := &Proxy{listener: listener, forward: newGate(), backward: newGate(), conns: map[net.Conn]struct{}{}, lines: map[*line]struct{}{}}
 	proxy.SetDelays(delay, delay)
 	go proxy.accept()
 	return proxy, nil
@@ -92,6 +100,17 @@
 // Refuse closes new connections at once while it is set.
 func (p *Proxy) Refuse(refuse bool) { p.refuse.Store(refuse) }
 
+// Silence has all connections that are open now go silent for good, as those do whose other end has lost
+// its power or whose way has been forgotten; new ones pass. It returns how many there were.
+func (p *Proxy) Silence() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for open := range p.lines {
+		open.silent.Store(true)
+	}
+	return len(p.lines)
+}
+
 // CutAll resets all connections; it returns how many there were.
 func (p *Proxy) CutAll() int {
 	p.mutex.Lock()
@@ -166,35 +185,36 @@
 // join copies between the two ends until one of them closes.
 func (p *Proxy) join(client, server net.Conn) {
 	defer server.Close()
-	if !p.add(client, server) {
+	joined := &line{client: client, server: server}
+	if !p.add(joined) {
 		return
 	}
-	defer p.remove(client, server)
+	defer p.remove(joined)
 	var both sync.WaitGroup
 	both.Add(2)
-	go func() { defer both.Done(); p.copy(server, client, p.forward) }()
-	go func() { defer both.Done(); p.copy(client, server, p.backward) }()
+	go func() { defer both.Done(); joined.copy(server, client, p.forward) }()
+	go func() { defer both.Done(); joined.copy(client, server, p.backward) }()
 	both.Wait()
 }
 
-func (p *Proxy) add(conns ...net.Conn) bool {
+func (p *Proxy) add(joined *line) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.closed {
 		return false
 	}
-	for _, conn := range conns {
-		p.conns[conn] = struct{}{}
-	}
+	p.lines[joined] = struct{}{}
+	p.conns[joined.client] = struct{}{}
+	p.conns[joined.server] = struct{}{}
 	return true
 }
 
-func (p *Proxy) remove(conns ...net.Conn) {
+func (p *Proxy) remove(joined *line) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for _, conn := range conns {
-		delete(p.conns, conn)
-	}
+	delete(p.lines, joined)
+	delete(p.conns, joined.client)
+	delete(p.conns, joined.server)
 }
 
 // chunk is a piece of a stream on its way; nil data is the stream's end.
@@ -211,7 +231,7 @@
 
 // copy passes one direction on, each piece after the delay and not while the
 // gate is shut. An end of the stream closes the other side in the same way.
-func (p *Proxy) copy(to, from net.Conn, g *gate) {
+func (l *line) copy(to, from net.Conn, g *gate) {
 	pieces := make(chan chunk, chunksAhead)
 	stopped := make(chan struct{})
 	go func() {
@@ -236,6 +256,9 @@
 			time.Sleep(wait)
 		}
 		<-g.passage()
+		if l.silent.Load() {
+			continue
+		}
 		if len(piece.data) > 0 {
 			if _, err := to.Write(piece.data); err != nil {
 				from.Close()
@@ -243,7 +266,7 @@
 			}
 		}
 		if piece.err != nil {
-			p.end(to, from)
+			end(to, from)
 			return
 		}
 	}
@@ -251,7 +274,7 @@
 
 // end passes the end of a stream on. Both sides are closed: the protocols that
 // pass here use no half-closed connections.
-func (p *Proxy) end(to, from net.Conn) {
+func end(to, from net.Conn) {
 	to.Close()
 	from.Close()
 }
