Links between members prove that they still lead to the peer

Operators saw no read of the configuration confirmed and no change taken for half a minute and until the end, with all members up and nothing disturbed. Routers went on with what they knew.

Cause: half-open connections. A member sends to another one over the connection that it has opened and hears it over the other's; on its own nothing ever comes, so that a connection which has gone silent looks as one that is idle, and the system keeps it for 15 minutes. Pre-votes went into it, and the learner's questions.

Each link between members looks at its connection every heartbeat and asks for a sign of life where nothing has come; after three in vain it dials anew beside, and closes the old one only if nothing has come on it by then. It holds because it rests on what arrives from the peer itself, on each connection, whether the group sends on it or not. Agents and routers had such a proof already (a renewal's or a confirmation's answer on the same connection).

--- a/control/member.go
+++ b/control/member.go
@@ -94,7 +94,7 @@
 	if m.advertised == "" {
 		m.advertised = m.server.Address()
 	}
-	m.peers = newPeers(disk.identity.ID, config.Control.DialOverrides, m, m.transportOptions())
+	m.peers = newPeers(disk.identity.ID, config.Control.DialOverrides, config.Control.Timing.Heartbeat, m, m.transportOptions())
 	return m, nil
 }
 
--- a/control/peers.go
+++ b/control/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"limehold/codec"
 	"limehold/consensus"
@@ -16,8 +17,10 @@
 	options   transport.Options
 	handler   transport.Handler
 	overrides map[string]string
-	mutex     sync.Mutex
-	links     map[consensus.MemberID]*peerLink
+	// proveEvery is how often a connection to another member is looked at.
+	proveEvery time.Duration
+	mutex      sync.Mutex
+	links      map[consensus.MemberID]*peerLink
 	// incoming holds the newest connection that each member has opened. A
 	// member that has no configuration yet answers the leader over it.
 	incoming map[consensus.MemberID]*transport.Conn
@@ -30,8 +33,8 @@
 	cancel context.CancelFunc
 }
 
-func newPeers(own consensus.MemberID, overrides map[string]string, handler transport.Handler, options transport.Options) *peers {
-	return &peers{own: own, options: options, handler: handler, overrides: overrides, links: map[consensus.MemberID]*peerLink{}, incoming: map[consensus.MemberID]*transport.Conn{}}
+func newPeers(own consensus.MemberID, overrides map[string]string, proveEvery time.Duration, handler transport.Handler, options transport.Options) *peers {
+	return &peers{own: own, options: options, handler: handler, overrides: overrides, proveEvery: proveEvery, links: map[consensus.MemberID]*peerLink{}, incoming: map[consensus.MemberID]*transport.Conn{}}
 }
 
 // start lets links be dialed until ctx ends.
@@ -72,7 +75,11 @@
 
 func (p *peers) dial(member consensus.Member) *peerLink {
 	ctx, cancel := context.WithCancel(p.ctx)
-	link := transport.NewLink(p.address(member), p.handler, p.options)
+	// Each member hears another one over the connection that the other has opened: whether its own still
+	// leads there shows in nothing that the group's protocol sends on it.
+	options := p.options
+	options.ProveEvery = p.proveEvery
+	link := transport.NewLink(p.address(member), p.handler, options)
 	go link.Run(ctx)
 	return &peerLink{Link: link, member: member, cancel: cancel}
 }
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -178,6 +178,10 @@
 		switch {
 		case received.kind == wire.KindReply || received.kind == wire.KindErrorReply:
 			c.deliver(received)
+		case received.kind == wire.KindPing:
+			// Where the queue is full, what is in it is as good an answer.
+			_ = c.enqueue(frame{kind: wire.KindPong})
+		case received.kind == wire.KindPong:
 		case c.handler == nil:
 		case c.handler.Inline(received.kind):
 			c.serve(received)
--- a/transport/link.go
+++ b/transport/link.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"limehold/wire"
 )
 
@@ -13,8 +15,16 @@
 	redialMax = 500 * time.Millisecond
 )
 
+// provedMisses is after how many looks in a row at which nothing has come, all of them answered by a ping,
+// a connection may have gone silent.
+const provedMisses = 3
+
 // Link is an outgoing connection that is dialed again when it breaks. Frames
 // sent while it is down are dropped: protocols above repeat what matters.
+//
+// A connection may also end without a word, when the other machine has lost its power or the way between
+// has been forgotten: nothing fails, and what is sent on it reaches nobody. With Options.ProveEvery that is
+// found within four times as long, whether anything is sent or not.
 type Link struct {
 	address string
 	handler Handler
@@ -59,8 +69,19 @@
 
 // keep returns once the link is down.
 func (l *Link) keep(ctx context.Context, conn *Conn) {
+	var looks <-chan time.Time
+	if l.options.ProveEvery > 0 {
+		ticker := time.NewTicker(l.options.ProveEvery)
+		defer ticker.Stop()
+		looks = ticker.C
+	}
+	var life proof
 	for {
 		select {
+		case <-looks:
+			if missed := life.look(conn); missed {
+				conn = l.replaced(ctx, doubt{conn: conn, received: life.received})
+			}
 		case <-conn.Done():
 			return
 		case <-ctx.Done():
@@ -74,6 +95,31 @@
 	}
 }
 
+// proof is what has been seen of the life of a connection.
+type proof struct {
+	conn     *Conn
+	received uint64
+	misses   int
+}
+
+// look asks for a sign of life where none has come since the last look. It reports whether that has been in
+// vain provedMisses times in a row: a process that stood still itself has looked once, not many times.
+func (p *proof) look(conn *Conn) (missed bool) {
+	_, received := conn.Bytes()
+	if conn != p.conn || received != p.received {
+		*p = proof{conn: conn, received: received}
+		return false
+	}
+	p.misses++
+	if p.misses < provedMisses {
+		// A full queue is no sign of life either; what is in it asks for one.
+		_ = conn.enqueue(frame{kind: wire.KindPing})
+		return false
+	}
+	p.misses = 0
+	return true
+}
+
 // replaced dials anew beside a connection that may have gone silent, and returns the one
 // that is to be used: the old one if something has come on it meanwhile. Words that wait
 // for a full link would wait twice as long on a connection that has yet to be opened.
@@ -86,6 +132,9 @@
 		next.Close()
 		return doubted.conn
 	}
+	if l.options.Logger != nil {
+		l.options.Logger.Info("connection_replaced", zap.String("peer", next.Peer.Name), zap.Duration("silent", doubted.conn.Silence()))
+	}
 	l.set(next)
 	doubted.conn.Close()
 	return next
--- a/transport/server.go
+++ b/transport/server.go
@@ -22,6 +22,8 @@
 	// Relays lists addresses of processes that pass connections on to an address which
 	// does not answer; see Tunnel. Optional.
 	Relays func() []string
+	// ProveEvery is how often a Link looks whether its connection still leads to the peer; zero: never.
+	ProveEvery time.Duration
 	// Logger is told of handlers that panic. Nil: nobody is.
 	Logger *zap.Logger
 	// Rejected is told of connections that failed the hello. Optional.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -25,6 +25,9 @@
 	KindReply      Kind = 1
 	KindErrorReply Kind = 2
 	KindHello      Kind = 3
+	// KindPing asks whether anybody is there; KindPong is the answer. Both have no payload.
+	KindPing Kind = 4
+	KindPong Kind = 5
 
 	// Between control members.
 	KindConsensus  Kind = 10
@@ -56,7 +59,7 @@
 )
 
 // ProtocolVersion is compared at the start of each connection.
-const ProtocolVersion = 10
+const ProtocolVersion = 11
 
 // Role says what kind of process is at the other end.
 type Role string
