A member that was taken out while it was away asks to be let in again

Operators saw a member that was back after some seconds answer 503 for ever, and a group that had been able to bear one loss after the other bear none any more.

Cause: what a member holds itself was taken for what is so. The leader takes out a voter or learner that is silent for replace_after and sends it nothing from then on; the configuration on the member's disk has it in, so it never asked to be admitted and stood for election without an answer.

Who hears no leader for replace_after asks, like an empty member, the seeds and the members that it knows; the leader decides by the configuration in force and takes no notice of one that is in it. It holds because no member concludes anything from its own copy: the former one comes back as a learner and votes only once it has been seen to hold what is committed.

--- a/control/voters.go
+++ b/control/voters.go
@@ -46,15 +46,18 @@
 	return list
 }
 
-// seekAdmission asks the seeds, again and again, to be let into the group while
-// this member is not in it. It ends once the member is.
+// seekAdmission asks again and again to be let into the group while this member is not in it, until ctx
+// ends. One that no leader speaks to for long may have been taken out while it was away: those who are in
+// the group send it nothing any more, and what it holds itself still has it in. It asks, too; the leader,
+// who knows, takes no notice of one that is in the group.
 func (m *Member) seekAdmission(ctx context.Context) error {
-	seeds := m.options.Settings.Control.Seeds
-	for turn := 0; len(seeds) > 0; turn++ {
-		if _, admitted := m.replica.status.Load().Configuration.Find(m.storage.identity.ID); !admitted {
-			seed := seeds[turn%len(seeds)]
-			if err := m.askToJoin(ctx, seed); err != nil {
-				m.logger.Info("not_admitted_yet", logging.Step("ask to join", seed, err)...)
+	for turn := 0; len(m.options.Settings.Control.Seeds) > 0; turn++ {
+		status := m.replica.status.Load()
+		if m.mayBeOutside(status, clock.Now()) {
+			known := m.knownMembers(status.Configuration)
+			address := known[turn%len(known)]
+			if err := m.askToJoin(ctx, address); err != nil {
+				m.logger.Info("not_admitted_yet", logging.Step("ask to join", address, err)...)
 			}
 		}
 		if pause(ctx, joinEvery) != nil {
@@ -64,6 +67,26 @@
 	return nil
 }
 
+// mayBeOutside reports whether this member is not in the group, as far as it knows.
+func (m *Member) mayBeOutside(status *replicaStatus, now time.Duration) bool {
+	if _, admitted := status.Configuration.Find(m.storage.identity.ID); !admitted {
+		return true
+	}
+	return status.Role != consensus.RoleLeader && now-status.LeaderContact > m.options.Settings.Control.ReplaceAfter
+}
+
+// knownMembers are the addresses of the seeds, and of the members in the newest configuration that this
+// member holds: the seeds of the settings may all be gone by now.
+func (m *Member) knownMembers(configuration consensus.Configuration) []string {
+	known := slices.Clone(m.options.Settings.Control.Seeds)
+	for _, member := range configuration.Members {
+		if !slices.Contains(known, member.Address) {
+			known = append(known, member.Address)
+		}
+	}
+	return known
+}
+
 func (m *Member) askToJoin(ctx context.Context, address string) error {
 	if address == m.advertised {
 		return nil
