A learner forgets a leader that it does not hear

Routers and operators that asked a learner while there was no leader waited 500 ms for a member that had not been heard for seconds; voters refused at once, so that another member could be asked. Cause: only who stands for election dropped the leader that it had known. The learner drops it after the same time; it still stands for nothing.

TestLearnerForgetsALeaderThatItDoesNotHear fails without it.

--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -212,6 +212,28 @@
 	is.True(leader.CommitIndex() < index)
 }
 
+// Readers waited half a second at a learner for an answer of a leader that it had not heard for long, where
+// the voters sent them on at once: a learner seeks no election, and kept the leader that it had known.
+func TestLearnerForgetsALeaderThatItDoesNotHear(t *testing.T) {
+	is := is.New(t)
+	g, leader := elected(t, 3)
+	learner := MemberID(9)
+	g.start(learner, Snapshot{}, nil, HardState{})
+	next := leader.Configuration().Clone()
+	next.Members = append(next.Members, Member{ID: learner, Name: "control-9", Learner: true})
+	_, err := leader.ProposeConfiguration(g.now, next)
+	is.NoErr(err)
+	g.pass(200 * time.Millisecond)
+	is.Equal(g.members[learner].Leader(), leader.ID())
+	g.cut[learner] = true
+	g.pass(testTiming.ElectionMax)
+	is.Equal(g.members[learner].Leader(), MemberID(0))
+	is.Equal(g.members[learner].Role(), RoleFollower) // it seeks no election all the same
+	g.cut[learner] = false
+	g.pass(200 * time.Millisecond)
+	is.Equal(g.members[learner].Leader(), leader.ID())
+}
+
 func TestUnsafeChangesOfMembersAreRefused(t *testing.T) {
 	is := is.New(t)
 	g, leader := elected(t, 3)
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -6,11 +6,12 @@
 // a member that was cut off does not disturb the others when it returns.
 func (c *Core) startPreVote() {
 	c.resetElectionDeadline(wholeSpread)
+	// Whoever asks a member without a vote is not sent on to one that has not been heard for so long.
+	c.leader = 0
 	if !c.isVoter(c.id) {
 		return
 	}
 	c.role = RolePreCandidate
-	c.leader = 0
 	c.forced = false
 	c.votes = map[MemberID]bool{c.id: true}
 	if c.wonVotes() {
