--- a/bench/simulate/member.go
+++ b/bench/simulate/member.go
@@ -39,6 +39,8 @@
 	snapshot  consensus.Snapshot
 	entries   []consensus.Entry
 	slowUntil time.Duration
+	// slow is set where Options.Sync holds.
+	slow bool
 }
 
 // write applies what a sync has made durable.
@@ -110,6 +112,7 @@
 
 func (w *world) newMember(name string, id consensus.MemberID, first consensus.Snapshot) *member {
 	m := &member{process: w.newProcess(name), world: w, disk: &disk{id: id, snapshot: first, hard: consensus.HardState{Term: first.Term}}}
+	m.disk.slow = w.options.SlowDisks == 0 || len(w.members) < w.options.SlowDisks
 	m.start()
 	return m
 }
@@ -188,7 +191,7 @@
 func (m *member) persist(output consensus.Output) {
 	m.busy = true
 	length := m.world.between(100*time.Microsecond, 3*time.Millisecond)
-	if mean := m.world.options.Sync; mean > 0 {
+	if mean := m.world.options.Sync; mean > 0 && m.disk.slow {
 		length = m.world.between(mean/2, mean*3/2)
 	}
 	if m.world.now < m.disk.slowUntil {
--- a/bench/simulate/run.go
+++ b/bench/simulate/run.go
@@ -32,6 +32,8 @@
 	// Sync is the mean time of each sync of a member's disk, half of it at the least and half as much again
 	// at the most. Zero: up to 3 ms.
 	Sync time.Duration
+	// SlowDisks is how many members Sync holds for. Zero: all.
+	SlowDisks int
 	// Without leaves out the faults with these numbers.
 	Without map[int]bool
 
--- a/bench/simulate/slowdisk_test.go
+++ b/bench/simulate/slowdisk_test.go
@@ -55,6 +55,33 @@
 	}
 }
 
+// Where only some disks are slow, each member sees what saving takes at its own. Those that are fast, and
+// those that are slow, come to one leader all the same, also where a majority takes one of the slow.
+func TestMembersWithAFewSlowDisksFollowOneLeader(t *testing.T) {
+	const seeds = 10
+	for _, members := range []int{3, 4, 5} {
+		for slow := 1; slow < members; slow++ {
+			for _, sync := range []time.Duration{200 * time.Millisecond, time.Second} {
+				t.Run(fmt.Sprintf("%d of %d, %v", slow, members, sync), func(t *testing.T) {
+					t.Parallel()
+					latest := time.Duration(0)
+					for seed := range uint64(seeds) {
+						first, without, term := ledFrom(Options{Seed: seed + 1, Members: members, Sync: sync, SlowDisks: slow, Length: slowRun}, 0)
+						latest = max(latest, first)
+						if first > recoveredWithin {
+							t.Errorf("seed %d: nobody led for %v", seed+1, first)
+						}
+						if without > 0 {
+							t.Errorf("seed %d: once somebody had led, nobody did for %v; term %d in the end", seed+1, without, term)
+						}
+					}
+					t.Logf("a leader after %v at the latest", latest)
+				})
+			}
+		}
+	}
+}
+
 // ledFrom plays a run without faults, but that some members are lost from the start. It returns when a leader
 // first served, for how long none did after that, and the highest term.
 func ledFrom(options Options, lost int) (first, without time.Duration, term uint64) {
--- a/consensus/core.go
+++ b/consensus/core.go
@@ -41,8 +41,6 @@
 	// votes are those of the current term, in which this member stands; preVotes those for the next one.
 	votes    map[MemberID]bool
 	preVotes map[MemberID]bool
-	// lost counts the terms in which this member stood since there was a leader.
-	lost int
 	// saveBegan is when the newest hard state was handed out to be saved, and saveTook how long the one before
 	// took until it was durable. votedAt is when the newest vote was.
 	saveBegan time.Duration
@@ -291,20 +289,14 @@
 	wholeSpread      = 1
 )
 
-const (
-	// maxSpreadDoublings bounds how far the random part of the election timeout grows while no election is won.
-	maxSpreadDoublings = 4
-	// savesApart is how many times as wide as the saving of a vote it is at the least: from the grant of a
-	// pre-vote until the vote is asked for, another candidate may be granted one as well.
-	savesApart = 4
-)
+// savesApart is how many times as wide as the saving of a vote the random part of the election timeout is at
+// the least: from the grant of a pre-vote until the vote is asked for, another candidate may be granted one, too.
+const savesApart = 4
 
 // resetElectionDeadline draws a new timeout; share divides its random part. That part follows what elections
 // take: candidates whose votes take longer than it is wide come in each other's way again and again.
 func (c *Core) resetElectionDeadline(share int64) {
-	spread := (c.timing.ElectionMax - c.timing.ElectionMin) / time.Duration(share)
-	spread <<= min(max(c.lost-1, 0), maxSpreadDoublings)
-	spread = max(spread, savesApart*c.saveTook)
+	spread := max((c.timing.ElectionMax-c.timing.ElectionMin)/time.Duration(share), savesApart*c.saveTook)
 	c.electionDeadline = c.now + c.timing.ElectionMin + time.Duration(c.random(int64(spread)+1))
 }
 
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -22,7 +22,6 @@
 }
 
 func (c *Core) startElection() {
-	c.lost++
 	c.resetElectionDeadline(wholeSpread)
 	c.hardState = HardState{Term: c.hardState.Term + 1, VotedFor: c.id}
 	c.role = RoleCandidate
@@ -189,7 +188,6 @@
 	c.role = RoleLeader
 	c.leader = c.id
 	c.votes, c.preVotes = nil, nil
-	c.lost = 0
 	c.forgetRounds()
 	c.abdicated = false
 	c.progress = map[MemberID]*progress{}
--- a/consensus/step.go
+++ b/consensus/step.go
@@ -84,7 +84,6 @@
 		c.becomeFollower(message.Term, message.From)
 	}
 	c.leader = message.From
-	c.lost = 0
 	c.forgetRounds()
 	c.lastLeaderContact = c.now
 	c.resetElectionDeadline(wholeSpread)
