A server frees connections that lead to nobody any more

The same cause at the other end: a router or agent whose connection went silent leaves it and dials anew, but the member that had accepted it kept it for as long as the system does, 15 minutes where something is on its way, and wrote router_behind about a router that it served elsewhere. At size that is a descriptor and two goroutines for each node.

A server looks at what it has accepted every 10 s, as a link does at what it has opened, and closes what has not answered two pings. Nobody waits for it: who dialed is served over another connection by then. TestServerClosesConnectionsThatLeadToNobody is red without it. The test of the frozen leader says what the waiting command was told.

--- a/integration/control_test.go
+++ b/integration/control_test.go
@@ -193,6 +193,7 @@
 	is.True(frozen.Thaw())
 	var refused *adminapi.Error
 	err = <-waiting
+	t.Logf("%s was frozen; the command that waited there was answered: %v", frozen.Name, err)
 	is.True(errors.As(err, &refused) && refused.Code == "conflict") // it was made on an old revision
 	eventually(t, "the old leader tells the new value", func() error {
 		seen, err := service(client(frozen))
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -71,6 +71,7 @@
 	// made is when the connection was made, and heard how long after it something last came.
 	made  time.Time
 	heard atomic.Int64
+	life  proof
 }
 
 func newConn(raw net.Conn, options *Options, handler Handler) *Conn {
--- a/transport/link.go
+++ b/transport/link.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"limehold/wire"
 )
 
@@ -15,10 +13,6 @@
 	redialMax = 500 * time.Millisecond
 )
 
-// provedMisses is after how many looks in a row at which nothing has come, all of them answered by a ping,
-// a connection may have gone silent.
-const provedMisses = 3
-
 // Link is an outgoing connection that is dialed again when it breaks. Frames
 // sent while it is down are dropped: protocols above repeat what matters.
 //
@@ -75,12 +69,11 @@
 		defer ticker.Stop()
 		looks = ticker.C
 	}
-	var life proof
 	for {
 		select {
 		case <-looks:
-			if missed := life.look(conn); missed {
-				conn = l.replaced(ctx, doubt{conn: conn, received: life.received})
+			if conn.missing() {
+				conn = l.replaced(ctx, doubt{conn: conn, received: conn.life.received})
 			}
 		case <-conn.Done():
 			return
@@ -95,31 +88,6 @@
 	}
 }
 
-// proof is what has been seen of the life of a connection.
-type proof struct {
-	conn     *Conn
-	received uint64
-	misses   int
-}
-
-// look asks for a sign of life where none has come since the last look. It reports whether that has been in
-// vain provedMisses times in a row: a process that stood still itself has looked once, not many times.
-func (p *proof) look(conn *Conn) (missed bool) {
-	_, received := conn.Bytes()
-	if conn != p.conn || received != p.received {
-		*p = proof{conn: conn, received: received}
-		return false
-	}
-	p.misses++
-	if p.misses < provedMisses {
-		// A full queue is no sign of life either; what is in it asks for one.
-		_ = conn.enqueue(frame{kind: wire.KindPing})
-		return false
-	}
-	p.misses = 0
-	return true
-}
-
 // replaced dials anew beside a connection that may have gone silent, and returns the one
 // that is to be used: the old one if something has come on it meanwhile. Words that wait
 // for a full link would wait twice as long on a connection that has yet to be opened.
@@ -132,9 +100,7 @@
 		next.Close()
 		return doubted.conn
 	}
-	if l.options.Logger != nil {
-		l.options.Logger.Info("connection_replaced", zap.String("peer", next.Peer.Name), zap.Duration("silent", doubted.conn.Silence()))
-	}
+	l.options.told("connection_replaced", doubted.conn)
 	l.set(next)
 	doubted.conn.Close()
 	return next
--- a/transport/proof_test.go
+++ b/transport/proof_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,21 +64,44 @@
 func TestOnlyLooksInARowMakeAConnectionDoubtful(t *testing.T) {
 	is := is.New(t)
 	conn := newConn(nil, &Options{}, nil)
-	var life proof
-	is.True(!life.look(conn)) // the first look begins
+	is.True(!conn.missing()) // the first look begins
 	for range 2 {
 		for range provedMisses - 1 {
-			is.True(!life.look(conn))
+			is.True(!conn.missing())
 		}
 		is.Equal(len(conn.queue), provedMisses-1) // each of them has asked
 		conn.received.Add(1)
-		is.True(!life.look(conn))
+		is.True(!conn.missing())
 		for len(conn.queue) > 0 {
 			<-conn.queue
 		}
 	}
 	for range provedMisses - 1 {
-		is.True(!life.look(conn))
+		is.True(!conn.missing())
 	}
-	is.True(life.look(conn))
+	is.True(conn.missing())
+}
+
+// What a dead connection holds at the side that has accepted it is freed; one that is idle, but alive, stays.
+func TestServerClosesConnectionsThatLeadToNobody(t *testing.T) {
+	is := is.New(t)
+	server := serve(t, Options{Local: hello(wire.RoleControl, "control-1"), ProveAccepted: testProveEvery})
+	proxy, err := faultproxy.New(0)
+	is.NoErr(err)
+	t.Cleanup(proxy.Close)
+	proxy.SetTarget(server.Address())
+	_, err = dial(t, proxy.Address(), Options{Local: hello(wire.RoleRouter, "silent")})
+	is.NoErr(err)
+	is.True(proxy.Silence() > 0)
+	idle, err := dial(t, server.Address(), Options{Local: hello(wire.RoleRouter, "idle")})
+	is.NoErr(err)
+	open := func(name string) bool {
+		return slices.ContainsFunc(server.accepted(), func(conn *Conn) bool { return conn.Peer.Name == name })
+	}
+	for until := time.Now().Add(10 * time.Second); open("silent") || !open("idle"); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("silent is open: %t, idle is: %t", open("silent"), open("idle"))
+		}
+	}
+	is.NoErr(idle.Call(context.Background(), kindEcho, "hello", nil))
 }
--- a/transport/server.go
+++ b/transport/server.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,12 +26,18 @@
 	Relays func() []string
 	// ProveEvery is how often a Link looks whether its connection still leads to the peer; zero: never.
 	ProveEvery time.Duration
+	// ProveAccepted is the same for a Server and what it has accepted. Default 10 s.
+	ProveAccepted time.Duration
 	// Logger is told of handlers that panic. Nil: nobody is.
 	Logger *zap.Logger
 	// Rejected is told of connections that failed the hello. Optional.
 	Rejected func(address string, err error)
 }
 
+// proveAccepted is Options.ProveAccepted by default. Who has dialed finds out sooner, by its own means, and is
+// served over another connection by then; this frees what the dead one holds.
+const proveAccepted = 10 * time.Second
+
 // Server accepts connections.
 type Server struct {
 	options  Options
@@ -61,6 +69,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, s.close)
 	defer stop()
+	go s.proveAll(ctx)
 	for {
 		raw, err := s.listener.Accept()
 		if err != nil {
@@ -109,6 +118,36 @@
 	delete(s.conns, conn)
 }
 
+// proveAll closes connections that lead to nobody any more, until ctx ends.
+func (s *Server) proveAll(ctx context.Context) {
+	every := s.options.ProveAccepted
+	if every == 0 {
+		every = proveAccepted
+	}
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, conn := range s.accepted() {
+			if conn.missing() {
+				s.options.told("connection_dead", conn)
+				conn.Close()
+			}
+		}
+	}
+}
+
+// accepted lists the connections that are open.
+func (s *Server) accepted() []*Conn {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
 func (s *Server) close() {
 	s.listener.Close()
 	s.mutex.Lock()
