A leader whose disk hangs gives way; a voter whose disk hangs counts as lost

Now that heartbeats and answers do not wait for the disk, a leader would have kept its place and answered nobody for as long as its disk hung, and a voter its vote. The leader hands over once its own disk has finished nothing for longer than an election and four savings of a vote while the others hold durably what it lacks; where all disks are slow they keep step. The order to take over waits for no write. For replacement a voter counts as lost that makes nothing durable for replace_after though it lacks something committed.

The test group of the core delivers as the pipeline does, checks as they were.

--- a/bench/simulate/member.go
+++ b/bench/simulate/member.go
@@ -39,6 +39,8 @@
 	snapshot  consensus.Snapshot
 	entries   []consensus.Entry
 	slowUntil time.Duration
+	// hangsUntil is when the disk goes on.
+	hangsUntil time.Duration
 	// slow is set where Options.Sync holds.
 	slow bool
 }
@@ -197,6 +199,7 @@
 	if m.world.now < m.disk.slowUntil {
 		length += m.world.between(0, 400*time.Millisecond)
 	}
+	length = max(length, m.disk.hangsUntil-m.world.now)
 	writing := &output
 	m.disk.pending(writing, m)
 	m.world.after(m.process, length, func() {
--- a/bench/simulate/slowdisk_test.go
+++ b/bench/simulate/slowdisk_test.go
@@ -82,6 +82,45 @@
 	}
 }
 
+// answeredWithin is the time in which changes are to be taken again when one member is lost.
+const answeredWithin = 2 * time.Second
+
+// The leader's disk answers nothing for seconds. The leader itself runs, is heard and hears the others, and
+// must not keep the place that another one could fill: what is committed would be answered to nobody.
+func TestLeaderWhoseDiskHangsGivesWay(t *testing.T) {
+	const (
+		hangsFrom = 3 * time.Second
+		hangsTo   = 13 * time.Second
+	)
+	for _, members := range []int{3, 5} {
+		t.Run(fmt.Sprintf("%d members", members), func(t *testing.T) {
+			for seed := range uint64(8) {
+				options := Options{Seed: seed + 1, Members: members, Length: hangsTo}
+				options.applyDefaults()
+				options.lossPermille, options.repeatPermille, options.latePermille = 0, 0, 0
+				options.Length = hangsTo + time.Minute // nothing comes to rest within the run
+				w := newWorld(options)
+				w.build()
+				answered, last, longest := 0, hangsFrom, time.Duration(0)
+				w.later(hangsFrom, func() { w.leader().disk.hangsUntil = hangsTo })
+				var sample func()
+				sample = func() {
+					w.later(sampleEvery, sample)
+					if now := w.counts["commands answered"]; now > answered {
+						answered, last = now, w.now
+					}
+					longest = max(longest, w.now-last)
+				}
+				w.later(hangsFrom, sample)
+				w.run(hangsTo)
+				if longest > answeredWithin {
+					t.Errorf("seed %d: no command was answered for %v", seed+1, longest)
+				}
+			}
+		})
+	}
+}
+
 // ledFrom plays a run without faults, but that some members are lost from the start. It returns when a leader
 // first served, for how long none did after that, and the highest term.
 func ledFrom(options Options, lost int) (first, without time.Duration, term uint64) {
--- a/consensus/core.go
+++ b/consensus/core.go
@@ -50,8 +50,12 @@
 	lastRound Round
 	progress  map[MemberID]*progress
 	termStart uint64 // index of the leader's no-op
-	forced    bool   // this candidacy follows MessageTimeoutNow
-	abdicated bool   // the leader gave up its lease in favour of another
+	// behindSince is since when this leader's own disk, at behindAt then, lacks what the others have on theirs
+	// and finishes nothing.
+	behindSince time.Duration
+	behindAt    uint64
+	forced      bool // this candidacy follows MessageTimeoutNow
+	abdicated   bool // the leader gave up its lease in favour of another
 	// abdicatedAt is when it did; if nobody takes over, it steps down.
 	abdicatedAt time.Duration
 
--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -19,12 +19,15 @@
 	// stored is what each member has made durable.
 	stored map[MemberID][]Entry
 	hard   map[MemberID]HardState
+	// hangs are members whose disks write nothing for now; held is what waits for the disk.
+	hangs map[MemberID]bool
+	held  map[MemberID][]Output
 	// loseSnapshots drops as many snapshots on their way.
 	loseSnapshots int
 }
 
 func newGroup(count int) *group {
-	g := &group{members: map[MemberID]*Core{}, cut: map[MemberID]bool{}, stored: map[MemberID][]Entry{}, hard: map[MemberID]HardState{}}
+	g := &group{members: map[MemberID]*Core{}, cut: map[MemberID]bool{}, stored: map[MemberID][]Entry{}, hard: map[MemberID]HardState{}, held: map[MemberID][]Output{}}
 	var configuration Configuration
 	for i := range count {
 		configuration.Members = append(configuration.Members, Member{ID: MemberID(i + 1), Name: fmt.Sprintf("control-%d", i+1)})
@@ -47,28 +50,40 @@
 	for again := true; again; {
 		again = false
 		for _, id := range g.ids() {
-			core := g.members[id]
-			output := core.TakeOutput()
-			if output.Empty() {
-				continue
-			}
-			again = true
-			for _, entry := range output.Entries {
-				g.store(id, entry)
-			}
-			core.Durable(g.now, &output)
-			if output.HardState != nil {
-				g.hard[id] = *output.HardState
-			}
-			for _, message := range append(output.Early, output.Messages...) {
-				if to := g.members[message.To]; to != nil && g.delivers(message) {
-					to.Step(g.now, message)
-				}
+			output := g.members[id].TakeOutput()
+			again = again || !output.Empty()
+			g.deliver(output.Early)
+			output.Early = nil
+			g.held[id] = append(g.held[id], output)
+			for !g.hangs[id] && len(g.held[id]) > 0 {
+				next := g.held[id][0]
+				g.held[id] = g.held[id][1:]
+				g.write(id, &next)
 			}
 		}
 	}
 }
 
+// write carries out what waits for the disk.
+func (g *group) write(id MemberID, output *Output) {
+	for _, entry := range output.Entries {
+		g.store(id, entry)
+	}
+	g.members[id].Durable(g.now, output)
+	if output.HardState != nil {
+		g.hard[id] = *output.HardState
+	}
+	g.deliver(output.Messages)
+}
+
+func (g *group) deliver(messages []Message) {
+	for _, message := range messages {
+		if to := g.members[message.To]; to != nil && g.delivers(message) {
+			to.Step(g.now, message)
+		}
+	}
+}
+
 func (g *group) delivers(message Message) bool {
 	if message.Kind == MessageSnapshot && g.loseSnapshots > 0 {
 		g.loseSnapshots--
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -194,6 +194,7 @@
 	c.refreshProgress()
 	c.termStart = c.appendOwn(Entry{Kind: EntryNoOp})
 	c.heartbeatDue = c.now + c.timing.Heartbeat
+	c.behindSince, c.behindAt = c.now, c.persisted
 	c.broadcastAppend()
 }
 
@@ -216,7 +217,8 @@
 	}
 	c.abdicated = true
 	c.abdicatedAt = c.now
-	c.messages = append(c.messages, Message{Kind: MessageTimeoutNow, From: c.id, To: best, Term: c.hardState.Term})
+	// It waits for no write: the disk may be the reason.
+	c.early = append(c.early, Message{Kind: MessageTimeoutNow, From: c.id, To: best, Term: c.hardState.Term})
 	return true
 }
 
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -20,6 +20,10 @@
 	// sent at snapshotSentAt.
 	snapshotUntil  time.Duration
 	snapshotSentAt time.Duration
+	// movedAt is when the peer was last seen to lack nothing that is committed, or to have made something
+	// durable that it lacked, up to movedTo.
+	movedAt time.Duration
+	movedTo uint64
 	// lostLog marks a peer that came back with less than it had acknowledged.
 	lostLog bool
 }
@@ -33,7 +37,7 @@
 	configuration := c.Configuration()
 	for _, member := range configuration.Members {
 		if member.ID != c.id && c.progress[member.ID] == nil {
-			c.progress[member.ID] = &progress{next: c.log.lastIndex() + 1, joinedAt: c.now}
+			c.progress[member.ID] = &progress{next: c.log.lastIndex() + 1, joinedAt: c.now, movedAt: c.now}
 		}
 	}
 	for id := range c.progress {
@@ -44,17 +48,42 @@
 }
 
 func (c *Core) tickLeader() {
+	c.lookAtPeers()
 	unanswered := c.abdicated && c.now-c.abdicatedAt > c.timing.ElectionMax
 	if unanswered || !c.quorumHeardSince(c.now-c.timing.ElectionMax) {
 		c.becomeFollower(c.hardState.Term, 0)
 		return
 	}
+	if c.ownDiskHangs() && !c.TransferLeadership() {
+		c.becomeFollower(c.hardState.Term, 0)
+		return
+	}
 	if c.now >= c.heartbeatDue {
 		c.heartbeatDue = c.now + c.timing.Heartbeat
 		c.broadcastAppend()
 	}
 }
 
+// lookAtPeers notes which peers go on. A snapshot takes its time on the way.
+func (c *Core) lookAtPeers() {
+	for _, peer := range c.progress {
+		if peer.match >= c.commit || peer.match > peer.movedTo || c.now < peer.snapshotUntil {
+			peer.movedAt, peer.movedTo = c.now, peer.match
+		}
+	}
+}
+
+// ownDiskHangs reports whether this leader's own disk has long finished nothing, though the others hold durably
+// what it has still to write. It answers for nothing meanwhile, as what is committed is handed on once it is durable here; where all
+// disks are slow they keep step. Heartbeats go on and would keep the others from electing one that can.
+func (c *Core) ownDiskHangs() bool {
+	if c.persisted >= c.commit || c.persisted > c.behindAt || c.abdicated {
+		c.behindSince, c.behindAt = c.now, c.persisted
+		return false
+	}
+	return c.now-c.behindSince > c.timing.ElectionMax+savesApart*c.saveTook
+}
+
 // quorumHeardSince is the check-quorum rule: a leader that a majority no longer
 // answers steps down by itself.
 func (c *Core) quorumHeardSince(since time.Duration) bool {
@@ -216,6 +245,9 @@
 	Heard bool
 	// LostLog is true when the peer came back with less than it acknowledged.
 	LostLog bool
+	// Stuck is for how long the peer has made nothing durable, though there is something committed that it
+	// lacks: it may answer all the while.
+	Stuck time.Duration
 }
 
 // Progress lists the peers as the leader sees them; nil on other members.
@@ -228,7 +260,7 @@
 		if peer := c.progress[member.ID]; peer != nil {
 			list = append(list, PeerProgress{
 				ID: member.ID, Match: peer.match, Silence: c.now - peer.ackedSentAt,
-				Heard: peer.hasAcked, LostLog: peer.lostLog,
+				Heard: peer.hasAcked, LostLog: peer.lostLog, Stuck: c.now - peer.movedAt,
 			})
 		}
 	}
--- a/consensus/pipeline_test.go
+++ b/consensus/pipeline_test.go
@@ -218,3 +218,30 @@
 	is.Equal(answer(last-1), AnswerVoted)
 	is.Equal(answer(last), AnswerGranted)
 }
+
+// A follower whose disk hangs answers each heartbeat. It is told apart from one that lags and goes on, and from
+// one that lacks nothing.
+func TestFollowerThatMakesNothingDurableIsStuck(t *testing.T) {
+	is := is.New(t)
+	g, leader := elected(t, 3)
+	hung := leader.ID()%3 + 1
+	stuck := func() time.Duration {
+		for _, peer := range leader.Progress() {
+			if peer.ID == hung {
+				return peer.Stuck
+			}
+		}
+		return 0
+	}
+	g.pass(5 * time.Second)
+	is.True(stuck() <= testTiming.Heartbeat) // idle
+	g.hangs = map[MemberID]bool{hung: true}
+	_, err := leader.Propose(g.now, []byte("a"))
+	is.NoErr(err)
+	g.pass(3 * time.Second)
+	is.Equal(leader.Role(), RoleLeader)
+	is.True(stuck() > 2*time.Second)
+	delete(g.hangs, hung)
+	g.pass(time.Second)
+	is.True(stuck() <= testTiming.Heartbeat)
+}
--- a/control/leadersight.go
+++ b/control/leadersight.go
@@ -31,14 +31,16 @@
 	return took
 }
 
-// syncing is how long the sync that is under way has taken, and the slowest since the last call.
+// syncing is how long the sync that is under way has taken, and the slowest since forget.
 func (p *pulse) syncing(now time.Duration) (underWay, slowest time.Duration) {
 	if began := p.syncAt.Load(); began > 0 {
 		underWay = now - time.Duration(began)
 	}
-	return underWay, time.Duration(p.slowest.Swap(0))
+	return underWay, time.Duration(p.slowest.Load())
 }
 
+func (p *pulse) forget() { p.slowest.Store(0) }
+
 // watchLeader tells why this member has no leader while it has none, until ctx ends.
 func (m *Member) watchLeader(ctx context.Context) error {
 	var watch leaderless.Watch
@@ -48,9 +50,13 @@
 	})
 	for pause(ctx, leaderLookEvery) == nil {
 		now := clock.Now()
-		if event, fields := watch.Look(now, m.standing(now)); event != "" {
+		state := m.standing(now)
+		if event, fields := watch.Look(now, state); event != "" {
 			m.logger.Warn(event, fields...)
 		}
+		if state.Answers {
+			m.replica.pulse.forget()
+		}
 		lasted.Store(int64(watch.Lasted(now)))
 	}
 	return nil
--- a/control/voters.go
+++ b/control/voters.go
@@ -195,7 +195,8 @@
 	if !peer.Heard {
 		return now-k.firstSeen[id] > limit
 	}
-	return peer.Silence > limit
+	// One whose disk hangs answers, and holds nothing: it is lost to the group as well.
+	return max(peer.Silence, peer.Stuck) > limit
 }
 
 // next is the one change that the group needs most, or none.
--- a/leaderless/leaderless.go
+++ b/leaderless/leaderless.go
@@ -55,7 +55,8 @@
 	// has lately heard whoever leads.
 	Answers bool
 	Voters  []Voter
-	// Syncing is how long the sync that is under way has taken, Synced how long the slowest of late took.
+	// Syncing is how long the sync that is under way has taken, Synced how long the slowest took since the
+	// member last had a leader.
 	Syncing, Synced time.Duration
 	// Driver is how long ago the goroutine that drives the core last ran.
 	Driver time.Duration
