--- a/control/storage.go
+++ b/control/storage.go
@@ -24,6 +24,9 @@
 	// saving lets one snapshot be written at a time; saved is the newest one's index.
 	saving sync.Mutex
 	saved  uint64
+	// marking guards identity.Formed: a member that is let in learns of it from a snapshot and from the
+	// configuration, on two goroutines.
+	marking sync.Mutex
 }
 
 // loaded is what the data folder held at the start.
@@ -88,6 +91,8 @@
 
 // markFormed notes durably that the folder belongs to a group.
 func (s *storage) markFormed() error {
+	s.marking.Lock()
+	defer s.marking.Unlock()
 	if s.identity.Formed {
 		return nil
 	}
--- a/control/storage_test.go
+++ b/control/storage_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"limehold/consensus"
 	"limehold/wal"
@@ -36,3 +37,19 @@
 	is.True(found)
 	is.Equal(newest.Index, uint64(writers*each))
 }
+
+// A member that is let in marks its folder from two goroutines at once.
+func TestFolderIsMarkedFromTwoGoroutines(t *testing.T) {
+	is := is.New(t)
+	disk, _, err := openStorage(t.TempDir(), "control-1", 1<<20)
+	is.NoErr(err)
+	defer disk.log.Close()
+	var marks errgroup.Group
+	for range 8 {
+		marks.Go(disk.markFormed)
+	}
+	is.NoErr(marks.Wait())
+	again, err := wal.LoadIdentity(disk.folder, "control-1")
+	is.NoErr(err)
+	is.True(again.Formed)
+}
