catalog: reject operators' changes of services that the route table defines

What operators and callers saw: 'limehold service update' on such a service ended each member that applied it, and again at each replay of its log: no quorum, and no restart helped. 'service retire' was accepted and took the service out of the table in force: its routes answered 404 until the next change of the table.

Cause: such a service has no template; UpdateService used the nil pointer that the lookup returned. Retirement had no check at all, since the table's own retirements go through the same command.

Evidence: three members and a sidecar, PATCH at one member: two ended within a second (nil pointer dereference in Template.resolveValues), the third stayed a pre-candidate.

Why it works: the update is rejected in Apply, which no state applied before, so logs that hold one replay alike everywhere.

By reading: RetireTemplate named one of several services in map order; it is ordered.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 	$(GO) test ./router -run XXX -fuzz FuzzUnambiguous -fuzztime $(FUZZ_TIME)
 	$(GO) test ./router -run XXX -fuzz FuzzUpdate -fuzztime $(FUZZ_TIME)
 	$(GO) test ./fleet -run XXX -fuzz FuzzApply -fuzztime $(FUZZ_TIME)
+	$(GO) test ./fleet -run XXX -fuzz FuzzAgreement -fuzztime $(FUZZ_TIME)
 	$(GO) test ./codec -run XXX -fuzz FuzzCheck -fuzztime $(FUZZ_TIME)
 	$(GO) test ./platform -run XXX -fuzz FuzzHeartbeat -fuzztime $(FUZZ_TIME)
 
--- a/adminapi/types.go
+++ b/adminapi/types.go
@@ -17,7 +17,7 @@
 
 // Error is the body of every answer that does not report success.
 type Error struct {
-	// Code is invalid, not_found, conflict, in_use, already_exists, not_leader, not_ready,
+	// Code is invalid, not_found, conflict, in_use, already_exists, read_only, not_leader, not_ready,
 	// timeout, unauthorized or internal.
 	Code    string `json:"code"`
 	Message string `json:"message"`
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -46,6 +46,8 @@
 	FailureConflict  FailureCode = "conflict"
 	FailureInUse     FailureCode = "in_use"
 	FailureDuplicate FailureCode = "already_exists"
+	// FailureReadOnly is for services that a route table defines.
+	FailureReadOnly FailureCode = "read_only"
 )
 
 // Failure describes a rejected change. It is part of the replicated result, so that a
@@ -222,9 +224,9 @@
 	if conflict := checkRevision("template", name, true, template.Revision, expected); conflict != nil {
 		return conflict
 	}
-	for _, service := range c.Services {
-		if service.Template == name {
-			return failure(FailureInUse, "template %s is still used by service %s: retire the service first", name, service.Name)
+	for _, service := range sortedKeys(c.Services) {
+		if c.Services[service].Template == name {
+			return failure(FailureInUse, "template %s is still used by service %s: retire the service first", name, service)
 		}
 	}
 	delete(c.Templates, name)
@@ -267,12 +269,16 @@
 	if service.State == ServiceRetiring {
 		return failure(FailureInUse, "service %s is being retired and cannot change", name)
 	}
+	template, exists := c.Templates[service.Template]
+	if !exists {
+		return RoutedServiceFailure(name)
+	}
 	merged := maps.Clone(service.Values)
 	if merged == nil {
 		merged = map[string]string{}
 	}
 	maps.Copy(merged, values)
-	next, refusal := c.resolve(c.Templates[service.Template], service, merged, revision)
+	next, refusal := c.resolve(template, service, merged, revision)
 	if refusal == nil {
 		refusal = c.checkMatch(next)
 	}
--- a/catalog/routed.go
+++ b/catalog/routed.go
@@ -11,7 +11,7 @@
 		c.put(&Service{Name: name, Spec: spec, Revision: revision, Created: revision})
 		return true
 	}
-	if known.Template != "" || known.Spec.Keyed != spec.Keyed || known.Spec.Shards != spec.Shards {
+	if !known.Routed() || known.Spec.Keyed != spec.Keyed || known.Spec.Shards != spec.Shards {
 		return false
 	}
 	if known.State == ServiceActive && reflect.DeepEqual(known.Spec, spec) {
@@ -23,11 +23,19 @@
 	return true
 }
 
+// Routed reports whether a route table defines the service.
+func (s *Service) Routed() bool { return s.Template == "" }
+
+// RoutedServiceFailure rejects an operator's change of a service that a route table defines.
+func RoutedServiceFailure(name string) *Failure {
+	return failure(FailureReadOnly, "service %s is defined by the route table and has no template: change or remove its entry in the route table instead", name)
+}
+
 // RoutedServices lists the services without a template, sorted by name.
 func (c *Catalog) RoutedServices() []string {
 	var names []string
 	for _, name := range sortedKeys(c.Services) {
-		if c.Services[name].Template == "" {
+		if c.Services[name].Routed() {
 			names = append(names, name)
 		}
 	}
--- a/control/admin.go
+++ b/control/admin.go
@@ -187,7 +187,7 @@
 	switch code {
 	case catalog.FailureNotFound:
 		return fasthttp.StatusNotFound
-	case catalog.FailureConflict, catalog.FailureDuplicate, catalog.FailureInUse:
+	case catalog.FailureConflict, catalog.FailureDuplicate, catalog.FailureInUse, catalog.FailureReadOnly:
 		return fasthttp.StatusConflict
 	}
 	return fasthttp.StatusBadRequest
--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -109,11 +109,31 @@
 		}
 		return m.change(ctx, request, fleet.Command{UpdateService: &fleet.UpdateService{Name: name, Values: body.Values, Expected: expected}})
 	case http.MethodDelete:
+		if err := m.checkNotRouted(ctx, request, name); err != nil {
+			return nil, err
+		}
 		return m.change(ctx, request, fleet.Command{RetireService: &fleet.RetireService{Name: name, Expected: expected}})
 	}
 	return nil, methodNotAllowed(method)
 }
 
+// checkNotRouted rejects the retirement of a service that the route table defines. RetireService itself
+// accepts one, because the retirement of services that the table no longer names goes through it.
+func (m *Member) checkNotRouted(ctx context.Context, request *fasthttp.RequestCtx, name string) error {
+	var routed bool
+	err := m.read(ctx, request, func(state *fleet.State) {
+		service := state.Catalog.Services[name]
+		routed = service != nil && service.Routed()
+	})
+	if err != nil {
+		return err
+	}
+	if routed {
+		return catalog.RoutedServiceFailure(name)
+	}
+	return nil
+}
+
 func decodeBody(request *fasthttp.RequestCtx, target any) error {
 	if err := json.Unmarshal(request.PostBody(), target); err != nil {
 		return &catalog.Failure{Code: catalog.FailureInvalid, Message: "the request's body is not the expected JSON: " + err.Error()}
--- a/fleet/routes_test.go
+++ b/fleet/routes_test.go
@@ -63,3 +63,38 @@
 	is.Equal(shard.Phase, ownership.PhaseFree)
 	is.True(m.state.Membership.Sessions[first] == nil)
 }
+
+// Guards against services of an accepted route table that are not in force as the table defines them.
+func TestAcceptedRouteTableIsInForce(t *testing.T) {
+	plain := routing.Item{Section: routing.SectionServices, Name: "a", Service: &routing.Service{Name: "a"}}
+	for name, before := range map[string][]Command{
+		"the name belongs to a service with a template": {},
+		"the keys were not divided before": {
+			{RetireService: &RetireService{Name: "a", Expected: catalog.AnyRevision}}, {RemoveService: &RemoveService{Name: "a"}},
+			changeRoutes(0, 1, plain),
+		},
+		"a former service of the name is retiring": {
+			{RetireService: &RetireService{Name: "a", Expected: catalog.AnyRevision}}, {RemoveService: &RemoveService{Name: "a"}},
+			changeRoutes(0, 1, plain), changeRoutes(1, 2),
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newMachine(t)
+			for _, command := range before {
+				m.must(command)
+			}
+			version := m.state.Routing.Document.Version
+			if m.must(changeRoutes(version, version+1, keyedService("a"))).Routes.Verdict != routing.VerdictApplied {
+				return
+			}
+			m.must(Command{RemoveService: &RemoveService{Name: "a"}}) // as the leader does once all shards are free
+			service := m.state.Catalog.Services["a"]
+			if service == nil {
+				t.Fatal("the route table was accepted, but its service does not exist")
+			}
+			if !service.Routed() || service.State != catalog.ServiceActive || !service.Spec.Keyed {
+				t.Fatalf("the route table was accepted, but its service has template %q, is %s, keyed %v", service.Template, service.State, service.Spec.Keyed)
+			}
+		})
+	}
+}
