agent, control: a drain that an agent requests ends with the agent's process

What operators and callers saw: after a rolling restart a node stayed drained until an operator resumed it ("proofs-2 is back: it is drained"), and an instance that announced its end and then that it stays got no keys any more.

Cause: a stopping agent drains its session; its next process opens the same session if the back end has not restarted since, and nothing ended the drain. Besides, the session to drain was read after the back end's health, so that the departure of one incarnation could drain the session of the next, and a back end that reports ok again was never resumed.

Why it works: the drain belongs to one incarnation and one agent process. Control ends it when a process opens the session without a leaving back end, or on the agent's resumption; requests over another connection than the session's newest one may be those of an ended process and are rejected; a lock orders them after the opening of the node's session. Drains of operators and of the platform go on (TestOperatorsDrainOutlivesTheAgent). A stopping agent opens no further session.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,7 +18,6 @@
 
 	"limehold/adminserver"
 	"limehold/clock"
-	"limehold/logging"
 	"limehold/membership"
 	"limehold/metrics"
 	"limehold/settings"
@@ -56,6 +55,8 @@
 	// lease is this node's view of its lease; see membership.HeldLease.
 	lease   membership.HeldLease
 	session membership.SessionID
+	// drain holds what control has been told of the node's departure.
+	drain drainState
 	// process is a random ID of this agent process; see membership.Node.
 	process uint64
 	// superseded is set if the current session had superseded open sessions when it was opened.
@@ -97,7 +98,7 @@
 	config := options.Settings
 	a := &Agent{
 		options: options, logger: options.Logger, wake: make(chan struct{}, 1),
-		backend: options.Backend, shards: newShardSet(), process: rand.Uint64() | 1,
+		backend: options.Backend, shards: newShardSet(), process: rand.Uint64() | 1, drain: newDrainState(),
 	}
 	if a.backend == nil {
 		a.backend = newBackend(config)
@@ -156,7 +157,7 @@
 	group.Go(func() error { return a.holdSession(serving) })
 	group.Go(func() error { return a.updateBackend(serving) })
 	group.Go(func() error { return a.releaseLoop(serving) })
-	group.Go(func() error { return a.followBackendDrain(serving) })
+	group.Go(func() error { return a.reportDrains(serving) })
 	group.Go(func() error { return a.endSuperseded(serving) })
 	group.Go(func() error {
 		if a.admin == nil {
@@ -181,66 +182,6 @@
 	return err
 }
 
-// drainBeforeStop waits until the shards have moved to other nodes and no request is in
-// flight, for the stop timeout at most. It does nothing in the stop mode "restart".
-func (a *Agent) drainBeforeStop() {
-	config := a.options.Settings.Agent
-	if config.StopMode == settings.StopRestart {
-		return
-	}
-	ctx, cancel := clock.WithTimeout(context.Background(), config.StopTimeout)
-	defer cancel()
-	if err := a.requestDrain(ctx, "the agent is being stopped"); err != nil {
-		a.logger.Warn("drain_not_requested", logging.ErrorFields("drain before stop", "control", err)...)
-		return
-	}
-	for a.shards.count() > 0 || a.backend.Health().InFlight > 0 {
-		if pause(ctx, drainPollInterval) != nil {
-			a.logger.Warn("drain_incomplete", zap.Int("shards", a.shards.count()), zap.Int("in_flight", a.backend.Health().InFlight))
-			return
-		}
-	}
-	a.logger.Info("drained")
-}
-
-func (a *Agent) requestDrain(ctx context.Context, cause string) error {
-	for {
-		a.mutex.Lock()
-		session := a.session
-		a.mutex.Unlock()
-		if session == 0 {
-			return nil
-		}
-		err := a.links.callLeader(ctx, openTimeout, wire.KindDrainSelf, &wire.DrainSelf{Session: session, Cause: cause}, nil)
-		if err == nil {
-			return nil
-		}
-		if pause(ctx, retryPause) != nil {
-			return err
-		}
-	}
-}
-
-// followBackendDrain drains the node when its back end reports that it is draining.
-func (a *Agent) followBackendDrain(ctx context.Context) error {
-	requested := membership.SessionID(0)
-	for {
-		if pause(ctx, a.options.Settings.Agent.ProbeEvery) != nil {
-			return nil
-		}
-		health := a.backend.Health()
-		a.mutex.Lock()
-		session := a.session
-		a.mutex.Unlock()
-		if health.Status != wire.BackendDraining || session == 0 || session == requested {
-			continue
-		}
-		if err := a.requestDrain(ctx, "the back end says that it is leaving"); err == nil {
-			requested = session
-		}
-	}
-}
-
 func (a *Agent) leaseExpiry() time.Duration {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
--- a/agent/session.go
+++ b/agent/session.go
@@ -22,13 +22,14 @@
 func (a *Agent) holdSession(ctx context.Context) error {
 	for ctx.Err() == nil {
 		incarnation, healthy := a.backend.CurrentIncarnation(clock.Now())
-		if !healthy {
+		if !healthy || !a.beginOpen() {
 			if pause(ctx, retryPause) != nil {
 				return nil
 			}
 			continue
 		}
 		opened, err := a.openSession(ctx, incarnation)
+		a.endOpen()
 		if err != nil {
 			a.failures.Inc()
 			a.logger.Debug("session_not_opened", logging.ErrorFields("open session", "control", err)...)
@@ -48,9 +49,11 @@
 		advertise = config.Agent.Backend
 	}
 	description := a.backend.Description()
+	draining, cause := a.drainWanted(incarnation)
 	request := &wire.OpenSession{PredecessorsEnded: description.PredecessorsEnded, Exclusive: description.Exclusive, Node: membership.Node{
 		Name: config.Name, Incarnation: incarnation, Zone: config.Zone, Address: advertise,
 		Pool: description.Pool, Slots: description.Slots, Connections: description.Connections, SelfLimited: description.SelfLimited, Version: description.Version, StartedAt: description.StartedAt, Process: a.process, AppliesLate: description.AppliesLate,
+		Draining: draining, DrainCause: cause,
 	}}
 	reply := &wire.OpenSessionReply{}
 	a.backend.BeforeOpen(ctx)
@@ -62,6 +65,7 @@
 		a.session = reply.Session
 		a.lease.Drop()
 	}
+	a.drain.incarnation, a.drain.reported = incarnation, draining && reply.Created
 	a.superseded = len(reply.SupersededIncarnations) > 0
 	a.term = max(a.term, reply.Term)
 	a.mutex.Unlock()
--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -189,7 +189,7 @@
 	if session == 0 {
 		return nil, notFound("node " + name)
 	}
-	return m.change(ctx, request, fleet.Command{SetDraining: &fleet.SetDraining{Session: session, Draining: action == "drain", Cause: "operator"}})
+	return m.change(ctx, request, fleet.Command{SetDraining: &fleet.SetDraining{Session: session, Draining: action == "drain", Cause: membership.DrainCauseOperator}})
 }
 
 func nodeViews(state *fleet.State, leader *wire.LeaderView) []adminapi.Node {
--- /dev/null
+++ b/control/drains.go
@@ -0,0 +1,79 @@
+package control
+
+import (
+	"context"
+	"hash/maphash"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"limehold/consensus"
+	"limehold/fleet"
+	"limehold/membership"
+	"limehold/transport"
+	"limehold/wire"
+)
+
+// drainLocks orders the drains that agents request after the opening of sessions, node by node. Nodes may share
+// a lock.
+type drainLocks struct {
+	seed  maphash.Seed
+	locks [64]sync.Mutex
+}
+
+func newDrainLocks() *drainLocks { return &drainLocks{seed: maphash.MakeSeed()} }
+
+// lock locks a node and returns the function that unlocks it.
+func (d *drainLocks) lock(node string) func() {
+	lock := &d.locks[maphash.String(d.seed, node)%uint64(len(d.locks))]
+	lock.Lock()
+	return lock.Unlock
+}
+
+// drainSelf starts draining the sender's node, or ends a drain that its agent has requested if request.Resume
+// is set. A request over another connection than the session's newest one may be a late one of an agent process
+// that has ended, so it is rejected; the agent repeats it.
+func (m *Member) drainSelf(ctx context.Context, conn *transport.Conn, request *wire.DrainSelf) (*wire.ReleasedReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	defer m.drains.lock(conn.Peer.Name)()
+	if m.replica.status.Load().Role != consensus.RoleLeader {
+		return nil, m.notLeader("drain node")
+	}
+	if !m.sessions.isConn(request.Session, conn) {
+		return nil, &wire.Error{Code: wire.CodeUnknownSession, Message: "the session was opened or renewed over another connection", Step: "drain node", Peer: m.options.Settings.Name}
+	}
+	if request.Resume {
+		return &wire.ReleasedReply{}, m.endAgentDrain(ctx, request.Session)
+	}
+	result, err := m.executeLocally(ctx, fleet.Command{SetDraining: &fleet.SetDraining{Session: request.Session, Draining: true, Cause: request.Cause}})
+	if err != nil {
+		return nil, err
+	}
+	return &wire.ReleasedReply{Revision: result.Revision}, nil
+}
+
+// endAgentDrain returns a node to service whose agent has requested its drain. Drains by operators and by the
+// platform go on.
+func (m *Member) endAgentDrain(ctx context.Context, session membership.SessionID) error {
+	var drained bool
+	var name, cause string
+	m.replica.view(func(state *fleet.State) {
+		if node := state.Membership.Sessions[session]; node != nil {
+			drained, name, cause = node.DrainedByAgent(), node.Name, node.DrainCause
+		}
+	})
+	if !drained {
+		return nil
+	}
+	m.logger.Info("agent_drain_ended", zap.String("node", name), zap.Uint64("session", uint64(session)), zap.String("drain_cause", cause))
+	_, err := m.executeLocally(ctx, fleet.Command{SetDraining: &fleet.SetDraining{Session: session, Cause: "its agent no longer requests the drain: " + cause}})
+	return err
+}
+
+// isConn reports whether conn is the connection over which a session was opened or renewed last.
+func (s *sessions) isConn(session membership.SessionID, conn *transport.Conn) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.conns[session] == conn
+}
--- a/control/member.go
+++ b/control/member.go
@@ -38,6 +38,7 @@
 	peers      *peers
 	replica    *replica
 	sessions   *sessions
+	drains     *drainLocks
 	pusher     *pusher
 	hub        *hub
 	routers    *routerTable
@@ -80,7 +81,7 @@
 	}
 	m := &Member{
 		options: options, logger: options.Logger, storage: disk, recovered: recovered, admin: admin,
-		sessions: newSessions(), pusher: newPusher(resendAfterRenewals * config.Control.RenewEvery), routers: newRouterTable(), placeNow: make(chan struct{}, 1),
+		sessions: newSessions(), drains: newDrainLocks(), pusher: newPusher(resendAfterRenewals * config.Control.RenewEvery), routers: newRouterTable(), placeNow: make(chan struct{}, 1),
 		loads: placement.NewLoadTable(config.Control.LoadHalfLife), started: make(chan struct{}), startTime: clock.Now(),
 		joining: map[consensus.MemberID]joinRequest{},
 	}
@@ -317,7 +318,7 @@
 	case wire.KindReleased:
 		return decodeAndHandle(payload, func(r *wire.Released) (*wire.ReleasedReply, error) { return m.released(ctx, r) })
 	case wire.KindDrainSelf:
-		return decodeAndHandle(payload, func(r *wire.DrainSelf) (*wire.ReleasedReply, error) { return m.drainSelf(ctx, r) })
+		return decodeAndHandle(payload, func(r *wire.DrainSelf) (*wire.ReleasedReply, error) { return m.drainSelf(ctx, conn, r) })
 	case wire.KindWatch:
 		return decodeAndHandle(payload, func(r *wire.Watch) (any, error) { return struct{}{}, m.watch(conn, r) })
 	case wire.KindReport:
--- a/control/platform.go
+++ b/control/platform.go
@@ -78,8 +78,6 @@
 	return list, eris.Wrap(json.Unmarshal(body, &list), "decode the machine list")
 }
 
-const platformCause = "the platform lists the machine as leaving"
-
 func (m *Member) applyPlatform(ctx context.Context, list PlatformList) {
 	leaving := map[string]bool{}
 	for _, machine := range list.Machines {
@@ -89,7 +87,7 @@
 	m.replica.view(func(state *fleet.State) {
 		for _, node := range state.Membership.Sorted() {
 			wanted := leaving[node.Name]
-			if wanted && !node.Draining || !wanted && node.Draining && node.DrainCause == platformCause {
+			if wanted && !node.Draining || !wanted && node.Draining && node.DrainCause == membership.DrainCausePlatform {
 				changes = append(changes, *node)
 			}
 		}
@@ -97,7 +95,7 @@
 	for _, node := range changes {
 		m.logger.Info("platform_change", zap.String("node", node.Name), zap.Bool("leaving", !node.Draining))
 		m.propose(ctx, "drain node "+node.Name, fleet.Command{SetDraining: &fleet.SetDraining{
-			Session: node.Session, Draining: !node.Draining, Cause: platformCause,
+			Session: node.Session, Draining: !node.Draining, Cause: membership.DrainCausePlatform,
 		}})
 	}
 }
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -191,6 +191,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
+	unlock := m.drains.lock(node.Name)
+	defer unlock()
 	result, err := m.executeLocally(ctx, fleet.Command{OpenSession: &fleet.OpenSession{Node: node, PredecessorsEnded: request.PredecessorsEnded, Exclusive: request.Exclusive}})
 	if err != nil {
 		return nil, err
@@ -198,6 +200,11 @@
 	if result.Failure != nil {
 		return nil, &wire.Error{Code: wire.CodeInvalid, Message: result.Failure.Message, Step: "open session of " + node.Name, Peer: m.options.Settings.Name}
 	}
+	if !node.Draining {
+		if err := m.endAgentDrain(ctx, result.Session); err != nil {
+			return nil, err
+		}
+	}
 	m.connect(result.Session, conn)
 	var superseded []string
 	m.replica.view(func(state *fleet.State) { superseded = supersededIncarnations(state, result.Session) })
@@ -283,16 +290,3 @@
 	}
 	return &wire.ReleasedReply{Revision: result.Revision}, nil
 }
-
-// drainSelf starts draining the sender's node, or ends the draining if request.Resume is set.
-func (m *Member) drainSelf(ctx context.Context, request *wire.DrainSelf) (*wire.ReleasedReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
-	defer cancel()
-	result, err := m.executeLocally(ctx, fleet.Command{SetDraining: &fleet.SetDraining{
-		Session: request.Session, Draining: !request.Resume, Cause: request.Cause,
-	}})
-	if err != nil {
-		return nil, err
-	}
-	return &wire.ReleasedReply{Revision: result.Revision}, nil
-}
--- a/integration/drain_test.go
+++ b/integration/drain_test.go
@@ -136,3 +136,56 @@
 	is.NoErr(running.StartRouter(router))
 	callers.stop(t)
 }
+
+// awaitNodeState waits until a node is in a state.
+func awaitNodeState(t *testing.T, running *fleet.Fleet, name, state string) {
+	t.Helper()
+	eventually(t, name+" is "+state, func() error {
+		node, err := nodeState(running, name)
+		if err == nil && node.State != state {
+			err = errors.New("it is " + node.State + " (" + node.DrainCause + ")")
+		}
+		return err
+	})
+}
+
+// Guards against nodes that stay drained because an agent that was stopped has drained the session with which
+// its next process goes on.
+func TestNodeReturnsToServiceWithItsAgent(t *testing.T) {
+	is := is.New(t)
+	running := startFleet(t, fleet.Options{NoDelays: true, ControlMembers: 1})
+	callers := startTraffic(t, func() string { return running.Routers[0].Field("address") })
+	for _, node := range running.NodesInPool("proofs") {
+		is.True(node.Agent.Stop(waitLimit)) // its shards move first
+		is.NoErr(node.Agent.Start())
+		awaitNodeState(t, running, node.Name, "live")
+	}
+	callers.stop(t)
+}
+
+// Guards against an operator's drain that ends with a process of the agent.
+func TestOperatorsDrainOutlivesTheAgent(t *testing.T) {
+	is := is.New(t)
+	running := startFleet(t, fleet.Options{NoDelays: true, ControlMembers: 1})
+	node := running.NodesInPool("proofs")[0]
+	is.NoErr(postNodeAction(running, node.Name, "drain"))
+	awaitNodeState(t, running, node.Name, "drained")
+	is.True(node.Agent.Stop(waitLimit))
+	is.NoErr(node.Agent.Start())
+	eventually(t, "the agent has a lease", func() error {
+		response, err := http.Get("http://" + node.Agent.Field("admin") + "/healthz")
+		if err != nil {
+			return err
+		}
+		defer response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			return errors.New(response.Status)
+		}
+		return nil
+	})
+	seen, err := nodeState(running, node.Name)
+	is.NoErr(err)
+	is.Equal([]string{seen.State, seen.DrainCause}, []string{"drained", "operator"})
+	is.NoErr(postNodeAction(running, node.Name, "resume"))
+	awaitNodeState(t, running, node.Name, "live")
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -57,6 +57,18 @@
 	Lost bool
 }
 
+// Causes of drains that are not requested by the node's agent.
+const (
+	DrainCauseOperator = "operator"
+	DrainCausePlatform = "the platform lists the machine as leaving"
+)
+
+// DrainedByAgent reports whether the node is draining because its agent has requested it. Such a drain ends
+// when another process of the agent opens the session.
+func (n *Node) DrainedByAgent() bool {
+	return n.Draining && n.DrainCause != DrainCauseOperator && n.DrainCause != DrainCausePlatform
+}
+
 // Eligible reports whether the node may be assigned shards and get new requests.
 func (n *Node) Eligible() bool { return !n.Draining && !n.Superseded }
 
