control: an operator's drain goes on with the back end's next process

What operators saw: a node that they had drained came back in service when its back end restarted, since its next incarnation has a session of its own. And a drain command on a node that its agent was draining was acknowledged without any effect: the node came back with its agent.

Fix: the session that supersedes one which an operator drains is opened as draining, in the same command. A drain command without effect, because the agent's drain is in force, gets 409 and says when to send it again.

A back end that is down for longer than its lease leaves no session behind that could hold the drain; the format of the state is fixed by the data folders in use.

--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -189,7 +189,24 @@
 	if session == 0 {
 		return nil, notFound("node " + name)
 	}
-	return m.change(ctx, request, fleet.Command{SetDraining: &fleet.SetDraining{Session: session, Draining: action == "drain", Cause: membership.DrainCauseOperator}})
+	answer, err := m.change(ctx, request, fleet.Command{SetDraining: &fleet.SetDraining{Session: session, Draining: action == "drain", Cause: membership.DrainCauseOperator}})
+	if err == nil && action == "drain" {
+		err = m.checkDrainedByOperator(session)
+	}
+	return answer, err
+}
+
+// checkDrainedByOperator rejects a drain that has no effect of its own, because the node is draining on
+// behalf of its agent: that drain ends when the agent is back.
+func (m *Member) checkDrainedByOperator(session membership.SessionID) error {
+	var rejection error
+	m.replica.view(func(state *fleet.State) {
+		if node := state.Membership.Sessions[session]; node != nil && node.DrainedByAgent() {
+			rejection = &catalog.Failure{Code: catalog.FailureConflict, Revision: node.Revision, Message: fmt.Sprintf(
+				"node %s is draining already (%s) until its agent is back: drain it again then", node.Name, node.DrainCause)}
+		}
+	})
+	return rejection
 }
 
 func nodeViews(state *fleet.State, leader *wire.LeaderView) []adminapi.Node {
--- a/control/drains.go
+++ b/control/drains.go
@@ -53,6 +53,17 @@
 	return &wire.ReleasedReply{Revision: result.Revision}, nil
 }
 
+// keepOperatorsDrain marks a node as draining whose current session an operator drains, so that the session of
+// its next incarnation begins to drain with its opening.
+func (m *Member) keepOperatorsDrain(node *membership.Node) {
+	m.replica.view(func(state *fleet.State) {
+		current := state.Membership.Current(node.Name)
+		if current != nil && current.Draining && current.DrainCause == membership.DrainCauseOperator {
+			node.Draining, node.DrainCause = true, current.DrainCause
+		}
+	})
+}
+
 // endAgentDrain returns a node to service whose agent has requested its drain. Drains by operators and by the
 // platform go on.
 func (m *Member) endAgentDrain(ctx context.Context, session membership.SessionID) error {
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -193,6 +193,7 @@
 	defer cancel()
 	unlock := m.drains.lock(node.Name)
 	defer unlock()
+	m.keepOperatorsDrain(&node)
 	result, err := m.executeLocally(ctx, fleet.Command{OpenSession: &fleet.OpenSession{Node: node, PredecessorsEnded: request.PredecessorsEnded, Exclusive: request.Exclusive}})
 	if err != nil {
 		return nil, err
--- a/integration/drain_test.go
+++ b/integration/drain_test.go
@@ -189,3 +189,48 @@
 	is.NoErr(postNodeAction(running, node.Name, "resume"))
 	awaitNodeState(t, running, node.Name, "live")
 }
+
+// Guards against an operator's drain that ends when the back end is replaced by its next process.
+func TestOperatorsDrainOutlivesTheBackEnd(t *testing.T) {
+	is := is.New(t)
+	running := startFleet(t, fleet.Options{NoDelays: true, ControlMembers: 1})
+	node := running.NodesInPool("proofs")[0]
+	is.NoErr(postNodeAction(running, node.Name, "drain"))
+	awaitNodeState(t, running, node.Name, "drained")
+	before, err := nodeState(running, node.Name)
+	is.NoErr(err)
+	is.True(node.Backend.Stop(waitLimit))
+	is.NoErr(running.StartBackend(node))
+	eventually(t, "the next process has a session", func() error {
+		seen, err := nodeState(running, node.Name)
+		if err == nil && seen.Session == before.Session {
+			err = errors.New("it still has the former one")
+		}
+		return err
+	})
+	awaitNodeState(t, running, node.Name, "drained")
+}
+
+// Guards against an operator's drain that ends while the back end is down for longer than its lease.
+func TestOperatorsDrainOutlivesAnAbsence(t *testing.T) {
+	is := is.New(t)
+	running := startFleet(t, fleet.Options{NoDelays: true, ControlMembers: 1})
+	node := running.NodesInPool("proofs")[0]
+	is.NoErr(postNodeAction(running, node.Name, "drain"))
+	awaitNodeState(t, running, node.Name, "drained")
+	is.True(node.Backend.Stop(waitLimit))
+	eventually(t, "its session has ended", func() error {
+		if seen, err := nodeState(running, node.Name); err == nil {
+			return errors.New("it is " + seen.State)
+		}
+		return nil
+	})
+	is.NoErr(running.StartBackend(node))
+	eventually(t, "the next process has a session", func() error {
+		_, err := nodeState(running, node.Name)
+		return err
+	})
+	seen, err := nodeState(running, node.Name)
+	is.NoErr(err)
+	is.Equal([]string{seen.State, seen.DrainCause}, []string{"drained", "operator"})
+}
