control, ingress: the delay of late grants is a setting, by default without a limit

What callers saw: two back ends held the same keys when a grant was applied later than 15 s after it was sent and its sidecar had ended for good. The 15 s were a constant that nobody could set, derived from delays that had been seen.

Cause: after the lease of a node that may have left a grant unanswered, control took 15 s for the end of all such grants; the sidecar did the same for its own.

Fix: max_grant_delay (control and ingress). Without a limit, the default, keys that a lost node may have granted go to others only on proof: the sidecar's next process clears the instance, the instance's next incarnation, or an operator's statement that the machine is off ('limehold node ended NAME', rejected while the node has a session in force). An unanswered grant is fenced off by a clearing before the next one, so that a living sidecar is not in doubt for long.

Sessions that are lost already are not marked again at each check.

--- a/cli/fleet.go
+++ b/cli/fleet.go
@@ -27,10 +27,11 @@
 		}
 	}
 	return &cli.Command{
-		Name: "node", Usage: "list, drain and resume nodes",
+		Name: "node", Usage: "list, drain and resume nodes, end lost ones",
 		Commands: []*cli.Command{
 			nodeCommandFor("drain", "move all shards off a node and send it no new requests"),
 			nodeCommandFor("resume", "return a drained node to service"),
+			nodeCommandFor("ended", "state that the machine of a lost node is off: its keys are free at once"),
 			{
 				Name: "list", Usage: "list nodes", Flags: withFlags(clientFlags, []cli.Flag{staleFlag}),
 				Action: func(_ context.Context, command *cli.Command) error {
--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -175,6 +175,9 @@
 		err := m.read(ctx, request, func(state *fleet.State) { list = nodeViews(state, &leader) })
 		return list, err
 	}
+	if method == http.MethodPost && action == "ended" {
+		return m.endLostNode(ctx, request, name)
+	}
 	if method != http.MethodPost || action != "drain" && action != "resume" {
 		return nil, methodNotAllowed(method)
 	}
--- a/control/leader.go
+++ b/control/leader.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"limehold"
 	"limehold/catalog"
 	"limehold/clock"
 	"limehold/fleet"
@@ -95,8 +96,8 @@
 	expired = append(expired, idle...)
 	timing := m.options.leaseTiming()
 	if len(lost) > 0 {
-		cause := fmt.Sprintf("no renewal received for %v, and the node had not said that its grants were all answered: one may be carried out for %v more", timing.ControlLength(), timing.Lateness)
-		m.logger.Warn("keys_held_back", zap.Uint64s("sessions", sessionNumbers(lost)), zap.Duration("at_most", timing.Lateness), zap.String("cause", cause))
+		cause := fmt.Sprintf("no renewal received for %v, and the node had not said that its grants were all answered: one may be applied later", timing.ControlLength())
+		m.logger.Warn("keys_held_back", zap.Uint64s("sessions", sessionNumbers(lost)), zap.String("at_most", limehold.FormatGrantDelay(timing.Lateness)), zap.String("cause", cause))
 		m.propose(ctx, "mark sessions lost", fleet.Command{MarkSessionsLost: &fleet.MarkSessionsLost{Sessions: lost, Cause: cause}})
 	}
 	if len(expired) > 0 {
@@ -107,18 +108,21 @@
 	return len(expired)+len(lost) > 0
 }
 
-// splitByOwnership divides sessions into those that own shards and the others.
+// splitByOwnership divides sessions into those that own shards and the others. It leaves out those that are
+// marked as lost already: they wait for a proof, possibly for long.
 func (m *Member) splitByOwnership(sessions []membership.SessionID) (owning, idle []membership.SessionID) {
 	if len(sessions) == 0 {
 		return nil, nil
 	}
 	m.replica.view(func(state *fleet.State) {
 		for _, session := range sessions {
-			if state.Ownership.OwnedCount(session) > 0 {
+			node := state.Membership.Sessions[session]
+			switch {
+			case state.Ownership.OwnedCount(session) == 0:
+				idle = append(idle, session)
+			case node != nil && !node.Lost:
 				owning = append(owning, session)
-				continue
 			}
-			idle = append(idle, session)
 		}
 	})
 	return owning, idle
--- a/control/options.go
+++ b/control/options.go
@@ -64,6 +64,6 @@
 func (o *Options) leaseTiming() membership.LeaseTiming {
 	return membership.LeaseTiming{
 		Length: o.Settings.Control.LeaseLength, DriftPermille: o.Settings.Control.Timing.DriftPermille,
-		Lateness: limehold.MaxGrantDelay,
+		Lateness: limehold.GrantDelayLimit(o.Settings.Control.MaxGrantDelay),
 	}
 }
--- a/ingress/callnotifier.go
+++ b/ingress/callnotifier.go
@@ -69,7 +69,7 @@
 func newCallNotifier(holder *keyHolder, client limehold.KeyClient, registry *metrics.Registry) *callNotifier {
 	return &callNotifier{
 		holder: holder, client: client, logger: holder.logger, now: clock.Now, wake: make(chan struct{}, 1),
-		inFlight: newGrantsInFlight(clock.Now(), holder.maxHold),
+		inFlight: newGrantsInFlight(holder.maxHoldUntil(clock.Now(), holder.maxHold)),
 		clears:   registry.CounterVec("ingress", "starts_cleared_total", "Clearings of the instance that listens, by whether another start may have listened before.", "another"),
 	}
 }
@@ -185,7 +185,7 @@
 	wanted := false
 	h.withLedger(func(l *ledger.Ledger) {
 		if wanted = hold >= ledger.MinHold && l.Wanted(run) && n.inFlight.begin(); wanted {
-			l.RecordSent(run, maxHoldUntil(now, hold))
+			l.RecordSent(run, h.maxHoldUntil(now, hold))
 		}
 	})
 	if !wanted {
--- a/ingress/inflight.go
+++ b/ingress/inflight.go
@@ -26,16 +26,16 @@
 	renewRequests chan struct{}
 }
 
-// newGrantsInFlight returns the record of a process that started at processStart. Until heldUntil,
-// unanswered grants of an earlier process may still hold keys.
-func newGrantsInFlight(processStart, hold time.Duration) *grantsInFlight {
-	return &grantsInFlight{heldUntil: maxHoldUntil(processStart, hold), renewRequests: make(chan struct{}, 1)}
+// newGrantsInFlight returns the record of a process. Until heldUntil, unanswered grants of an earlier process
+// may still hold keys.
+func newGrantsInFlight(heldUntil time.Duration) *grantsInFlight {
+	return &grantsInFlight{heldUntil: heldUntil, renewRequests: make(chan struct{}, 1)}
 }
 
 // maxHoldUntil returns the latest time until which an unanswered grant that was sent at the time sent can
 // hold keys.
-func maxHoldUntil(sent, hold time.Duration) time.Duration {
-	return sent + limehold.MaxGrantDelay + ledger.RealHold(hold)
+func (h *keyHolder) maxHoldUntil(sent, hold time.Duration) time.Duration {
+	return sent + h.maxGrantDelay + ledger.RealHold(hold)
 }
 
 // begin records that a grant is about to be sent; it reports false if none may be sent yet.
@@ -147,11 +147,16 @@
 	return max(0, n.holdFor(now)) / (2 * renewalsPerHold)
 }
 
-// recordUnanswered records that a grant got no answer.
+// recordUnanswered records that a grant got no answer. If the instance may apply it at any later time, the
+// instance is cleared under a higher fence before the next grant, as no time ends the doubt. The ledger's mutex
+// is held.
 func (n *callNotifier) recordUnanswered(sent, hold time.Duration, fields []zap.Field) {
-	until := maxHoldUntil(sent, hold)
+	until := n.holder.maxHoldUntil(sent, hold)
 	n.inFlight.recordLate(until)
-	n.logger.Info("grant_left_unanswered", append(fields, zap.Duration("may_hold_for", until-n.now()))...)
+	if n.holder.maxGrantDelay >= limehold.UnlimitedGrantDelay {
+		n.holder.ledger.InvalidateClearing()
+	}
+	n.logger.Info("grant_left_unanswered", append(fields, zap.String("may_hold_for", limehold.FormatGrantDelay(until-n.now())))...)
 }
 
 // requestQuietClaim requests a renewal that notifies control that no grant is in flight, once that is so.
--- a/ingress/inflight_test.go
+++ b/ingress/inflight_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/matryer/is"
 
-	"limehold"
 	"limehold/clock"
+	"limehold/ledger"
 )
 
 // Control reads the claim that no grant is in flight as the end of all grants, even if the sidecar has
@@ -58,7 +58,7 @@
 			client.unanswered = true
 			renew(holder)
 			client.unanswered = false
-			holder.now = func() time.Duration { return clock.Now() + limehold.MaxGrantDelay + 2*lease }
+			holder.now = func() time.Duration { return clock.Now() + testGrantDelay + 2*lease }
 			holder.setLease(1, holder.now()+lease)
 			renew(holder)
 		}, true},
@@ -111,7 +111,7 @@
 // After an unanswered release, keys are free only once nothing can hold them: an unanswered grant may
 // be applied long after it was sent.
 func TestUnansweredReleaseWaitsForAGrantThatMayBeLate(t *testing.T) {
-	const late, held = limehold.MaxGrantDelay, 7 * time.Second
+	const late, held = testGrantDelay, 7 * time.Second
 	for name, c := range map[string]struct {
 		// answered states for each grant that is sent, in order, whether it is answered.
 		answered []bool
@@ -152,7 +152,7 @@
 // A claim covers all grants that were ever sent to the instance, by this process or an earlier one.
 func TestGrantsInFlight(t *testing.T) {
 	const hold = 5 * time.Second
-	over := maxHoldUntil(0, hold)
+	over := testGrantDelay + ledger.RealHold(hold)
 	for name, c := range map[string]struct {
 		then  func(g *grantsInFlight)
 		at    time.Duration
@@ -170,7 +170,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			g := newGrantsInFlight(0, hold)
+			g := newGrantsInFlight(over)
 			c.then(g)
 			is.Equal(g.claim(c.at, false).Quiet, c.quiet)
 			is.Equal(g.begin(), c.begin) // none may be sent after the claim that none is in flight
@@ -178,3 +178,27 @@
 		})
 	}
 }
+
+// Guards against keys that become free by time although no time ends the doubt about an unanswered grant.
+func TestOnlyProofEndsAGrantWithoutADelayLimit(t *testing.T) {
+	const lease, later = 5 * time.Second, 24 * time.Hour
+	is := is.New(t)
+	client := newLateKeys()
+	holder := newHolderWithDelay(client, lease, 0)
+	holder.setGrants(1, listOf(3, 4))
+	client.unanswered = true
+	holder.renewDue(context.Background())
+	holder.now = func() time.Duration { return clock.Now() + later }
+	holder.setLease(1, holder.now()+lease)
+	is.Equal(holder.claim().Quiet, false)
+	is.True(holder.ledger.HeldUntil(ledgerGrants(listOf(3, 4))) > holder.now())
+
+	// The instance is cleared under a higher fence before the next grant, which control has to raise.
+	client.unanswered = false
+	cleared := len(client.cleared)
+	holder.renewDue(context.Background())
+	is.Equal(len(client.cleared), cleared+1)
+	holder.setGrants(1, listOf(client.cleared[cleared].Fence+1, 4))
+	holder.renewDue(context.Background())
+	is.Equal(holder.claim().Quiet, true)
+}
--- a/ingress/keyclear.go
+++ b/ingress/keyclear.go
@@ -131,13 +131,13 @@
 
 // fenceAfterLease sends the instance, after the lease has expired, a fence above all that were sent here:
 // the instance may apply an unanswered grant seconds later, when control has assigned its keys to
-// another node. If the instance does not answer, it is tried again until limehold.MaxGrantDelay after
-// that grant. fenceAfterLease returns the time until the next try.
+// another node. If the instance does not answer, it is tried again until the grant cannot be applied
+// any more. fenceAfterLease returns the time until the next try.
 func (n *callNotifier) fenceAfterLease(ctx context.Context) time.Duration {
 	n.callMutex.Lock()
 	defer n.callMutex.Unlock()
 	now := n.now()
-	if n.unfencedGrantAt == 0 || now > n.unfencedGrantAt+limehold.MaxGrantDelay {
+	if n.unfencedGrantAt == 0 || now > n.unfencedGrantAt+n.holder.maxGrantDelay {
 		n.unfencedGrantAt = 0
 		return time.Hour
 	}
--- a/ingress/keyholder.go
+++ b/ingress/keyholder.go
@@ -35,6 +35,9 @@
 	// maxHold is the longest time for which keys are granted to the instance at once.
 	maxHold time.Duration
 
+	// maxGrantDelay is the longest time after which the instance may apply an unanswered grant.
+	maxGrantDelay time.Duration
+
 	// refused receives the shards that the instance does not accept under their epoch.
 	refused chan []fleet.ReleasedShard
 
@@ -50,8 +53,8 @@
 
 func newKeyHolder(options Options) *keyHolder {
 	config := options.Settings.Ingress
-	h := &keyHolder{logger: options.Logger, heartbeatInterval: config.AnnounceEvery, provenReleases: make(chan membership.SessionID, 1), maxHold: config.HoldTime, refused: make(chan []fleet.ReleasedShard, 1), changed: make(chan struct{})}
-	h.ledger = ledger.New(ledger.Options{Shards: fleet.RoutedShards, Hold: config.HoldTime, AnswerBytes: answerBytes, ProcessStart: clock.Now(), Lateness: lateness(config.GrantBy)})
+	h := &keyHolder{logger: options.Logger, heartbeatInterval: config.AnnounceEvery, provenReleases: make(chan membership.SessionID, 1), maxHold: config.HoldTime, maxGrantDelay: maxGrantDelay(config), refused: make(chan []fleet.ReleasedShard, 1), changed: make(chan struct{})}
+	h.ledger = ledger.New(ledger.Options{Shards: fleet.RoutedShards, Hold: config.HoldTime, AnswerBytes: answerBytes, ProcessStart: clock.Now(), Lateness: h.maxGrantDelay})
 	switch {
 	case config.GrantBy == settings.GrantByHeartbeat:
 		h.notifier = newHeartbeatNotifier(h, config, options.Metrics)
@@ -63,13 +66,13 @@
 	return h
 }
 
-// lateness returns how late an instance may apply a grant that it leaves unanswered: 0 with heartbeats, as
-// the instance ignores a late answer and counts the hold time from sending its heartbeat.
-func lateness(grantBy string) time.Duration {
-	if grantBy == settings.GrantByHeartbeat {
+// maxGrantDelay returns the longest time after which an instance may apply a grant that it leaves unanswered: 0
+// with heartbeats, as the instance ignores a late answer and counts the hold time from sending its heartbeat.
+func maxGrantDelay(config settings.Ingress) time.Duration {
+	if config.GrantBy == settings.GrantByHeartbeat {
 		return 0
 	}
-	return limehold.MaxGrantDelay
+	return limehold.GrantDelayLimit(config.MaxGrantDelay)
 }
 
 // noNotifier is the notifier for an instance whose service is never divided by key.
--- a/ingress/keyholder_test.go
+++ b/ingress/keyholder_test.go
@@ -88,8 +88,17 @@
 	*callNotifier
 }
 
+// testGrantDelay is the setting max_grant_delay of tests that need a limit.
+const testGrantDelay = 15 * time.Second
+
 func newHolder(client limehold.KeyClient, lease time.Duration) callHolder {
+	return newHolderWithDelay(client, lease, testGrantDelay)
+}
+
+// newHolderWithDelay is like newHolder with the given setting max_grant_delay.
+func newHolderWithDelay(client limehold.KeyClient, lease, maxGrantDelay time.Duration) callHolder {
 	options := Options{Settings: settings.Default(), Keys: client, Logger: zap.NewNop(), Metrics: metrics.New()}
+	options.Settings.Ingress.MaxGrantDelay = maxGrantDelay
 	holder := newKeyHolder(options)
 	notifier := holder.notifier.(*callNotifier)
 	notifier.connectForSession(context.Background())
--- a/keys.go
+++ b/keys.go
@@ -77,10 +77,25 @@
 	Token string
 }
 
-// MaxGrantDelay is the maximum time from the sending of a grant to the moment at which an
-// instance that has not answered it may still apply it. The duration of the grant begins
-// only then. Delays of 2 to 12 s have been observed.
-const MaxGrantDelay = 15 * time.Second
+// UnlimitedGrantDelay is the delay of grants without a known limit: a grant that an instance has not answered
+// may be applied at any later time. It is short enough to be added to a time without an overflow.
+const UnlimitedGrantDelay time.Duration = 1 << 62
+
+// GrantDelayLimit returns the limit that a setting max_grant_delay stands for.
+func GrantDelayLimit(setting time.Duration) time.Duration {
+	if setting == 0 {
+		return UnlimitedGrantDelay
+	}
+	return setting
+}
+
+// FormatGrantDelay returns the text of a delay or of a time that was computed from one.
+func FormatGrantDelay(delay time.Duration) string {
+	if delay >= UnlimitedGrantDelay/2 {
+		return "unlimited"
+	}
+	return delay.String()
+}
 
 // ErrFenced reports that the instance has seen a higher fencing token for a key.
 var ErrFenced = errors.New("the instance has seen a higher fencing token")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -129,6 +129,11 @@
 	WarmUp time.Duration `yaml:"warm_up"`
 	// LoadHalfLife is the half-life over which the measured load of shards is smoothed. Default 5s.
 	LoadHalfLife time.Duration `yaml:"load_half_life"`
+	// MaxGrantDelay is the longest time after which an instance may still apply a grant that it has not
+	// answered. Keys of a lost node that may have sent such a grant are given to others only after this time,
+	// or on proof that the grant cannot be applied. 0 means that there is no limit: only proof counts. Set it
+	// to the same value as Ingress.MaxGrantDelay of every sidecar. Default 0s.
+	MaxGrantDelay time.Duration `yaml:"max_grant_delay"`
 }
 
 // Timing configures the replication protocol. All members must have the same values.
@@ -235,6 +240,9 @@
 	ZoneDrainTime time.Duration `yaml:"zone_drain_time"`
 	// HoldTime is the maximum duration of one grant of keys to the instance. Default 10s.
 	HoldTime time.Duration `yaml:"hold_time"`
+	// MaxGrantDelay is the longest time after which the instance may still apply a grant that it has not
+	// answered; see Control.MaxGrantDelay. 0 means that there is no limit. Default 0s.
+	MaxGrantDelay time.Duration `yaml:"max_grant_delay"`
 	// GrantBy is how keys are granted to the instance: call (limehold calls the
 	// instance) or heartbeat (in the answers to the instance's heartbeats). Default call.
 	GrantBy string `yaml:"grant_by"`
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -127,6 +127,7 @@
 	problems.require(s.Control.Voters >= 0, "control.voters", s.Control.Voters, "use 0 or more")
 	problems.require(s.Control.ReplaceAfter >= time.Second, "control.replace_after", s.Control.ReplaceAfter, "use at least 1s")
 	problems.require(len(s.Control.Seeds) == 0 || len(s.Control.Members) == 0, "control.seeds", s.Control.Seeds, "give control.members or control.seeds, not both")
+	problems.requireGrantDelay("control.max_grant_delay", s.Control.MaxGrantDelay)
 	for i, seed := range s.Control.Seeds {
 		problems.requireAddress(fmt.Sprintf("control.seeds[%d]", i), seed, false)
 	}
@@ -150,6 +151,7 @@
 	problems.require(s.Ingress.AnnounceEvery >= 10*time.Millisecond, "ingress.announce_every", s.Ingress.AnnounceEvery, "use at least 10ms")
 	problems.require(s.Ingress.DrainTime >= 0, "ingress.drain_time", s.Ingress.DrainTime, "use 0s or more")
 	problems.require(s.Ingress.HoldTime >= time.Second, "ingress.hold_time", s.Ingress.HoldTime, "use at least 1s")
+	problems.requireGrantDelay("ingress.max_grant_delay", s.Ingress.MaxGrantDelay)
 	problems.require(slices.Contains([]string{GrantByCall, GrantByHeartbeat}, s.Ingress.GrantBy), "ingress.grant_by", s.Ingress.GrantBy, "use call or heartbeat")
 	problems.require(s.Ingress.HeartbeatWait >= 0 && s.Ingress.HeartbeatWait <= maxHeartbeatWait, "ingress.heartbeat_wait", s.Ingress.HeartbeatWait, "use 0s to 800ms: instances do not accept an answer later than 1s")
 	problems.require(s.Ingress.StopNotice >= 0 && s.Ingress.StopNotice <= s.Ingress.StopTime, "ingress.stop_notice", s.Ingress.StopNotice, "use 0s up to ingress.stop_time")
@@ -212,3 +214,14 @@
 	problems.require(s.Agent.ProbeEvery >= 10*time.Millisecond, "agent.probe_every", s.Agent.ProbeEvery, "use at least 10ms")
 	return problems
 }
+
+// Bounds of a max_grant_delay other than 0.
+const (
+	minGrantDelay = time.Second
+	maxGrantDelay = time.Hour
+)
+
+func (l *problemList) requireGrantDelay(field string, delay time.Duration) {
+	ok := delay == 0 || delay >= minGrantDelay && delay <= maxGrantDelay
+	l.require(ok, field, delay, fmt.Sprintf("use %v to %v, or 0s for no limit", minGrantDelay, maxGrantDelay))
+}
