--- a/control/restore.go
+++ b/control/restore.go
@@ -11,6 +11,11 @@
 	"limehold/wal"
 )
 
+// restoredTermGap is added to the term of the source. The source may be older than the group's last term; a
+// higher one makes the new group reject messages of the old one, and lets it believe the claims of nodes that
+// have heard of the old one's leaders.
+const restoredTermGap = 1 << 20
+
 // Restored describes the initial state of a restored group.
 type Restored struct {
 	// Identity is the ID of the new group's only member.
@@ -36,8 +41,7 @@
 	if err != nil {
 		return Restored{}, err
 	}
-	// The higher term makes the new group reject messages of the old one.
-	snapshot.Term++
+	snapshot.Term += restoredTermGap
 	snapshot.Configuration = consensus.Configuration{Members: []consensus.Member{{ID: identity.ID, Name: name, Address: address}}}
 	if err := wal.SaveSnapshot(filepath.Join(target, snapshotFolder), snapshot); err != nil {
 		return Restored{}, err
--- a/quiescence/quiescence_test.go
+++ b/quiescence/quiescence_test.go
@@ -199,3 +199,15 @@
 		})
 	}
 }
+
+// Guards against believing a claim of a process that has heard of a later leader than this one, as after the
+// restore of an older snapshot.
+func TestClaimUnderALaterTermIsNotBelieved(t *testing.T) {
+	const restored, before = 3, 9
+	is := is.New(t)
+	_, claim := NodeState{}.WithClaim(true)
+	claim.Process, claim.Term = 1, before
+	state := ControlState{}.WithProcess(1)
+	is.Equal(state.WithClaim(claim, restored).Quiet(), false)
+	is.Equal(state.WithClaim(claim, before).Quiet(), true)
+}
