router: a request that may have run is not sent again by a route that forbids it

What callers saw: by reading; a request that may not be repeated could run twice.

Cause: an attempt under a repeatable route ends with an unknown outcome, the next one is rejected as superseded by a newer route table, and the request is matched again. Whether it may be repeated was then taken from the new route, and the first attempt was forgotten: an attempt that ran followed by one more under an unsafe route.

Fix: such a request ends as unknown. The other order is safe: an unsafe request is never sent again after an unknown outcome.

--- a/router/proxy.go
+++ b/router/proxy.go
@@ -135,6 +135,11 @@
 				r.finishUnserved(request, p, maybeRan, rejected)
 				return false
 			}
+			if maybeRan && !p.repeatable {
+				// The newer route does not allow a second run.
+				r.finishUnserved(request, p, maybeRan, rejectNotCurrent)
+				return false
+			}
 			wait, avoid, attemptNumber = newOwnerWait(p), nil, 0
 			continue
 		}
