ledger: a release is final for its epoch, whatever list arrives

What callers saw: by reading; two instances could hold a key, under rising fences, for as long as one heartbeat.

Cause: lists and releases reach the ledger from two goroutines. A list that was made before a release and processed after it granted the shard again under its old epoch, while control gave it to another node. With calls the instance refuses that (the release carries the next fence), with heartbeats it does not.

Fix: the ledger keeps the epoch under which a shard was released in the session and ignores grants that are not above it. Control never grants an epoch again.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -31,8 +31,8 @@
 //   - Holds returns true only while the node has its lease and a grant of the shard under exactly that
 //     epoch, of which the instance has been notified, has not expired.
 //   - From the beginning of its release, no request on a shard is let through, and the shard is not
-//     granted again under its epoch, unless a later list of control contains it under that epoch. Only
-//     answers whose rows would not fit without the shard still contain it (Answer.Kept).
+//     granted again under its epoch, whatever list arrives. Only answers whose rows would not fit
+//     without the shard still contain it (Answer.Kept).
 //   - A shard counts as released only when the instance reports it, or when every grant that the
 //     instance may have received has expired.
 //   - With calls, an incarnation of the instance gets no grants before it is cleared, and none
@@ -55,7 +55,9 @@
 	// highestListed is the highest epoch or revision ever listed, including those of former shards.
 	highestListed uint64
 	entries       map[ownership.Key]*entry
-	heartbeat     heartbeats
+	// released holds the highest epoch under which each shard was released in the session since it was granted last.
+	released  map[ownership.Key]uint64
+	heartbeat heartbeats
 }
 
 // entry is a shard of control's list, or one in release.
@@ -105,7 +107,7 @@
 // New returns the ledger of an instance that nothing is known of.
 func New(options Options) *Ledger {
 	return &Ledger{
-		shards: options.Shards, hold: options.Hold, lateness: options.Lateness, entries: map[ownership.Key]*entry{},
+		shards: options.Shards, hold: options.Hold, lateness: options.Lateness, entries: map[ownership.Key]*entry{}, released: map[ownership.Key]uint64{},
 		heartbeat: heartbeats{answerBytes: options.AnswerBytes, processStart: options.ProcessStart},
 	}
 }
@@ -115,6 +117,7 @@
 func (l *Ledger) SetLease(session uint64, expiry time.Duration) {
 	if session != l.session {
 		l.session, l.listed, l.cleared = session, false, false
+		clear(l.released)
 	}
 	l.leaseExpiry = expiry
 	if session != 0 && session == l.endedSession {
@@ -195,12 +198,17 @@
 func (l *Ledger) ReplaceGrants(session uint64, grants []Grant, now time.Duration) (added int, removed []Grant) {
 	if session != l.session {
 		l.cleared = false
+		clear(l.released)
 	}
 	l.session, l.listed = session, true
 	listed := make(map[ownership.Key]bool, len(grants))
 	for _, grant := range grants {
 		listed[grant.Key] = true
 		l.highestListed = max(l.highestListed, grant.Epoch)
+		if l.isReleased(grant) {
+			continue
+		}
+		delete(l.released, grant.Key)
 		e := l.entries[grant.Key]
 		if e != nil && e.epoch == grant.Epoch {
 			e.releasing = false
@@ -224,6 +232,10 @@
 	return added, removed
 }
 
+// isReleased reports whether the shard is or was in release under the grant's epoch or a later one. A list that
+// contains such a grant was made before the release: control assigns the shard again only under a higher epoch.
+func (l *Ledger) isReleased(grant Grant) bool { return grant.Epoch <= l.released[grant.Key] }
+
 // newEntry returns the entry of a grant that this process has not sent. previous is the entry under another
 // epoch, or nil; its grants may still be in force. An earlier process may have sent the new grant.
 func (l *Ledger) newEntry(grant Grant, previous *entry) *entry {
@@ -381,6 +393,7 @@
 		if e.epoch == grant.Epoch {
 			e.releasing = true
 		}
+		l.released[grant.Key] = max(l.released[grant.Key], grant.Epoch)
 	}
 }
 
--- a/ledger/simulate_test.go
+++ b/ledger/simulate_test.go
@@ -51,7 +51,9 @@
 	instance         *simInstance
 	partitionedUntil time.Duration
 	session          uint64
-	knownInstance    string
+	// newestList is the number of the newest list that was delivered.
+	newestList    uint64
+	knownInstance string
 	// lease is the expiry of the node's lease as control sees it.
 	lease     time.Duration
 	nextRenew time.Duration
@@ -75,6 +77,9 @@
 	session  uint64
 	failure  string
 	moves    int
+	// lateLists is set to deliver lists late, in order, but after releases that they do not contain yet.
+	lateLists bool
+	lists     uint64
 }
 
 type simMessage struct {
@@ -287,7 +292,20 @@
 			grants = append(grants, Grant{Key: simKey(shard), Epoch: record.epoch, Token: record.token})
 		}
 	}
-	n.ledger.ReplaceGrants(n.session, grants, w.now)
+	if !w.lateLists {
+		n.ledger.ReplaceGrants(n.session, grants, w.now)
+		return
+	}
+	w.lists++
+	number, session, receiver := w.lists, n.session, n.ledger
+	least, most := w.delay()
+	w.schedule(least, most, func() {
+		if n.ledger != receiver || n.session != session || number < n.newestList {
+			return
+		}
+		n.newestList = number
+		n.ledger.ReplaceGrants(session, grants, w.now)
+	})
 }
 
 func simKey(shard int) ownership.Key { return ownership.Key{Service: "numbers", Shard: uint32(shard)} }
@@ -369,9 +387,19 @@
 }
 
 func TestNoKeyIsHeldTwiceWhateverHeartbeatsDo(t *testing.T) {
+	testSimulation(t, false)
+}
+
+// Guards against a list that was made before a release and is processed after it.
+func TestNoKeyIsHeldTwiceWhenListsAreLate(t *testing.T) {
+	testSimulation(t, true)
+}
+
+func testSimulation(t *testing.T, lateLists bool) {
 	moves := 0
 	for seed := range uint64(200) {
 		w := newSimWorld(seed)
+		w.lateLists = lateLists
 		w.run()
 		moves += w.moves
 		if w.failure != "" {
