cli: sidecar and standalone use the tls settings

What operators saw: by reading; 'limehold sidecar' and 'limehold standalone' accepted tls.certificate, tls.key and tls.authorities and connected to control in plain TCP, without an error.

Cause: both ignored the TLS configuration that every process is built with.

Evidence: TestEachRoleConnectsToControlWithTLS looks at the first byte of each connection of a router, an agent and both parts of a sidecar; the sidecar's was that of a plain message before. TestStandaloneListensWithTLS failed as well.

Fix: the configuration is passed on to all parts.

--- a/cli/sidecar.go
+++ b/cli/sidecar.go
@@ -37,8 +37,8 @@
 		Name: "sidecar", Usage: "run a router, an ingress and an agent for one instance", Flags: processFlags,
 		Description: "Example:\n   limehold sidecar --config sidecar-1.yaml",
 		Action: func(ctx context.Context, command *cli.Command) error {
-			return runProcess(ctx, command, settings.RoleSidecar, func(config settings.Settings, logger *zap.Logger, _ *tls.Config) (process, error) {
-				options := sidecar.Options{Settings: config, Logger: logger, Metrics: metrics.New(), NewAdminHandler: extensions.SidecarHandler}
+			return runProcess(ctx, command, settings.RoleSidecar, func(config settings.Settings, logger *zap.Logger, tlsConfig *tls.Config) (process, error) {
+				options := sidecar.Options{Settings: config, Logger: logger, Metrics: metrics.New(), TLS: tlsConfig, NewAdminHandler: extensions.SidecarHandler}
 				if extensions.NewKeyClient != nil {
 					options.Keys = extensions.NewKeyClient(config)
 				}
--- a/cli/standalone.go
+++ b/cli/standalone.go
@@ -19,12 +19,12 @@
 			"   limehold standalone --name laptop --zone home --data-folder /tmp/limehold \\\n" +
 			"     --set agent.backend=127.0.0.1:9000 --set agent.pool=proofs --set router.listen=127.0.0.1:8080",
 		Action: func(ctx context.Context, command *cli.Command) error {
-			return runProcess(ctx, command, settings.RoleStandalone, func(config settings.Settings, logger *zap.Logger, _ *tls.Config) (process, error) {
+			return runProcess(ctx, command, settings.RoleStandalone, func(config settings.Settings, logger *zap.Logger, tlsConfig *tls.Config) (process, error) {
 				token, err := readToken(config.Admin.TokenFile)
 				if err != nil {
 					return nil, err
 				}
-				return standalone.New(config, logger, token)
+				return standalone.New(config, logger, tlsConfig, token)
 			})
 		},
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"sync/atomic"
@@ -31,6 +32,8 @@
 	Settings settings.Settings
 	Logger   *zap.Logger
 	Metrics  *metrics.Registry
+	// TLS secures connections to control. If it is nil, they use plain TCP.
+	TLS *tls.Config
 	// Keys grants keys to the instance and releases them.
 	Keys limehold.KeyClient
 	// NewAdminHandler returns a handler that gets each request to the admin listener first and
@@ -60,7 +63,7 @@
 	p := &Process{options: options, logger: options.Logger}
 	var err error
 	if p.router, err = router.New(router.Options{
-		Settings: config, Logger: options.Logger, Metrics: options.Metrics,
+		Settings: config, Logger: options.Logger, Metrics: options.Metrics, TLS: options.TLS,
 		LocalService: config.Agent.Pool, ExpectRouteTable: true, DisableAdmin: true, OnBodySent: func(bytes int) { p.ingress.RecordSent(bytes) },
 	}); err != nil {
 		return nil, err
@@ -80,7 +83,7 @@
 	// The instance may continue to run and keeps its keys while the sidecar restarts.
 	config.Agent.StopMode = settings.StopRestart
 	if p.agent, err = agent.New(agent.Options{
-		Settings: config, Logger: options.Logger, Metrics: options.Metrics, Backend: p.ingress.Instance(), DisableAdmin: true,
+		Settings: config, Logger: options.Logger, Metrics: options.Metrics, TLS: options.TLS, Backend: p.ingress.Instance(), DisableAdmin: true,
 		Relays: p.router.RelayAddresses,
 	}); err != nil {
 		return nil, err
--- a/standalone/standalone.go
+++ b/standalone/standalone.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -24,8 +25,9 @@
 
 // New builds the parts with the given settings, except for the addresses by which the parts
 // reach each other, which it sets itself. The agent is omitted if agent.backend is empty.
-// token is what operators must present; if it is empty, none is required.
-func New(config settings.Settings, logger *zap.Logger, token string) (*Process, error) {
+// secured secures the connections between the parts; nil means plain TCP. token is what operators must
+// present; if it is empty, none is required.
+func New(config settings.Settings, logger *zap.Logger, secured *tls.Config, token string) (*Process, error) {
 	config.Control.Members = nil
 	if config.Zone == "" {
 		config.Zone = "local"
@@ -35,7 +37,7 @@
 	}
 	process := &Process{}
 	var err error
-	if process.member, err = control.New(control.Options{Settings: config, Logger: logger.With(zap.String("part", "control")), Metrics: metrics.New(), Token: token}); err != nil {
+	if process.member, err = control.New(control.Options{Settings: config, Logger: logger.With(zap.String("part", "control")), Metrics: metrics.New(), TLS: secured, Token: token}); err != nil {
 		return nil, err
 	}
 	// The admin address in the settings belongs to the control member.
@@ -44,7 +46,7 @@
 	if err := config.Validate(settings.RoleRouter); err != nil {
 		return nil, err
 	}
-	if process.router, err = router.New(router.Options{Settings: config, Logger: logger.With(zap.String("part", "router")), Metrics: metrics.New()}); err != nil {
+	if process.router, err = router.New(router.Options{Settings: config, Logger: logger.With(zap.String("part", "router")), Metrics: metrics.New(), TLS: secured}); err != nil {
 		return nil, err
 	}
 	if config.Agent.Backend == "" {
@@ -56,7 +58,7 @@
 	if err := config.Validate(settings.RoleAgent); err != nil {
 		return nil, err
 	}
-	process.agent, err = agent.New(agent.Options{Settings: config, Logger: logger.With(zap.String("part", "agent")), Metrics: metrics.New()})
+	process.agent, err = agent.New(agent.Options{Settings: config, Logger: logger.With(zap.String("part", "agent")), Metrics: metrics.New(), TLS: secured})
 	return process, err
 }
 
