router: a route is denied only if the view was current when it was looked up

What callers saw: 404 with reason no-service for a route in force, in the moment in which a router received its first route table.

Cause: prepare looked the route up, missed it, and then asked whether the router has a table and a current view. A table that arrived in between made the miss final. findRoute read the route and the service under two locks, so that a service that went away in between gave the same answer.

Evidence: found while TestPlannedStopCutsNothingAtFullLinks was traced: one of 24 runs, six at a time, "small-c58-3-0-0: 404, not-run no-service" right after the first configuration.

TestAnOldViewDoesNotDenyARoute calls the two functions that replace rejectUnmatched; its cases are as they were.

--- a/router/follow_test.go
+++ b/router/follow_test.go
@@ -113,8 +113,8 @@
 	r := &Router{}
 	now := clock.Now()
 	r.freshness.confirm(now, confirmation{sentAt: now - time.Second, revision: 1}, 1)
-	is.Equal(r.rejectUnmatched(), rejectNoService)
+	is.Equal(rejectUnmatched(r.viewIsCurrent()), rejectNoService)
 	r = &Router{}
 	r.freshness.confirm(now, confirmation{sentAt: now - 2*time.Second, revision: 1}, 1)
-	is.Equal(r.rejectUnmatched(), rejectNotCurrent)
+	is.Equal(rejectUnmatched(r.viewIsCurrent()), rejectNotCurrent)
 }
--- a/router/framing.go
+++ b/router/framing.go
@@ -44,10 +44,11 @@
 	if header.ContentLength() < earlyCheckSize && header.ContentLength() >= 0 {
 		return fasthttp.RequestConfig{}
 	}
+	current := r.viewIsCurrent()
 	path, _, _ := bytes.Cut(header.RequestURI(), []byte("?"))
 	route := r.limitsFor(string(header.Host()), string(path), string(header.Method()))
 	if route == nil {
-		rejectEarly(header, r.rejectUnmatched())
+		rejectEarly(header, rejectUnmatched(current))
 		return fasthttp.RequestConfig{}
 	}
 	if int64(header.ContentLength()) > route.MaxRequestBytes {
--- a/router/request.go
+++ b/router/request.go
@@ -177,12 +177,14 @@
 	}
 	p.displayID = r.requestIDOr(request, p.id)
 	p.viewAge = r.freshness.age(now)
+	// Before the look-up: the table that it misses a route in may be replaced by a newer one right after it.
+	current := r.viewIsCurrent()
 	found, rest := r.table.find(string(request.Host()), path)
 	if found == nil {
 		p.routed, found = r.table.findRoute(string(request.Host()), path)
 	}
 	if found == nil {
-		return nil, r.rejectUnmatched()
+		return nil, rejectUnmatched(current)
 	}
 	if timeout, ok := r.callerTimeout(request); ok {
 		p.callerDeadline = now + timeout
@@ -224,15 +226,20 @@
 	return rejection{}
 }
 
-// rejectUnmatched returns rejectNoService only if the router's view is known to be
-// current, and rejectNotCurrent otherwise.
-func (r *Router) rejectUnmatched() rejection {
-	if !r.freshness.within(clock.Now(), unmatchedBound) || r.options.ExpectRouteTable && !r.table.hasRoutes() {
+// rejectUnmatched returns rejectNoService only if the router's view was known to be current when the
+// request was looked up, and rejectNotCurrent otherwise.
+func rejectUnmatched(viewWasCurrent bool) rejection {
+	if !viewWasCurrent {
 		return rejectNotCurrent
 	}
 	return rejectNoService
 }
 
+// viewIsCurrent reports whether the router may conclude from its view that a service does not exist.
+func (r *Router) viewIsCurrent() bool {
+	return r.freshness.within(clock.Now(), unmatchedBound) && (!r.options.ExpectRouteTable || r.table.hasRoutes())
+}
+
 // unmatchedBound is the age of the router's view up to which it may report that a
 // service does not exist. An accepted configuration is in force within two seconds: a
 // view that is older may lack the route.
--- a/router/routes.go
+++ b/router/routes.go
@@ -216,14 +216,16 @@
 // findRoute returns the route of a host and path, and the service that its split selects for
 // this request. Both are nil if no route matches; the service is nil if the table lacks it.
 func (t *table) findRoute(host, path string) (*routedRoute, *service) {
-	routed := t.route(host, path)
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+	if t.routes == nil {
+		return nil, nil
+	}
+	routed := t.routes.routes[t.routes.index.Route(host, path)]
 	if routed == nil {
 		return nil, nil
 	}
-	name := routed.split.next()
-	t.mutex.RLock()
-	defer t.mutex.RUnlock()
-	return routed, t.services[name]
+	return routed, t.services[routed.split.next()]
 }
 
 // route returns the route of a host and path, or nil.
