control: a wait for a log index ends with its context

What callers saw: by reading; an operator's command with 'wait' could take until the next entry of the log, beyond its own time.

Cause: the broadcast at the end of the context was made without the mutex, so that it could fall between a waiter's check of the context and its wait.

--- a/control/applier.go
+++ b/control/applier.go
@@ -237,7 +237,12 @@
 
 // waitApplied waits until the state reflects a log index.
 func (a *applier) waitApplied(ctx context.Context, index uint64) error {
-	stop := context.AfterFunc(ctx, a.progress.Broadcast)
+	// With the mutex, so that the broadcast does not fall between a waiter's check and its wait.
+	stop := context.AfterFunc(ctx, func() {
+		a.mutex.Lock()
+		defer a.mutex.Unlock()
+		a.progress.Broadcast()
+	})
 	defer stop()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
