standalone: a part that ends stops the others

What operators saw: by reading; a standalone process of which one part failed went on without it, and its error came out only when the process was stopped.

Cause: the parts ran in groups without a common context.

Evidence: TestPartThatEndsEndsTheOthers; in the former Run nothing ends the other parts.

Fix: as in a sidecar, a part that ends stops all; control stops last.

--- a/standalone/standalone.go
+++ b/standalone/standalone.go
@@ -62,21 +62,40 @@
 	return process, err
 }
 
-// Run runs the parts until ctx ends. The agent and the router stop before control.
+// Run runs the parts until ctx ends or one of them does. The agent and the router stop before control.
 func (p *Process) Run(ctx context.Context) error {
-	controlContext, stopControl := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopControl()
-	var clients errgroup.Group
-	clients.Go(func() error { return p.router.Run(ctx) })
+	clients := []part{p.router.Run}
 	if p.agent != nil {
-		clients.Go(func() error { return p.agent.Run(ctx) })
+		clients = append(clients, p.agent.Run)
 	}
-	var server errgroup.Group
-	server.Go(func() error { return p.member.Run(controlContext) })
-	err := clients.Wait()
-	stopControl()
-	if controlErr := server.Wait(); err == nil {
-		err = controlErr
+	return runParts(ctx, p.member.Run, clients...)
+}
+
+// part runs a part of the process until its context ends or it fails.
+type part func(context.Context) error
+
+// runParts runs the server and its clients until ctx ends or one of them does. Then it stops the clients and, once
+// they have ended, the server. It returns the first error of a client, or else that of the server.
+func runParts(ctx context.Context, server part, clients ...part) error {
+	ctx, stopAll := context.WithCancel(ctx)
+	defer stopAll()
+	serverContext, stopServer := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServer()
+	start := func(group *errgroup.Group, run part, partContext context.Context) {
+		group.Go(func() error {
+			defer stopAll()
+			return run(partContext)
+		})
+	}
+	var clientGroup, serverGroup errgroup.Group
+	for _, client := range clients {
+		start(&clientGroup, client, ctx)
+	}
+	start(&serverGroup, server, serverContext)
+	err := clientGroup.Wait()
+	stopServer()
+	if serverErr := serverGroup.Wait(); err == nil {
+		err = serverErr
 	}
 	return err
 }
