control: requests of a node that wait for others of it end with their sender's time

The lock that orders a node's drains after the opening of its session was taken without regard to the sender's time: at a leader without a quorum, requests that their senders had given up and repeated would have queued and been carried out late. It is now given up when the time is over, and 1,024 locks in place of 64 keep nodes apart when all of a cluster open sessions at once. Whether an operator's drain took effect is decided on a confirmed read, not on the member's own state, which may be older. A drain that is kept for a back end's next incarnation has a log line.

--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -194,21 +194,24 @@
 	}
 	answer, err := m.change(ctx, request, fleet.Command{SetDraining: &fleet.SetDraining{Session: session, Draining: action == "drain", Cause: membership.DrainCauseOperator}})
 	if err == nil && action == "drain" {
-		err = m.checkDrainedByOperator(session)
+		err = m.checkDrainedByOperator(ctx, request, session)
 	}
 	return answer, err
 }
 
 // checkDrainedByOperator rejects a drain that has no effect of its own, because the node is draining on
 // behalf of its agent: that drain ends when the agent is back.
-func (m *Member) checkDrainedByOperator(session membership.SessionID) error {
+func (m *Member) checkDrainedByOperator(ctx context.Context, request *fasthttp.RequestCtx, session membership.SessionID) error {
 	var rejection error
-	m.replica.view(func(state *fleet.State) {
+	err := m.read(ctx, request, func(state *fleet.State) {
 		if node := state.Membership.Sessions[session]; node != nil && node.DrainedByAgent() {
 			rejection = &catalog.Failure{Code: catalog.FailureConflict, Revision: node.Revision, Message: fmt.Sprintf(
 				"node %s is draining already (%s) until its agent is back: drain it again then", node.Name, node.DrainCause)}
 		}
 	})
+	if err != nil {
+		return err
+	}
 	return rejection
 }
 
--- a/control/drains.go
+++ b/control/drains.go
@@ -5,6 +5,7 @@
 	"hash/maphash"
 	"sync"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"limehold/consensus"
@@ -18,16 +19,24 @@
 // a lock.
 type drainLocks struct {
 	seed  maphash.Seed
-	locks [64]sync.Mutex
+	locks [drainLockCount]sync.Mutex
 }
 
+// drainLockCount keeps the number of nodes that share a lock low when all nodes of a cluster open a session at once.
+const drainLockCount = 1024
+
 func newDrainLocks() *drainLocks { return &drainLocks{seed: maphash.MakeSeed()} }
 
-// lock locks a node and returns the function that unlocks it.
-func (d *drainLocks) lock(node string) func() {
-	lock := &d.locks[maphash.String(d.seed, node)%uint64(len(d.locks))]
+// lock locks a node and returns the function that unlocks it. It fails if ctx has ended by then: the sender no
+// longer waits for the request, and may have sent it again.
+func (d *drainLocks) lock(ctx context.Context, node string) (unlock func(), err error) {
+	lock := &d.locks[maphash.String(d.seed, node)%drainLockCount]
 	lock.Lock()
-	return lock.Unlock
+	if err := ctx.Err(); err != nil {
+		lock.Unlock()
+		return nil, eris.Wrapf(err, "wait for other requests of node %s", node)
+	}
+	return lock.Unlock, nil
 }
 
 // drainSelf starts draining the sender's node, or ends a drain that its agent has requested if request.Resume
@@ -36,7 +45,11 @@
 func (m *Member) drainSelf(ctx context.Context, conn *transport.Conn, request *wire.DrainSelf) (*wire.ReleasedReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	defer m.drains.lock(conn.Peer.Name)()
+	unlock, err := m.drains.lock(ctx, conn.Peer.Name)
+	if err != nil {
+		return nil, err
+	}
+	defer unlock()
 	if m.replica.status.Load().Role != consensus.RoleLeader {
 		return nil, m.notLeader("drain node")
 	}
@@ -60,6 +73,7 @@
 		current := state.Membership.Current(node.Name)
 		if current != nil && current.Draining && current.DrainCause == membership.DrainCauseOperator {
 			node.Draining, node.DrainCause = true, current.DrainCause
+			m.logger.Info("operator_drain_kept", zap.String("node", node.Name), zap.Uint64("session", uint64(current.Session)), zap.String("incarnation", node.Incarnation))
 		}
 	})
 }
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -191,7 +191,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	unlock := m.drains.lock(node.Name)
+	unlock, err := m.drains.lock(ctx, node.Name)
+	if err != nil {
+		return nil, err
+	}
 	defer unlock()
 	m.keepOperatorsDrain(&node)
 	result, err := m.executeLocally(ctx, fleet.Command{OpenSession: &fleet.OpenSession{Node: node, PredecessorsEnded: request.PredecessorsEnded, Exclusive: request.Exclusive}})
