--- a/tools/knownred/knownred_test.go
+++ b/tools/knownred/knownred_test.go
@@ -50,6 +50,8 @@
 			`TestA (sometimes: "lost"), cause, 1`, []event{ended("pass", "TestA"), ended("pass", "")}, nil},
 		"one that fails sometimes fails as listed": {
 			`TestA (sometimes: "lost"), cause, 1`, []event{printed("TestA", "    a_test.go:1: request 7 was lost"), ended("fail", "TestA"), ended("fail", "")}, nil},
+		"its text has a comma": {
+			`TestA/b (sometimes: "lost, after"), cause, 1`, []event{printed("TestA/b", "    a_test.go:1: lost, after 2s"), ended("fail", "TestA/b"), ended("fail", "TestA"), ended("fail", "")}, nil},
 		"one that fails sometimes fails otherwise": {
 			`TestA (sometimes: "lost"), cause, 1`, []event{printed("TestA", "    a_test.go:1: not served"), ended("fail", "TestA"), ended("fail", "")}, []string{"failed: TestA (p)"}},
 		"a listed subtest fails": {
--- a/tools/knownred/list.go
+++ b/tools/knownred/list.go
@@ -16,7 +16,7 @@
 	line         string
 }
 
-var intermittentPattern = regexp.MustCompile(`^(\S+) \(sometimes: "([^"]+)"\)$`)
+var intermittentPattern = regexp.MustCompile(`^(\S+) \(sometimes: "([^"]+)"\), `)
 
 // parseList parses a list with one entry a line: test, cause, issue. Lines that begin with # are comments. A test
 // that fails only sometimes is written as: TestName (sometimes: "text of its failure"), cause, issue.
@@ -27,13 +27,14 @@
 		if line == "" || strings.HasPrefix(line, "#") {
 			continue
 		}
+		parsed := entry{line: line}
 		first, _, found := strings.Cut(line, ", ")
-		if !found {
-			return nil, fmt.Errorf("line %d: write test, cause, issue", number+1)
-		}
-		parsed := entry{test: first, line: line}
-		if match := intermittentPattern.FindStringSubmatch(first); match != nil {
+		if match := intermittentPattern.FindStringSubmatch(line); match != nil {
 			parsed.test, parsed.intermittent = match[1], match[2]
+		} else if found {
+			parsed.test = first
+		} else {
+			return nil, fmt.Errorf("line %d: write test, cause, issue", number+1)
 		}
 		if !strings.HasPrefix(parsed.test, "Test") || strings.ContainsAny(parsed.test, " \"") {
 			return nil, fmt.Errorf("line %d: %q is not the name of a test; one that fails sometimes is written as TestName (sometimes: \"text of its failure\")", number+1, first)
