control: an operator's drain lasts while the back end is down

What operators saw: a node that they had drained came back in service if its back end was down for longer than its lease.

Cause: the drain is part of the session, which was closed when the lease expired.

Fix: the leader does not propose the end of an expired session that an operator drains and that owns nothing; it stops tracking its lease, so that an agent that is still there opens the session again. The next incarnation's session is opened as draining, as after a restart. 'limehold node ended' removes such a node if its machine does not come back. 'limehold node list' says that its lease has expired.

--- a/adminapi/types.go
+++ b/adminapi/types.go
@@ -99,6 +99,9 @@
 	// SilenceMillis is the time since the leader received the last renewal, in
 	// milliseconds.
 	SilenceMillis int64 `json:"silence_ms"`
+	// Leased is set while the leader tracks a lease of the node, and if the leader does not answer. A node
+	// that an operator drains stays listed without a lease while its back end is down.
+	Leased bool `json:"leased"`
 }
 
 // Router describes a router.
--- a/cli/fleet.go
+++ b/cli/fleet.go
@@ -49,11 +49,18 @@
 func nodeTable(list []adminapi.Node) *table {
 	rows := &table{header: []string{"NODE", "ZONE", "POOL", "STATE", "SHARDS", "SLOTS", "ADDRESS", "LAST RENEWAL"}}
 	for _, node := range list {
-		rows.add(node.Name, node.Zone, node.Pool, node.State, node.Shards, node.Slots, node.Address, fmt.Sprintf("%d ms ago", node.SilenceMillis))
+		rows.add(node.Name, node.Zone, node.Pool, node.State, node.Shards, node.Slots, node.Address, lastRenewal(node))
 	}
 	return rows
 }
 
+func lastRenewal(node adminapi.Node) string {
+	if !node.Leased {
+		return "lease expired"
+	}
+	return fmt.Sprintf("%d ms ago", node.SilenceMillis)
+}
+
 func memberCommand() *cli.Command {
 	memberCommandFor := func(action, usage, example string, needsAddress bool) *cli.Command {
 		return &cli.Command{
--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -225,7 +225,7 @@
 		view := adminapi.Node{
 			Name: node.Name, Session: uint64(node.Session), Zone: node.Zone, Address: node.Address, Pool: node.Pool,
 			Slots: node.Slots, State: "live", DrainCause: node.DrainCause,
-			Shards: state.Ownership.OwnedCount(node.Session), SilenceMillis: silences[node.Session].Milliseconds(),
+			Shards: state.Ownership.OwnedCount(node.Session), SilenceMillis: silences[node.Session].Milliseconds(), Leased: leader.Leader == "" || hasLease(leader, node.Session),
 		}
 		switch {
 		case node.Lost:
--- a/control/leader.go
+++ b/control/leader.go
@@ -93,7 +93,7 @@
 func (m *Member) endExpiredSessions(ctx context.Context, now time.Duration) bool {
 	expired, lost := m.sessions.expired(now)
 	lost, idle := m.splitByOwnership(lost)
-	expired = append(expired, idle...)
+	expired = m.keepDrainedByOperator(append(expired, idle...))
 	timing := m.options.leaseTiming()
 	if len(lost) > 0 {
 		cause := fmt.Sprintf("no renewal received for %v, and the node had not said that its grants were all answered: one may be applied later", timing.ControlLength())
--- a/control/lostnodes.go
+++ b/control/lostnodes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
@@ -10,15 +11,47 @@
 	"limehold/catalog"
 	"limehold/fleet"
 	"limehold/membership"
+	"limehold/wire"
 )
 
+// keepDrainedByOperator returns the sessions without those that keep an operator's drain: the session of a node that
+// owns nothing is closed neither when its lease expires nor when its machine is off for long, so that the node's next
+// incarnation is drained as well. Without a lease the session is no longer renewed; the agent opens it again.
+func (m *Member) keepDrainedByOperator(expired []membership.SessionID) []membership.SessionID {
+	if len(expired) == 0 {
+		return nil
+	}
+	var closing, kept []membership.SessionID
+	m.replica.view(func(state *fleet.State) {
+		for _, session := range expired {
+			if state.IsDrainedByOperator(session) {
+				kept = append(kept, session)
+				continue
+			}
+			closing = append(closing, session)
+		}
+	})
+	if len(kept) > 0 {
+		m.logger.Info("operator_drain_kept", zap.Uint64s("sessions", sessionNumbers(kept)), zap.String("cause", "the lease has expired and the node owns nothing"))
+		m.sessions.forget(kept)
+	}
+	return closing
+}
+
 // endLostNode closes the lost sessions of a node whose machine is off by an operator's word, so that their keys
-// are free. A node with a session in force is rejected: its lease has to expire first.
+// are free, and the session that keeps an operator's drain. A node with a lease is rejected: it has to expire first.
 func (m *Member) endLostNode(ctx context.Context, request *fasthttp.RequestCtx, name string) (any, error) {
 	var sessions []membership.SessionID
 	var inForce bool
+	leader := m.leaderView(ctx)
+	if leader.Leader == "" {
+		return nil, m.notLeader("ask the leader for the lease of node " + name)
+	}
 	err := m.read(ctx, request, func(state *fleet.State) {
-		inForce = state.Membership.Current(name) != nil
+		if current := state.Membership.Current(name); current != nil {
+			inForce = !state.IsDrainedByOperator(current.Session) || hasLease(&leader, current.Session)
+			sessions = append(sessions, current.Session)
+		}
 		for _, session := range state.Membership.Superseded(name) {
 			if state.Membership.Sessions[session].Lost {
 				sessions = append(sessions, session)
@@ -36,3 +69,8 @@
 	m.logger.Warn("lost_node_ended", zap.String("node", name), zap.Uint64s("sessions", sessionNumbers(sessions)), zap.String("proof", "an operator has stated that the machine is off"))
 	return m.change(ctx, request, fleet.Command{CloseSessions: &fleet.CloseSessions{Sessions: sessions, Cause: "an operator has stated that the machine is off"}})
 }
+
+// hasLease reports whether the leader tracks a lease of a session.
+func hasLease(leader *wire.LeaderView, session membership.SessionID) bool {
+	return slices.ContainsFunc(leader.Nodes, func(node wire.NodeSilence) bool { return node.Session == session })
+}
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -113,6 +113,18 @@
 	}
 }
 
+// forget ends the tracking of the leases of sessions that stay open.
+func (s *sessions) forget(list []membership.SessionID) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.leases == nil {
+		return
+	}
+	for _, session := range list {
+		s.leases.Forget(session)
+	}
+}
+
 func (s *sessions) listRevisionOf(session membership.SessionID) uint64 {
 	if revision, known := s.listRevision[session]; known {
 		return revision
--- a/fleet/zones.go
+++ b/fleet/zones.go
@@ -32,6 +32,13 @@
 	return node.Eligible() && !s.Zones[node.Zone].Draining
 }
 
+// IsDrainedByOperator reports whether a session is the current one of a node that an operator drains, and owns
+// nothing.
+func (s *State) IsDrainedByOperator(session membership.SessionID) bool {
+	node := s.Membership.Sessions[session]
+	return node != nil && !node.Superseded && node.Draining && node.DrainCause == membership.DrainCauseOperator && s.Ownership.OwnedCount(session) == 0
+}
+
 // setZoneDraining changes a zone. A zone that is already in the requested state does
 // not change, so that the command can be resent.
 func (a *applier) setZoneDraining(command *SetZoneDraining) Result {
