goaway: a connection that is closed just before it is reported idle gets the notice

What callers saw: one request of some hundreds on a kept connection got neither an answer nor the notice when a server shut down (TestShutdownAnswersEachRequest, 2 of 24 runs six at a time beside 24 busy loops).

Cause: the HTTP library marks a connection as idle for its shutdown and only then calls the hook for changes of state. A shutdown between the two closed a connection that goaway took for a busy one, so that it was closed without the notice.

Change: a connection that is closed while it counts as busy is not closed at once: the state that the server reports next, idle or closed, decides how.

--- a/goaway/goaway.go
+++ b/goaway/goaway.go
@@ -55,9 +55,7 @@
 // ConnState is the server's hook for changes of the state of a connection.
 func (l *Listener) ConnState(changed net.Conn, state fasthttp.ConnState) {
 	if c, ok := changed.(*conn); ok {
-		c.mutex.Lock()
-		c.idle = state == fasthttp.StateNew || state == fasthttp.StateIdle
-		c.mutex.Unlock()
+		c.setState(state)
 	}
 }
 
@@ -76,28 +74,72 @@
 	// peerClosed is set once a read has failed other than by a timeout.
 	peerClosed bool
 	closed     bool
+	// undecided is set when the connection was closed before the server reported whether it is idle. A shutdown
+	// closes connections that the server regards as idle, but has not reported as such yet.
+	undecided bool
+}
+
+// setState records a state that the server has reported, and carries out a close that waits for it.
+func (c *conn) setState(state fasthttp.ConnState) {
+	c.mutex.Lock()
+	c.idle = state == fasthttp.StateNew || state == fasthttp.StateIdle
+	undecided := c.undecided
+	c.undecided = false
+	graceful := c.idle && !c.peerClosed
+	c.mutex.Unlock()
+	if undecided {
+		_ = c.closeNow(graceful) // the server has been told of the close already
+	}
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(data []byte) (int, error) {
 	count, err := c.TCPConn.Read(data)
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.mutex.Lock()
+	if err == nil {
+		return count, nil
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closed {
+		return count, net.ErrClosed
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.peerClosed = true
-		c.mutex.Unlock()
 	}
 	return count, err
 }
 
-// Close implements net.Conn.
+// Write implements net.Conn.
+func (c *conn) Write(data []byte) (int, error) {
+	c.mutex.Lock()
+	closed := c.closed
+	c.mutex.Unlock()
+	if closed {
+		return 0, net.ErrClosed
+	}
+	return c.TCPConn.Write(data)
+}
+
+// Close implements net.Conn. The server reports a state after each close of a connection that it has reported as
+// active: that it is idle, or that it is closed.
 func (c *conn) Close() error {
 	c.mutex.Lock()
-	first, graceful := !c.closed, c.idle && !c.peerClosed
+	first, idle, graceful := !c.closed, c.idle, c.idle && !c.peerClosed
 	c.closed = true
+	c.undecided = first && !idle
 	c.mutex.Unlock()
-	if !first {
+	switch {
+	case !first:
 		return net.ErrClosed
+	case !idle:
+		// Ends a read that the server waits in.
+		return c.SetReadDeadline(time.Now())
 	}
+	return c.closeNow(graceful)
+}
+
+// closeNow closes the connection, with the notice if the close is graceful.
+func (c *conn) closeNow(graceful bool) error {
 	if !graceful {
 		return c.TCPConn.Close()
 	}
--- a/goaway/goaway_test.go
+++ b/goaway/goaway_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,15 +21,21 @@
 
 const testRequest = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
-// startServer starts a server behind a Listener and returns a connection to it, with its reader.
-func startServer(t *testing.T, server *fasthttp.Server) (net.Conn, *bufio.Reader) {
+// startServer starts a server behind a Listener and returns a connection to it, with its reader. The hooks are called
+// before that of the Listener.
+func startServer(t *testing.T, server *fasthttp.Server, hooks ...func(net.Conn, fasthttp.ConnState)) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	listener := New(inner, []byte(testNotice))
-	server.ConnState = listener.ConnState
+	server.ConnState = func(changed net.Conn, state fasthttp.ConnState) {
+		for _, hook := range hooks {
+			hook(changed, state)
+		}
+		listener.ConnState(changed, state)
+	}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Shutdown() })
 	conn, err := net.Dial("tcp", inner.Addr().String())
@@ -86,6 +93,36 @@
 	}
 }
 
+// Guards against a close without the notice when a shutdown closes a connection that the server regards as idle, but
+// has not reported as idle yet.
+func TestConnectionClosedBeforeItIsReportedIdleGetsTheNotice(t *testing.T) {
+	is := is.New(t)
+	server := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}}
+	conn, reader := startServer(t, server, func(changed net.Conn, state fasthttp.ConnState) {
+		if state != fasthttp.StateIdle {
+			return
+		}
+		go func() { _ = server.Shutdown() }()
+		for !isClosed(changed) {
+			runtime.Gosched()
+		}
+	})
+	response, _, err := exchange(t, conn, reader)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	response, _, err = exchange(t, conn, reader)
+	is.NoErr(err)
+	is.Equal(response.Header.Get("X-Closed"), "1")
+}
+
+// isClosed reports whether the server has closed a connection.
+func isClosed(accepted net.Conn) bool {
+	c := accepted.(*conn)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.closed
+}
+
 // Guards against notices that become part of a response which the server has broken off.
 func TestBrokenResponseGetsNoNotice(t *testing.T) {
 	is := is.New(t)
