routing, fleet: a table that its services cannot follow is rejected; uploads and tenants in the table

Cause: a table was checked by itself, not against the services that exist. The state machine checks it now before it takes it.

The table also holds tenants with digests of their API keys, quotas, priorities and regions, routes that need no key, and the kind upload. Fields are added at the end of the records: data folders of protocol version 11 can be read.

--- a/codec/codec.go
+++ b/codec/codec.go
@@ -1,7 +1,7 @@
 // Package codec encodes the product's own messages and records as msgpack with
 // structs written as arrays. The order and number of fields are part of the format:
-// a value of another shape is rejected. A change of a message raises
-// wire.ProtocolVersion.
+// a value of another shape is rejected, unless its type decodes itself with DecodeFields.
+// A change of a message raises wire.ProtocolVersion.
 package codec
 
 import (
@@ -73,3 +73,22 @@
 	}
 	return nil
 }
+
+// DecodeFields decodes an array into the fields of a struct and returns how many it held. Types whose
+// DecodeMsgpack calls it can be read from records that were written before their last fields were added: required
+// is the number of fields without those.
+func DecodeFields(decoder *msgpack.Decoder, required int, fields ...any) (int, error) {
+	length, err := decoder.DecodeArrayLen()
+	if err != nil {
+		return 0, eris.Wrap(err, "decode the number of fields")
+	}
+	if length < required || length > len(fields) {
+		return 0, eris.Errorf("%d fields: want %d to %d", length, required, len(fields))
+	}
+	for i, field := range fields[:length] {
+		if err := decoder.Decode(field); err != nil {
+			return 0, eris.Wrapf(err, "decode field %d", i)
+		}
+	}
+	return length, nil
+}
--- a/fleet/routes.go
+++ b/fleet/routes.go
@@ -35,7 +35,7 @@
 
 // changeRoutes applies a change to the route table and to the services that it defines.
 func (a *applier) changeRoutes(change *routing.Change) Result {
-	outcome := a.state.Routing.Apply(change)
+	outcome := a.state.Routing.Apply(change, a.checkRoutedServices)
 	if outcome.Verdict == routing.VerdictApplied && !outcome.Repeated {
 		a.changes.Routes = change.WithoutSources()
 		a.syncRoutedServices()
@@ -44,6 +44,33 @@
 	return Result{Routes: &outcome}
 }
 
+// checkRoutedServices returns the first service of a route table that cannot be in force as the table defines it, or
+// nil: its name belongs to a service with a template, or it differs from an existing one in whether its keys are
+// divided, which is fixed while shards of it exist.
+func (a *applier) checkRoutedServices(document *routing.Document) *routing.Invalid {
+	for i := range document.Items {
+		service := document.Items[i].Service
+		if service == nil {
+			continue
+		}
+		known := a.state.Catalog.Services[service.Name]
+		switch {
+		case known == nil:
+		case !known.Routed():
+			return &routing.Invalid{
+				Item: "service " + service.Name, Field: "name", Value: service.Name,
+				Want: "a service from template " + known.Template + " has this name: use another one, or retire that service first",
+			}
+		case known.Spec.Keyed != service.Keyed:
+			return &routing.Invalid{
+				Item: "service " + service.Name, Field: "keyed", Value: fmt.Sprint(service.Keyed),
+				Want: fmt.Sprintf("the existing service of this name, which is %s, has %t: use another name, or wait until that one is removed", known.State, known.Spec.Keyed),
+			}
+		}
+	}
+	return nil
+}
+
 // syncRoutedServices creates, updates and retires services to match the table.
 func (a *applier) syncRoutedServices() {
 	document := &a.state.Routing.Document
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -21,10 +21,12 @@
 	KindUnsafe Kind = "unsafe"
 	// KindDownload requests may run more than once, and have large responses.
 	KindDownload Kind = "download"
+	// KindUpload requests run at most once, and have large bodies.
+	KindUpload Kind = "upload"
 )
 
 // Repeatable reports whether a request may run more than once.
-func (k Kind) Repeatable() bool { return k != KindUnsafe }
+func (k Kind) Repeatable() bool { return k == KindSafe || k == KindDownload }
 
 // Share is the part of a weighted split that goes to one service.
 type Share struct {
@@ -50,6 +52,10 @@
 	MaxAttempts int
 	// Split has a single share if the route leads to one service.
 	Split []Share
+	// Public routes serve requests without an API key.
+	Public bool
+	// Regions lists the regions in which requests may be served; empty means all.
+	Regions []string
 }
 
 // Service is a set of instances that routes may name.
@@ -98,6 +104,7 @@
 	SectionRoutes   Section = "routes"
 	SectionServices Section = "services"
 	SectionLimits   Section = "limits"
+	SectionTenants  Section = "tenants"
 )
 
 // Item is one entry of a document, in source form and parsed.
@@ -110,6 +117,7 @@
 	Route   *Route
 	Service *Service
 	Limits  *Limits
+	Tenant  *Tenant
 }
 
 // Document is a complete route table.
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -39,12 +39,12 @@
 func TestOfTwoChangesOnOneVersionOneIsTaken(t *testing.T) {
 	is := is.New(t)
 	var store Store
-	is.Equal(store.Apply(replacement(0, 5, service("s"))).Verdict, VerdictApplied)
-	is.Equal(store.Apply(replacement(5, 7, service("s"), route("a", "h", "/", "s"))).Verdict, VerdictApplied)
-	outcome := store.Apply(replacement(5, 7, service("s")))
+	is.Equal(store.Apply(replacement(0, 5, service("s")), nil).Verdict, VerdictApplied)
+	is.Equal(store.Apply(replacement(5, 7, service("s"), route("a", "h", "/", "s")), nil).Verdict, VerdictApplied)
+	outcome := store.Apply(replacement(5, 7, service("s")), nil)
 	is.Equal(outcome.Verdict, VerdictConflict)
 	is.Equal(outcome.Current, uint64(7))
-	is.Equal(store.Apply(replacement(7, 7, service("s"), service("t"))).Verdict, VerdictInvalid)
+	is.Equal(store.Apply(replacement(7, 7, service("s"), service("t")), nil).Verdict, VerdictInvalid)
 }
 
 // A change that is sent again after hundreds of later ones is acknowledged and changes nothing.
@@ -52,11 +52,11 @@
 	is := is.New(t)
 	var store Store
 	first := replacement(0, 1, service("s"))
-	is.Equal(store.Apply(first).Verdict, VerdictApplied)
+	is.Equal(store.Apply(first, nil).Verdict, VerdictApplied)
 	for version := uint64(1); version < 500; version++ {
-		is.Equal(store.Apply(replacement(version, version+1, service("s"))).Verdict, VerdictApplied)
+		is.Equal(store.Apply(replacement(version, version+1, service("s")), nil).Verdict, VerdictApplied)
 	}
-	again := store.Apply(first)
+	again := store.Apply(first, nil)
 	is.Equal(again.Verdict, VerdictApplied)
 	is.True(again.Repeated)
 	is.Equal(store.Document.Version, uint64(500))
@@ -65,10 +65,10 @@
 func TestEditsNameItems(t *testing.T) {
 	is := is.New(t)
 	var store Store
-	is.Equal(store.Apply(replacement(0, 1, service("s"), route("a", "h", "/a/", "s"), route("b", "h", "/b/", "s"))).Verdict, VerdictApplied)
+	is.Equal(store.Apply(replacement(0, 1, service("s"), route("a", "h", "/a/", "s"), route("b", "h", "/b/", "s")), nil).Verdict, VerdictApplied)
 	is.Equal(store.Apply(&Change{
 		Base: 1, Version: 4, Digest: 9, Upsert: []Item{route("b", "h", "/c/", "s")}, Remove: []ItemKey{{SectionRoutes, "a"}},
-	}).Verdict, VerdictApplied)
+	}, nil).Verdict, VerdictApplied)
 	is.True(store.Document.Route("h", "/a/") == nil)
 	is.True(store.Document.Route("h", "/b/") == nil)
 	is.Equal(store.Document.Route("h", "/c/").Name, "b")
--- a/routing/store.go
+++ b/routing/store.go
@@ -22,6 +22,9 @@
 	Remove     []ItemKey
 	// Digest identifies the change as it was sent; see the function Digest.
 	Digest uint64
+	// Legacy is set for changes that were recorded before the rules of Document.Validate were extended. They are
+	// replayed under the rules by which they were applied or rejected, so that all members hold the same table.
+	Legacy bool
 }
 
 // ItemKey identifies an item.
@@ -82,8 +85,9 @@
 	Applied []AppliedChange
 }
 
-// Apply applies a change, or rejects it without any effect.
-func (s *Store) Apply(change *Change) Outcome {
+// Apply applies a change, or rejects it without any effect. accepts, if not nil, checks the document that results
+// from a change that is valid otherwise; it is not called for changes that were recorded under earlier rules.
+func (s *Store) Apply(change *Change, accepts func(next *Document) *Invalid) Outcome {
 	for i := len(s.Applied) - 1; i >= 0; i-- {
 		if s.Applied[i].Digest == change.Digest && s.Applied[i].Version == change.Version {
 			return Outcome{Verdict: VerdictApplied, Current: s.Document.Version, Repeated: true}
@@ -99,7 +103,11 @@
 	if change.Version <= s.Document.Version {
 		return s.invalid(fmt.Sprintf("version is %d: use a number above the current one, %d", change.Version, s.Document.Version))
 	}
-	if problem := next.Validate(); problem != nil {
+	problem := next.validate(change.Legacy)
+	if problem == nil && accepts != nil && !change.Legacy {
+		problem = accepts(&next)
+	}
+	if problem != nil {
 		return s.invalid(problem.Error())
 	}
 	s.Document = next
--- a/routing/validate.go
+++ b/routing/validate.go
@@ -27,7 +27,10 @@
 }
 
 // Validate returns the first error of the document, or nil.
-func (d *Document) Validate() *Invalid {
+func (d *Document) Validate() *Invalid { return d.validate(false) }
+
+// validate is Validate; legacy selects the rules for changes that were recorded before uploads and tenants existed.
+func (d *Document) validate(legacy bool) *Invalid {
 	services := map[string]bool{}
 	for i := range d.Items {
 		if service := d.Items[i].Service; service != nil {
@@ -36,11 +39,15 @@
 	}
 	type location struct{ host, prefix string }
 	routeAt := map[location]string{}
+	keyHolders := map[KeyDigest]string{}
 	names := map[Section]map[string]bool{SectionRoutes: {}, SectionServices: {}, SectionLimits: {}}
+	if !legacy {
+		names[SectionTenants] = map[string]bool{}
+	}
 	for i := range d.Items {
 		item := &d.Items[i]
 		if names[item.Section] == nil {
-			return &Invalid{Item: "entry " + item.Name, Field: "section", Value: string(item.Section), Want: "use routes, services or limits"}
+			return &Invalid{Item: "entry " + item.Name, Field: "section", Value: string(item.Section), Want: "use routes, services, tenants or limits"}
 		}
 		if names[item.Section][item.Name] {
 			return &Invalid{Item: string(item.Section), Field: "name", Value: item.Name, Want: "name each entry once"}
@@ -49,10 +56,15 @@
 		if item.Service != nil && !slices.Contains([]string{"", NotifyByCall, NotifyByHeartbeat}, item.Service.NotifyBy) {
 			return &Invalid{Item: "service " + item.Name, Field: "grants", Value: item.Service.NotifyBy, Want: "use call or heartbeat"}
 		}
+		if item.Tenant != nil {
+			if invalid := item.Tenant.validate(keyHolders); invalid != nil {
+				return invalid
+			}
+		}
 		if item.Route == nil {
 			continue
 		}
-		if invalid := item.Route.validate(services); invalid != nil {
+		if invalid := item.Route.validate(services, legacy); invalid != nil {
 			return invalid
 		}
 		at := location{item.Route.Host, item.Route.PathPrefix}
@@ -64,11 +76,49 @@
 	return nil
 }
 
+// validate returns the first error of the tenant, or nil. It adds the tenant's keys to holders, which maps each key
+// to the tenant that has it. The error names the place of a key, never the key.
+func (t *Tenant) validate(holders map[KeyDigest]string) *Invalid {
+	invalid := func(field string, value any, want string) *Invalid {
+		return &Invalid{Item: "tenant " + t.Name, Field: field, Value: fmt.Sprint(value), Want: want}
+	}
+	switch {
+	case t.Name == "":
+		return invalid("name", t.Name, "give each tenant a name")
+	case t.Rate < 0:
+		return invalid("rate", t.Rate, "use 0 or more")
+	case t.Burst < 0:
+		return invalid("burst", t.Burst, "use 0 or more")
+	}
+	for i, key := range t.Keys {
+		place := fmt.Sprintf("key %d of %d", i+1, len(t.Keys))
+		if key == DigestKey(nil) {
+			return invalid("keys", place, "it is empty: use a key of at least one character")
+		}
+		if other, taken := holders[key]; taken && other != t.Name {
+			return invalid("keys", place, "tenant "+other+" has the same key: give each tenant keys of its own")
+		}
+		holders[key] = t.Name
+	}
+	return nil
+}
+
 func (r *Route) invalid(field string, value any, want string) *Invalid {
 	return &Invalid{Item: "route " + r.Name, Field: field, Value: fmt.Sprint(value), Want: want}
 }
 
-func (r *Route) validate(services map[string]bool) *Invalid {
+// isKnown reports whether a route may have the kind.
+func (k Kind) isKnown(legacy bool) bool {
+	switch k {
+	case KindSafe, KindUnsafe, KindDownload:
+		return true
+	case KindUpload:
+		return !legacy
+	}
+	return false
+}
+
+func (r *Route) validate(services map[string]bool, legacy bool) *Invalid {
 	switch {
 	case r.Name == "":
 		return r.invalid("name", r.Name, "give each route a name")
@@ -76,8 +126,8 @@
 		return r.invalid("host", r.Host, "name the host")
 	case !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/"):
 		return r.invalid("path_prefix", r.PathPrefix, "begin and end it with a slash")
-	case r.Kind != KindSafe && r.Kind != KindUnsafe && r.Kind != KindDownload:
-		return r.invalid("kind", r.Kind, "use safe, unsafe or download")
+	case !r.Kind.isKnown(legacy):
+		return r.invalid("kind", r.Kind, "use safe, unsafe, upload or download")
 	case r.Timeout <= 0:
 		return r.invalid("timeout", r.Timeout, "use more than 0")
 	case r.TargetLatency >= r.Timeout+maxTargetOverTimeout:
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -59,7 +59,7 @@
 )
 
 // ProtocolVersion is compared when a connection is established.
-const ProtocolVersion = 11
+const ProtocolVersion = 12
 
 // Role is the kind of process at one end of a connection.
 type Role string
