--- a/disconnect/disconnect.go
+++ b/disconnect/disconnect.go
@@ -91,7 +91,7 @@
 	w.mutex.Lock()
 	var closed []*Request
 	for watched := range w.requests {
-		if now.Sub(watched.added) >= minCheckAge && upstream.Peek(watched.caller) == upstream.PeekClosed {
+		if now.Sub(watched.added) >= minCheckAge && isDisconnected(watched.caller) {
 			closed = append(closed, watched)
 			delete(w.requests, watched)
 		}
@@ -101,3 +101,12 @@
 		watched.cancel()
 	}
 }
+
+// isDisconnected reports whether a caller has closed its connection. Connections that are read while a request runs
+// report it themselves.
+func isDisconnected(caller net.Conn) bool {
+	if reporting, ok := caller.(interface{ Disconnected() bool }); ok {
+		return reporting.Disconnected()
+	}
+	return upstream.Peek(caller) == upstream.PeekClosed
+}
