upstream: a check of a connection does not wait for a read that is under way on it

Peek takes the read lock of the connection, which a connection that is read ahead holds all the time; the watcher of disconnects waited for it with its own mutex held. The new test hung before.

--- a/callerconn/callerconn_test.go
+++ b/callerconn/callerconn_test.go
@@ -318,6 +318,24 @@
 	}
 }
 
+// Guards against a check of the connection that waits for the read which is under way on it.
+func TestConnectionIsCheckedWhileItIsRead(t *testing.T) {
+	s := newTestServer(t)
+	s.listener.options.Handler = func(request *fasthttp.RequestCtx) {
+		if request.Conn().(*Conn).Disconnected() {
+			request.SetStatusCode(fasthttp.StatusGone)
+		}
+	}
+	c := s.connect(t)
+	for range 100 {
+		c.send(t, get("/safe/1"))
+		response, err := http.ReadResponse(c.reader, nil)
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Fatal(response, err)
+		}
+	}
+}
+
 // Guards against a planned stop that cuts requests which run ahead.
 func TestDrainAnswersAllThatWasStarted(t *testing.T) {
 	is := is.New(t)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -226,7 +226,8 @@
 		return PeekClosed
 	}
 	state := PeekIdle
-	err = raw.Read(func(descriptor uintptr) bool {
+	// Not raw.Read, which would wait for a read that is under way in another goroutine.
+	err = raw.Control(func(descriptor uintptr) {
 		var one [1]byte
 		count, _, receiveErr := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
@@ -237,7 +238,6 @@
 		default:
 			state = PeekData
 		}
-		return true
 	})
 	if err != nil {
 		return PeekClosed
