quota: quotas of tenants hold over all routers

A tenant's requests need tokens, which the leader of control hands out of one bucket a tenant. Routers ask as requests arrive, all that wait in one call, and hold tokens for a fraction of a second only. What the policy tolerates beyond the quota is divided: capacity of the bucket, lifetime of tokens, and a few requests while no leader answers. A new leader starts with empty buckets.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -142,6 +142,14 @@
 	return a.admin.Addr().String()
 }
 
+// leaderTryTimeout bounds the wait for one member in CallLeader, before another one is tried.
+const leaderTryTimeout = 100 * time.Millisecond
+
+// CallLeader calls the leader of control on behalf of another part of the process.
+func (a *Agent) CallLeader(ctx context.Context, kind wire.Kind, request, reply any) error {
+	return a.links.callLeader(ctx, leaderTryTimeout, kind, request, reply)
+}
+
 // Run holds the session until ctx ends. Then it drains the node, depending on the stop mode of the settings.
 func (a *Agent) Run(ctx context.Context) error {
 	serveContext, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/control/member.go
+++ b/control/member.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,7 @@
 	hub        *hub
 	routers    *routerTable
 	reads      readBatcher
+	quotas     quotas
 	formed     atomic.Bool
 	placeNow   chan struct{}
 	runContext context.Context
@@ -81,6 +83,7 @@
 	}
 	m := &Member{
 		options: options, logger: options.Logger, storage: disk, recovered: recovered, admin: admin,
+		quotas:   quotas{policy: options.quotaPolicy()},
 		sessions: newSessions(), drains: newDrainLocks(), pusher: newPusher(resendAfterRenewals * config.Control.RenewEvery), routers: newRouterTable(), placeNow: make(chan struct{}, 1),
 		loads: placement.NewLoadTable(config.Control.LoadHalfLife), started: make(chan struct{}), startTime: clock.Now(),
 		joining: map[consensus.MemberID]joinRequest{},
@@ -274,22 +277,23 @@
 	default:
 		return nil, &wire.Error{Code: wire.CodeNotReady, Message: "the group is not formed yet", Step: "start", Peer: m.options.Settings.Name}
 	}
-	if allowed, known := allowedRoles[kind]; !known || conn.Peer.Role != allowed {
+	if !slices.Contains(allowedRoles[kind], conn.Peer.Role) {
 		return nil, &wire.Error{Code: wire.CodeInvalid, Message: "a " + string(conn.Peer.Role) + " may not ask this", Step: "check role of " + conn.Peer.Name, Peer: m.options.Settings.Name}
 	}
 	return m.dispatch(ctx, conn, kind, payload)
 }
 
-// allowedRoles maps each kind of request to the role that may send it.
-var allowedRoles = map[wire.Kind]wire.Role{
-	wire.KindConsensus: wire.RoleControl, wire.KindForward: wire.RoleControl,
-	wire.KindReadIndex: wire.RoleControl, wire.KindRouterList: wire.RoleControl, wire.KindLoadRelay: wire.RoleControl,
-	wire.KindLeaderView: wire.RoleControl, wire.KindJoin: wire.RoleControl,
-	wire.KindEndSession:  wire.RoleAgent,
-	wire.KindOpenSession: wire.RoleAgent, wire.KindRenew: wire.RoleAgent,
-	wire.KindReleased: wire.RoleAgent, wire.KindDrainSelf: wire.RoleAgent,
-	wire.KindWatch: wire.RoleRouter, wire.KindConfirm: wire.RoleRouter,
-	wire.KindReport: wire.RoleRouter, wire.KindTrial: wire.RoleRouter,
+// allowedRoles maps each kind of request to the roles that may send it.
+var allowedRoles = map[wire.Kind][]wire.Role{
+	wire.KindConsensus: {wire.RoleControl}, wire.KindForward: {wire.RoleControl},
+	wire.KindReadIndex: {wire.RoleControl}, wire.KindRouterList: {wire.RoleControl}, wire.KindLoadRelay: {wire.RoleControl},
+	wire.KindLeaderView: {wire.RoleControl}, wire.KindJoin: {wire.RoleControl},
+	wire.KindEndSession:  {wire.RoleAgent},
+	wire.KindOpenSession: {wire.RoleAgent}, wire.KindRenew: {wire.RoleAgent},
+	wire.KindReleased: {wire.RoleAgent}, wire.KindDrainSelf: {wire.RoleAgent},
+	wire.KindWatch: {wire.RoleRouter}, wire.KindConfirm: {wire.RoleRouter},
+	wire.KindReport: {wire.RoleRouter}, wire.KindTrial: {wire.RoleRouter},
+	wire.KindTakeQuota: {wire.RoleRouter, wire.RoleAgent, wire.RoleControl},
 }
 
 func (m *Member) dispatch(ctx context.Context, conn *transport.Conn, kind wire.Kind, payload []byte) (any, error) {
@@ -325,6 +329,8 @@
 		return decodeAndHandle(payload, func(r *wire.Report) (any, error) { return m.handleReport(ctx, conn, r) })
 	case wire.KindTrial:
 		return decodeAndHandle(payload, func(r *wire.Trial) (*wire.TrialReply, error) { return m.handleTrial(ctx, r) })
+	case wire.KindTakeQuota:
+		return decodeAndHandle(payload, func(r *wire.TakeQuota) (*wire.TakeQuotaReply, error) { return m.takeQuota(ctx, conn, r) })
 	case wire.KindConfirm:
 		return decodeAndHandle(payload, func(r *wire.Confirm) (*wire.ConfirmReply, error) { return m.confirm(ctx, conn, r) })
 	}
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -58,6 +58,11 @@
 		fasthttp.ReleaseRequest(p.outbound)
 		return
 	}
+	if rejected := r.quotas.admit(p); rejected.isSet() {
+		r.reject(request, p.displayID, p, rejected)
+		fasthttp.ReleaseRequest(p.outbound)
+		return
+	}
 	r.addWork(p)
 	p.disconnect = r.disconnects.Add(p.caller, p.tracker.Cancel)
 	streaming := r.proxy(request, p)
--- a/router/rejection.go
+++ b/router/rejection.go
@@ -31,6 +31,8 @@
 var (
 	rejectNoService      = rejection{"no-service", fasthttp.StatusNotFound, "no service matches this host and path", 0}
 	rejectUnknownAPIKey  = rejection{"unknown-api-key", fasthttp.StatusUnauthorized, "the route needs an API key of a tenant: send 'Authorization: Bearer KEY'", 0}
+	rejectOverQuota      = rejection{"over-quota", fasthttp.StatusTooManyRequests, "the tenant is above its quota", 0}
+	rejectQuotaUnknown   = rejection{"quota-unknown", fasthttp.StatusServiceUnavailable, "this router cannot find out whether the tenant is within its quota", time.Second}
 	rejectNoKey          = rejection{"no-key", fasthttp.StatusBadRequest, "the request does not carry the key that the service is divided by", 0}
 	rejectBadRequest     = rejection{"bad-request", fasthttp.StatusBadRequest, "the request is ambiguous or malformed", 0}
 	rejectBodyTooLarge   = rejection{"body-too-large", fasthttp.StatusRequestEntityTooLarge, "the request's body exceeds the route's limit", 0}
--- a/router/request.go
+++ b/router/request.go
@@ -39,7 +39,9 @@
 	// routed is set when the request matched the route table.
 	routed *routedRoute
 	// tenant is the one whose API key the request carries, nil if there is none.
-	tenant     *routing.Tenant
+	tenant *routing.Tenant
+	// tokenUntil is when the request's token of the tenant's quota ends, 0 if it holds none.
+	tokenUntil time.Duration
 	repeatable bool
 	// identity identifies the same request when it is sent again.
 	identity quarantine.Identity
--- a/router/response.go
+++ b/router/response.go
@@ -85,6 +85,7 @@
 // reject responds to a request that was not run.
 func (r *Router) reject(request *fasthttp.RequestCtx, id string, p *proxiedRequest, rejected rejection) {
 	r.metrics.count(wire.OutcomeNotRun, rejected.reason)
+	r.quotas.giveBack(p)
 	r.options.bodySent(0)
 	if p != nil && p.routed != nil && rejected.isRetryable() {
 		p.recordResult(false)
--- a/router/router.go
+++ b/router/router.go
@@ -44,6 +44,8 @@
 	// ExpectRouteTable is set if control provides a route table. Until it arrives, requests
 	// without a matching service are not reported as unmatched.
 	ExpectRouteTable bool
+	// CallLeader calls the leader of control. If nil, the router calls it by way of the member that it follows.
+	CallLeader func(ctx context.Context, kind wire.Kind, request, reply any) error
 	// DisableAdmin is set if the process has its own listener for operators.
 	DisableAdmin bool
 	// OnBodySent, if not nil, is called with the size of each body that is sent over the machine's
@@ -95,6 +97,7 @@
 	// members is the newest list of control members that one of them has sent.
 	members  atomic.Pointer[wire.MemberList]
 	follower *follower
+	quotas   *quotas
 	// lastWorkReport is when service time was last reported to control.
 	lastWorkReport atomic.Int64
 }
@@ -109,6 +112,7 @@
 	lost               *prometheus.CounterVec
 	staleViews         prometheus.Counter
 	panics             prometheus.Counter
+	quotaUnanswered    prometheus.Counter
 }
 
 func (m *routerMetrics) count(outcome, reason string) {
@@ -137,7 +141,7 @@
 	policy := policyOf(config.Router.Balance)
 	r.table = newTable(func(name string) *pool { return newPool(name, policy, config.Router.Limits == settings.LimitsFixed) })
 	r.table.crashReports, r.table.onReplaced = r.crashReports, r.instanceReplaced
-	r.follower = newFollower(r)
+	r.follower, r.quotas = newFollower(r), newQuotas(r)
 	r.registerMetrics()
 	var err error
 	if r.callers, r.listener, err = listen(config.Router); err != nil {
@@ -208,9 +212,10 @@
 			[]float64{.0005, .001, .002, .005, .01, .015, .025, .05, .1, .25, .5, 1, 2.5, 5}),
 		confirmTime: registry.Histogram("router", "confirm_seconds", "Time until a control member confirmed that the view is current.",
 			[]float64{.002, .005, .01, .025, .05, .1, .25, .5, 1, 2.5}),
-		lost:       registry.CounterVec("router", "control_connections_lost_total", "Control members that were left, by the step that failed.", "step"),
-		panics:     registry.Counter("router", "panics_total", "Requests under which this process panicked; each ended by itself."),
-		staleViews: registry.Counter("router", "configuration_old_total", "Times at which the view of the configuration had not been confirmed for 1.5 s."),
+		lost:            registry.CounterVec("router", "control_connections_lost_total", "Control members that were left, by the step that failed.", "step"),
+		panics:          registry.Counter("router", "panics_total", "Requests under which this process panicked; each ended by itself."),
+		quotaUnanswered: registry.Counter("router", "quota_unanswered_total", "Requests for tokens of quotas that the authority did not answer in time."),
+		staleViews:      registry.Counter("router", "configuration_old_total", "Times at which the view of the configuration had not been confirmed for 1.5 s."),
 	}
 	registry.Gauge("router", "in_flight", "Requests under way.", func() float64 { return float64(r.disconnects.Count()) })
 	registry.Gauge("router", "configuration_age_seconds", "Age of the router's view of the configuration.", func() float64 { return r.freshness.age(clock.Now()).Seconds() })
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -35,6 +35,7 @@
 	Agent   Agent   `yaml:"agent"`
 	Ingress Ingress `yaml:"ingress"`
 	Headers Headers `yaml:"headers"`
+	Quota   Quota   `yaml:"quota"`
 	Runtime Runtime `yaml:"runtime"`
 }
 
@@ -292,6 +293,17 @@
 	Cold string `yaml:"cold"`
 }
 
+// Quota states how exactly the quotas of tenants hold over all routers: in each span of Window, at most
+// (rate x Window + burst) x (1 + Overage) + Slack requests of a tenant run. Set it alike in all processes.
+type Quota struct {
+	// Window is the span over which quotas are judged. Default 5s.
+	Window time.Duration `yaml:"window"`
+	// Overage is the share of the quota by which it may be exceeded. Default 0.1.
+	Overage float64 `yaml:"overage"`
+	// Slack is the number of requests by which it may be exceeded in addition. Default 20.
+	Slack float64 `yaml:"slack"`
+}
+
 // Runtime bounds the resources that the process uses.
 type Runtime struct {
 	// MemoryMB is the memory that the process may use, in units of 2^20 bytes. The memory
@@ -323,6 +335,7 @@
 		},
 		Ingress: Ingress{QueueTime: 0.2, SlotShare: 1, AnnounceEvery: time.Second, DrainTime: 2 * time.Second, ZoneDrainTime: 5 * time.Second, HoldTime: 10 * time.Second, GrantBy: GrantByCall, StopTime: 5 * time.Second, StopNotice: 2 * time.Second},
 		Headers: Headers{RequestID: "X-Request-Id", Deadline: "Limehold-Timeout-Ms"},
+		Quota:   Quota{Window: 5 * time.Second, Overage: 0.1, Slack: 20},
 		Agent:   Agent{Slots: 18, Connections: 100, StopMode: StopDrain, ProbeEvery: 100 * time.Millisecond, StopTimeout: 20 * time.Second},
 	}
 }
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -96,6 +96,10 @@
 	}
 	problems.require(slices.Contains([]string{"debug", "info", "warn", "error"}, s.Log.Level), "log.level", s.Log.Level, "use debug, info, warn or error")
 	problems.requireAddress("admin.listen", s.Admin.Listen, true)
+	problems.require(s.Quota.Window > 0, "quota.window", s.Quota.Window, "use more than 0s")
+	problems.require(s.Quota.Overage >= 0, "quota.overage", s.Quota.Overage, "use 0 or more")
+	problems.require(s.Quota.Slack >= 0, "quota.slack", s.Quota.Slack, "use 0 or more")
+	problems.require(s.Quota.Overage > 0 || s.Quota.Slack > 0, "quota", "0 overage and 0 slack", "allow some of either: tokens are on their way for a while")
 	anySet := s.TLS.Certificate != "" || s.TLS.Key != "" || s.TLS.Authorities != ""
 	allSet := s.TLS.Certificate != "" && s.TLS.Key != "" && s.TLS.Authorities != ""
 	problems.require(!anySet || allSet, "tls", "incomplete", "give certificate, key and authorities together, or none of them")
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -25,6 +25,7 @@
 	"limehold/metrics"
 	"limehold/router"
 	"limehold/settings"
+	"limehold/wire"
 )
 
 // Options configures a sidecar.
@@ -64,6 +65,9 @@
 	var err error
 	if p.router, err = router.New(router.Options{
 		Settings: config, Logger: options.Logger, Metrics: options.Metrics, TLS: options.TLS,
+		CallLeader: func(ctx context.Context, kind wire.Kind, request, reply any) error {
+			return p.agent.CallLeader(ctx, kind, request, reply)
+		},
 		LocalService: config.Agent.Pool, ExpectRouteTable: true, DisableAdmin: true, OnBodySent: func(bytes int) { p.ingress.RecordSent(bytes) },
 	}); err != nil {
 		return nil, err
--- a/tenancy/tenancy.go
+++ b/tenancy/tenancy.go
@@ -11,20 +11,22 @@
 
 // Directory maps API keys to the tenants of one version of the route table.
 type Directory struct {
-	byKey map[routing.KeyDigest]*routing.Tenant
+	byKey  map[routing.KeyDigest]*routing.Tenant
+	byName map[string]*routing.Tenant
 	// defined is set if the table has tenants. Without any, requests need no key.
 	defined bool
 }
 
 // NewDirectory returns the directory of a document, which must not change afterwards.
 func NewDirectory(document *routing.Document) *Directory {
-	directory := &Directory{byKey: map[routing.KeyDigest]*routing.Tenant{}}
+	directory := &Directory{byKey: map[routing.KeyDigest]*routing.Tenant{}, byName: map[string]*routing.Tenant{}}
 	for i := range document.Items {
 		tenant := document.Items[i].Tenant
 		if tenant == nil {
 			continue
 		}
 		directory.defined = true
+		directory.byName[tenant.Name] = tenant
 		for _, key := range tenant.Keys {
 			directory.byKey[key] = tenant
 		}
@@ -35,6 +37,9 @@
 // Defined reports whether the table has tenants.
 func (d *Directory) Defined() bool { return d.defined }
 
+// Tenant returns the tenant with the name, or nil.
+func (d *Directory) Tenant(name string) *routing.Tenant { return d.byName[name] }
+
 // scheme is the authentication scheme of API keys; schemes are case-insensitive (RFC 9110, section 11.1).
 var scheme = []byte("Bearer ")
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -14,6 +14,7 @@
 	"limehold/ownership"
 	"limehold/quarantine"
 	"limehold/quiescence"
+	"limehold/quota"
 	"limehold/routing"
 )
 
@@ -54,6 +55,8 @@
 	KindConfirm Kind = 31
 	KindReport  Kind = 33
 	KindTrial   Kind = 34
+	// KindTakeQuota comes from routers to any member, and from a member to the leader.
+	KindTakeQuota Kind = 35
 	// From members to routers.
 	KindUpdate Kind = 32
 )
@@ -416,6 +419,15 @@
 // TrialReply reports whether the requesting router holds the trial.
 type TrialReply struct{ Granted bool }
 
+// TakeQuota requests tokens for the requests of tenants with a quota.
+type TakeQuota struct {
+	Router string
+	Wants  []quota.Want
+}
+
+// TakeQuotaReply holds a grant for each want, in the same order.
+type TakeQuotaReply struct{ Grants []quota.Grant }
+
 // ConfirmReply returns the revision that a router must have applied for its view to
 // be as current as the moment at which it sent its Confirm.
 type ConfirmReply struct {
