--- a/control/leader.go
+++ b/control/leader.go
@@ -72,6 +72,7 @@
 		}
 		return nil
 	}
+	m.updateQuotas(status.Term)
 	if current != nil && current.term == status.Term {
 		return current
 	}
@@ -83,7 +84,6 @@
 		// Called within view so that no change of the sessions is applied in between.
 		m.sessions.beginTerm(status.Term, m.options.leaseTiming(), open, state.Revision, clock.Now())
 	})
-	m.beginQuotas(status.Term)
 	m.logger.Info("leading", zap.Uint64("term", status.Term), zap.Int("sessions", len(open)))
 	return &leaderState{term: status.Term, budgets: map[string]*placement.Budget{}, oversized: map[ownership.Key]bool{}, loads: map[string]*placement.Loads{}}
 }
--- a/control/quotas.go
+++ b/control/quotas.go
@@ -25,8 +25,9 @@
 	// authority is that of the newest term in which this member has led; nil if it never did.
 	authority *quota.Authority
 	term      uint64
-	// version is the version of the route table whose limits are set.
+	// version is the version of the route table whose limits are set, if known is set.
 	version uint64
+	known   bool
 }
 
 // quotaPolicy returns how exactly the tenants' quotas hold.
@@ -39,13 +40,14 @@
 func (m *Member) prepareQuotas(term uint64, now time.Duration) *quota.Authority {
 	q := &m.quotas
 	if q.authority == nil || q.term != term {
-		q.authority, q.term, q.version = quota.NewAuthority(q.policy), term, 0
+		q.authority, q.term, q.known = quota.NewAuthority(q.policy), term, false
 	}
 	var limits map[string]quota.Limit
 	m.replica.view(func(state *fleet.State) {
-		if state.Routing.Document.Version == q.version {
+		if q.known && state.Routing.Document.Version == q.version {
 			return
 		}
+		q.known = true
 		q.version = state.Routing.Document.Version
 		limits = map[string]quota.Limit{}
 		for i := range state.Routing.Document.Items {
@@ -60,8 +62,8 @@
 	return q.authority
 }
 
-// beginQuotas lets the buckets of a new term fill.
-func (m *Member) beginQuotas(term uint64) {
+// updateQuotas lets the buckets of a new term, and of new tenants, fill before the first request for tokens.
+func (m *Member) updateQuotas(term uint64) {
 	m.quotas.mutex.Lock()
 	defer m.quotas.mutex.Unlock()
 	m.prepareQuotas(term, clock.Now())
@@ -85,7 +87,7 @@
 	authority := m.prepareQuotas(status.Term, now)
 	reply := &wire.TakeQuotaReply{Grants: make([]quota.Grant, len(request.Wants))}
 	for i, want := range request.Wants {
-		reply.Grants[i] = authority.Take(now, want.Tenant, want.Need, want.Ahead)
+		reply.Grants[i] = authority.Take(now, want)
 	}
 	return reply, nil
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -27,7 +27,7 @@
 
 // The tolerance of a policy, which is what it allows beyond the quota, has three uses of a third each:
 //   - the bucket holds more than the burst, so that a tenant whose requests the network delays unevenly is not refused,
-//   - tokens may be used for a while after they were handed out,
+//   - tokens may be used, or returned unused, for a while after they were handed out,
 //   - routers that reach no authority let a few requests through.
 //
 // A new authority starts with empty buckets, whatever its predecessor has handed out.
@@ -74,6 +74,8 @@
 type Authority struct {
 	policy  Policy
 	buckets map[string]*bucket
+	// limitsSet is set by the first call of SetLimits.
+	limitsSet bool
 }
 
 // bucket holds the tokens of one tenant. A negative level stands for tokens that have been handed out and become usable
@@ -82,6 +84,7 @@
 	limit   Limit
 	level   float64
 	at      time.Duration
+	removed bool
 	granted uint64
 	refused uint64
 }
@@ -91,23 +94,30 @@
 	return &Authority{policy: policy, buckets: map[string]*bucket{}}
 }
 
-// SetLimits replaces the limits of all tenants. Those that had one before keep the level of their bucket.
+// SetLimits replaces the limits of all tenants. Those that had one before keep the level of their bucket, also when
+// they come back. With the first call all buckets are empty, as an earlier authority may have handed out tokens; a
+// tenant that is new in a later call has a full one.
 func (a *Authority) SetLimits(now time.Duration, limits map[string]Limit) {
-	for name := range a.buckets {
+	for name, known := range a.buckets {
 		if _, kept := limits[name]; !kept {
-			delete(a.buckets, name)
+			known.advance(now, a.policy)
+			known.removed = true
 		}
 	}
 	for name, limit := range limits {
 		known := a.buckets[name]
 		if known == nil {
-			a.buckets[name] = &bucket{limit: limit, at: now}
-			continue
+			known = &bucket{at: now}
+			if a.limitsSet {
+				known.level = a.policy.capacity(limit)
+			}
+			a.buckets[name] = known
 		}
 		known.advance(now, a.policy)
-		known.limit = limit
+		known.limit, known.removed = limit, false
 		known.level = min(known.level, a.policy.capacity(limit))
 	}
+	a.limitsSet = true
 }
 
 func (b *bucket) advance(now time.Duration, policy Policy) {
@@ -137,28 +147,30 @@
 	aheadLevel = 0.5
 )
 
-// Take hands out tokens of a tenant, which is not limited if the authority knows no limit of it: need for requests that wait, and up to ahead more for requests that are expected
-// within the lifetime of tokens.
-func (a *Authority) Take(now time.Duration, tenant string, need, ahead int) Grant {
-	b := a.buckets[tenant]
-	if b == nil {
-		return Grant{Tokens: need, Lifetime: maxLifetime}
+// Take takes back the tokens that a router returns, and hands out those that it wants: for requests that wait, and
+// more for requests that are expected within the lifetime of tokens. A tenant without a limit gets all that it wants.
+func (a *Authority) Take(now time.Duration, want Want) Grant {
+	b := a.buckets[want.Tenant]
+	if b == nil || b.removed {
+		return Grant{Tokens: want.Need, Lifetime: maxLifetime}
 	}
 	b.advance(now, a.policy)
+	b.level = min(a.policy.capacity(b.limit), b.level+float64(want.Returned))
+	b.granted -= min(b.granted, uint64(want.Returned))
 	grant := Grant{Lifetime: a.policy.Lifetime(b.limit)}
 	delay := min(maxDelay, grant.Lifetime/2)
 	// Tokens that are due within the delay may be handed out now.
 	available := int(math.Floor(b.level + b.limit.Rate*delay.Seconds()))
-	grant.Tokens = max(0, min(need, available))
+	grant.Tokens = max(0, min(want.Need, available))
 	b.level -= float64(grant.Tokens)
 	if b.level < 0 {
 		grant.Delay = time.Duration(-b.level / b.limit.Rate * float64(time.Second))
 	}
-	if grant.Tokens < need {
-		b.refused += uint64(need - grant.Tokens)
+	if grant.Tokens < want.Need {
+		b.refused += uint64(want.Need - grant.Tokens)
 		grant.RetryAfter = max(minRetryAfter, time.Duration((1-b.level)/b.limit.Rate*float64(time.Second))-delay)
 	} else if spare := int(math.Floor(b.level - aheadLevel*a.policy.capacity(b.limit))); spare > 0 {
-		extra := min(ahead, spare)
+		extra := min(want.Ahead, spare)
 		grant.Tokens += extra
 		b.level -= float64(extra)
 	}
@@ -182,6 +194,9 @@
 func (a *Authority) Usage(now time.Duration) []Usage {
 	list := make([]Usage, 0, len(a.buckets))
 	for name, b := range a.buckets {
+		if b.removed {
+			continue
+		}
 		b.advance(now, a.policy)
 		list = append(list, Usage{Tenant: name, Limit: b.limit, Level: b.level, Capacity: a.policy.capacity(b.limit), Granted: b.granted, Refused: b.refused})
 	}
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -24,6 +24,7 @@
 	guardLifetime   guard = "tokens end with their lifetime"
 	guardOffline    guard = "routers without an authority share what is tolerated"
 	guardOne        guard = "there is one authority at a time"
+	guardReturn     guard = "tokens are returned within their lifetime, once"
 	guardReset      guard = "an allowance returns one window after its last use"
 )
 
@@ -35,6 +36,8 @@
 	load float64
 	// wave lets the load be low for four seconds out of eight, and hoard lets routers ask for more than they need.
 	wave, hoard bool
+	// notRun is the share of the requests with tokens that are not run.
+	notRun float64
 	// faults makes messages get lost and late, routers lose contact, and authorities end.
 	faults  bool
 	without guard
@@ -148,7 +151,20 @@
 func (s *simulation) handle(n *node, w *waiting, again bool) {
 	switch decision := n.stock.Use(s.now, testTenant, again); decision.Verdict {
 	case Admitted:
-		s.after(decision.Wait, func() { s.runs = append(s.runs, s.now) })
+		s.after(decision.Wait, func() {
+			if s.random.Float64() >= s.notRun {
+				s.runs = append(s.runs, s.now)
+				return
+			}
+			s.after(s.between(0, 300*time.Millisecond), func() {
+				if n.stock.GiveBack(s.now, testTenant, decision.Until) || s.without == guardReturn {
+					if s.without == guardReturn {
+						n.stock.holding(testTenant).returned++
+					}
+					s.ask(n)
+				}
+			})
+		})
 	case Refused:
 		s.refused++
 	case Ask:
@@ -191,11 +207,10 @@
 		} else if !s.alive {
 			return
 		}
-		need := want.Need
 		if s.hoard {
-			need *= 16
+			want.Need *= 16
 		}
-		grant := authority.Take(s.now, testTenant, need, want.Ahead)
+		grant := authority.Take(s.now, want)
 		if s.without == guardLifetime {
 			grant.Lifetime = time.Hour
 		}
@@ -291,6 +306,7 @@
 		"no burst":                   {limit: Limit{Rate: 30}, routers: 20, load: 3},
 		"one router":                 {limit: Limit{Rate: 50, Burst: 10}, routers: 1, load: 4},
 		"near the limit":             {limit: Limit{Rate: 50, Burst: 50}, routers: 40, load: 1.1},
+		"tokens returned":            {limit: Limit{Rate: 50, Burst: 50}, routers: 40, load: 6, notRun: 0.5},
 		"more asked for than needed": {limit: Limit{Rate: 50, Burst: 50}, routers: 40, load: 6, wave: true, hoard: true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -331,12 +347,15 @@
 
 // Guards against a simulation that finds nothing: each guard, left out, is missed.
 func TestSimulationFindsEachMissingGuard(t *testing.T) {
-	for _, missing := range []guard{guardEmptyStart, guardLifetime, guardOffline, guardOne, guardReset} {
+	for _, missing := range []guard{guardEmptyStart, guardLifetime, guardOffline, guardOne, guardReset, guardReturn} {
 		t.Run(string(missing), func(t *testing.T) {
 			for _, limit := range []Limit{{Rate: 8, Burst: 8}, {Rate: 213, Burst: 213}, {Rate: 50, Burst: 0}} {
 				for seed := range uint64(200) {
 					played := scenario{limit: limit, routers: 40, load: 6, faults: true, without: missing, length: 20 * time.Second}
 					played.wave, played.hoard = missing == guardLifetime, missing == guardLifetime
+					if missing == guardReturn {
+						played.notRun = 0.5
+					}
 					if simulate(seed, played).excess() != nil {
 						return
 					}
@@ -368,18 +387,35 @@
 	policy := Policy{Window: time.Second, Slack: 3}
 	authority := NewAuthority(policy)
 	authority.SetLimits(0, map[string]Limit{"a": {Rate: 10, Burst: 100}})
-	if got := authority.Take(time.Minute, "a", 5, 0).Tokens; got != 5 {
+	if got := authority.Take(time.Minute, Want{Tenant: "a", Need: 5}).Tokens; got != 5 {
 		t.Fatalf("%d tokens of a full bucket, want 5", got)
 	}
 	authority.SetLimits(time.Minute, map[string]Limit{"a": {Rate: 2, Burst: 1}})
-	if got := authority.Take(time.Minute, "a", 50, 0).Tokens; got > 3 {
+	if got := authority.Take(time.Minute, Want{Tenant: "a", Need: 50}).Tokens; got > 3 {
 		t.Errorf("%d tokens after the limit was lowered, want at most 3", got)
 	}
-	if grant := authority.Take(time.Minute, "a", 1, 0); grant.Tokens != 0 || grant.RetryAfter < minRetryAfter {
+	if grant := authority.Take(time.Minute, Want{Tenant: "a", Need: 1}); grant.Tokens != 0 || grant.RetryAfter < minRetryAfter {
 		t.Errorf("grant %+v from an empty bucket", grant)
 	}
+	authority.SetLimits(time.Minute, map[string]Limit{"b": {Rate: 1, Burst: 50}})
+	if got := authority.Take(time.Minute, Want{Tenant: "b", Need: 99}).Tokens; got < 50 {
+		t.Errorf("%d tokens of a new tenant, want 50 or more", got)
+	}
+	authority.SetLimits(time.Minute, map[string]Limit{"a": {Rate: 2, Burst: 1}, "b": {Rate: 1, Burst: 50}})
+	if got := authority.Take(time.Minute, Want{Tenant: "a", Need: 50}).Tokens; got > 0 {
+		t.Errorf("%d tokens of a tenant that was removed and added again, want none", got)
+	}
 	authority.SetLimits(time.Minute, nil)
-	if got := authority.Take(time.Minute, "a", 7, 0).Tokens; got != 7 {
+	if got := authority.Take(time.Minute, Want{Tenant: "a", Need: 7}).Tokens; got != 7 {
 		t.Errorf("%d tokens without a limit, want 7", got)
 	}
 }
+
+// Guards against tokens that are lost to the tenant because the requests that held them were not run.
+func TestReturnedTokensAreHandedOutAgain(t *testing.T) {
+	limit := Limit{Rate: 50, Burst: 10}
+	s := simulate(1, scenario{limit: limit, routers: 40, load: 4, notRun: 0.3, length: 20 * time.Second})
+	if share := float64(len(s.runs)) / (limit.Rate * 20); share < 0.9 {
+		t.Errorf("%.2f of the quota is used by a tenant above it, 3 in 10 of whose requests are not run", share)
+	}
+}
--- a/quota/stock.go
+++ b/quota/stock.go
@@ -14,8 +14,10 @@
 // holding is what the router knows of one tenant.
 type holding struct {
 	tokens []token
-	// waiting is the number of requests for which the router has not asked yet.
-	waiting int
+	// waiting is the number of requests for which the router has not asked yet, and returned that of tokens that it
+	// has not used and not returned to the authority yet.
+	waiting  int
+	returned int
 	// refusedUntil is when the router asks again after a refusal.
 	refusedUntil time.Duration
 	// rate is the smoothed number of requests per second here, as of observedAt.
@@ -103,10 +105,14 @@
 	return token{}, false
 }
 
-// GiveBack returns the token of a request that was not run.
-func (s *Stock) GiveBack(tenant string, until time.Duration) {
-	h := s.holding(tenant)
-	h.tokens = append(h.tokens, token{until: until})
+// GiveBack returns the token of a request that was not run, unless its lifetime is over. It reports whether there is
+// something to tell the authority.
+func (s *Stock) GiveBack(now time.Duration, tenant string, until time.Duration) bool {
+	if now >= until {
+		return false
+	}
+	s.holding(tenant).returned++
+	return true
 }
 
 // Want is what a router asks the authority for.
@@ -115,6 +121,8 @@
 	// Need is the number of requests that wait, Ahead that of those expected within the lifetime of tokens.
 	Need  int
 	Ahead int
+	// Returned is the number of tokens, within their lifetime, whose requests were not run.
+	Returned int
 }
 
 // Wants returns what to ask for on behalf of the requests that wait since the last call, in no particular order. It
@@ -123,15 +131,15 @@
 	var wants []Want
 	for tenant, h := range s.tenants {
 		limit := limitOf(tenant)
-		if h.waiting == 0 {
+		if h.waiting == 0 && h.returned == 0 {
 			if limit.Rate <= 0 {
 				delete(s.tenants, tenant)
 			}
 			continue
 		}
-		want := Want{Tenant: tenant, Need: h.waiting}
-		h.waiting = 0
-		if limit.Rate > 0 {
+		want := Want{Tenant: tenant, Need: h.waiting, Returned: h.returned}
+		h.waiting, h.returned = 0, 0
+		if limit.Rate > 0 && want.Need > 0 {
 			want.Ahead = int(h.rate * s.policy.Lifetime(limit).Seconds() / 2)
 		}
 		wants = append(wants, want)
--- a/router/quotas.go
+++ b/router/quotas.go
@@ -132,12 +132,14 @@
 
 // giveBack returns the token of a request that was not run.
 func (q *quotas) giveBack(p *proxiedRequest) {
-	if p == nil || p.tokenUntil == 0 || clock.Now() >= p.tokenUntil {
+	if p == nil || p.tokenUntil == 0 {
 		return
 	}
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.stock.GiveBack(p.tenant.Name, p.tokenUntil)
+	if q.stock.GiveBack(clock.Now(), p.tenant.Name, p.tokenUntil) {
+		q.ask()
+	}
 	p.tokenUntil = 0
 }
 
