ingress, router: large bodies are announced, and asked for one after the other; regions cost more than zones

Routers announce bodies of 16 KB and more (100-continue). An ingress asks for as many as its link carries in 60 ms, rejects at once those that could not be in time, and takes a slot only when the body is there. Routers count the bodies' backlog of an instance, and instances of another region four times.

--- a/admission/choose.go
+++ b/admission/choose.go
@@ -72,9 +72,15 @@
 		if requirements.Large {
 			cost += float64(inst.load.LinkBusy) / float64(time.Millisecond)
 		}
+		if requirements.Upload {
+			cost += float64(inst.load.InboundBusy) / float64(time.Millisecond)
+		}
 		if requirements.RemoteCost > 0 && inst.zone != requirements.Zone {
 			cost *= requirements.RemoteCost
 		}
+		if requirements.RegionZones != nil && !slices.Contains(requirements.RegionZones, inst.zone) {
+			cost *= RegionCost
+		}
 		if requirements.avoids(inst.id) || inst.ejectedUntil > now || inst.rejectedUntil > now {
 			cost *= avoidPenalty
 		}
@@ -89,6 +95,9 @@
 	// avoidPenalty is the factor of the cost of an instance that is to be avoided, is ejected, or has
 	// just rejected a request. It ranks the instance behind all others.
 	avoidPenalty = 1e6
+	// RegionCost is the factor for instances of other regions, beside that for other zones: links between regions are
+	// slow and expensive.
+	RegionCost = 4
 	// costJitter is the random part of a cost. It keeps routers with the same information from all
 	// choosing the same instance.
 	costJitter = 0.2
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -127,8 +127,10 @@
 	RunTime time.Duration
 	// SuccessShare is the share of runs that succeed, from 0 to 1.
 	SuccessShare float64
-	// LinkBusy is the time for which the link is still occupied by large answers.
-	LinkBusy time.Duration
+	// LinkBusy is the time for which the link is still occupied by large answers, and InboundBusy that for which it is
+	// occupied by large request bodies.
+	LinkBusy    time.Duration
+	InboundBusy time.Duration
 }
 
 // SetLoad stores the newest load report of a self-limited instance.
@@ -188,8 +190,13 @@
 	// RemoteCost multiplies the estimated answer time of a self-limited instance in another zone; 0
 	// makes no difference between zones.
 	RemoteCost float64
-	// Large is set for requests with large answers, which also wait for the instance's link.
-	Large bool
+	// RegionZones lists the zones of the router's region; nil if the deployment has no regions. The estimated answer
+	// time of an instance in another region is multiplied by RegionCost.
+	RegionZones []string
+	// Large is set for requests with large answers, and Upload for those with large bodies. They also wait for the
+	// instance's link.
+	Large  bool
+	Upload bool
 	// Group identifies the request's service, and GroupLimit bounds its queued requests.
 	Group      string
 	GroupLimit int
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -58,6 +58,8 @@
 	reasonCallerGone    = "caller-gone"
 	reasonOtherInstance = "other-instance"
 	reasonPanicked      = "ingress-failed"
+	// reasonIncompleteBody: the router broke the body off.
+	reasonIncompleteBody = "incomplete-body"
 )
 
 const (
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -68,6 +68,7 @@
 	instance     *Instance
 	gate         *slotGate
 	link         *link
+	inbound      *inbound
 	upstreams    *upstream.Pool
 	disconnects  *disconnect.Watcher
 	crashReports *crashreport.Exchange
@@ -116,6 +117,7 @@
 		kept:      kept,
 		gate:      newSlotGate(options.Settings.Ingress.QueueTime),
 		link:      newLink(options.Settings.Ingress.LinkMbps),
+		inbound:   newInbound(options.Settings.Ingress.LinkMbps),
 		upstreams: upstream.NewPool(instanceIdle), disconnects: disconnect.NewWatcher(),
 	}
 	i.instance = newInstance(options, i.gate)
@@ -128,7 +130,7 @@
 	options.Metrics.Gauge("ingress", "waiting", "Requests that wait for one of the instance's slots.", func() float64 { return float64(i.gate.load().waiting) })
 	i.registerState()
 	i.server = &fasthttp.Server{
-		Handler: i.handle, NoDefaultServerHeader: true, NoDefaultContentType: true,
+		Handler: i.handle, ExpectHandler: i.handleAnnounced, NoDefaultServerHeader: true, NoDefaultContentType: true,
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: bufferedBody, StreamRequestBody: true,
 		DisablePreParseMultipartForm: true, CloseOnShutdown: true, Logger: quietLogger{i.logger}, ConnState: kept.ConnState,
@@ -149,6 +151,10 @@
 	registry.Gauge("ingress", "link_backlog_seconds", "For how long the link is taken by answers that wait for it and by those expected.", func() float64 {
 		return i.link.load(clock.Now()).Seconds()
 	})
+	registry.Gauge("ingress", "inbound_backlog_seconds", "For how long the link is taken by request bodies that have been announced.", func() float64 {
+		return i.inbound.load().Seconds()
+	})
+	registry.Gauge("ingress", "inbound_body_bytes", "Bytes of announced request bodies that are in memory or on their way.", i.inbound.memory)
 	registry.Gauge("ingress", "runs_well_ratio", "Share of runs that end well, smoothed.", func() float64 { return i.instance.success.share(clock.Now()) })
 	registry.Gauge("ingress", "speed_ratio", "Pace that the instance tells, relative to what is usual there.", i.instance.slowdown.speed)
 }
--- a/ingress/proxyrequest.go
+++ b/ingress/proxyrequest.go
@@ -50,9 +50,13 @@
 	sent          time.Duration
 	// reservedBytes is the response size that is reserved on the link; see link.reserve.
 	reservedBytes float64
-	instance      instanceState
-	outgoing      *fasthttp.Request
-	watched       *disconnect.Request
+	// upload is the transfer of the request's body if that was announced.
+	upload *upload
+	// body is the announced body if it is longer than the HTTP library keeps in memory.
+	body     []byte
+	instance instanceState
+	outgoing *fasthttp.Request
+	watched  *disconnect.Request
 
 	tracker *upstream.Tracker
 }
@@ -75,6 +79,10 @@
 		request.Error("this is an ingress: send requests to a router\n", fasthttp.StatusBadRequest)
 		return
 	}
+	defer i.releaseUnlessWatched(p)
+	if !i.receiveBody(request, p) {
+		return
+	}
 	if inForce, matches := i.routesHere(request, p); !matches {
 		i.reject(request, p, wire.BackendReasonSuperseded, 0)
 		request.Response.Header.Set(wire.HeaderRouteVersion, strconv.FormatUint(inForce, 10))
@@ -88,7 +96,7 @@
 	p.watched = i.disconnects.Add(request.Conn(), p.tracker.Cancel)
 	if history.RunsAlone() && !i.acquireIsolation(p) {
 		i.reject(request, p, wire.BackendReasonFull, i.gate.retryAfter())
-		i.disconnects.Remove(p.watched)
+		i.releaseRequest(p)
 		return
 	}
 	if i.admit(request, p) {
@@ -96,7 +104,7 @@
 		return
 	}
 	i.releaseIsolation(p)
-	i.disconnects.Remove(p.watched)
+	i.releaseRequest(p)
 }
 
 // admit waits until the instance is notified of the request's key and the request has a slot. It reports
@@ -145,6 +153,7 @@
 	if p.watched != nil {
 		i.disconnects.Remove(p.watched)
 	}
+	i.releaseUpload(p)
 }
 
 // routesHere reports whether the route table in force here still sends the request to its service, and
@@ -368,6 +377,7 @@
 // releaseRequest stops watching whether the caller disconnects, and releases the outgoing request.
 func (i *Ingress) releaseRequest(p *proxyRequest) {
 	i.disconnects.Remove(p.watched)
+	i.releaseUpload(p)
 	if p.outgoing != nil {
 		fasthttp.ReleaseRequest(p.outgoing)
 	}
@@ -382,14 +392,18 @@
 		out.Header.Del(name)
 	}
 	out.Header.Del("Connection")
+	out.Header.Del(fasthttp.HeaderExpect)
 	out.SetRequestURIBytes(request.Request.RequestURI())
 	out.Header.SetHostBytes(request.Host())
 	if p.names.Instance != "" {
 		out.Header.Set(p.names.Instance, p.instance.id)
 	}
-	if request.Request.IsBodyStream() {
+	switch {
+	case p.body != nil:
+		out.SetBodyRaw(p.body)
+	case request.Request.IsBodyStream():
 		out.SetBodyStream(request.RequestBodyStream(), request.Request.Header.ContentLength())
-	} else {
+	default:
 		out.SetBodyRaw(request.Request.Body())
 	}
 	p.outgoing = out
@@ -480,7 +494,7 @@
 	if retryAfter > 0 {
 		request.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
-	if request.Request.IsBodyStream() {
+	if request.Request.IsBodyStream() && p.body == nil {
 		request.SetConnectionClose()
 	}
 }
@@ -490,7 +504,7 @@
 	load := i.gate.load()
 	text := strconv.AppendInt(nil, int64(load.running), 10)
 	successPermille := int64(i.instance.success.share(clock.Now()) * permille)
-	for _, number := range []int64{int64(load.waiting), int64(load.slots), load.runTime.Milliseconds(), successPermille, i.link.load(clock.Now()).Milliseconds()} {
+	for _, number := range []int64{int64(load.waiting), int64(load.slots), load.runTime.Milliseconds(), successPermille, i.link.load(clock.Now()).Milliseconds(), i.inbound.load().Milliseconds()} {
 		text = append(text, ',')
 		text = strconv.AppendInt(text, number, 10)
 	}
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -123,10 +123,15 @@
 	defer request.tracker.Untrack()
 	counter := &conn.Written
 	counter.Written = 0
-	request.bodyUsed = request.bodyUsed || out.IsBodyStream()
-	err := out.Write(conn.Writer)
-	if err == nil {
-		err = conn.Writer.Flush()
+	var err error
+	if node.SelfLimited && request.announcesBody() {
+		err = request.writeAnnounced(conn)
+	} else {
+		request.bodyUsed = request.bodyUsed || out.IsBodyStream()
+		err = out.Write(conn.Writer)
+		if err == nil {
+			err = conn.Writer.Flush()
+		}
 	}
 	r.options.bodySent(int(counter.Written))
 	if err != nil && counter.Written == 0 && !out.IsBodyStream() {
@@ -228,14 +233,14 @@
 	return admission.Load{
 		Running: numbers[0], QueueLen: numbers[1], Slots: numbers[2],
 		RunTime: time.Duration(numbers[3]) * time.Millisecond, SuccessShare: float64(numbers[4]) / permille,
-		LinkBusy: time.Duration(numbers[5]) * time.Millisecond,
+		LinkBusy: time.Duration(numbers[5]) * time.Millisecond, InboundBusy: time.Duration(numbers[6]) * time.Millisecond,
 	}
 }
 
 // loadParts is the number of values in wire.HeaderLoad. permille converts its share of successful
 // runs, which is in thousandths.
 const (
-	loadParts = 6
+	loadParts = 7
 	permille  = 1000
 )
 
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -196,7 +196,7 @@
 	if p.routed == nil {
 		return unroutedRemoteCost
 	}
-	return p.routed.stats.remoteCost(p.isDownload())
+	return p.routed.stats.remoteCost(p.isDownload() || p.isUpload())
 }
 
 // isDownload reports whether the request's route is of the kind that has large responses.
@@ -204,6 +204,11 @@
 	return p.routed != nil && p.routed.route.Kind == routing.KindDownload
 }
 
+// isUpload reports whether the request's route is of the kind that has large bodies.
+func (p *proxiedRequest) isUpload() bool {
+	return p.routed != nil && p.routed.route.Kind == routing.KindUpload
+}
+
 // unroutedRemoteCost is the remote cost of requests that did not match the route table.
 const unroutedRemoteCost = 1.5
 
@@ -211,7 +216,7 @@
 func (r *Router) choose(p *proxiedRequest, wait *ownerWait, avoid []admission.InstanceID, ahead bool) (*wire.NodeView, rejection) {
 	requirements := admission.Requirements{
 		Zone: r.preferredZone(p), Deadline: p.deadline, Prioritized: ahead, Avoid: avoid,
-		Zones: r.zonesFor(p), Group: p.service.name, GroupLimit: p.service.spec.QueueLength, RemoteCost: p.remoteCost(), Large: p.isDownload(),
+		Zones: r.zonesFor(p), RegionZones: r.regionZones, Group: p.service.name, GroupLimit: p.service.spec.QueueLength, RemoteCost: p.remoteCost(), Large: p.isDownload(), Upload: p.isUpload(),
 	}
 	for {
 		var node *wire.NodeView
--- a/router/router.go
+++ b/router/router.go
@@ -98,6 +98,8 @@
 	members  atomic.Pointer[wire.MemberList]
 	follower *follower
 	quotas   *quotas
+	// regionZones lists the zones of this router's region; nil if its zone is in none.
+	regionZones []string
 	// lastWorkReport is when service time was last reported to control.
 	lastWorkReport atomic.Int64
 }
@@ -142,6 +144,7 @@
 	r.table = newTable(func(name string) *pool { return newPool(name, policy, config.Router.Limits == settings.LimitsFixed) })
 	r.table.crashReports, r.table.onReplaced = r.crashReports, r.instanceReplaced
 	r.follower, r.quotas = newFollower(r), newQuotas(r)
+	r.regionZones = zonesOfRegion(config.Regions, config.Zone)
 	r.registerMetrics()
 	var err error
 	if r.callers, r.listener, err = listen(config.Router); err != nil {
--- a/router/tenants.go
+++ b/router/tenants.go
@@ -71,3 +71,18 @@
 	}
 	return zones
 }
+
+// zonesOfRegion returns the zones of the region of a zone, nil if the zone is in none.
+func zonesOfRegion(regions map[string]string, zone string) []string {
+	own := regions[zone]
+	if own == "" {
+		return nil
+	}
+	var zones []string
+	for other, region := range regions {
+		if region == own {
+			zones = append(zones, other)
+		}
+	}
+	return zones
+}
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -29,7 +29,7 @@
 	HeaderFromIngress = "Limehold-In-Front"
 	// HeaderLoad on an ingress's answer reports its load: running requests, queued
 	// requests, slots, the smoothed run time in milliseconds, successful runs per
-	// thousand, and for how many milliseconds its link is occupied.
+	// thousand, and for how many milliseconds its link is occupied by responses and by request bodies.
 	HeaderLoad = "Limehold-Load"
 	// HeaderRoute, HeaderPriority and HeaderTarget send the ingress the route, its priority
 	// (0 is the highest) and the remainder of its target latency in milliseconds.
