--- a/adminapi/types.go
+++ b/adminapi/types.go
@@ -195,6 +195,31 @@
 	Since    string `json:"since,omitempty"`
 }
 
+// Tenant is a tenant of the route table.
+type Tenant struct {
+	Name string `json:"name"`
+	// APIKeys is the number of the tenant's API keys.
+	APIKeys int `json:"api_keys"`
+	// Priority takes precedence over that of routes; absent if the tenant has none.
+	Priority *int     `json:"priority,omitempty"`
+	Regions  []string `json:"regions,omitempty"`
+	// Rate and Burst are the tenant's quota; a rate of 0 means no limit.
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
+	// Quota is the use of the quota, absent if there is no limit or no leader.
+	Quota *QuotaUsage `json:"quota,omitempty"`
+}
+
+// QuotaUsage is the use of a tenant's quota since the present leader began.
+type QuotaUsage struct {
+	// Available is the number of requests that may run at once now, Capacity the largest such number.
+	Available float64 `json:"available"`
+	Capacity  float64 `json:"capacity"`
+	// Granted and Refused count requests.
+	Granted uint64 `json:"granted"`
+	Refused uint64 `json:"refused"`
+}
+
 // States of a request during which instances crashed.
 const (
 	// RequestSuspected means that the request was running during a crash and may still be run.
@@ -245,6 +270,7 @@
 	PathJournal   = "/v1/journal"
 	PathSnapshot  = "/v1/snapshot"
 	PathZones     = "/v1/zones"
+	PathTenants   = "/v1/tenants"
 	// PathQuarantine lists requests during which instances crashed, and releases them
 	// from quarantine.
 	PathQuarantine = "/v1/quarantine"
--- a/control/admin.go
+++ b/control/admin.go
@@ -86,6 +86,8 @@
 		return m.routeNodes(ctx, request, method, name, action)
 	case "zones":
 		return m.routeZones(ctx, request, method, name, action)
+	case "tenants":
+		return m.routeTenants(ctx, request, method)
 	case "quarantine":
 		return m.routeQuarantine(ctx, request, method, name, action)
 	case "members":
--- a/control/members.go
+++ b/control/members.go
@@ -45,6 +45,7 @@
 	}
 	return &wire.LeaderView{
 		Leader: m.options.Settings.Name, Members: m.memberHealth(), Nodes: m.sessions.silences(clock.Now()),
+		Quotas: m.quotaUsage(),
 	}, nil
 }
 
--- a/control/quotas.go
+++ b/control/quotas.go
@@ -103,3 +103,13 @@
 	err := link.Call(ctx, wire.KindTakeQuota, request, reply)
 	return reply, eris.Wrapf(err, "forward a request for tokens to %s", link.member.Name)
 }
+
+// quotaUsage returns the use of the quotas on the leader.
+func (m *Member) quotaUsage() []quota.Usage {
+	m.quotas.mutex.Lock()
+	defer m.quotas.mutex.Unlock()
+	if m.quotas.authority == nil {
+		return nil
+	}
+	return m.quotas.authority.Usage(clock.Now())
+}
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -37,8 +37,9 @@
 	maxRecordSize         = 256 << 20
 	defaultSegmentSize    = 64 << 20
 	segmentSuffix         = ".wal"
-	folderMode            = 0o750
-	fileMode              = 0o640
+	// The log holds configurations as operators sent them, with the API keys of tenants.
+	folderMode            = 0o700
+	fileMode              = 0o600
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -169,6 +169,8 @@
 	Leader  string
 	Members []MemberHealth
 	Nodes   []NodeSilence
+	// Quotas is the use of the tenants' quotas.
+	Quotas []quota.Usage
 }
 
 // RouterListReply lists the routers connected to a member.
