--- a/wal/wal.go
+++ b/wal/wal.go
@@ -38,8 +38,8 @@
 	defaultSegmentSize    = 64 << 20
 	segmentSuffix         = ".wal"
 	// The log holds configurations as operators sent them, with the API keys of tenants.
-	folderMode            = 0o700
-	fileMode              = 0o600
+	folderMode = 0o700
+	fileMode   = 0o600
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
