admission, router: retries that routers save do not grow with their number

Cause: each router begins with one retry and saves up to 50 from quiet times; what is allowed beyond the share of requests does not grow with the routers. Each router now saves its share of that slack (setting router.retry_slack), by a draw that is fixed for the router; without a reserve a retry is kept until the next request only, and begins at a random phase.

TestRetriesDoNotGrowWithTheRouters: all routers retry at once after a quiet time; 1, 100, 1,000 and 19,000 routers stay within 0.2 x requests + slack and use what they earn.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -278,3 +279,67 @@
 	is.Equal(g.Acquire(9*time.Second, waiter), Admitted)
 	is.Equal(waiter.Granted, InstanceID(2))
 }
+
+// Guards against retries that grow with the number of routers instead of the number of requests: after a quiet time
+// all routers of a fleet have to retry at once.
+func TestRetriesDoNotGrowWithTheRouters(t *testing.T) {
+	const percent, ratio, requestsInWindow = 17, 0.2, 40_000
+	for _, routers := range []int{1, 100, 1_000, 19_000} {
+		for _, slack := range []float64{58, 1_040} {
+			t.Run(fmt.Sprint(routers, " routers, slack ", slack), func(t *testing.T) {
+				random := rand.New(rand.NewPCG(uint64(routers), 1))
+				budgets := make([]*RetryBudget, routers)
+				for i := range budgets {
+					budgets[i] = NewRetryBudget(percent)
+					budgets[i].SetReserve(RetryReserve(slack, routers, random.Float64()), random.Float64())
+				}
+				retries := 0
+				for request := range 4 * requestsInWindow {
+					budget := budgets[random.IntN(routers)]
+					budget.Deposit()
+					if request >= 3*requestsInWindow && budget.Withdraw() {
+						retries++
+					}
+				}
+				bound := ratio*requestsInWindow + slack
+				if float64(retries) > bound {
+					t.Errorf("%d retries of %d requests, %.0f are allowed", retries, requestsInWindow, bound)
+				}
+				// What the requests earn is not lost.
+				if float64(retries) < 0.9*percent/percentScale*requestsInWindow {
+					t.Errorf("only %d retries of %d requests", retries, requestsInWindow)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a service with little traffic whose one failed request is not sent again.
+func TestReserveLetsTheFirstRetryThrough(t *testing.T) {
+	for name, c := range map[string]struct {
+		slack   float64
+		routers int
+		want    int
+	}{
+		"few routers":    {58, 16, 2},
+		"as many":        {206, 83, 1},
+		"a fleet":        {1_040, 987, 0},
+		"a larger fleet": {1_040, 19_000, 0},
+		"nothing known":  {100, 0, 80},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reserve := RetryReserve(c.slack, c.routers, 0)
+			if reserve != c.want {
+				t.Errorf("reserve is %d, want %d", reserve, c.want)
+			}
+			budget := NewRetryBudget(17)
+			budget.SetReserve(reserve, 0)
+			for range 100 {
+				budget.Deposit()
+			}
+			if reserve > 0 && !budget.Withdraw() {
+				t.Error("no retry is left after a quiet time")
+			}
+		})
+	}
+}
--- a/admission/budget.go
+++ b/admission/budget.go
@@ -1,26 +1,50 @@
 package admission
 
+import "math"
+
 // RetryBudget bounds the load that retries add: each new request earns a fraction of a retry, and
 // each retry costs a whole one.
+//
+// What requests without retries earn is saved only up to a reserve. All routers together may add a number of retries
+// beyond the fraction that does not grow with them (the slack of a deployment), so that each one's reserve is its
+// share of that; see RetryReserve. A router without a reserve keeps a retry until its next request: those of many
+// routers add up to the fraction all the same.
 type RetryBudget struct {
 	percent int
+	reserve int
 	credit  float64
 }
 
 const (
-	// initialCredit is the initial credit, which allows a service with little traffic to retry. Each
-	// router has a budget of its own, so a higher value would allow too many retries in total in a
-	// small deployment.
+	// initialCredit is the initial credit, which allows a service with little traffic to retry.
 	initialCredit = 1
-	// maxCredit bounds the credit saved by requests without retries, and thus the next burst of
-	// retries.
-	maxCredit    = 50
-	percentScale = 100
+	// defaultReserve is the reserve of routers of which it is not known how many share a slack.
+	defaultReserve = 50
+	percentScale   = 100
+	// reservedSlack is the part of a slack that routers share. The rest covers that their shares are whole numbers, and
+	// routers that have a former view of how many there are.
+	reservedSlack = 0.8
 )
 
 // NewRetryBudget returns a budget that allows percent retries for every 100 requests.
 func NewRetryBudget(percent int) *RetryBudget {
-	return &RetryBudget{percent: percent, credit: initialCredit}
+	return &RetryBudget{percent: percent, reserve: defaultReserve, credit: initialCredit}
+}
+
+// RetryReserve returns one router's share of the slack of a deployment with a number of routers. draw is a number in
+// [0, 1) that is fixed for the router and evenly distributed over all of them.
+func RetryReserve(slack float64, routers int, draw float64) int {
+	share := reservedSlack * slack / float64(max(1, routers))
+	return int(math.Floor(share + draw))
+}
+
+// SetReserve sets how many retries may be saved. phase is a number in [0, 1) that differs from router to router: what
+// a budget begins with when its reserve is first set.
+func (b *RetryBudget) SetReserve(reserve int, phase float64) {
+	if b.reserve == defaultReserve && reserve < defaultReserve {
+		b.credit = min(b.credit-initialCredit, float64(reserve)) + phase
+	}
+	b.reserve = reserve
 }
 
 // SetPercent sets the number of retries allowed for every 100 requests.
@@ -28,7 +52,10 @@
 
 // Deposit adds the credit of one new request.
 func (b *RetryBudget) Deposit() {
-	b.credit = min(maxCredit, b.credit+float64(b.percent)/percentScale)
+	if excess := b.credit - float64(b.reserve); excess >= 1 {
+		b.credit -= math.Floor(excess)
+	}
+	b.credit += float64(b.percent) / percentScale
 }
 
 // Withdraw uses up the credit for one retry. It returns false if there is not enough.
--- a/router/pool.go
+++ b/router/pool.go
@@ -122,6 +122,12 @@
 	b.budget.Deposit()
 }
 
+func (b *serviceBudget) setReserve(reserve int, phase float64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.budget.SetReserve(reserve, phase)
+}
+
 func (b *serviceBudget) withdraw() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
--- a/router/table.go
+++ b/router/table.go
@@ -1,11 +1,13 @@
 package router
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
 
+	"limehold/admission"
 	"limehold/catalog"
 	"limehold/crashreport"
 	"limehold/membership"
@@ -39,6 +41,9 @@
 	// removed holds, by name, nodes without an ingress that an update removed. An entry is dropped
 	// when a node of that name appears.
 	removed map[string]wire.NodeView
+	// retrySlack is the setting router.retry_slack, and retryDraw a number in [0, 1) that is fixed for this router.
+	retrySlack float64
+	retryDraw  float64
 }
 
 // service is the router's state of one service.
@@ -100,6 +105,7 @@
 		t.crashReports.Apply(update.Quarantine, update.Snapshot)
 	}
 	t.revision = update.Revision
+	t.shareRetrySlack()
 	for name := range changedPools {
 		t.pools[name].update(t.nodesInPool(name), t.zones)
 	}
@@ -108,6 +114,17 @@
 	return true
 }
 
+// shareRetrySlack sets how many retries this router may save for each service. The mutex is held.
+func (t *table) shareRetrySlack() {
+	if t.retrySlack <= 0 {
+		return
+	}
+	reserve := admission.RetryReserve(t.retrySlack, len(t.nodes), t.retryDraw)
+	for _, svc := range t.services {
+		svc.budget.setReserve(reserve, rand.Float64())
+	}
+}
+
 // removeMissing removes services and nodes that a snapshot does not contain.
 func (t *table) removeMissing(update *wire.Update, changedPools map[string]bool) {
 	present := map[string]bool{}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -189,6 +189,10 @@
 	// FractionalRetryAfter writes Retry-After in fractions of seconds, for callers that
 	// accept them. Default false.
 	FractionalRetryAfter bool `yaml:"fractional_retry_after"`
+	// RetrySlack is how many retries of a service's requests all routers of a deployment together may make beyond the
+	// service's retry budget, however many routers there are. Each router saves its share of it. If 0, a router saves
+	// up to 50. Default 0.
+	RetrySlack float64 `yaml:"retry_slack"`
 	// Certificate of the router for connections from callers. If it is empty, plain HTTP is used.
 	Certificate string `yaml:"certificate"`
 	// Key of the certificate.
