ingress: an instance may answer before it has read an announced body

The answer is passed on at once; the connection is used again only when the body has been sent whole, and closed otherwise. The test sends two uploads over one connection to an instance that answers each before it reads it.

--- a/ingress/announced.go
+++ b/ingress/announced.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"io"
 	"time"
 
@@ -75,6 +76,9 @@
 			return false
 		}
 		p.body = body
+	} else {
+		// The HTTP library uses its buffer again while the instance may still read the body.
+		p.body = bytes.Clone(request.Request.Body())
 	}
 	i.inbound.arrived(announced)
 	return true
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -40,6 +40,8 @@
 	response *fasthttp.Response
 	// bodyRead is set if the body has already been read into the response.
 	bodyRead bool
+	// writing receives the result of sending the request if that goes on while the response is read; nil otherwise.
+	writing <-chan error
 }
 
 // connectionBroke reports whether the connection to the instance broke during the request.
@@ -99,6 +101,10 @@
 		return result
 	}
 	result.conn = conn
+	if p.upload != nil {
+		i.exchangeUpload(p, result)
+		return result
+	}
 	if err := p.write(conn); err != nil {
 		conn.Close()
 		result.err, result.reason = eris.Wrapf(err, "send request to instance %s", p.instance.id), reasonNoAnswer
@@ -111,6 +117,22 @@
 	return result
 }
 
+// exchangeUpload sends a request with a large body and reads the response meanwhile: instances may respond before they
+// have read the body, and read the rest of it later.
+func (i *Ingress) exchangeUpload(p *proxyRequest, result *exchange) {
+	writing := make(chan error, 1)
+	go func() { writing <- p.write(result.conn) }()
+	result.writing = writing
+	i.receive(p, result)
+	if result.state != exchangeUnknown {
+		return
+	}
+	// receive has closed the connection, which ends the writing.
+	if err := <-writing; errors.Is(err, errNothingSent) {
+		result.state = exchangeNotSent
+	}
+}
+
 // write sends the request. After an error other than errNothingSent it is unknown how much of
 // the request was received.
 func (p *proxyRequest) write(conn *upstream.Conn) error {
@@ -123,7 +145,9 @@
 	if !p.tracker.Track(conn) {
 		return errors.Join(errNothingSent, errCallerGone)
 	}
-	defer p.tracker.Untrack()
+	if p.upload == nil {
+		defer p.tracker.Untrack() // otherwise the response is being read
+	}
 	conn.Written.Written = 0
 	err := p.outgoing.Write(conn.Writer)
 	if err == nil {
@@ -178,7 +202,7 @@
 	switch {
 	case p.isHead || hasNoBody(response.StatusCode()):
 		result.bodyRead = true
-		i.releaseConn(conn, response)
+		i.releaseConn(result, response)
 	case length == identityLength:
 		if err := readUnframed(response); err != nil {
 			fail(reasonBrokenAnswer, eris.Wrapf(err, "read response body of instance %s to the end of its connection", p.instance.id))
@@ -192,7 +216,7 @@
 			return
 		}
 		result.bodyRead = true
-		i.releaseConn(conn, response)
+		i.releaseConn(result, response)
 	}
 }
 
@@ -238,7 +262,7 @@
 	result.state, result.reason = exchangeNotRun, reason
 	length := response.Header.ContentLength()
 	if length >= 0 && length <= bufferLimit && readBody(response, length) == nil {
-		i.releaseConn(result.conn, response)
+		i.releaseConn(result, response)
 	} else {
 		result.conn.Close()
 	}
@@ -284,14 +308,26 @@
 	return 0
 }
 
-// releaseConn returns a connection to the pool after a response that was read to its end, or closes
-// the connection if the response requires that.
-func (i *Ingress) releaseConn(conn *upstream.Conn, response *fasthttp.Response) {
+// releaseConn returns the connection of an exchange to the pool after a response that was read to its end, or closes
+// the connection if the response requires that. While the request is still being sent, the connection is not used for
+// another one.
+func (i *Ingress) releaseConn(result *exchange, response *fasthttp.Response) {
 	if response.ConnectionClose() {
-		conn.Close()
+		result.conn.Close()
 		return
 	}
-	i.upstreams.Put(conn)
+	if result.writing == nil {
+		i.upstreams.Put(result.conn)
+		return
+	}
+	conn, writing := result.conn, result.writing
+	go func() {
+		if err := <-writing; err != nil {
+			conn.Close() // the instance has not read the whole body
+			return
+		}
+		i.upstreams.Put(conn)
+	}()
 }
 
 // responseBody streams a response to the router and holds the slot until its end.
@@ -323,7 +359,7 @@
 		b.request.tracker.Untrack()
 		if b.complete {
 			b.ingress.recordSuccess(b.request, b.exchange.response.StatusCode())
-			b.ingress.releaseConn(b.exchange.conn, b.exchange.response)
+			b.ingress.releaseConn(b.exchange, b.exchange.response)
 		} else {
 			b.exchange.conn.Close()
 		}
--- a/ingress/proxyrequest.go
+++ b/ingress/proxyrequest.go
@@ -52,7 +52,7 @@
 	reservedBytes float64
 	// upload is the transfer of the request's body if that was announced.
 	upload *upload
-	// body is the announced body if it is longer than the HTTP library keeps in memory.
+	// body is the announced body.
 	body     []byte
 	instance instanceState
 	outgoing *fasthttp.Request
@@ -380,7 +380,8 @@
 func (i *Ingress) releaseRequest(p *proxyRequest) {
 	i.disconnects.Remove(p.watched)
 	i.releaseUpload(p)
-	if p.outgoing != nil {
+	if p.outgoing != nil && p.upload == nil {
+		// A request with an announced body may still be sent; it is left to the garbage collector.
 		fasthttp.ReleaseRequest(p.outgoing)
 	}
 }
