router: a router may save a part of what the limit of retries allows for its own requests

The limit allows 20 retries for 100 requests of the window and the budget earns 17: half of the difference may be saved.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -291,7 +291,8 @@
 				budgets := make([]*RetryBudget, routers)
 				for i := range budgets {
 					budgets[i] = NewRetryBudget(percent)
-					budgets[i].SetReserve(RetryReserve(slack, routers, random.Float64()), random.Float64())
+					recent := float64(requestsInWindow) / float64(routers)
+					budgets[i].SetReserve(RetryLimit{Ratio: ratio, Slack: slack}.Reserve(routers, recent, percent, random.Float64()), random.Float64())
 				}
 				retries := 0
 				for request := range 4 * requestsInWindow {
@@ -328,7 +329,7 @@
 		"nothing known":  {100, 0, 80},
 	} {
 		t.Run(name, func(t *testing.T) {
-			reserve := RetryReserve(c.slack, c.routers, 0)
+			reserve := RetryLimit{Ratio: 0.2, Slack: c.slack}.Reserve(c.routers, 0, 17, 0)
 			if reserve != c.want {
 				t.Errorf("reserve is %d, want %d", reserve, c.want)
 			}
--- a/admission/budget.go
+++ b/admission/budget.go
@@ -7,7 +7,7 @@
 //
 // What requests without retries earn is saved only up to a reserve. All routers together may add a number of retries
 // beyond the fraction that does not grow with them (the slack of a deployment), so that each one's reserve is its
-// share of that; see RetryReserve. A router without a reserve keeps a retry until its next request: those of many
+// share of that; see RetryLimit. A router without a reserve keeps a retry until its next request: those of many
 // routers add up to the fraction all the same.
 type RetryBudget struct {
 	percent int
@@ -24,6 +24,9 @@
 	// reservedSlack is the part of a slack that routers share. The rest covers that their shares are whole numbers, and
 	// routers that have a former view of how many there are.
 	reservedSlack = 0.8
+	// reservedSpare is the part of what is allowed for requests beyond the percentage. The rest covers the calls that
+	// repeated runs make again.
+	reservedSpare = 0.5
 )
 
 // NewRetryBudget returns a budget that allows percent retries for every 100 requests.
@@ -31,10 +34,19 @@
 	return &RetryBudget{percent: percent, reserve: defaultReserve, credit: initialCredit}
 }
 
-// RetryReserve returns one router's share of the slack of a deployment with a number of routers. draw is a number in
-// [0, 1) that is fixed for the router and evenly distributed over all of them.
-func RetryReserve(slack float64, routers int, draw float64) int {
-	share := reservedSlack * slack / float64(max(1, routers))
+// RetryLimit is how many retries of a service's requests all routers of a deployment together may make in one window:
+// Ratio for each request in that window, and Slack more.
+type RetryLimit struct {
+	Ratio float64
+	Slack float64
+}
+
+// Reserve returns how many retries one of a number of routers may save: its share of the slack, and a part of what the
+// limit allows for its own recent requests, the number of requests in one window, beyond the budget's percent. draw is
+// a number in [0, 1) that is fixed for the router and evenly distributed over all of them.
+func (l RetryLimit) Reserve(routers int, recent float64, percent int, draw float64) int {
+	share := reservedSlack * l.Slack / float64(max(1, routers))
+	share += reservedSpare * recent * max(0, l.Ratio-float64(percent)/percentScale)
 	return int(math.Floor(share + draw))
 }
 
--- a/router/pool.go
+++ b/router/pool.go
@@ -108,24 +108,46 @@
 
 // serviceBudget is a retry budget that is safe for concurrent use.
 type serviceBudget struct {
-	mutex  sync.Mutex
-	budget *admission.RetryBudget
+	mutex   sync.Mutex
+	budget  *admission.RetryBudget
+	percent int
+	// limit, routers and draw determine the reserve of the budget, if limit.Slack is set.
+	limit   admission.RetryLimit
+	routers int
+	draw    float64
+	// recent is the smoothed number of requests in one retryWindow, as of recentAt.
+	recent   float64
+	recentAt time.Duration
+}
+
+// retryWindow is the window of the limit of retries.
+const retryWindow = 10 * time.Second
+
+// observe counts a request.
+func (b *serviceBudget) observe(now time.Duration) {
+	b.recent = b.recent*max(0, 1-float64(now-b.recentAt)/float64(retryWindow)) + 1
+	b.recentAt = now
 }
 
 func newServiceBudget(percent int) *serviceBudget {
-	return &serviceBudget{budget: admission.NewRetryBudget(percent)}
+	return &serviceBudget{budget: admission.NewRetryBudget(percent), percent: percent}
 }
 
 func (b *serviceBudget) deposit() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.observe(clock.Now())
+	if b.limit.Slack > 0 {
+		b.budget.SetReserve(b.limit.Reserve(b.routers, b.recent, b.percent, b.draw), rand.Float64())
+	}
 	b.budget.Deposit()
 }
 
-func (b *serviceBudget) setReserve(reserve int, phase float64) {
+// setLimit sets what determines how many retries may be saved; see admission.RetryLimit.
+func (b *serviceBudget) setLimit(limit admission.RetryLimit, routers int, draw float64) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.budget.SetReserve(reserve, phase)
+	b.limit, b.routers, b.draw = limit, routers, draw
 }
 
 func (b *serviceBudget) withdraw() bool {
@@ -137,5 +159,6 @@
 func (b *serviceBudget) setPercent(percent int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.percent = percent
 	b.budget.SetPercent(percent)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -143,7 +143,8 @@
 	r.crashReports = crashreport.New(config.Name, options.Logger, options.Metrics)
 	policy := policyOf(config.Router.Balance)
 	r.table = newTable(func(name string) *pool { return newPool(name, policy, config.Router.Limits == settings.LimitsFixed) })
-	r.table.retrySlack, r.table.retryDraw = config.Router.RetrySlack, rand.Float64()
+	r.table.retryLimit = admission.RetryLimit{Ratio: config.Router.RetryRatio, Slack: config.Router.RetrySlack}
+	r.table.retryDraw = rand.Float64()
 	r.table.crashReports, r.table.onReplaced = r.crashReports, r.instanceReplaced
 	r.follower, r.quotas = newFollower(r), newQuotas(r)
 	r.regionZones = zonesOfRegion(config.Regions, config.Zone)
--- a/router/table.go
+++ b/router/table.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -41,8 +40,8 @@
 	// removed holds, by name, nodes without an ingress that an update removed. An entry is dropped
 	// when a node of that name appears.
 	removed map[string]wire.NodeView
-	// retrySlack is the setting router.retry_slack, and retryDraw a number in [0, 1) that is fixed for this router.
-	retrySlack float64
+	// retryLimit is that of the settings, and retryDraw a number in [0, 1) that is fixed for this router.
+	retryLimit admission.RetryLimit
 	retryDraw  float64
 }
 
@@ -116,12 +115,11 @@
 
 // shareRetrySlack sets how many retries this router may save for each service. The mutex is held.
 func (t *table) shareRetrySlack() {
-	if t.retrySlack <= 0 {
+	if t.retryLimit.Slack <= 0 {
 		return
 	}
-	reserve := admission.RetryReserve(t.retrySlack, len(t.nodes), t.retryDraw)
 	for _, svc := range t.services {
-		svc.budget.setReserve(reserve, rand.Float64())
+		svc.budget.setLimit(t.retryLimit, len(t.nodes), t.retryDraw)
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -193,6 +193,9 @@
 	// service's retry budget, however many routers there are. Each router saves its share of it. If 0, a router saves
 	// up to 50. Default 0.
 	RetrySlack float64 `yaml:"retry_slack"`
+	// RetryRatio is how many retries of a service's requests all routers together may make for each request, if
+	// RetrySlack is set. What it exceeds the service's retry budget by can be saved in part. Default 0.
+	RetryRatio float64 `yaml:"retry_ratio"`
 	// Certificate of the router for connections from callers. If it is empty, plain HTTP is used.
 	Certificate string `yaml:"certificate"`
 	// Key of the certificate.
