goaway: one lifecycle decides every close, and a stop ends what becomes idle later

What callers saw: requests on kept connections to a stopping sidecar that got neither an answer nor the notice, and connections that nobody closed.

Cause: Close took its decision from the last state that the HTTP library had reported, and made it wait for the next one in all other cases. Two traces, one by load and one by forced orders, found where that fails: - no state follows a hijack, and a second Close forgot the first: never closed; - the library drops a first head that it has read when its grace is over; - the shutdown's time ends: connections that become idle later get a bare end; - the shutdown returns before the last Close: Wait returned before the notice; - the library sets its idle timeout on a closed connection: Wait lasted that long; - a close with unread bytes resets the connection and destroys the answer before it; - a timeout of a new connection is answered with the library's own 408; - what waits in the listener's queue is reset; - the notice is lost if the process does not run for 50 ms before it is written.

Fix: Lifecycle keeps what was read, begun, written and reported, and is asked by every close. After Listener.Close a read that would wait for a request ends the connection in its serving goroutine, whatever the library's shutdown does, so that it can't cross a request that runs. Each connection is counted from Accept to its close. The relay closes the connection itself: the library's wrapper ignores a close until the hijacker returns.

--- a/goaway/goaway.go
+++ b/goaway/goaway.go
@@ -8,35 +8,57 @@
 package goaway
 
 import (
-	"errors"
-	"io"
+	"context"
 	"net"
-	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
-)
 
-const (
-	// lingerTime is how long a closed connection stays readable. Requests cross a close only within the time that
-	// the close takes to reach the client.
-	lingerTime = 300 * time.Millisecond
-	// noticeTimeout bounds the writing of the notice.
-	noticeTimeout = 50 * time.Millisecond
+	"limehold/accept"
 )
 
 // Listener wraps the connections that it accepts. Its ConnState method has to be the hook of the server that serves
 // them.
 type Listener struct {
 	net.Listener
-	notice    []byte
-	lingering sync.WaitGroup
+	notice       []byte
+	notices      atomic.Int64
+	reportsBegin atomic.Bool
+	stopping     atomic.Bool
+	// open counts the connections that are not closed.
+	open  sync.WaitGroup
+	mutex sync.Mutex
+	conns map[*conn]struct{}
 }
 
 // New returns a listener whose connections write the notice, a complete response, when they are closed while idle.
 func New(inner net.Listener, notice []byte) *Listener {
-	return &Listener{Listener: inner, notice: notice}
+	return &Listener{Listener: inner, notice: notice, conns: map[*conn]struct{}{}}
+}
+
+// Handler returns the handler for the server. With it, a connection that is closed before its request begins to run gets
+// the notice too.
+func (l *Listener) Handler(handle fasthttp.RequestHandler) fasthttp.RequestHandler {
+	l.reportsBegin.Store(true)
+	return func(request *fasthttp.RequestCtx) {
+		if c, ok := unwrap(request.Conn()).(*conn); ok {
+			c.begin()
+		}
+		handle(request)
+	}
+}
+
+// unwrap returns the innermost connection.
+func unwrap(outer net.Conn) net.Conn {
+	for {
+		wrapper, ok := outer.(interface{ NetConn() net.Conn })
+		if !ok {
+			return outer
+		}
+		outer = wrapper.NetConn()
+	}
 }
 
 // Accept implements net.Listener. A connection that is not a TCP connection is returned as it is.
@@ -49,118 +71,62 @@
 	if !ok {
 		return accepted, nil
 	}
-	return &conn{TCPConn: tcp, listener: l, idle: true}, nil
+	return l.wrap(tcp), nil
 }
 
-// ConnState is the server's hook for changes of the state of a connection.
-func (l *Listener) ConnState(changed net.Conn, state fasthttp.ConnState) {
-	if c, ok := changed.(*conn); ok {
-		c.setState(state)
-	}
-}
-
-// Wait waits until no closed connection is kept readable any more, for a fraction of a second.
-func (l *Listener) Wait() { l.lingering.Wait() }
-
-// conn is a connection that the server closes with a notice while it is idle.
-type conn struct {
-	*net.TCPConn
-	listener *Listener
-
-	mutex sync.Mutex
-	// idle is set while the server waits for a request. What it reads then is either handled, after it has set the
-	// state to active, or dropped because of a close.
-	idle bool
-	// peerClosed is set once a read has failed other than by a timeout.
-	peerClosed bool
-	closed     bool
-	// undecided is set when the connection was closed before the server reported whether it is idle. A shutdown
-	// closes connections that the server regards as idle, but has not reported as such yet.
-	undecided bool
+func (l *Listener) wrap(accepted *net.TCPConn) *conn {
+	c := &conn{TCPConn: accepted, listener: l, Lifecycle: Lifecycle{ReportsBegin: l.reportsBegin.Load()}}
+	l.open.Add(1)
+	l.mutex.Lock()
+	l.conns[c] = struct{}{}
+	l.mutex.Unlock()
+	return c
 }
 
-// setState records a state that the server has reported, and carries out a close that waits for it.
-func (c *conn) setState(state fasthttp.ConnState) {
-	c.mutex.Lock()
-	c.idle = state == fasthttp.StateNew || state == fasthttp.StateIdle
-	undecided := c.undecided
-	c.undecided = false
-	graceful := c.idle && !c.peerClosed
-	c.mutex.Unlock()
-	if undecided {
-		_ = c.closeNow(graceful) // the server has been told of the close already
+// Close implements net.Listener. Connections that are idle then, or later, are closed with the notice, whether or not
+// the server's shutdown waits for them, and so are those that have not been accepted yet.
+func (l *Listener) Close() error {
+	l.stopping.Store(true)
+	if tcp, ok := l.Listener.(*net.TCPListener); ok {
+		for pending := accept.Pending(tcp); pending != nil; pending = accept.Pending(tcp) {
+			_ = l.wrap(pending).Close() // its end is not awaited
+		}
 	}
-}
-
-// Read implements net.Conn.
-func (c *conn) Read(data []byte) (int, error) {
-	count, err := c.TCPConn.Read(data)
-	if err == nil {
-		return count, nil
-	}
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.closed {
-		return count, net.ErrClosed
-	}
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.peerClosed = true
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for c := range l.conns {
+		c.wake()
 	}
-	return count, err
+	return l.Listener.Close()
 }
 
-// Write implements net.Conn.
-func (c *conn) Write(data []byte) (int, error) {
-	c.mutex.Lock()
-	closed := c.closed
-	c.mutex.Unlock()
-	if closed {
-		return 0, net.ErrClosed
+// ConnState is the server's hook for changes of the state of a connection.
+func (l *Listener) ConnState(changed net.Conn, state fasthttp.ConnState) {
+	if c, ok := changed.(*conn); ok {
+		c.report(state)
 	}
-	return c.TCPConn.Write(data)
 }
 
-// Close implements net.Conn. The server reports a state after each close of a connection that it has reported as
-// active: that it is idle, or that it is closed.
-func (c *conn) Close() error {
-	c.mutex.Lock()
-	first, idle, graceful := !c.closed, c.idle, c.idle && !c.peerClosed
-	c.closed = true
-	c.undecided = first && !idle
-	c.mutex.Unlock()
-	switch {
-	case !first:
-		return net.ErrClosed
-	case !idle:
-		// Ends a read that the server waits in.
-		return c.SetReadDeadline(time.Now())
-	}
-	return c.closeNow(graceful)
-}
+// Notices returns how many connections were closed with the notice.
+func (l *Listener) Notices() int64 { return l.notices.Load() }
 
-// closeNow closes the connection, with the notice if the close is graceful.
-func (c *conn) closeNow(graceful bool) error {
-	if !graceful {
-		return c.TCPConn.Close()
-	}
-	c.listener.lingering.Go(c.closeGracefully)
-	return nil
-}
+// Wait waits until all connections are closed, also those that are kept readable. The server has to be shut down first:
+// its shutdown returns before it has closed the last connections.
+func (l *Listener) Wait() { l.open.Wait() }
 
-// closeGracefully writes the notice and closes the connection once the client has closed it, or after lingerTime.
-func (c *conn) closeGracefully() {
-	defer c.TCPConn.Close()
-	if err := c.SetWriteDeadline(time.Now().Add(noticeTimeout)); err != nil {
-		return
-	}
-	if _, err := c.TCPConn.Write(c.listener.notice); err != nil {
-		return
-	}
-	if err := c.CloseWrite(); err != nil {
-		return
-	}
-	if err := c.SetReadDeadline(time.Now().Add(lingerTime)); err != nil {
-		return
+// WaitContext is Wait for as long as the context lasts. It returns the context's error if connections are still open.
+func (l *Listener) WaitContext(ctx context.Context) error { return Wait(ctx, &l.open) }
+
+// remove records that a connection is closed, or is its hijacker's.
+func (l *Listener) remove(c *conn) {
+	l.mutex.Lock()
+	_, found := l.conns[c]
+	delete(l.conns, c)
+	l.mutex.Unlock()
+	if found {
+		l.open.Done()
 	}
-	_, _ = io.Copy(io.Discard, c.TCPConn) // ends by the deadline or by the client's close
 }
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -130,7 +130,7 @@
 	options.Metrics.Gauge("ingress", "waiting", "Requests that wait for one of the instance's slots.", func() float64 { return float64(i.gate.load().waiting) })
 	i.registerState()
 	i.server = &fasthttp.Server{
-		Handler: i.handle, ExpectHandler: i.handleAnnounced, NoDefaultServerHeader: true, NoDefaultContentType: true,
+		Handler: kept.Handler(i.handle), ExpectHandler: i.handleAnnounced, NoDefaultServerHeader: true, NoDefaultContentType: true,
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: bufferedBody, StreamRequestBody: true,
 		DisablePreParseMultipartForm: true, CloseOnShutdown: true, Logger: quietLogger{i.logger}, ConnState: kept.ConnState,
@@ -155,6 +155,7 @@
 		return i.inbound.load().Seconds()
 	})
 	registry.Gauge("ingress", "inbound_body_bytes", "Bytes of announced request bodies that are in memory or on their way.", i.inbound.memory)
+	registry.Gauge("ingress", "close_notices_total", "Idle connections of routers that were closed with the notice that no request ran.", func() float64 { return float64(i.kept.Notices()) })
 	registry.Gauge("ingress", "runs_well_ratio", "Share of runs that end well, smoothed.", func() float64 { return i.instance.success.share(clock.Now()) })
 	registry.Gauge("ingress", "speed_ratio", "Pace that the instance tells, relative to what is usual there.", i.instance.slowdown.speed)
 }
@@ -219,7 +220,9 @@
 	}
 	// Shutdown does not close the listener of a server that has not begun to serve.
 	_ = i.listener.Close()
-	i.kept.Wait()
+	if err := i.kept.WaitContext(ctx); err != nil {
+		i.logger.Warn("ingress_connections_open", zap.Error(err))
+	}
 }
 
 // closedNotice returns the response to a request that crosses the close of its connection.
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -36,6 +36,10 @@
 	i.logger.Info("relay_opened", zap.String("peer", address), zap.Stringer("asker", request.RemoteAddr()))
 	request.Hijack(func(client net.Conn) {
 		defer i.tunnels.Add(-1)
+		// The library's own connection ignores a close until the hijacker returns.
+		if wrapper, ok := client.(interface{ UnsafeConn() net.Conn }); ok {
+			client = wrapper.UnsafeConn()
+		}
 		transport.Tunnel(client, target)
 	})
 }
