callerconn, router: a connection is closed behind the last request that was started

What callers saw: pipelined requests that ran and got no answer when a router stopped or an answer closed the connection, and requests (a DELETE among them) that crossed the close and got its bare end, so that nobody could know that they had not run.

Cause: the answer that closes a connection was chosen in several places (the handler, the drain, the library, the caller's request), none of which looked at the requests that had been started ahead in one step with it; and Close abandoned them.

Fix: settleClose alone decides, under the lock under which requests are started, and lets only the answer to the last started request close. Conn.Close hands over to finish, which writes the answers that are due, or the notice (503, not-run, connection-closed, Retry-After), and lingers. So the order in which Drain, Shutdown and Wait are called does not matter any more, and awaitPipelines is gone. Nothing is started behind a request with 'Connection: close', or behind one that the library would refuse. Rejections before the body no longer hijack the connection: the library never called the hijacker. A connection that has sent nothing no longer holds up a stop for up to 5 s.

--- a/callerconn/callerconn.go
+++ b/callerconn/callerconn.go
@@ -5,12 +5,15 @@
 package callerconn
 
 import (
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"limehold/goaway"
 )
 
 const (
@@ -19,8 +22,7 @@
 	// maxAhead bounds the requests of all connections that run ahead: their answers are held in memory until those
 	// before them have been written.
 	maxAhead = 256
-	// lingerTime is how long a connection stays readable after an answer that closes it, when the caller has sent
-	// further requests. A close with unread bytes would reset the connection before the caller has read the answer.
+	// lingerTime is how long a connection stays readable after its last answer, for a caller that still sends.
 	lingerTime = 500 * time.Millisecond
 )
 
@@ -31,9 +33,15 @@
 	// MayRunAhead reports whether a request, which has no body, is safe and may run before the answers to the
 	// requests before it are written.
 	MayRunAhead func(header *fasthttp.RequestHeader) bool
-	// Handler handles requests, those that run ahead in goroutines of their own.
+	// Handler handles requests, those that run ahead in goroutines of their own. It can't hijack connections: one that
+	// it hijacks is closed behind the answer.
 	Handler fasthttp.RequestHandler
-	Logger  fasthttp.Logger
+	// Notice is a complete response. It is written to a connection that is closed between two requests, and is the
+	// answer to a request that crosses the close and does not run.
+	Notice []byte
+	// WriteTimeout bounds the writing of an answer to a request that ran ahead, when its connection is closed.
+	WriteTimeout time.Duration
+	Logger       fasthttp.Logger
 }
 
 // Listener wraps the connections that it accepts. The server that serves them has to have its Handle method as the
@@ -43,14 +51,18 @@
 	options  Options
 	ahead    atomic.Int64
 	started  atomic.Int64
+	notices  atomic.Int64
 	draining atomic.Bool
-	// open counts the connections that are not closed or linger.
-	open sync.WaitGroup
+	stopping atomic.Bool
+	// open counts the connections that are not closed.
+	open  sync.WaitGroup
+	mutex sync.Mutex
+	conns map[*Conn]struct{}
 }
 
 // New returns a listener for pipelined requests.
 func New(inner net.Listener, options Options) *Listener {
-	return &Listener{Listener: inner, options: options}
+	return &Listener{Listener: inner, options: options, conns: map[*Conn]struct{}{}}
 }
 
 // Accept implements net.Listener.
@@ -60,35 +72,32 @@
 		return nil, err
 	}
 	c := &Conn{Conn: accepted, listener: l, idle: true, buffer: make([]byte, 0, min(initialBuffer, l.options.MaxHeaderBytes))}
-	c.changed.L = &c.mutex
+	c.changed.L, c.ReportsBegin = &c.mutex, true
 	l.open.Add(1)
+	l.mutex.Lock()
+	l.conns[c] = struct{}{}
+	l.mutex.Unlock()
 	go c.readAhead()
 	return c, nil
 }
 
-// ConnState is the server's hook for changes of the state of a connection.
-func (l *Listener) ConnState(changed net.Conn, state fasthttp.ConnState) {
-	if c, ok := changed.(*Conn); ok {
-		c.mutex.Lock()
-		c.idle = state == fasthttp.StateNew || state == fasthttp.StateIdle
-		c.mutex.Unlock()
-	}
-}
-
 // Handle handles a request whose turn on its connection has come. One that was started ahead has its response already,
 // or is waited for.
 func (l *Listener) Handle(request *fasthttp.RequestCtx) {
 	c, _ := request.Conn().(*Conn)
-	if ahead := c.startedAhead(); ahead != nil {
+	if ahead := c.begun(); ahead != nil {
 		<-ahead.done
 		moveResponse(&request.Response, &ahead.context.Response)
 	} else {
 		l.options.Handler(request)
 	}
-	// While draining, a connection is closed only behind the last answer of a request that has been started.
-	if l.draining.Load() && !c.hasAhead() {
+	if request.Hijacked() {
+		request.Hijack(nil)
 		request.SetConnectionClose()
 	}
+	if c != nil {
+		c.settleClose(&request.Response)
+	}
 }
 
 // moveResponse moves the response of a request that ran ahead to the request that the server answers.
@@ -122,13 +131,19 @@
 // Started returns how many requests have been started ahead.
 func (l *Listener) Started() int64 { return l.started.Load() }
 
+// Notices returns how many connections were closed with the notice.
+func (l *Listener) Notices() int64 { return l.notices.Load() }
+
 // Drain stops starting requests ahead, and closes each connection behind the answers to those that were started.
 func (l *Listener) Drain() { l.draining.Store(true) }
 
-// Wait waits until all connections are closed. It may be called once the server has shut down; connections may then
-// stay readable for a fraction of a second.
+// Wait waits until all connections are closed, which includes the answers to requests that were started ahead. The server
+// has to be shut down first.
 func (l *Listener) Wait() { l.open.Wait() }
 
+// WaitContext is Wait for as long as the context lasts. It returns the context's error if connections are still open.
+func (l *Listener) WaitContext(ctx context.Context) error { return goaway.Wait(ctx, &l.open) }
+
 // aheadRequest is a request that was started before the answers to those before it were written.
 type aheadRequest struct {
 	// context holds the response once done is closed.
@@ -136,38 +151,31 @@
 	done    chan struct{}
 }
 
-// startedAhead returns the request that the server has begun to handle if it was started ahead, or nil.
-func (c *Conn) startedAhead() *aheadRequest {
+// begun records that the server handles a request, and returns the request if it was started ahead.
+func (c *Conn) begun() *aheadRequest {
 	if c == nil {
 		return nil
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.Begin()
 	if c.current == nil {
 		return nil
 	}
 	return c.current.ahead
 }
 
-// hasAhead reports whether requests behind the current one were started ahead.
-func (c *Conn) hasAhead() bool {
-	if c == nil {
-		return false
+// reserve counts one more request that runs ahead, and reports whether the listener's limit allows it.
+func (l *Listener) reserve() bool {
+	if l.ahead.Add(1) <= maxAhead && !l.draining.Load() {
+		return true
 	}
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.queue.Ahead() > 0
-}
-
-// reserve reports whether a request may run ahead as far as the listener's limit goes; before is the number of
-// requests before it.
-func (l *Listener) reserve(before int) bool {
-	return before == 0 || !l.draining.Load() && l.ahead.Load() < maxAhead
+	l.ahead.Add(-1)
+	return false
 }
 
-// start starts a request ahead.
+// start starts a request ahead, which counts as such already.
 func (l *Listener) start(c *Conn, raw []byte) *aheadRequest {
-	l.ahead.Add(1)
 	l.started.Add(1)
 	started := &aheadRequest{context: &fasthttp.RequestCtx{}, done: make(chan struct{})}
 	started.context.Init2(c, l.options.Logger, false)
--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"limehold/goaway"
 	"limehold/pipeline"
 	"limehold/upstream"
 )
@@ -24,7 +25,8 @@
 	// changed is signalled when the fields below change.
 	changed sync.Cond
 	queue   pipeline.Queue
-	// idle is set while the server waits for a request.
+	goaway.Lifecycle
+	// idle is set while the server's next read waits for a request.
 	idle bool
 	// buffer holds what was read and does not belong to a request in heads yet.
 	buffer []byte
@@ -48,8 +50,9 @@
 	// reading is set while readAhead reads from the connection.
 	reading bool
 	// err is the error that ended reading.
-	err    error
-	closed bool
+	err error
+	// abandoned is set once no further answer will be written.
+	abandoned bool
 	// parsed is used by readAhead.
 	parsed fasthttp.RequestHeader
 }
@@ -57,10 +60,10 @@
 // errUnexpectedRead is returned if the server reads beyond the end of a request.
 var errUnexpectedRead = errors.New("read beyond the end of the request")
 
-// Disconnected reports whether the caller has closed the connection, or this process has.
+// Disconnected reports whether the caller has closed the connection, or no answer will be written to it.
 func (c *Conn) Disconnected() bool {
 	c.mutex.Lock()
-	ended := c.closed || c.err != nil
+	ended := c.abandoned || c.err != nil
 	c.mutex.Unlock()
 	return ended || upstream.Peek(c.Conn) == upstream.PeekClosed
 }
@@ -77,6 +80,9 @@
 func (c *Conn) SetReadDeadline(at time.Time) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.Closed() {
+		return nil // it keeps its own deadline
+	}
 	c.deadline = at
 	if c.reading {
 		return nil // readAhead has none while the server does not wait
@@ -94,7 +100,7 @@
 	c.mutex.Lock()
 	for {
 		switch {
-		case c.closed:
+		case c.Closed():
 			c.mutex.Unlock()
 			return 0, net.ErrClosed
 		case len(c.unread) > 0:
@@ -129,6 +135,18 @@
 	return count, err
 }
 
+// Write implements net.Conn.
+func (c *Conn) Write(data []byte) (int, error) {
+	c.mutex.Lock()
+	c.Written()
+	closed := c.Closed()
+	c.mutex.Unlock()
+	if closed {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(data)
+}
+
 // readDirect reads from the buffer or else from the connection, under the server's deadline. It is called with the
 // mutex and releases it.
 func (c *Conn) readDirect(data []byte) (int, error) {
@@ -146,19 +164,13 @@
 	return count, err
 }
 
-// awaitHead waits for the next request and makes it the current one. The mutex is held. The server has read the
-// previous request to its end and has written its answer.
+// awaitHead waits for the next request and makes it the current one. The mutex is held.
 func (c *Conn) awaitHead() error {
-	if c.current != nil {
-		c.queue.Answered()
-		c.forget(c.current)
-		c.current = nil
-	}
 	c.direct = false
 	c.changed.Broadcast()
 	for {
 		switch {
-		case c.closed:
+		case c.Closed():
 			return net.ErrClosed
 		case len(c.heads) > 0:
 			c.begin(c.heads[0])
@@ -169,9 +181,9 @@
 			return c.Conn.SetReadDeadline(c.deadline)
 		case c.err != nil:
 			return c.err
-		case c.timedOut:
-			c.timedOut = false
-			return os.ErrDeadlineExceeded
+		case c.timedOut, c.listener.stopping.Load():
+			// The server would answer a timeout with a response of its own.
+			return io.EOF
 		}
 		if err := c.armRead(); err != nil {
 			return err
@@ -194,60 +206,3 @@
 		c.err = err
 	}
 }
-
-// forget releases the place of a request that ran ahead. The mutex is held.
-func (c *Conn) forget(answered *head) {
-	if answered.ahead != nil && !answered.forgotten {
-		answered.forgotten = true
-		c.listener.ahead.Add(-1)
-	}
-}
-
-// Close implements net.Conn. Requests that run ahead are abandoned.
-func (c *Conn) Close() error {
-	c.mutex.Lock()
-	if c.closed {
-		c.mutex.Unlock()
-		return net.ErrClosed
-	}
-	c.closed = true
-	pending := len(c.heads) > 0 || len(c.buffer) > 0
-	if c.current != nil {
-		c.forget(c.current)
-	}
-	for _, abandoned := range c.heads {
-		c.forget(abandoned)
-		if abandoned.ahead != nil {
-			go abandoned.ahead.discard()
-		}
-	}
-	c.heads = nil
-	c.queue.Close()
-	ended := c.err != nil
-	c.changed.Broadcast()
-	c.mutex.Unlock()
-	if !ended && (pending || upstream.Peek(c.Conn) == upstream.PeekData) {
-		if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-			go c.linger(half)
-			return nil
-		}
-	}
-	return c.closeNow()
-}
-
-func (c *Conn) closeNow() error {
-	defer c.listener.open.Done()
-	return c.Conn.Close()
-}
-
-// linger closes the connection once the caller has closed it, or after lingerTime.
-func (c *Conn) linger(half interface{ CloseWrite() error }) {
-	defer c.closeNow()
-	if err := half.CloseWrite(); err != nil {
-		return
-	}
-	if err := c.Conn.SetReadDeadline(time.Now().Add(lingerTime)); err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, c.Conn) // ends by the deadline or by the caller's close
-}
--- a/callerconn/readahead.go
+++ b/callerconn/readahead.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"errors"
 	"os"
+	"strings"
 	"sync"
 	"time"
+	"unicode"
 
 	"github.com/valyala/fasthttp"
 
@@ -58,10 +60,10 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for {
-		for !c.mayReadAhead() && !c.closed && c.err == nil {
+		for !c.mayReadAhead() && !c.Closed() && c.err == nil {
 			c.changed.Wait()
 		}
-		if c.closed || c.err != nil {
+		if c.Closed() || c.err != nil {
 			return
 		}
 		next, err := c.cutHead()
@@ -133,11 +135,32 @@
 	}
 	next.body, next.unframed = int64(max(0, c.parsed.ContentLength())), c.parsed.ContentLength() == chunked
 	c.buffer = append(c.buffer[:0], c.buffer[length:]...)
-	safe := next.body == 0 && !next.unframed && c.listener.options.MayRunAhead(&c.parsed)
-	if c.queue.Add(safe && c.listener.reserve(c.queue.Unanswered())) {
+	c.enqueue(next)
+	return next, nil
+}
+
+// enqueue adds a request to the queue, and starts it if it may run ahead. The mutex is held.
+func (c *Conn) enqueue(next *head) {
+	safe := next.body == 0 && !next.unframed && isPlain(&c.parsed) && c.listener.options.MayRunAhead(&c.parsed)
+	if first := c.queue.Unanswered() == 0; first || !safe || !c.listener.reserve() {
+		c.queue.Add(safe && first)
+	} else if c.queue.Add(true) {
 		next.ahead = c.listener.start(c, next.raw)
+	} else {
+		c.listener.ahead.Add(-1)
 	}
-	return next, nil
+	if c.parsed.ConnectionClose() {
+		c.queue.Seal()
+	}
+}
+
+// isPlain reports whether the server takes the target and the host of a request. It refuses others when their turn has
+// come, and must not have run them by then.
+func isPlain(header *fasthttp.RequestHeader) bool {
+	target, host := header.RequestURI(), header.Host()
+	return len(target) > 0 && target[0] == '/' && !bytes.ContainsFunc(host, func(r rune) bool {
+		return r > unicode.MaxASCII || !unicode.IsLetter(r) && !unicode.IsDigit(r) && !strings.ContainsRune("-._:", r)
+	})
 }
 
 // chunked is the content length that the HTTP library reports for bodies in chunks.
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -13,10 +13,12 @@
 //   - A request runs ahead only if it and all requests before it are safe. One that is not safe runs only once it is
 //     the first.
 //   - Requests behind one that is not safe are not read until it has been answered: they may depend on its effect.
-//   - Requests behind an answer that closes the connection are not started. Those that run ahead already are
-//     abandoned.
+//   - An answer closes the connection only if it belongs to the last request that was started (see Seal). Requests
+//     behind it are not started.
+//   - Requests that run ahead are abandoned only if the connection breaks.
 type Queue struct {
 	requests []request
+	sealed   bool
 	closed   bool
 }
 
@@ -28,7 +30,7 @@
 
 // MayRead reports whether the next request may be read.
 func (q *Queue) MayRead() bool {
-	if q.closed || len(q.requests) >= MaxRequests {
+	if q.closed || q.sealed || len(q.requests) >= MaxRequests {
 		return false
 	}
 	for _, r := range q.requests {
@@ -56,6 +58,16 @@
 	return true
 }
 
+// Seal ends the reading of further requests, because the connection is about to be closed. It reports whether the answer
+// to the first request may close it: no request behind the first has been started.
+func (q *Queue) Seal() (last bool) {
+	q.sealed = true
+	return q.Ahead() == 0
+}
+
+// Sealed reports whether no further request is read.
+func (q *Queue) Sealed() bool { return q.sealed }
+
 // Close records that no further answer will be written.
 func (q *Queue) Close() {
 	q.closed = true
--- a/router/framing.go
+++ b/router/framing.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"io"
-	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -26,10 +24,6 @@
 	writeTimeout = 10 * time.Second
 	// bodySlack is added to a route's timeout for the arrival of a body.
 	bodySlack = time.Second
-	// lingerTime and lingerBytes bound how much of a rejected request's body is still
-	// read, so that the rejection reaches the caller before the close.
-	lingerTime  = time.Second
-	lingerBytes = 16 << 20
 )
 
 // headReceived checks a request's head before its body is read. The body is not read
@@ -129,17 +123,3 @@
 	}
 	return len(text) > 0 && len(text) <= maxDigits
 }
-
-// closeAfterRejection closes the connection of a rejected request whose body has not
-// been read. It discards incoming data for a while first, because an immediate
-// close could destroy the rejection in transit.
-func closeAfterRejection(request *fasthttp.RequestCtx) {
-	request.SetConnectionClose()
-	request.Hijack(func(conn net.Conn) {
-		_ = conn.SetReadDeadline(time.Now().Add(lingerTime))
-		if closer, ok := conn.(interface{ CloseWrite() error }); ok {
-			_ = closer.CloseWrite()
-		}
-		_, _ = io.CopyN(io.Discard, conn, lingerBytes)
-	})
-}
--- a/router/pipeline.go
+++ b/router/pipeline.go
@@ -2,12 +2,11 @@
 
 import (
 	"bytes"
-	"context"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"limehold/routing"
+	"limehold/wire"
 )
 
 // mayRunAhead reports whether a pipelined request without a body may run before the answers to the requests before it
@@ -21,25 +20,26 @@
 	return routed != nil && routed.route.Kind == routing.KindSafe
 }
 
-// pipelinePoll is the interval at which a stopping router checks whether all requests that run ahead are answered.
-const pipelinePoll = 5 * time.Millisecond
-
-// awaitPipelines waits until all requests that were started ahead have been answered: the HTTP library's shutdown
-// closes each connection behind the current answer.
-func (r *Router) awaitPipelines(ctx context.Context) {
-	ticker := time.NewTicker(pipelinePoll)
-	defer ticker.Stop()
-	for r.pipelines.Ahead() > 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+// closedNotice returns the response to a request that crosses the close of its connection.
+func (r *Router) closedNotice() []byte {
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	rejected := rejectClosed
+	response.SetStatusCode(rejected.status)
+	response.SetConnectionClose()
+	response.Header.SetContentType("application/json")
+	response.Header.Set(wire.HeaderOutcome, wire.OutcomeNotRun)
+	response.Header.Set(wire.HeaderReason, rejected.reason)
+	if after := r.options.Settings.Router.RetryAfter; after > 0 {
+		response.Header.Set(fasthttp.HeaderRetryAfter, r.retryAfterText(after))
 	}
+	response.SetBodyString(`{"outcome":"` + wire.OutcomeNotRun + `","reason":"` + rejected.reason + `","message":"` + rejected.advice + "\"}\n")
+	return []byte(response.String())
 }
 
 func (r *Router) registerPipelineMetrics() {
 	registry := r.options.Metrics
 	registry.Gauge("router", "pipelined_ahead", "Pipelined requests that run, or have run, before the answers to those before them are written.", func() float64 { return float64(r.pipelines.Ahead()) })
 	registry.Gauge("router", "pipelined_ahead_total", "Pipelined requests that were started ahead.", func() float64 { return float64(r.pipelines.Started()) })
+	registry.Gauge("router", "close_notices_total", "Idle connections of callers that were closed with the notice that no request ran.", func() float64 { return float64(r.pipelines.Notices()) })
 }
--- a/router/rejection.go
+++ b/router/rejection.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"limehold/wire"
 )
 
 // rejection is the reason why a request was not run. The zero value means "not rejected".
@@ -47,6 +49,7 @@
 	rejectNotCurrent     = rejection{"not-current", fasthttp.StatusServiceUnavailable, "this router cannot confirm that its configuration is current", time.Second}
 	rejectUnreachable    = rejection{"unreachable", fasthttp.StatusServiceUnavailable, "the instance could not be reached", time.Second}
 	rejectBackend        = rejection{"back-end-refused", fasthttp.StatusServiceUnavailable, "the instance refused the request and did not run it", time.Second}
+	rejectClosed         = rejection{wire.BackendReasonClosed, fasthttp.StatusServiceUnavailable, "the connection was closed before the request was read", 0}
 	rejectCallerGone     = rejection{"caller-gone", statusCallerGone, "the caller closed its connection", 0}
 )
 
--- a/router/response.go
+++ b/router/response.go
@@ -102,7 +102,8 @@
 		request.Response.Header.Set(fasthttp.HeaderRetryAfter, r.retryAfterText(rejected.retryAfter))
 	}
 	if len(request.Request.Header.Peek(headerRejected)) > 0 || p != nil && p.body != nil {
-		closeAfterRejection(request)
+		// The body is not read. The connection stays readable for a while behind the rejection.
+		request.SetConnectionClose()
 	}
 	service := ""
 	if p != nil {
--- a/router/router.go
+++ b/router/router.go
@@ -167,7 +167,8 @@
 
 func (r *Router) initServer(config settings.Settings) {
 	r.pipelines = callerconn.New(r.listener, callerconn.Options{
-		MaxHeaderBytes: config.Router.MaxHeaderBytes, MayRunAhead: r.mayRunAhead, Handler: r.serve, Logger: libraryLogger{r.logger},
+		MaxHeaderBytes: config.Router.MaxHeaderBytes, MayRunAhead: r.mayRunAhead, Handler: r.serve,
+		Notice: r.closedNotice(), WriteTimeout: writeTimeout, Logger: libraryLogger{r.logger},
 	})
 	r.registerPipelineMetrics()
 	r.server = &fasthttp.Server{
@@ -316,12 +317,11 @@
 	r.callers.stop()
 	ctx, cancel := clock.WithTimeout(context.Background(), deadline-clock.Now())
 	defer cancel()
-	r.awaitPipelines(ctx)
-	if err := r.server.ShutdownWithContext(ctx); err != nil {
+	err := r.server.ShutdownWithContext(ctx)
+	// Requests that run ahead are answered after the server has shut down.
+	if err = errors.Join(err, r.pipelines.WaitContext(ctx)); err != nil {
 		r.logger.Warn("drain_incomplete", zap.Int("in_flight", r.disconnects.Count()), zap.Error(err))
-		return
 	}
-	r.pipelines.Wait()
 }
 
 // sweep closes idle upstream connections periodically.
