cli: signals that come while a process is built

What callers saw: a process that was asked to stop, or told of changed settings by SIGHUP, between the opening of its listeners and Run ended at once. The connections that the listeners held by then were reset, without a drain.

Cause: SIGTERM and SIGINT were handled, and SIGHUP ignored, only after build had returned, and build opens the listeners.

Why it works: the handlers are set before anything else. A stop that comes during build reaches Run as an ended context, and Run drains.

--- a/cli/processes.go
+++ b/cli/processes.go
@@ -97,8 +97,13 @@
 }
 
 // runProcess loads the settings for the role, builds the process and runs it until it ends or the
-// program receives SIGTERM or SIGINT. It ignores SIGHUP.
+// program receives SIGTERM or SIGINT. It ignores SIGHUP. A process that is asked to stop while it is built is run, so
+// that it drains.
 func runProcess(ctx context.Context, command *cli.Command, role settings.Role, build func(settings.Settings, *zap.Logger, *tls.Config) (process, error)) error {
+	// Before the listeners are open: a signal that came until here would reset the connections that they hold.
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	signal.Ignore(syscall.SIGHUP)
 	config, err := loadSettings(command, role)
 	if err != nil {
 		return err
@@ -120,9 +125,6 @@
 	if err != nil {
 		return logStartFailure(logger, err)
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	signal.Ignore(syscall.SIGHUP)
 	err = built.Run(ctx)
 	stopRequested := zap.Bool("asked", ctx.Err() != nil)
 	if err != nil {
