adminserver: a stop does not wait for connections that have sent nothing

What was seen: a process that is asked to stop ended up to 2 s later than its other parts. A sidecar's admin listener stops last, after router and ingress have used up to 5.5 s of the 6 s that the process is given on the users' platform.

Cause: the HTTP library's shutdown waits for new connections that have sent nothing for 5 s from their accept, and so took the whole of shutdownTimeout if one was open.

Why it works: the shutdown is given up once no connection has a request that is read, runs, or whose response is written, after a short time for requests that have arrived already. Running requests still have shutdownTimeout.

--- a/adminserver/adminserver.go
+++ b/adminserver/adminserver.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -35,18 +36,23 @@
 const (
 	readTimeout     = 10 * time.Second
 	shutdownTimeout = 2 * time.Second
+	// settleTime is how long requests that have arrived when the listener stops may take to be read.
+	settleTime = 100 * time.Millisecond
+	stopPoll   = 10 * time.Millisecond
 	// maxBody is the default of Options.MaxBody.
 	maxBody = 8 << 20
 )
 
 // Run serves requests until ctx ends. It then waits up to shutdownTimeout for running
-// requests to finish.
+// requests to finish, but not for connections that have sent nothing.
 func Run(ctx context.Context, options Options) error {
 	if options.MaxBody == 0 {
 		options.MaxBody = maxBody
 	}
+	var running runningRequests
 	server := &fasthttp.Server{
 		Handler: options.handle, MaxRequestBodySize: options.MaxBody, ReadTimeout: readTimeout, NoDefaultServerHeader: true,
+		ConnState: running.connState,
 	}
 	stopped := make(chan struct{})
 	go func() {
@@ -54,6 +60,10 @@
 		<-ctx.Done()
 		shutdownContext, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
+		go func() {
+			running.awaitNone(shutdownContext)
+			cancel()
+		}()
 		_ = server.ShutdownWithContext(shutdownContext)
 	}()
 	err := server.Serve(accept.RetryTemporary(options.Listener, "admin", options.Logger, options.Metrics))
@@ -64,6 +74,51 @@
 	return eris.Wrap(err, "serve the admin listener")
 }
 
+// runningRequests are the connections on which a request is read or runs, or its response is written. The server's shutdown also
+// waits for new connections that have sent nothing, for some seconds.
+type runningRequests struct {
+	mutex sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+// connState is the server's hook for changes of the state of a connection.
+func (r *runningRequests) connState(conn net.Conn, state fasthttp.ConnState) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if state != fasthttp.StateActive {
+		delete(r.conns, conn)
+		return
+	}
+	if r.conns == nil {
+		r.conns = map[net.Conn]struct{}{}
+	}
+	r.conns[conn] = struct{}{}
+}
+
+func (r *runningRequests) count() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.conns)
+}
+
+// awaitNone waits for settleTime, and then until no request runs or ctx ends.
+func (r *runningRequests) awaitNone(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(settleTime):
+	}
+	ticker := time.NewTicker(stopPoll)
+	defer ticker.Stop()
+	for r.count() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // handle answers one request. If the handler panics, the request gets an internal
 // error and the process continues to serve others.
 func (o *Options) handle(request *fasthttp.RequestCtx) {
--- a/adminserver/adminserver_test.go
+++ b/adminserver/adminserver_test.go
@@ -1,11 +1,15 @@
 package adminserver
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
@@ -48,3 +52,57 @@
 	cancel()
 	is.NoErr(<-ended)
 }
+
+// Guards against a stop that waits for connections on which no request runs: a sidecar's admin listener stops last, and
+// the time that its process is given is nearly over by then.
+func TestStopWaitsForRunningRequestsOnly(t *testing.T) {
+	for name, c := range map[string]struct {
+		// sent is what the client has sent when the listener is stopped.
+		sent    string
+		running bool
+	}{
+		"a request running": {"GET /x HTTP/1.1\r\nHost: x\r\n\r\n", true},
+		"nothing sent":      {"", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			started, proceed := make(chan struct{}), make(chan struct{})
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			go func() {
+				ended <- Run(ctx, Options{Listener: listener, Metrics: metrics.New(), Logger: zap.NewNop(), Fallback: func(request *fasthttp.RequestCtx) {
+					close(started)
+					<-proceed
+					request.SetBodyString("answered")
+				}})
+			}()
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			is.NoErr(err)
+			defer conn.Close()
+			is.NoErr(conn.SetDeadline(time.Now().Add(10 * time.Second)))
+			_, err = io.WriteString(conn, c.sent)
+			is.NoErr(err)
+			if c.running {
+				<-started
+				time.AfterFunc(shutdownTimeout/4, func() { close(proceed) })
+			} else {
+				// The server has accepted the connection once it answers another one.
+				_, _, err := fasthttp.Get(nil, "http://"+listener.Addr().String()+"/healthz")
+				is.NoErr(err)
+			}
+			begun := time.Now()
+			cancel()
+			is.NoErr(<-ended)
+			is.True(time.Since(begun) < shutdownTimeout/2)
+			if c.running {
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				is.NoErr(err)
+				body, err := io.ReadAll(response.Body)
+				is.NoErr(err)
+				is.Equal(string(body), "answered")
+			}
+		})
+	}
+}
