router: a router that stops before it has a configuration answers callers first

What callers saw: a router that is asked to stop within 2 s of its start, and has no configuration yet, served the connections that its listener held only when it ended. Requests that were sent whole could get the bare end of the connection, and their callers could not know that nothing ran.

Cause: callers are served once there is a configuration, or after maxStartWait; the drain did not end that wait. With a short close_notice the drain waited 1 s for a listener that nobody accepted from, and shut down a server that had not begun to serve.

Evidence: TestRouterThatStopsAtItsStartAnswersCallers got its answer 2.0 s after the stop, at the end of the process.

Why it works: the wait ends when the router drains, so the server accepts connections for the whole of close_notice and refuses their requests as not run.

--- a/router/router.go
+++ b/router/router.go
@@ -287,13 +287,13 @@
 }
 
 // awaitConfiguration waits until the router's view is confirmed as current, for at most
-// maxStartWait.
+// maxStartWait. It ends when the router is to stop, so that callers get answers.
 func (r *Router) awaitConfiguration(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, maxStartWait)
 	defer cancel()
 	ticker := time.NewTicker(startPoll)
 	defer ticker.Stop()
-	for !r.freshness.within(clock.Now(), maxStartWait) {
+	for !r.draining.Load() && !r.freshness.within(clock.Now(), maxStartWait) {
 		select {
 		case <-ctx.Done():
 			return
