agent: a stop does not wait for the release that is under way

What was seen: an agent that is asked to stop ended only with the release of keys that was under way at its instance: up to 5 s for each range of keys, one range after the other, after router and ingress had taken up to 5.5 s of the 6 s that the process is given.

Cause: Backend.Release takes no context, and releaseLoop looked at its own only between two releases.

Why it works: the loop waits for the release or for the agent's end, whichever comes first. A release that is given up ends with the process, as it does when the process is killed.

--- a/agent/session.go
+++ b/agent/session.go
@@ -315,7 +315,10 @@
 			}
 			continue
 		}
-		done, err := a.backend.Release(session, wanted)
+		done, err := a.release(ctx, session, wanted)
+		if ctx.Err() != nil && err != nil {
+			return nil
+		}
 		if err != nil {
 			a.logger.Warn("release_failed", logging.ErrorFields("release shards", a.options.Settings.Agent.Backend, err)...)
 			if pause(ctx, retryPause) != nil {
@@ -332,6 +335,25 @@
 	}
 }
 
+// release releases shards at the back end until ctx ends. What is under way then ends with the process.
+func (a *Agent) release(ctx context.Context, session membership.SessionID, shards []wire.BackendGrant) ([]fleet.ReleasedShard, error) {
+	type result struct {
+		done []fleet.ReleasedShard
+		err  error
+	}
+	results := make(chan result, 1)
+	go func() {
+		done, err := a.backend.Release(session, shards)
+		results <- result{done, err}
+	}()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case r := <-results:
+		return r.done, r.err
+	}
+}
+
 // reportReleased reports shards that the back end no longer holds to control. If again is set,
 // control assigns them to this session again, under a higher epoch.
 func (a *Agent) reportReleased(ctx context.Context, session membership.SessionID, done []fleet.ReleasedShard, again bool) {
