--- a/agent/session.go
+++ b/agent/session.go
@@ -335,7 +335,11 @@
 	}
 }
 
-// release releases shards at the back end until ctx ends. What is under way then ends with the process.
+// releaseStopTimeout bounds the wait of a stopping agent for a release that is under way.
+const releaseStopTimeout = 250 * time.Millisecond
+
+// release releases shards at the back end. Once ctx has ended it waits for up to releaseStopTimeout; what is still
+// under way then ends with the process.
 func (a *Agent) release(ctx context.Context, session membership.SessionID, shards []wire.BackendGrant) ([]fleet.ReleasedShard, error) {
 	type result struct {
 		done []fleet.ReleasedShard
@@ -347,10 +351,17 @@
 		results <- result{done, err}
 	}()
 	select {
+	case r := <-results:
+		return r.done, r.err
 	case <-ctx.Done():
-		return nil, ctx.Err()
+	}
+	timer := clock.NewTimer(releaseStopTimeout)
+	defer timer.Stop()
+	select {
 	case r := <-results:
 		return r.done, r.err
+	case <-timer.C:
+		return nil, ctx.Err()
 	}
 }
 
