adminserver: a stop answers requests on kept connections, and ends when nothing was served yet

What callers saw: a request of an operator or an instance that crossed the close of a kept connection ended without an answer; and a process that was stopped before its admin listener was served never ended: the library's shutdown does nothing then.

Cause: the same as at the ingress, whose listener closes connections with a notice.

Fix: the admin listener is a goaway.Listener too. It replaces the count of running requests that has brought: a connection that has sent nothing ends by itself.

--- a/adminserver/adminserver.go
+++ b/adminserver/adminserver.go
@@ -4,8 +4,8 @@
 
 import (
 	"context"
+	"errors"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"limehold/accept"
+	"limehold/goaway"
 	"limehold/logging"
 	"limehold/metrics"
 )
@@ -36,9 +37,6 @@
 const (
 	readTimeout     = 10 * time.Second
 	shutdownTimeout = 2 * time.Second
-	// settleTime is how long requests that have arrived when the listener stops may take to be read.
-	settleTime = 100 * time.Millisecond
-	stopPoll   = 10 * time.Millisecond
 	// maxBody is the default of Options.MaxBody.
 	maxBody = 8 << 20
 )
@@ -49,10 +47,10 @@
 	if options.MaxBody == 0 {
 		options.MaxBody = maxBody
 	}
-	var running runningRequests
+	kept := goaway.New(options.Listener, closedNotice())
 	server := &fasthttp.Server{
-		Handler: options.handle, MaxRequestBodySize: options.MaxBody, ReadTimeout: readTimeout, NoDefaultServerHeader: true,
-		ConnState: running.connState,
+		Handler: kept.Handler(options.handle), MaxRequestBodySize: options.MaxBody, ReadTimeout: readTimeout, NoDefaultServerHeader: true,
+		CloseOnShutdown: true, ConnState: kept.ConnState,
 	}
 	stopped := make(chan struct{})
 	go func() {
@@ -60,13 +58,13 @@
 		<-ctx.Done()
 		shutdownContext, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
-		go func() {
-			running.awaitNone(shutdownContext)
-			cancel()
-		}()
-		_ = server.ShutdownWithContext(shutdownContext)
+		err := server.ShutdownWithContext(shutdownContext)
+		_ = kept.Close() // the shutdown does not close the listener of a server that has not begun to serve
+		if err = errors.Join(err, kept.WaitContext(shutdownContext)); err != nil {
+			options.Logger.Warn("admin_drain_incomplete", zap.Error(err))
+		}
 	}()
-	err := server.Serve(accept.RetryTemporary(options.Listener, "admin", options.Logger, options.Metrics))
+	err := server.Serve(accept.RetryTemporary(kept, "admin", options.Logger, options.Metrics))
 	if ctx.Err() != nil {
 		<-stopped
 		return nil
@@ -74,49 +72,14 @@
 	return eris.Wrap(err, "serve the admin listener")
 }
 
-// runningRequests are the connections on which a request is read or runs, or its response is written. The server's shutdown also
-// waits for new connections that have sent nothing, for some seconds.
-type runningRequests struct {
-	mutex sync.Mutex
-	conns map[net.Conn]struct{}
-}
-
-// connState is the server's hook for changes of the state of a connection.
-func (r *runningRequests) connState(conn net.Conn, state fasthttp.ConnState) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if state != fasthttp.StateActive {
-		delete(r.conns, conn)
-		return
-	}
-	if r.conns == nil {
-		r.conns = map[net.Conn]struct{}{}
-	}
-	r.conns[conn] = struct{}{}
-}
-
-func (r *runningRequests) count() int {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return len(r.conns)
-}
-
-// awaitNone waits for settleTime, and then until no request runs or ctx ends.
-func (r *runningRequests) awaitNone(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-time.After(settleTime):
-	}
-	ticker := time.NewTicker(stopPoll)
-	defer ticker.Stop()
-	for r.count() > 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+// closedNotice returns the response to a request that crosses the close of its connection.
+func closedNotice() []byte {
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	response.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	response.SetConnectionClose()
+	response.SetBodyString("the process closed the connection before it read the request: send it again\n")
+	return []byte(response.String())
 }
 
 // handle answers one request. If the handler panics, the request gets an internal
--- a/adminserver/adminserver_test.go
+++ b/adminserver/adminserver_test.go
@@ -106,3 +106,44 @@
 		})
 	}
 }
+
+// Guards against requests of operators and instances that cross the close of a kept connection and end without an answer,
+// and against a stop before the listener is served that never ends.
+func TestStopAnswersRequestsOnKeptConnections(t *testing.T) {
+	for name, served := range map[string]bool{"served": true, "stopped at once": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			is.NoErr(err)
+			defer conn.Close()
+			is.NoErr(conn.SetDeadline(time.Now().Add(10 * time.Second)))
+			reader := bufio.NewReader(conn)
+			if !served {
+				cancel()
+			}
+			ended := make(chan error, 1)
+			go func() { ended <- Run(ctx, Options{Listener: listener, Metrics: metrics.New(), Logger: zap.NewNop()}) }()
+			if served {
+				_, err = io.WriteString(conn, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+				is.NoErr(err)
+				response, err := http.ReadResponse(reader, nil)
+				is.NoErr(err)
+				_, err = io.Copy(io.Discard, response.Body)
+				is.NoErr(err)
+				cancel()
+			}
+			_, err = reader.Peek(1) // the listener has closed the connection
+			is.NoErr(err)
+			_, err = io.WriteString(conn, "PUT /x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+			is.NoErr(err)
+			response, err := http.ReadResponse(reader, nil)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+			is.NoErr(<-ended)
+		})
+	}
+}
