ingress: no call to the instance begins after the end, and the end waits for those under way

Seen: log lines keys_granted and keys_released after process_ended, in the kept connections' soak beside load. The process sent grants after its agent had ended. No loss for callers was traced to this: by the code each such grant still ended with the lease, and was sent only while control assumed that one might be in flight. But nothing stated that.

Cause: Instance.Run did not wait for the notifier, the notifier looked at its context only after it had sent all grants that were due, and a release that the agent no longer waited for, or a revocation, ran on for up to 5 s.

The platform's client ends a call when its context is cancelled.

--- a/ingress/callnotifier.go
+++ b/ingress/callnotifier.go
@@ -173,12 +173,16 @@
 	return true
 }
 
-// grant sends one grant; it reports false if it should be retried after a pause.
+// grant sends one grant, unless ctx has ended; it reports false if it should be retried after a pause.
 func (n *callNotifier) grant(ctx context.Context, run ledger.Run) bool {
 	h := n.holder
-	callContext, cancel := context.WithTimeout(ctx, grantTimeout)
-	defer cancel()
 	n.callMutex.Lock()
+	if ctx.Err() != nil {
+		n.callMutex.Unlock()
+		return false
+	}
+	callContext, cancel := h.calls.context(grantTimeout)
+	defer cancel()
 	// The hold time counts from here: the wait for the mutex, or a suspension of the machine, may have been long.
 	now := n.now()
 	hold := n.holdFor(now)
@@ -249,7 +253,11 @@
 // Revoke implements limehold.KeyNotifier. It sends the instance a higher fence, as a grant may still be
 // in flight, and does not wait for the result.
 func (n *callNotifier) Revoke(ranges []limehold.KeyRange) {
+	if !n.holder.calls.begin() {
+		return
+	}
 	go func() {
+		defer n.holder.calls.finish()
 		for len(ranges) > 0 {
 			count, joined := joinNeighbours(ranges)
 			if _, err := n.releaseRange(joined, ranges[:count]); err != nil {
@@ -273,7 +281,7 @@
 }
 
 func (n *callNotifier) releaseRange(joined limehold.KeyRange, ranges []limehold.KeyRange) (string, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	ctx, cancel := n.holder.calls.context(releaseTimeout)
 	defer cancel()
 	// No further grants of these shards are sent; one that is in flight has to end first.
 	n.awaitCall()
--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -318,11 +318,18 @@
 	return state
 }
 
-// Run monitors the instance and renews its keys until ctx ends.
+// Run monitors the instance and renews its keys until ctx ends. No call to the instance begins after that, and those
+// under way have ended when Run returns.
 func (i *Instance) Run(ctx context.Context) error {
-	go i.keys.notifier.Run(ctx)
-	go i.probe.run(ctx)
-	go i.predecessorProof.run(ctx)
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	parts.Go(func() { i.keys.notifier.Run(ctx) })
+	parts.Go(func() { i.probe.run(ctx) })
+	parts.Go(func() { i.predecessorProof.run(ctx) })
+	parts.Go(func() {
+		<-ctx.Done()
+		i.keys.calls.stop()
+	})
 	for {
 		select {
 		case <-ctx.Done():
--- a/ingress/keyclear.go
+++ b/ingress/keyclear.go
@@ -40,7 +40,10 @@
 	if session == 0 {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, clearTimeout)
+	if ctx.Err() != nil {
+		return false
+	}
+	ctx, cancel := h.calls.context(clearTimeout)
 	defer cancel()
 	incarnation, err := n.client.Connect(ctx)
 	if err != nil {
@@ -141,13 +144,16 @@
 		n.unfencedGrantAt = 0
 		return time.Hour
 	}
+	if ctx.Err() != nil {
+		return time.Hour
+	}
 	var session, fence uint64
 	n.holder.withLedger(func(l *ledger.Ledger) {
 		session = l.Session()
 		fence, _ = l.ClearingFence()
 		l.BeginClearing(fence)
 	})
-	ctx, cancel := context.WithTimeout(ctx, clearTimeout)
+	ctx, cancel := n.holder.calls.context(clearTimeout)
 	defer cancel()
 	if _, err := n.client.Release(ctx, limehold.KeyRange{Last: ownership.NumberSpace - 1, Fence: fence}); err != nil {
 		n.logNotCleared("fence off the instance", session, err)
--- a/ingress/keyholder.go
+++ b/ingress/keyholder.go
@@ -41,6 +41,8 @@
 	// refused receives the shards that the instance does not accept under their epoch.
 	refused chan []fleet.ReleasedShard
 
+	calls *keyCalls
+
 	mutex  sync.Mutex
 	ledger *ledger.Ledger
 	// changed is closed, and replaced by a new channel, when the ledger may have changed.
@@ -53,7 +55,7 @@
 
 func newKeyHolder(options Options) *keyHolder {
 	config := options.Settings.Ingress
-	h := &keyHolder{logger: options.Logger, heartbeatInterval: config.AnnounceEvery, provenReleases: make(chan membership.SessionID, 1), maxHold: config.HoldTime, maxGrantDelay: maxGrantDelay(config), refused: make(chan []fleet.ReleasedShard, 1), changed: make(chan struct{})}
+	h := &keyHolder{logger: options.Logger, heartbeatInterval: config.AnnounceEvery, provenReleases: make(chan membership.SessionID, 1), maxHold: config.HoldTime, maxGrantDelay: maxGrantDelay(config), refused: make(chan []fleet.ReleasedShard, 1), calls: newKeyCalls(), changed: make(chan struct{})}
 	h.ledger = ledger.New(ledger.Options{Shards: fleet.RoutedShards, Hold: config.HoldTime, AnswerBytes: answerBytes, ProcessStart: clock.Now(), Lateness: h.maxGrantDelay})
 	switch {
 	case config.GrantBy == settings.GrantByHeartbeat:
@@ -216,8 +218,12 @@
 }
 
 // release makes the instance release shards, and returns those that it no longer holds. It returns an error
-// only if there are none.
+// only if there are none. Once the ingress stops, it releases nothing.
 func (h *keyHolder) release(shards []wire.BackendGrant) ([]fleet.ReleasedShard, error) {
+	if !h.calls.begin() {
+		return nil, errKeyCallsStopped
+	}
+	defer h.calls.finish()
 	grants := ledgerGrants(shards)
 	slices.SortFunc(grants, func(a, b ledger.Grant) int {
 		return cmp.Or(cmp.Compare(a.Key.Service, b.Key.Service), cmp.Compare(a.Key.Shard, b.Key.Shard))
