transport: a server ends after its handlers

Seen: a log line confirmation_failed after process_ended of a control member, in the kept connections' soak beside load.

Cause: the server closed its connections at the end and did not wait for the handlers on them. A router's confirmation that was under way, which waited for the leader, failed by the end of its connection and was logged after the process's last line.

Now Run returns when the handlers have ended; their contexts end with the connections. A peer that has sent no hello is closed at the stop too, is not logged as rejected, and holds nothing up.

--- a/transport/conn.go
+++ b/transport/conn.go
@@ -62,6 +62,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	handler  Handler
+	handlers sync.WaitGroup
 	nextCall atomic.Uint64
 	mutex    sync.Mutex
 	calls    map[uint64]chan frame
@@ -162,8 +163,9 @@
 	return nil
 }
 
-// run serves the connection until it fails or is closed.
+// run serves the connection until it fails or is closed, and waits for its handlers.
 func (c *Conn) run() {
+	defer c.handlers.Wait()
 	go c.writeLoop()
 	c.readLoop()
 	c.Close()
@@ -188,7 +190,7 @@
 		case c.handler.Inline(received.kind):
 			c.handleAndReply(received)
 		default:
-			go c.handleAndReply(received)
+			c.handlers.Go(func() { c.handleAndReply(received) })
 		}
 	}
 }
--- a/transport/server.go
+++ b/transport/server.go
@@ -46,7 +46,6 @@
 	handler  Handler
 	mutex    sync.Mutex
 	conns    map[*Conn]struct{}
-	closed   bool
 }
 
 // Listen opens a listener on the address and returns a server for it. The error names the address.
@@ -66,9 +65,13 @@
 // Address returns the listener's address.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Run accepts connections until ctx ends, then closes them all.
+// Run accepts connections until ctx ends, then closes them all and waits until their handlers have ended.
 func (s *Server) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, s.close)
+	ctx, end := context.WithCancel(ctx)
+	var serving sync.WaitGroup
+	defer serving.Wait()
+	defer end()
+	stop := context.AfterFunc(ctx, func() { s.listener.Close() })
 	defer stop()
 	go s.probeAccepted(ctx)
 	for {
@@ -79,38 +82,37 @@
 			}
 			return eris.Wrapf(err, "accept on %s", s.Address())
 		}
-		go s.serve(raw)
+		serving.Go(func() { s.serve(ctx, raw) })
 	}
 }
 
-func (s *Server) serve(raw net.Conn) {
+func (s *Server) serve(ctx context.Context, raw net.Conn) {
+	secured := raw
 	if s.options.TLS != nil {
-		raw = tls.Server(raw, s.options.TLS)
+		secured = tls.Server(raw, s.options.TLS)
 	}
-	conn := newConn(raw, &s.options, s.handler)
+	conn := newConn(secured, &s.options, s.handler)
+	stop := context.AfterFunc(ctx, func() {
+		conn.cancel()
+		raw.Close() // a TLS connection's own close waits for a peer that does not read
+	})
+	defer stop()
 	if err := conn.exchangeHellos(false); err != nil {
 		conn.Close()
-		if s.options.Rejected != nil {
+		if s.options.Rejected != nil && ctx.Err() == nil {
 			s.options.Rejected(raw.RemoteAddr().String(), err)
 		}
 		return
 	}
-	if !s.add(conn) {
-		conn.Close()
-		return
-	}
+	s.add(conn)
 	defer s.remove(conn)
 	conn.run()
 }
 
-func (s *Server) add(conn *Conn) bool {
+func (s *Server) add(conn *Conn) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.closed {
-		return false
-	}
 	s.conns[conn] = struct{}{}
-	return true
 }
 
 func (s *Server) remove(conn *Conn) {
@@ -149,16 +151,6 @@
 	return slices.Collect(maps.Keys(s.conns))
 }
 
-func (s *Server) close() {
-	s.listener.Close()
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.closed = true
-	for conn := range s.conns {
-		conn.Close()
-	}
-}
-
 // Dial connects, exchanges hellos and starts serving the connection.
 func Dial(ctx context.Context, address string, handler Handler, options Options) (*Conn, error) {
 	raw, err := newDialer(options.Relays).connect(ctx, address)
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -101,6 +102,64 @@
 	is.True(errors.Is(<-ended, ErrClosed))
 }
 
+// endedLate is a handler that ends some time after its context.
+type endedLate struct{ began, ended chan struct{} }
+
+func (endedLate) Inline(wire.Kind) bool { return false }
+
+func (h endedLate) Handle(ctx context.Context, _ *Conn, _ wire.Kind, _ []byte) (any, error) {
+	close(h.began)
+	<-ctx.Done()
+	time.Sleep(50 * time.Millisecond)
+	close(h.ended)
+	return nil, ctx.Err()
+}
+
+// Guards against a server that ends before what it has begun: handlers, and hellos of peers that send nothing.
+func TestServerEndsAfterItsHandlers(t *testing.T) {
+	for name, c := range map[string]struct{ handles bool }{
+		"a request is handled": {true},
+		"a hello is awaited":   {false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			handler := endedLate{make(chan struct{}), make(chan struct{})}
+			var rejected atomic.Int32
+			server, err := Listen("127.0.0.1:0", handler, Options{Local: hello(wire.RoleControl, "control-1"), Rejected: func(string, error) { rejected.Add(1) }})
+			is.NoErr(err)
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			done := make(chan error, 1)
+			go func() { done <- server.Run(ctx) }()
+			if c.handles {
+				conn, err := dial(t, server.Address(), Options{Local: hello(wire.RoleAgent, "a")})
+				is.NoErr(err)
+				go func() { _ = conn.Call(context.Background(), kindHang, "x", nil) }()
+				<-handler.began
+			} else {
+				raw, err := net.Dial("tcp", server.Address())
+				is.NoErr(err)
+				defer raw.Close()
+			}
+			stop()
+			select {
+			case err := <-done:
+				is.NoErr(err)
+			case <-time.After(helloTimeout / 2):
+				t.Fatal("the server does not end")
+			}
+			if c.handles {
+				select {
+				case <-handler.ended:
+				default:
+					t.Error("the server ended before its handler")
+				}
+			}
+			is.Equal(rejected.Load(), int32(0)) // the stop is no fault of the peer
+		})
+	}
+}
+
 func TestForeignPeersAreRefusedByName(t *testing.T) {
 	cases := []struct {
 		name  string
