sidecar: operators' requests end at a time that counts from the stop

Seen: by the settings a sidecar may take the whole of drain_timeout and stop_time (5.5 s on the users' platform, which leaves 6 s) for requests of callers. After that the admin listener waited for up to 2 s for requests that run or that are half sent, among them heartbeats, which wait for up to heartbeat_wait. The sum is 7.5 s: the process would be killed.

Now the requests of operators end 300 ms after max(drain_timeout, stop_time), counted from the stop, and a heartbeat that waits for a change of the keys is answered when the ingress stops. The agent is not cut: by the code a release, a grant or a probe that is under way at its end takes up to 300 ms more, beside the operators' requests.

--- a/adminserver/adminserver.go
+++ b/adminserver/adminserver.go
@@ -27,6 +27,8 @@
 	// Intercept handles each request first. It reports whether it answered the request.
 	// Optional.
 	Intercept func(*fasthttp.RequestCtx) bool
+	// End ends the wait for running requests before shutdownTimeout. Optional.
+	End context.Context
 	// MaxBody bounds the body of a request in bytes. Default 8 MiB.
 	MaxBody int
 	// Fallback handles every path except /metrics and /healthz. Optional.
@@ -43,12 +45,15 @@
 	maxBody = 8 << 20
 )
 
-// Run serves requests until ctx ends. It then waits up to shutdownTimeout for running
-// requests to finish, but not for connections that have sent nothing.
+// Run serves requests until ctx ends. It then waits up to shutdownTimeout, or until Options.End,
+// for running requests to finish, but not for connections that have sent nothing.
 func Run(ctx context.Context, options Options) error {
 	if options.MaxBody == 0 {
 		options.MaxBody = maxBody
 	}
+	if options.End == nil {
+		options.End = context.Background()
+	}
 	var running runningRequests
 	server := &fasthttp.Server{
 		Handler: options.handle, MaxRequestBodySize: options.MaxBody, ReadTimeout: readTimeout, NoDefaultServerHeader: true,
@@ -58,7 +63,7 @@
 	go func() {
 		defer close(stopped)
 		<-ctx.Done()
-		shutdownContext, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		shutdownContext, cancel := context.WithTimeout(options.End, shutdownTimeout)
 		defer cancel()
 		go func() {
 			running.awaitNone(shutdownContext)
--- a/ingress/heartbeatnotifier.go
+++ b/ingress/heartbeatnotifier.go
@@ -73,7 +73,7 @@
 }
 
 // answer processes the report of a heartbeat and returns its answer. If mayWait is set, it first
-// waits until there is something to answer.
+// waits until there is something to answer or the ingress stops.
 func (n *heartbeatNotifier) answer(report ledger.Report, mayWait bool) ledger.Answer {
 	h := n.holder
 	received := clock.Now()
@@ -115,6 +115,8 @@
 		select {
 		case <-changed:
 		case <-timer.C:
+		case <-h.calls.stopping:
+			until = 0
 		}
 		timer.Stop()
 	}
--- a/ingress/heartbeatnotifier_test.go
+++ b/ingress/heartbeatnotifier_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -51,6 +52,30 @@
 	is.True(i.keys.holds(shardKey(1), 3, clock.Now()))
 }
 
+// Guards against a stop that waits for an answer which waits for a change of the keys.
+func TestWaitingAnswerIsSentWhenTheIngressStops(t *testing.T) {
+	const endTimeout = 10 * time.Second
+	is := is.New(t)
+	i := newHeartbeatInstance(t, 3*endTimeout)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- i.Run(ctx) }()
+	is.NoErr(i.Grants(grantList("", 5, 3)))
+	answered := make(chan ledger.Answer, 1)
+	go func() { answered <- i.heartbeat(1) }()
+	for _, known := i.CurrentIncarnation(clock.Now()); !known; _, known = i.CurrentIncarnation(clock.Now()) {
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	is.NoErr(<-ended)
+	select {
+	case <-answered:
+	case <-time.After(endTimeout):
+		t.Fatal("the answer waits on")
+	}
+}
+
 // An unknown list, or one for another incarnation, must not be applied: an answer without its rows
 // would take the instance's keys away.
 func TestListsThatSayNothingAreNotTaken(t *testing.T) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -55,6 +55,9 @@
 	stopping  atomic.Bool
 }
 
+// supportStopTime is how much later than the last requests of callers those of operators end at a stop.
+const supportStopTime = 300 * time.Millisecond
+
 // readinessTimeout bounds the time to read a readiness probe.
 const readinessTimeout = 5 * time.Second
 
@@ -133,6 +136,9 @@
 	// the ingress.
 	supportContext, stopSupport := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopSupport()
+	// The end of the operators' requests counts from the stop: otherwise they would add to the time of callers' requests.
+	supportEnd, endSupport := context.WithCancel(context.Background())
+	defer endSupport()
 	var serving, support errgroup.Group
 	part := func(name string, run func(context.Context) error, runContext context.Context) func() error {
 		return func() error {
@@ -145,21 +151,26 @@
 		}
 	}
 	support.Go(part("agent", p.agent.Run, supportContext))
-	support.Go(part("admin", p.serveAdmin, supportContext))
+	support.Go(part("admin", func(ctx context.Context) error { return p.serveAdmin(ctx, supportEnd) }, supportContext))
 	if p.readiness != nil {
 		support.Go(part("readiness", p.serveReadiness, supportContext))
 	}
 	serving.Go(part("router", p.router.Run, ctx))
 	serving.Go(part("ingress", p.ingress.Run, ctx))
-	cancelNotice := context.AfterFunc(ctx, func() { p.stopping.Store(true) })
+	cancelNotice := context.AfterFunc(ctx, func() {
+		p.stopping.Store(true)
+		config := p.options.Settings
+		time.AfterFunc(max(config.Router.DrainTimeout, config.Ingress.StopTime)+supportStopTime, endSupport)
+	})
 	defer cancelNotice()
 	err := serving.Wait()
 	stopSupport()
 	return errors.Join(err, support.Wait())
 }
 
-func (p *Process) serveAdmin(ctx context.Context) error {
-	options := adminserver.Options{Logger: p.logger, Listener: p.admin, Metrics: p.options.Metrics, Healthy: p.ready}
+// serveAdmin serves operators until ctx ends; the requests that run then end by end.
+func (p *Process) serveAdmin(ctx, end context.Context) error {
+	options := adminserver.Options{Logger: p.logger, Listener: p.admin, Metrics: p.options.Metrics, Healthy: p.ready, End: end}
 	if p.options.NewAdminHandler != nil {
 		options.Intercept = p.options.NewAdminHandler(p.ingress.Instance())
 	}
