ingress, router: a caller that goes away does not close the connection of the next request

Cause: once a response was read, its connection went back to the pool before the request's tracker let go of it. If the caller of that request was found to be gone in between, its tracker closed the connection while the next request used it. That one was sent, ran, and counted as unknown: fasthttp returns EOF for each error on the first byte of a response but a timeout, also for a close by this process. The router had the same order for its connections to ingresses.

Now the tracker lets go before the connection enters the pool.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -186,7 +186,7 @@
 		return
 	}
 	if refusal := p.notRun(response); refusal != "" {
-		i.handleNotRun(result, response, refusal)
+		i.handleNotRun(p, result, response, refusal)
 		return
 	}
 	if guaranteesNotRun(response.StatusCode()) {
@@ -202,7 +202,7 @@
 	switch {
 	case p.isHead || hasNoBody(response.StatusCode()):
 		result.bodyRead = true
-		i.releaseConn(result, response)
+		i.releaseConn(p, result, response)
 	case length == identityLength:
 		if err := readUnframed(response); err != nil {
 			fail(reasonBrokenAnswer, eris.Wrapf(err, "read response body of instance %s to the end of its connection", p.instance.id))
@@ -216,7 +216,7 @@
 			return
 		}
 		result.bodyRead = true
-		i.releaseConn(result, response)
+		i.releaseConn(p, result, response)
 	}
 }
 
@@ -258,11 +258,11 @@
 	return ""
 }
 
-func (i *Ingress) handleNotRun(result *exchange, response *fasthttp.Response, reason string) {
+func (i *Ingress) handleNotRun(p *proxyRequest, result *exchange, response *fasthttp.Response, reason string) {
 	result.state, result.reason = exchangeNotRun, reason
 	length := response.Header.ContentLength()
 	if length >= 0 && length <= bufferLimit && readBody(response, length) == nil {
-		i.releaseConn(result, response)
+		i.releaseConn(p, result, response)
 	} else {
 		result.conn.Close()
 	}
@@ -311,7 +311,8 @@
 // releaseConn returns the connection of an exchange to the pool after a response that was read to its end, or closes
 // the connection if the response requires that. While the request is still being sent, the connection is not used for
 // another one.
-func (i *Ingress) releaseConn(result *exchange, response *fasthttp.Response) {
+func (i *Ingress) releaseConn(p *proxyRequest, result *exchange, response *fasthttp.Response) {
+	p.tracker.Untrack() // from the pool on, the connection belongs to the next request
 	if response.ConnectionClose() {
 		result.conn.Close()
 		return
@@ -359,7 +360,7 @@
 		b.request.tracker.Untrack()
 		if b.complete {
 			b.ingress.recordSuccess(b.request, b.exchange.response.StatusCode())
-			b.ingress.releaseConn(b.exchange, b.exchange.response)
+			b.ingress.releaseConn(b.request, b.exchange, b.exchange.response)
 		} else {
 			b.exchange.conn.Close()
 		}
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -168,7 +168,7 @@
 		return
 	}
 	if isClosedNotice(&response.Header) {
-		r.readRejection(result, response)
+		r.readRejection(request, result, response)
 		return
 	}
 	if string(response.Header.Peek(wire.HeaderAttempt)) != attemptID {
@@ -183,7 +183,7 @@
 		fail(reason, eris.Errorf("%s forwarded the request and received no usable response", conn.Address))
 		return
 	case wire.OutcomeNotRun:
-		r.readRejection(result, response)
+		r.readRejection(request, result, response)
 		return
 	}
 	length := response.Header.ContentLength()
@@ -194,7 +194,7 @@
 	result.state, result.response = attemptAnswered, response
 	if request.head || hasNoBody(response.StatusCode()) {
 		result.complete = true
-		r.returnConn(conn, response)
+		r.returnConn(request, conn, response)
 		return
 	}
 	if length >= 0 && length <= maxBufferedResponse {
@@ -204,7 +204,7 @@
 			return
 		}
 		result.complete = true
-		r.returnConn(conn, response)
+		r.returnConn(request, conn, response)
 	}
 }
 
@@ -264,7 +264,7 @@
 }
 
 // readRejection reads the response to an attempt that the backend did not run.
-func (r *Router) readRejection(result *attempt, response *fasthttp.Response) {
+func (r *Router) readRejection(request *proxiedRequest, result *attempt, response *fasthttp.Response) {
 	result.state = attemptNotRun
 	result.reason = string(response.Header.Peek(wire.HeaderReason))
 	result.reachedBackend = len(response.Header.Peek(wire.HeaderFromIngress)) == 0
@@ -274,7 +274,7 @@
 	}
 	length := response.Header.ContentLength()
 	if length >= 0 && length <= maxRejectionBody && readFullBody(response, length) == nil {
-		r.returnConn(result.conn, response)
+		r.returnConn(request, result.conn, response)
 	} else {
 		result.conn.Close()
 	}
@@ -283,7 +283,8 @@
 
 // returnConn returns a connection to the pool after a response was read to its end, or closes
 // it if the response announced that.
-func (r *Router) returnConn(conn *upstream.Conn, response *fasthttp.Response) {
+func (r *Router) returnConn(request *proxiedRequest, conn *upstream.Conn, response *fasthttp.Response) {
+	request.tracker.Untrack() // from the pool on, the connection belongs to the next request
 	if response.ConnectionClose() {
 		conn.Close()
 		return
@@ -328,7 +329,7 @@
 		b.request.tracker.Untrack()
 		outcome := admission.OutcomeSuccess
 		if b.finished {
-			b.router.returnConn(b.attempt.conn, b.attempt.response)
+			b.router.returnConn(b.request, b.attempt.conn, b.attempt.response)
 		} else {
 			b.attempt.conn.Close()
 			outcome = admission.OutcomeNeutral
