integration: the counter of request IDs is atomic

TestDrainedNodeCostsNoRequest failed with -race: 9 reports, all of them of the test's own counter, which callers that run side by side increase without a lock. The test checks the same as before.

--- a/integration/http_test.go
+++ b/integration/http_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,12 +57,11 @@
 	return &reply{Response: response, body: body, bodyErr: bodyErr}
 }
 
-var runCount int
+var runCount atomic.Int64
 
 // newRunID returns a unique ID for a request, by which its executions are counted.
 func newRunID() string {
-	runCount++
-	return fmt.Sprintf("test-%d-%d", time.Now().UnixNano(), runCount)
+	return fmt.Sprintf("test-%d-%d", time.Now().UnixNano(), runCount.Add(1))
 }
 
 func getRequest(path, run string, headers ...string) string {
