ingress: responses admitted before a planned stop are sent by then

Fix: half of the time before the stop, which is what the link guarantees to responses that wait. Trace of TestPlannedStopCutsNothingAtFullLinks/the_answers'_owner on a busy machine before the change (it failed, with one response whose owner had logged status 200 and all bytes): responses that arrived 1.0 s after the beginning of the stop got their turn after 1.74 to 1.94 s, and were sent up to 224 ms after the time by which they had to be; writing itself was at most 3 ms behind its schedule.

--- a/ingress/proxyrequest.go
+++ b/ingress/proxyrequest.go
@@ -187,9 +187,9 @@
 }
 
 // stopLinkPermille is how many thousandths of the time before a stop the responses may be expected to take
-// on the link. The rest is for rejections and other small responses, which do not wait for the link and
-// took a third of it when 60 callers returned to a full link at once.
-const stopLinkPermille = 600
+// on the link. The rest is for rejections and other small responses, which do not wait for the link and may
+// take half of it.
+const stopLinkPermille = 500
 
 // returningLinkDivisor divides the allowed wait for the link for a request that was rejected before. While
 // the link is overloaded, this prefers requests that are sent for the first time and can still be served
