ingress: the expected size of a response is reserved in the step that checks the link

Fix: link.reserve compares the expected wait with the limit and reserves the size under one lock. Requests that are looked at again once they have a slot reserve as well; so far they only compared. Tests: TestWhatMayWaitForTheLink and TestWaitForTheLinkIsForeseen call the new functions and check the same.

--- a/ingress/link.go
+++ b/ingress/link.go
@@ -108,12 +108,9 @@
 	return 0
 }
 
-// wait returns how long the response to a request of a route would take if the request arrived
-// now: its wait for the link and its own time on it. It is 0 for routes with small responses.
-func (l *link) wait(route string, now time.Duration) time.Duration {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	size := l.expectedSize(route)
+// wait returns how long a response of an expected size would take if the request arrived now: its wait for the link and
+// its own time on it. It is 0 for small responses. The mutex is held.
+func (l *link) wait(size float64, now time.Duration) time.Duration {
 	if !l.isPaced() || size == 0 {
 		return 0
 	}
@@ -160,14 +157,18 @@
 	return time.Duration(size / l.rate * float64(time.Second))
 }
 
-// reserve adds the expected response size of an admitted request. Each call must be followed by
-// a call of cancelReservation with the returned size.
-func (l *link) reserve(route string) float64 {
+// reserve adds the expected response size of a request that is admitted if its response's expected wait does not exceed
+// a limit. Otherwise it adds nothing and returns by how much. Both are one step: requests that arrive at once would all
+// see the same backlog. Each call must be followed by a call of cancelReservation with the returned size.
+func (l *link) reserve(route string, now, limit time.Duration) (size float64, excess time.Duration) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	size := l.expectedSize(route)
+	size = l.expectedSize(route)
+	if wait := l.wait(size, now); wait > limit {
+		return 0, wait - limit
+	}
 	l.expectedBytes += size
-	return size
+	return size, 0
 }
 
 // cancelReservation removes what reserve added: the response has arrived, or there is none.
--- a/ingress/link_test.go
+++ b/ingress/link_test.go
@@ -35,15 +35,17 @@
 			now := clock.Now()
 			var begun []float64
 			for range c.inFlight {
-				begun = append(begun, l.reserve("r"))
+				size, excess := l.reserve("r", now, time.Minute)
+				is.Equal(excess, time.Duration(0))
+				begun = append(begun, size)
 			}
 			l.mutex.Lock()
 			for range c.waiting {
 				l.waiting = append(l.waiting, &transfer{size: bytesEach, turn: make(chan struct{})})
 				l.queuedBytes += bytesEach
 			}
+			is.True((l.wait(l.expectedSize("r"), now) - c.wait).Abs() < time.Millisecond)
 			l.mutex.Unlock()
-			is.True((l.wait("r", now) - c.wait).Abs() < time.Millisecond)
 			for _, expected := range begun {
 				l.cancelReservation(expected)
 			}
--- a/ingress/linkexcess_test.go
+++ b/ingress/linkexcess_test.go
@@ -55,7 +55,7 @@
 			if c.processEnds != 0 {
 				i.link.setStop(now + c.processEnds)
 			}
-			is.Equal(i.linkExcess(p) == 0, c.admitted)
+			is.Equal(i.reserveLink(p) == 0, c.admitted)
 		})
 	}
 }
--- a/ingress/linkstop_test.go
+++ b/ingress/linkstop_test.go
@@ -34,8 +34,8 @@
 			stop := clock.Now() + c.untilStop
 			l.setStop(stop)
 			admitted := 0
-			for ; i.linkExcess(&proxyRequest{route: "r", target: target, deadline: clock.Now() + left}) == 0; admitted++ {
-				l.reserve("r")
+			for i.reserveLink(&proxyRequest{route: "r", target: target, deadline: clock.Now() + left}) == 0 {
+				admitted++
 			}
 			is.True(admitted > 1)
 			granted := make(chan *transfer)
--- a/ingress/proxyrequest.go
+++ b/ingress/proxyrequest.go
@@ -115,11 +115,10 @@
 		i.reject(request, p, reason, retryAfter)
 		return false
 	}
-	if excess := i.linkExcess(p); excess > 0 {
+	if excess := i.reserveLink(p); excess > 0 {
 		i.reject(request, p, wire.BackendReasonFull, excess)
 		return false
 	}
-	p.reservedBytes = i.link.reserve(p.route)
 	switch i.gate.enter(p.slotRequest(), p.tracker.Cancelled()) {
 	case decisionFull:
 		i.reject(request, p, wire.BackendReasonFull, i.gate.retryAfter())
@@ -167,13 +166,15 @@
 	return i.options.RoutesTo(request.Host(), request.URI().PathOriginal(), p.service, p.version)
 }
 
-// linkExcess returns by how much the expected wait of the response for the link exceeds the limit; 0 if
-// the request may run.
-func (i *Ingress) linkExcess(p *proxyRequest) time.Duration {
-	wait := i.link.wait(p.route, clock.Now())
-	if wait == 0 {
-		return 0
-	}
+// reserveLink reserves the expected size of the response on the link. If the response's expected wait there exceeds the
+// limit, it reserves nothing and returns by how much.
+func (i *Ingress) reserveLink(p *proxyRequest) (excess time.Duration) {
+	p.reservedBytes, excess = i.link.reserve(p.route, clock.Now(), i.maxLinkWait(p))
+	return excess
+}
+
+// maxLinkWait returns the limit for the expected wait of the response for the link.
+func (i *Ingress) maxLinkWait(p *proxyRequest) time.Duration {
 	allowed := i.gate.maxLinkWait(p.slotRequest())
 	if p.rejectedBefore {
 		allowed /= returningLinkDivisor
@@ -183,7 +184,7 @@
 		remaining := stop - clock.Now() - i.gate.routeRunTime(p.route)
 		allowed = min(allowed, remaining*stopLinkPermille/permille)
 	}
-	return max(0, wait-max(0, allowed))
+	return max(0, allowed)
 }
 
 // stopLinkPermille is how many thousandths of the time before a stop the responses may be expected to take
@@ -306,7 +307,7 @@
 	if reason == "" && p.reservedBytes == 0 {
 		// The route's responses may have turned out to be large while the request waited for its slot: 70
 		// requests that arrived before the first response occupied a link for 5 s.
-		if retryAfter = i.linkExcess(p); retryAfter > 0 {
+		if retryAfter = i.reserveLink(p); retryAfter > 0 {
 			reason = wire.BackendReasonFull
 		}
 	}
