Failing test: rejections delay turns on the link that are due

What callers saw: responses that wait for a full link for longer than twice their expected wait, late, and cut by a planned stop of their owner, which logs status 200 and all bytes when the turn begins. Cause: what is sent without a turn may take as much of the link between two turns as the last turn took. Between the time at which the link is free and the moment in which the next turn is granted (a timer and a lock), each such piece started the count again and moved the turn by its own length. That also hid how late turns were granted.

--- a/ingress/link_test.go
+++ b/ingress/link_test.go
@@ -141,6 +141,39 @@
 	}
 }
 
+// Guards against responses that wait for the link for as long as rejections are sent: those that are sent between the
+// time at which the link is free and the next turn count too.
+func TestRefusalsDoNotDelayATurnThatIsDue(t *testing.T) {
+	for name, c := range map[string]struct {
+		// due is how long the turn has been due when a rejection is sent; negative if it is not yet.
+		due time.Duration
+		// waiting is whether a response waits for the link, and taken the number of turns that are counted for rejections.
+		waiting bool
+		taken   float64
+	}{
+		"before the turn is due":                        {-time.Millisecond, true, 1},
+		"when it is due":                                {0, true, 1},
+		"after it was due":                              {time.Millisecond, true, 1},
+		"nothing waits, and the link is free each time": {time.Millisecond, false, 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := newLink(0.1) // one turn takes seconds
+			l.awaitTurn(&transfer{size: bytesEach, due: clock.Now()}, nil)
+			if c.waiting {
+				l.waiting = append(l.waiting, &transfer{size: bytesEach, turn: make(chan struct{})})
+			}
+			before := l.freeAt
+			const rejections = 100
+			for range rejections {
+				l.recordSent(bytesEach, l.freeAt+c.due)
+			}
+			taken := float64(l.freeAt-before) / float64(l.transferTime(bytesEach))
+			is.True(taken > c.taken-0.1 && taken < c.taken+0.1)
+		})
+	}
+}
+
 func TestAnswerWhoseCallerLeavesGivesUpItsTurn(t *testing.T) {
 	is := is.New(t)
 	l := newLink(0.1)
