--- a/ingress/link.go
+++ b/ingress/link.go
@@ -130,7 +130,8 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.freeAt <= now {
+	if l.freeAt <= now && len(l.waiting) == 0 {
+		// While a response waits, its turn is due and about to be granted.
 		l.freeAt, l.interleaved = now, 0
 	}
 	counted := min(l.transferTime(float64(bytes)), max(0, l.maxInterleaved()-l.interleaved))
