Failing test: turns on the link that are granted late delay all turns behind them

Cause: a turn begins when it is granted, and the link stays free from when the one before has ended. On a busy machine each timer expires late, and the delays add up.

The constant: lastChunkMargin is what the end of a stop leaves for the last chunk to reach the peer; bytes that are sent faster are on the link for up to maxCatchUp after their scheduled time, so that it has to be less.

--- a/ingress/link.go
+++ b/ingress/link.go
@@ -90,6 +90,11 @@
 	maxOvertakenTime = 1500 * time.Millisecond
 	// turnTolerance is how long before the link is free the next turn may be granted.
 	turnTolerance = time.Millisecond
+	// maxCatchUp bounds how much of the time for which the link was free while a response waited is made up for, by
+	// sending faster: on a busy machine each turn is granted some milliseconds late. What is sent faster is on the link
+	// for up to maxCatchUp after its scheduled time, and other traffic waits behind it; before a stop half of
+	// lastChunkMargin is left for the peer to read it.
+	maxCatchUp = lastChunkMargin / 2
 )
 
 // newLink returns a link with a speed in megabits per second.
--- a/ingress/linkstop_test.go
+++ b/ingress/linkstop_test.go
@@ -74,3 +74,44 @@
 		runtime.Gosched()
 	}
 }
+
+// Guards against turns that are later the more of them there are: on a busy machine the timer of each expires late.
+func TestLateTimersDoNotDelayTheLink(t *testing.T) {
+	const size, responses = 100_000, 10
+	for name, c := range map[string]struct {
+		// late is by how much each timer expires too late.
+		late time.Duration
+		// madeUp is whether that delays no turn behind it.
+		madeUp bool
+	}{
+		"in time":                   {0, true},
+		"late":                      {maxCatchUp / 2, true},
+		"later than is made up for": {3 * maxCatchUp, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := newLink(8)
+			granted := make(chan *transfer)
+			for range responses {
+				go func() {
+					response := &transfer{size: size, due: clock.Now() + time.Hour}
+					l.awaitTurn(response, nil)
+					granted <- response
+				}()
+			}
+			first := <-granted
+			awaitQueued(l, responses-1)
+			last := first
+			for range responses - 1 {
+				l.mutex.Lock()
+				due := l.freeAt
+				l.mutex.Unlock()
+				clock.SimulateSuspension(due - clock.Now() + c.late)
+				last = <-granted
+				is.True(last.startsAt >= due+c.late-maxCatchUp)
+			}
+			delay := last.startsAt - first.startsAt - (responses-1)*l.transferTime(size)
+			is.Equal(delay <= responses*turnTolerance, c.madeUp)
+		})
+	}
+}
