ingress: a turn that is granted late does not delay the turns behind it

Fix: a response that waited when the link became free begins then by the count, for at most 100 ms in the past, and is sent faster until it has caught up.

--- a/ingress/link.go
+++ b/ingress/link.go
@@ -18,8 +18,8 @@
 // and a third of the downloads be in time instead of a seventh.
 //
 // Invariants:
-//   - Large responses and the other recorded traffic together take no more than rate bytes a second;
-//     the other traffic never waits. Between two turns the time of the other traffic is counted
+//   - Large responses and the other recorded traffic together take no more than rate bytes a second,
+//     apart from maxCatchUp; the other traffic never waits. Between two turns the time of the other traffic is counted
 //     only up to maxInterleaved, the length of the last turn or, if longer, of the shortest large
 //     response: the waiting responses get about half of the link whatever else is sent.
 //   - Of the waiting responses, those that have waited for maxOvertakenTime go first, in the order
@@ -300,7 +300,7 @@
 		i := l.mostUrgent(now)
 		chosen := l.waiting[i]
 		l.remove(i)
-		chosen.startsAt = max(l.freeAt, now)
+		chosen.startsAt = max(l.freeAt, chosen.queuedAt, now-maxCatchUp)
 		l.lastTurn, l.interleaved = l.transferTime(chosen.size), 0
 		l.freeAt = chosen.startsAt + l.lastTurn
 		close(chosen.turn)
