ingress: test that responses admitted before the stop of their router are sent by then

TestAdmittedAnswersAreSentBeforeAStop checks also that of the router, and requests that are admitted between turns, while responses wait.

--- a/ingress/linkexcess_test.go
+++ b/ingress/linkexcess_test.go
@@ -60,6 +60,64 @@
 	}
 }
 
+// Guards against responses that the planned stop of this process or of their router cuts although their requests were
+// admitted, also while responses wait: what does not wait for the link may take as much of it.
+func TestAdmittedAnswersAreSentBeforeAStop(t *testing.T) {
+	const untilStop = time.Minute
+	for name, c := range map[string]struct {
+		routerStops bool
+		// besides is what is sent between two turns without waiting for the link, in bytes.
+		besides int
+	}{
+		"this process stops":                          {},
+		"this process stops, and much is sent beside": {besides: 100 * bytesEach},
+		"the router stops":                            {routerStops: true},
+		"the router stops, and much is sent beside":   {routerStops: true, besides: 100 * bytesEach},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			i := startIngress(t, startInstance(t, okResponse, false))
+			l := newLink(0.1) // one turn takes seconds
+			i.link = l
+			l.recordSize("r", bytesEach)
+			i.gate.recordRun("r", false, 5*time.Millisecond)
+			stop := clock.Now() + untilStop
+			p := &proxyRequest{route: "r", target: time.Hour, deadline: clock.Now() + time.Hour}
+			if c.routerStops {
+				p.routerStopsAt = stop
+			} else {
+				l.setStop(stop)
+			}
+			admitted, sentAt := 0, time.Duration(0)
+			for {
+				for i.reserveLink(p) == 0 {
+					admitted++
+					l.cancelReservation(p.reservedBytes)
+					l.mutex.Lock()
+					l.waiting = append(l.waiting, &transfer{size: bytesEach, queuedAt: clock.Now(), routerStopsAt: p.routerStopsAt, turn: make(chan struct{})})
+					l.queuedBytes += bytesEach
+					l.mutex.Unlock()
+				}
+				l.mutex.Lock()
+				l.grantTurns()
+				sentAt = l.freeAt
+				waiting := len(l.waiting)
+				l.mutex.Unlock()
+				if waiting == 0 {
+					break
+				}
+				l.recordSent(c.besides, clock.Now())
+				l.mutex.Lock()
+				untilFree := l.freeAt - clock.Now()
+				l.mutex.Unlock()
+				clock.SimulateSuspension(untilFree)
+			}
+			is.True(admitted > 1)
+			is.True(sentAt <= stop)
+		})
+	}
+}
+
 // Requests that arrive before a route's first response are not known to have large ones. Those that
 // wait for a slot are checked again before they run.
 func TestRequestsBeforeTheFirstLargeAnswerAreLookedAtAgain(t *testing.T) {
