ingress: the shutdown has at least two polls of the library

Fix: the shutdown begins lastChunkMargin before the end of the stop time at the latest, when the link paces no more, and has at least lastChunkMargin, two polls of the library. Until the end running requests go on as before; what ends with the shutdown's beginning are idle connections, with the notice, and the listener. drain logs one line a stop, ingress_drained or ingress_drain_incomplete, with how long the stop took and for how long the link was occupied when pacing ended: cut responses with a free link and with a full one have different causes. Open: a connection whose peer does not close it after the notice counts as open for up to goaway's lingerTime of 300 ms, longer than a shutdown of 200 ms.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -169,7 +169,7 @@
 
 // Run serves until ctx ends. It then still accepts requests for the configured notice time, rejects new
 // ones after that, and waits for the running ones. Notice and wait together take at most the
-// configured stop time, plus stopPoll.
+// configured stop time, plus stopPoll, or lastChunkMargin if less than that is left after the notice.
 func (i *Ingress) Run(ctx context.Context) error {
 	serveContext, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -202,21 +202,26 @@
 
 // drain still accepts requests for the configured notice time, then rejects new ones and waits for the
 // running ones until the stop time is over. The stop time includes the notice time. Connections stay open until
-// then: routers that had to dial for each request would do so while the listener is closed.
+// no request is running, or until lastChunkMargin before the end: routers that had to dial for each request would
+// do so while the listener is closed.
 func (i *Ingress) drain() {
-	until := clock.Now() + i.options.Settings.Ingress.StopTime
+	begin := clock.Now()
+	until := begin + i.options.Settings.Ingress.StopTime
 	i.link.setStop(until - lastChunkMargin)
 	clock.Sleep(i.options.Settings.Ingress.StopNotice, nil)
 	i.stopping.Store(true)
 	i.gate.close()
 	i.awaitRequests(until - lastChunkMargin)
+	linkLeft := i.link.load(clock.Now())
 	i.link.endPacing()
-	i.awaitRequests(until)
-	ctx, cancel := clock.WithTimeout(context.Background(), until+stopPoll-clock.Now())
+	// The HTTP library looks for open connections every 100 ms only, so that a shorter shutdown gives up after one look.
+	ctx, cancel := clock.WithTimeout(context.Background(), max(until-clock.Now(), lastChunkMargin))
 	defer cancel()
+	log, event := i.logger.Info, "ingress_drained"
 	if err := i.server.ShutdownWithContext(ctx); err != nil {
-		i.logger.Warn("ingress_drain_incomplete", zap.Int("in_flight", i.disconnects.Count()))
+		log, event = i.logger.Warn, "ingress_drain_incomplete"
 	}
+	log(event, zap.Int("in_flight", i.disconnects.Count()), zap.Duration("took", clock.Now()-begin), zap.Duration("link_left", linkLeft))
 	// Shutdown does not close the listener of a server that has not begun to serve.
 	_ = i.listener.Close()
 	i.kept.Wait()
