goaway, ingress: a closed connection no longer waits in the server's read

What callers saw: nothing; 'ingress_drain_incomplete' was logged at stops at which nothing ran, and a stop took up to 300 ms longer: a client that does not close its connection kept the server in a read until the lingering was over, longer than the ingress's shutdown lasts (seen in 10 of 10 stops with such a client).

Fix: the close ends that read before the connection lingers. The end of the ingress is one line again, which also says whether connections were open.

--- a/goaway/conn.go
+++ b/goaway/conn.go
@@ -156,10 +156,20 @@
 	return nil
 }
 
+// endRead ends a read that the server waits in, and returns once it has ended: a deadline that is set sooner would
+// prolong it.
+func (c *conn) endRead() {
+	if err := c.TCPConn.SetReadDeadline(past); err != nil {
+		return // the connection is closed
+	}
+	_, _ = c.TCPConn.Read(make([]byte, 1)) // waits for the other read, and fails by the deadline
+}
+
 // linger closes the connection once the client has closed it, or some time later.
 func (c *conn) linger(withNotice bool) {
 	defer c.listener.remove(c)
 	defer c.TCPConn.Close()
+	c.endRead()
 	if withNotice {
 		if err := WriteNotice(c.TCPConn, c.listener.notice); err != nil {
 			return // the client does not read, or has closed the connection
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -218,16 +218,14 @@
 	// The HTTP library looks for open connections every 100 ms only, so that a shorter shutdown gives up after one look.
 	ctx, cancel := clock.WithTimeout(context.Background(), max(until-clock.Now(), lastChunkMargin))
 	defer cancel()
-	log, event := i.logger.Info, "ingress_drained"
-	if err := i.server.ShutdownWithContext(ctx); err != nil {
-		log, event = i.logger.Warn, "ingress_drain_incomplete"
-	}
-	log(event, zap.Int("in_flight", i.disconnects.Count()), zap.Duration("took", clock.Now()-begin), zap.Duration("link_left", linkLeft))
+	err := i.server.ShutdownWithContext(ctx)
 	// Shutdown does not close the listener of a server that has not begun to serve.
 	_ = i.listener.Close()
-	if err := i.kept.WaitContext(ctx); err != nil {
-		i.logger.Warn("ingress_connections_open", zap.Error(err))
+	log, event := i.logger.Info, "ingress_drained"
+	if err = errors.Join(err, i.kept.WaitContext(ctx)); err != nil {
+		log, event = i.logger.Warn, "ingress_drain_incomplete"
 	}
+	log(event, zap.Int("in_flight", i.disconnects.Count()), zap.Duration("took", clock.Now()-begin), zap.Duration("link_left", linkLeft), zap.Error(err))
 }
 
 // awaitRequests waits until no request is running, but no longer than until the given time.
