Answer the first request too if a shutdown closes its connection while it is read

Cause: takeStarted left out the current request while the connection was active. An active connection is closed as idle as long as its request does not run, so the answers to the requests that ran ahead of it were written without its own and were taken for the answers before them.

A close as idle means that the server does not handle the current request, whichever state it has reported. TestCloseBeforeTheFirstRequestRunsKeepsTheOrder fails before and passes after.

--- a/callerconn/close.go
+++ b/callerconn/close.go
@@ -121,12 +121,12 @@
 }
 
 // takeStarted returns the requests up to the last one that was started ahead. Those among them that the server has not
-// handled are safe, as others run ahead of their answers, and are started: the answers have to be in order. The mutex is
-// held.
+// handled are safe, as others run ahead of their answers, and are started: the answers have to be in order. The mode of
+// the close is CloseIdle. The mutex is held.
 func (c *Conn) takeStarted() []*head {
 	pending := c.heads
-	if c.current != nil && !c.Active() {
-		// The server has read this request, but does not handle it.
+	if c.current != nil {
+		// The server has read this request, but does not handle it: no request runs.
 		pending = append([]*head{c.current}, pending...)
 	}
 	for len(pending) > 0 && pending[len(pending)-1].ahead == nil {
