Write no notice to a caller behind a failed write

Cause: a Conn recorded errors of reads only, so a connection that is closed between two requests got the notice although the answer before it had been cut. goaway's connections record failed writes already.

A failed write now counts as the end of the connection, for the requests that run ahead on it too.

--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -49,7 +49,7 @@
 	timedOut bool
 	// reading is set while readAhead reads from the connection.
 	reading bool
-	// err is the error that ended reading.
+	// err is the error that ended reading or writing.
 	err error
 	// abandoned is set once no further answer will be written.
 	abandoned bool
@@ -144,7 +144,11 @@
 	if closed {
 		return 0, net.ErrClosed
 	}
-	return c.Conn.Write(data)
+	count, err := c.Conn.Write(data)
+	if err != nil {
+		c.fail(err) // no notice may follow
+	}
+	return count, err
 }
 
 // readDirect reads from the buffer or else from the connection, under the server's deadline. It is called with the
--- a/callerconn/readahead.go
+++ b/callerconn/readahead.go
@@ -40,7 +40,7 @@
 	return c.Conn.SetReadDeadline(c.deadline)
 }
 
-// fail records the error that ended reading.
+// fail records the error that ended reading or writing.
 func (c *Conn) fail(err error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
