Bound the TLS handshake of a caller's connection at its close

Cause: the first read performs the handshake, and the notice's write waits for it. The write's time-out does not apply to that wait; the read's deadline was the one of a request's head.

The deadline of a read that is under way is now that of lingering. TestStopDoesNotWaitForAHandshake fails after 5 s before and passes after.

--- a/callerconn/close.go
+++ b/callerconn/close.go
@@ -170,6 +170,8 @@
 		}
 	}
 	if len(started) == 0 {
+		// A write waits for the TLS handshake, which a read may have begun.
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) // fails only on a closed connection
 		if goaway.WriteNotice(c.Conn, c.listener.options.Notice) != nil {
 			return // the caller does not read, or has closed the connection
 		}
