Answer what ran ahead of a caller that has closed its sending side at a shutdown

Cause: the end of the requests counted as a broken connection, so a close between two requests abandoned those that had been started.

Only the answers to what was started are written now; an idle connection whose caller has closed it still gets no notice, and a failed write still ends the connection.

--- a/callerconn/close.go
+++ b/callerconn/close.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
 	"time"
 
@@ -98,22 +100,23 @@
 // past is a deadline that has passed.
 var past = time.Unix(1, 0)
 
-// end carries out a close.
+// end carries out a close. A caller that has only closed its sending side still reads the answers to what was started.
 func (c *Conn) end(mode goaway.CloseMode) error {
 	c.mutex.Lock()
-	broken := c.err != nil
-	c.abandoned = broken || mode != goaway.CloseIdle
+	ended := c.err != nil
+	finishes := mode == goaway.CloseIdle && (!ended || errors.Is(c.err, io.EOF))
+	c.abandoned = !finishes
 	unanswered := c.heads
-	if !c.abandoned {
+	if finishes {
 		unanswered = c.takeStarted()
 	}
 	c.mutex.Unlock()
-	if mode == goaway.CloseIdle && !broken {
+	if finishes && (!ended || len(unanswered) > 0) {
 		go c.finish(unanswered)
 		return nil
 	}
 	c.abandon(unanswered)
-	if broken || mode == goaway.CloseHijacked {
+	if ended || mode == goaway.CloseHijacked {
 		return c.closeNow()
 	}
 	go c.linger()
--- a/callerconn/readahead.go
+++ b/callerconn/readahead.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"io"
 	"os"
 	"strings"
 	"sync"
@@ -40,11 +41,11 @@
 	return c.Conn.SetReadDeadline(c.deadline)
 }
 
-// fail records the error that ended reading or writing.
+// fail records the error that ended reading or writing. One that follows the end of the requests replaces it.
 func (c *Conn) fail(err error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.err == nil {
+	if c.err == nil || errors.Is(c.err, io.EOF) {
 		c.err = err
 	}
 	c.changed.Broadcast()
