--- a/callerconn/foreignclose_test.go
+++ b/callerconn/foreignclose_test.go
@@ -1,6 +1,7 @@
 package callerconn
 
 import (
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -38,6 +39,8 @@
 				s.listener.ConnState(accepted, state)
 			}
 			is.NoErr(accepted.Close()) // as the shutdown does
+			_, err = accepted.Write([]byte("between the answers"))
+			is.True(errors.Is(err, net.ErrClosed))
 			bodies, _, _ := caller.rest()
 			is.Equal(bodies, []string{"/safe/1", "/safe/2"})
 			s.listener.Wait()
