Wait for the places of requests that have been answered in a test

TestSafeRequestsRunSideBySideAndAreAnsweredInOrder failed twice on a busy machine with "1 != 0". The place of a request is released once the server reports the connection as idle, which follows the writing of the answer; the test looked when it had read the answer. A place that is never released still fails.

--- a/callerconn/callerconn_test.go
+++ b/callerconn/callerconn_test.go
@@ -169,7 +169,8 @@
 	is.Equal(c.answer(t), "/gate/3 ")
 	c.send(t, get("/safe/4"))
 	is.Equal(c.answer(t), "/safe/4 ")
-	is.Equal(s.listener.Ahead(), 0)
+	// The last one runs ahead if it is read before the server reports the answer before as written.
+	await(t, "their places to be free", func() bool { return s.listener.Ahead() == 0 })
 }
 
 // Guards against requests that run before one that they may depend on, or before the answers to those before them.
