Test the modes of a close and the guards of goaway and callerconn by themselves

Taking these guards out, one at a time, turned no test red, or only one under load: a request that runs, Begin, a refused new connection, restoring the deadline at a wake, writes to a closed connection, a failed write, hijacked connections in Wait, the attempts to write a notice, the bound of requests that run ahead, an answer behind a failed write.

--- a/callerconn/failedwrite_test.go
+++ b/callerconn/failedwrite_test.go
@@ -7,8 +7,10 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 )
 
 // failingWrites accepts connections whose next write fails while failing is set, behind a share of its data.
@@ -72,3 +74,50 @@
 		})
 	}
 }
+
+// Guards against an answer behind a part of the one before it, which is taken for its missing part.
+func TestNoAnswerBehindAFailedWrite(t *testing.T) {
+	for name, halfClosed := range map[string]bool{"caller": false, "caller that has closed its sending side": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var failing atomic.Bool
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			t.Cleanup(func() { _ = inner.Close() })
+			s := &testServer{address: inner.Addr().String(), gates: map[string]chan struct{}{}, runs: map[string]int{}}
+			s.listener = New(failingWrites{inner, &failing, .5}, Options{
+				MaxHeaderBytes: 4 << 10, Notice: []byte(testNotice), WriteTimeout: 5 * time.Second, Handler: s.handle, Logger: discardLogger{},
+				MayRunAhead: func(header *fasthttp.RequestHeader) bool { return header.IsGet() },
+			})
+			caller := s.connect(t)
+			accepted, err := s.listener.Accept()
+			is.NoErr(err)
+			caller.send(t, get("/safe/1"), get("/safe/2"))
+			s.listener.ConnState(accepted, fasthttp.StateNew)
+			_, err = accepted.Read(make([]byte, 4<<10))
+			is.NoErr(err)
+			await(t, "the second to run", func() bool { return s.runsOf("/safe/2") == 1 && s.running.Load() == 0 })
+			c := accepted.(*Conn)
+			if halfClosed {
+				is.NoErr(caller.Conn.(*net.TCPConn).CloseWrite())
+				await(t, "the end of the requests", func() bool {
+					c.mutex.Lock()
+					defer c.mutex.Unlock()
+					return c.err != nil
+				})
+			}
+			s.listener.ConnState(accepted, fasthttp.StateActive)
+			c.begun()
+			s.listener.ConnState(accepted, fasthttp.StateIdle)
+			failing.Store(true)
+			_, err = accepted.Write([]byte("partial")) // held back behind the report
+			is.True(err != nil)
+			is.NoErr(accepted.Close())
+			received, err := io.ReadAll(caller.reader)
+			is.NoErr(err)
+			is.Equal(string(received), "par")
+			s.listener.Wait()
+			is.Equal(s.listener.Ahead(), 0)
+		})
+	}
+}
--- a/callerconn/order_test.go
+++ b/callerconn/order_test.go
@@ -506,3 +506,14 @@
 		is.NoErr(err)
 	}
 }
+
+// Guards against memory that grows with the connections on which requests run ahead.
+func TestRequestsThatRunAheadAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t)
+	for range maxAhead {
+		is.True(s.listener.reserve())
+	}
+	is.True(!s.listener.reserve())
+	is.Equal(s.listener.Ahead(), maxAhead)
+}
--- /dev/null
+++ b/goaway/lifecycle_test.go
@@ -0,0 +1,60 @@
+package goaway
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+)
+
+// Guards against a notice that is taken for the answer to a request that ran, or for a part of an answer, and against a
+// request that did not run and gets no notice.
+func TestModeOfAClose(t *testing.T) {
+	report := func(states ...fasthttp.ConnState) func(*Lifecycle) {
+		return func(l *Lifecycle) {
+			for _, state := range states {
+				l.Report(state)
+			}
+		}
+	}
+	const fresh, active, idle, hijacked, closed = fasthttp.StateNew, fasthttp.StateActive, fasthttp.StateIdle, fasthttp.StateHijacked, fasthttp.StateClosed
+	received, begin, written := (*Lifecycle).Received, (*Lifecycle).Begin, (*Lifecycle).Written
+	for name, c := range map[string]struct {
+		reportsBegin bool
+		steps        []func(*Lifecycle)
+		want         CloseMode
+		// next is the state behind a close that waits for one.
+		next fasthttp.ConnState
+		then CloseMode
+	}{
+		"new":                                {true, []func(*Lifecycle){report(fresh)}, CloseIdle, closed, CloseLater},
+		"new, part of a request":             {true, []func(*Lifecycle){report(fresh), received}, CloseIdle, closed, CloseLater},
+		"new, refused":                       {true, []func(*Lifecycle){report(fresh), written}, CloseLater, closed, CloseBusy},
+		"read":                               {true, []func(*Lifecycle){report(fresh), received, report(active)}, CloseIdle, closed, CloseLater},
+		"read, begin is not reported":        {false, []func(*Lifecycle){report(fresh), received, report(active)}, CloseLater, closed, CloseBusy},
+		"read, refused":                      {true, []func(*Lifecycle){report(fresh, active), written}, CloseLater, closed, CloseBusy},
+		"runs, then idle":                    {true, []func(*Lifecycle){report(fresh, active), begin}, CloseLater, idle, CloseIdle},
+		"runs, then closed":                  {true, []func(*Lifecycle){report(fresh, active), begin}, CloseLater, closed, CloseBusy},
+		"runs, then hijacked":                {true, []func(*Lifecycle){report(fresh, active), begin}, CloseLater, hijacked, CloseHijacked},
+		"answered, then idle":                {true, []func(*Lifecycle){report(fresh, active), begin, written}, CloseLater, idle, CloseIdle},
+		"answered, then closed":              {true, []func(*Lifecycle){report(fresh, active), begin, written}, CloseLater, closed, CloseBusy},
+		"idle":                               {true, []func(*Lifecycle){report(fresh, active), begin, written, report(idle)}, CloseIdle, closed, CloseLater},
+		"idle, an answer that was held back": {true, []func(*Lifecycle){report(fresh, active), begin, report(idle), written}, CloseIdle, closed, CloseLater},
+		"second request runs":                {true, []func(*Lifecycle){report(fresh, active), begin, report(idle, active), begin}, CloseLater, closed, CloseBusy},
+		"second request read":                {true, []func(*Lifecycle){report(fresh, active), begin, written, report(idle, active)}, CloseIdle, closed, CloseLater},
+		"second request, held-back answer written": {true, []func(*Lifecycle){report(fresh, active), begin, report(idle, active), written}, CloseLater, closed, CloseBusy},
+		"hijacked": {true, []func(*Lifecycle){report(fresh, active), begin, report(hijacked)}, CloseHijacked, closed, CloseLater},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := Lifecycle{ReportsBegin: c.reportsBegin}
+			for _, step := range c.steps {
+				step(&l)
+			}
+			is.Equal(l.Close(), c.want)
+			is.True(l.Closed())
+			is.Equal(l.Report(c.next), c.then)
+			is.Equal(l.Report(closed), CloseLater) // it is carried out once
+		})
+	}
+}
