--- a/goaway/conn_test.go
+++ b/goaway/conn_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"runtime"
 	"strings"
 	"testing"
@@ -76,11 +77,11 @@
 		_, err := served.Read(data)
 		read <- err
 	}()
-	awaitThat(t, "the read", func() bool { return isIn("goaway.(*conn).Read", "waitRead") })
+	awaitThat(t, "the read", func() bool { return isIn("TestRequestThatArrivesAtTheWakeIsReadOn.", "goaway.(*conn).Read", "waitRead") })
 	served.mutex.Lock()
 	_, err := client.Write([]byte("GET / "))
 	is.NoErr(err)
-	awaitThat(t, "the first part", func() bool { return isIn("goaway.(*conn).Read", "(*Mutex).Lock") })
+	awaitThat(t, "the first part", func() bool { return isIn("TestRequestThatArrivesAtTheWakeIsReadOn.", "goaway.(*conn).Read", "(*Mutex).Lock") })
 	served.woken = true // what wake does
 	is.NoErr(served.TCPConn.SetReadDeadline(past))
 	served.mutex.Unlock()
@@ -107,3 +108,54 @@
 	}
 	return false
 }
+
+// Guards against a response of the server's own to the time-out of a connection without a request, and against a request
+// whose rest does not arrive and which gets none.
+func TestTimeoutOfARead(t *testing.T) {
+	for name, c := range map[string]struct {
+		sent string
+		want error
+	}{
+		"no request":        {"", io.EOF},
+		"part of a request": {"GET / ", os.ErrDeadlineExceeded},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, served, client := accepted(t)
+			data := make([]byte, 64)
+			if c.sent != "" {
+				_, err := client.Write([]byte(c.sent))
+				is.NoErr(err)
+				_, err = served.Read(data)
+				is.NoErr(err)
+			}
+			is.NoErr(served.SetReadDeadline(past))
+			_, err := served.Read(data)
+			is.True(errors.Is(err, c.want))
+		})
+	}
+}
+
+// Guards against a read that goes on after a close which waits for the server's next state.
+func TestCloseEndsARead(t *testing.T) {
+	is := is.New(t)
+	l, served, _ := accepted(t)
+	l.ConnState(served, fasthttp.StateNew)
+	l.ConnState(served, fasthttp.StateActive)
+	served.begin()
+	read := make(chan error, 1)
+	go func() {
+		_, err := served.Read(make([]byte, 64))
+		read <- err
+	}()
+	awaitThat(t, "the read", func() bool { return isIn("TestCloseEndsARead.", "goaway.(*conn).Read", "waitRead") })
+	is.NoErr(served.Close())
+	select {
+	case err := <-read:
+		is.True(errors.Is(err, net.ErrClosed))
+	case <-time.After(5 * time.Second):
+		t.Error("the read goes on")
+	}
+	l.ConnState(served, fasthttp.StateClosed)
+	l.Wait()
+}
--- a/goaway/lifecycle_test.go
+++ b/goaway/lifecycle_test.go
@@ -58,3 +58,31 @@
 		})
 	}
 }
+
+// Guards against a stop that ends the reading of a request, and against one that leaves a connection without a request open.
+func TestWaitingForARequest(t *testing.T) {
+	const fresh, active, idle = fasthttp.StateNew, fasthttp.StateActive, fasthttp.StateIdle
+	for name, c := range map[string]struct {
+		steps func(*Lifecycle)
+		want  bool
+	}{
+		"new":                    {func(l *Lifecycle) { l.Report(fresh) }, true},
+		"new, part of a request": {func(l *Lifecycle) { l.Report(fresh); l.Received() }, false},
+		"active":                 {func(l *Lifecycle) { l.Report(fresh); l.Received(); l.Report(active) }, false},
+		"idle": {func(l *Lifecycle) {
+			l.Report(fresh)
+			l.Received()
+			l.Report(active)
+			l.Report(idle)
+		}, true},
+		"idle, part of a request": {func(l *Lifecycle) { l.Report(active); l.Report(idle); l.Received() }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var l Lifecycle
+			c.steps(&l)
+			if l.Waiting() != c.want {
+				t.Errorf("waiting %t, want %t", l.Waiting(), c.want)
+			}
+		})
+	}
+}
