--- a/goaway/conn_test.go
+++ b/goaway/conn_test.go
@@ -77,11 +77,15 @@
 		_, err := served.Read(data)
 		read <- err
 	}()
-	awaitThat(t, "the read", func() bool { return isIn("TestRequestThatArrivesAtTheWakeIsReadOn.", "goaway.(*conn).Read", "waitRead") })
+	awaitThat(t, "the read", func() bool {
+		return isIn("TestRequestThatArrivesAtTheWakeIsReadOn.", "goaway.(*conn).Read", "waitRead")
+	})
 	served.mutex.Lock()
 	_, err := client.Write([]byte("GET / "))
 	is.NoErr(err)
-	awaitThat(t, "the first part", func() bool { return isIn("TestRequestThatArrivesAtTheWakeIsReadOn.", "goaway.(*conn).Read", "(*Mutex).Lock") })
+	awaitThat(t, "the first part", func() bool {
+		return isIn("TestRequestThatArrivesAtTheWakeIsReadOn.", "goaway.(*conn).Read", "(*Mutex).Lock")
+	})
 	served.woken = true // what wake does
 	is.NoErr(served.TCPConn.SetReadDeadline(past))
 	served.mutex.Unlock()
