Test answers at the close of a connection to callers that speak HTTP/1.0

An answer of unknown length to an HTTP/1.0 request that ran ahead is written in chunks at a shutdown, which its caller cannot read. The case at the close fails; the server's own answer is not in chunks.

--- a/callerconn/finish_test.go
+++ b/callerconn/finish_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -91,3 +92,37 @@
 	is.True(closing)
 	s.listener.Wait()
 }
+
+// Guards against an answer in chunks, written at the close of a connection, to a caller that speaks HTTP/1.0.
+func TestAnswersInChunksAreForCallersThatReadThem(t *testing.T) {
+	for name, stop := range map[string]bool{"by the server": false, "at the close": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, _ := newEndingServer(t, func(s *testServer) {
+				handle := s.listener.options.Handler
+				s.listener.options.Handler = func(request *fasthttp.RequestCtx) {
+					handle(request)
+					request.SetBodyStream(strings.NewReader("stream"), -1)
+				}
+			})
+			caller := s.connect(t)
+			caller.send(t, "GET /gate/1 HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n", "GET /safe/2 HTTP/1.0\r\nHost: h\r\n\r\n")
+			await(t, "the first to run", func() bool { return s.runsOf("/gate/1") == 1 })
+			// Other connections show that the server has had time for the second.
+			for range 20 {
+				other := s.connect(t)
+				other.send(t, get("/safe/other"))
+				other.answer(t)
+			}
+			if stop {
+				go func() { _ = s.server.Shutdown() }()
+				await(t, "the stop", func() bool { return s.listener.stopping.Load() })
+			}
+			close(s.gate("/gate/1"))
+			received, err := io.ReadAll(caller.reader)
+			is.NoErr(err)
+			is.True(!strings.Contains(string(received), "chunked"))
+			is.True(strings.Contains(string(received), "stream"))
+		})
+	}
+}
