--- a/callerconn/finish_test.go
+++ b/callerconn/finish_test.go
@@ -93,7 +93,7 @@
 	s.listener.Wait()
 }
 
-// Guards against an answer in chunks, written at the close of a connection, to a caller that speaks HTTP/1.0.
+// Guards against an answer in chunks to a caller that speaks HTTP/1.0, which cannot read it.
 func TestAnswersInChunksAreForCallersThatReadThem(t *testing.T) {
 	for name, stop := range map[string]bool{"by the server": false, "at the close": true} {
 		t.Run(name, func(t *testing.T) {
