--- a/callerconn/close.go
+++ b/callerconn/close.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
 	"time"
 
@@ -98,22 +100,23 @@
 // past is a deadline that has passed.
 var past = time.Unix(1, 0)
 
-// end carries out a close.
+// end carries out a close. A caller that has only closed its sending side still reads the answers to what was started.
 func (c *Conn) end(mode goaway.CloseMode) error {
 	c.mutex.Lock()
-	broken := c.err != nil
-	c.abandoned = broken || mode != goaway.CloseIdle
+	ended := c.err != nil
+	finishes := mode == goaway.CloseIdle && (!ended || errors.Is(c.err, io.EOF))
+	c.abandoned = !finishes
 	unanswered := c.heads
-	if !c.abandoned {
+	if finishes {
 		unanswered = c.takeStarted()
 	}
 	c.mutex.Unlock()
-	if mode == goaway.CloseIdle && !broken {
+	if finishes && (!ended || len(unanswered) > 0) {
 		go c.finish(unanswered)
 		return nil
 	}
 	c.abandon(unanswered)
-	if broken || mode == goaway.CloseHijacked {
+	if ended || mode == goaway.CloseHijacked {
 		return c.closeNow()
 	}
 	go c.linger()
@@ -121,12 +124,12 @@
 }
 
 // takeStarted returns the requests up to the last one that was started ahead. Those among them that the server has not
-// handled are safe, as others run ahead of their answers, and are started: the answers have to be in order. The mutex is
-// held.
+// handled are safe, as others run ahead of their answers, and are started: the answers have to be in order. The mode of
+// the close is CloseIdle. The mutex is held.
 func (c *Conn) takeStarted() []*head {
 	pending := c.heads
-	if c.current != nil && !c.Active() {
-		// The server has read this request, but does not handle it.
+	if c.current != nil {
+		// The server has read this request, but does not handle it: no request runs.
 		pending = append([]*head{c.current}, pending...)
 	}
 	for len(pending) > 0 && pending[len(pending)-1].ahead == nil {
@@ -170,6 +173,8 @@
 		}
 	}
 	if len(started) == 0 {
+		// A write waits for the TLS handshake, which a read may have begun.
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) // fails only on a closed connection
 		if goaway.WriteNotice(c.Conn, c.listener.options.Notice) != nil {
 			return // the caller does not read, or has closed the connection
 		}
