--- a/callerconn/callerconn.go
+++ b/callerconn/callerconn.go
@@ -22,7 +22,7 @@
 	// maxAhead bounds the requests of all connections that run ahead: their answers are held in memory until those
 	// before them have been written.
 	maxAhead = 256
-	// lingerTime is how long a connection stays readable after its last answer, for a caller that still sends.
+	// lingerTime is how long a connection stays readable after its last answer, for a caller that still sends a body.
 	lingerTime = 500 * time.Millisecond
 )
 
@@ -72,7 +72,7 @@
 		return nil, err
 	}
 	c := &Conn{Conn: accepted, listener: l, idle: true, buffer: make([]byte, 0, min(initialBuffer, l.options.MaxHeaderBytes))}
-	c.changed.L, c.ReportsBegin = &c.mutex, true
+	c.changed.L, c.ReportsStart = &c.mutex, true
 	l.open.Add(1)
 	l.mutex.Lock()
 	l.conns[c] = struct{}{}
@@ -85,7 +85,7 @@
 // or is waited for.
 func (l *Listener) Handle(request *fasthttp.RequestCtx) {
 	c, _ := request.Conn().(*Conn)
-	if ahead := c.begun(); ahead != nil {
+	if ahead := c.startHandling(); ahead != nil {
 		<-ahead.done
 		moveResponse(&request.Response, &ahead.context.Response)
 	} else {
@@ -151,14 +151,14 @@
 	done    chan struct{}
 }
 
-// begun records that the server handles a request, and returns the request if it was started ahead.
-func (c *Conn) begun() *aheadRequest {
+// startHandling records that the server handles a request, and returns the request if it was started ahead.
+func (c *Conn) startHandling() *aheadRequest {
 	if c == nil {
 		return nil
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.Begin()
+	c.Started()
 	if c.current == nil {
 		return nil
 	}
--- a/callerconn/close.go
+++ b/callerconn/close.go
@@ -92,14 +92,11 @@
 	c.mutex.Unlock()
 	if mode == goaway.CloseLater {
 		// Ends a read or a write that the server waits in.
-		return c.Conn.SetDeadline(past)
+		return c.Conn.SetDeadline(goaway.PastDeadline)
 	}
 	return c.end(mode)
 }
 
-// past is a deadline that has passed.
-var past = time.Unix(1, 0)
-
 // end carries out a close. A caller that has only closed its sending side still reads the answers to what was started.
 func (c *Conn) end(mode goaway.CloseMode) error {
 	c.mutex.Lock()
--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -26,7 +26,8 @@
 	changed sync.Cond
 	queue   pipeline.Queue
 	goaway.Lifecycle
-	// idle is set while the server's next read waits for a request.
+	// idle is set while the server's next read waits for a request. It ends sooner than the server reports if the server
+	// reads the connection by itself.
 	idle bool
 	// buffer holds what was read and does not belong to a request in heads yet.
 	buffer []byte
@@ -177,7 +178,7 @@
 		case c.Closed():
 			return net.ErrClosed
 		case len(c.heads) > 0:
-			c.begin(c.heads[0])
+			c.handOver(c.heads[0])
 			c.heads = append(c.heads[:0], c.heads[1:]...)
 			return nil
 		case c.handover:
@@ -198,8 +199,8 @@
 	}
 }
 
-// begin hands a request to the server. The mutex is held.
-func (c *Conn) begin(next *head) {
+// handOver hands a request to the server. The mutex is held.
+func (c *Conn) handOver(next *head) {
 	c.current = next
 	c.unread, c.bodyLeft, c.direct = next.raw, next.body, next.unframed
 	deadline := c.deadline
--- a/callerconn/failedwrite_test.go
+++ b/callerconn/failedwrite_test.go
@@ -107,7 +107,7 @@
 				})
 			}
 			s.listener.ConnState(accepted, fasthttp.StateActive)
-			c.begun()
+			c.startHandling()
 			s.listener.ConnState(accepted, fasthttp.StateIdle)
 			failing.Store(true)
 			_, err = accepted.Write([]byte("partial")) // held back behind the report
--- a/goaway/conn.go
+++ b/goaway/conn.go
@@ -39,11 +39,11 @@
 	}
 }
 
-// begin records that a request runs.
-func (c *conn) begin() {
+// started records that a request runs.
+func (c *conn) started() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.Begin()
+	c.Started()
 }
 
 // wake ends a read that waits for a request.
@@ -52,7 +52,7 @@
 	defer c.mutex.Unlock()
 	if c.Waiting() && !c.Closed() {
 		c.woken = true
-		_ = c.TCPConn.SetReadDeadline(past) // fails only on a closed connection
+		_ = c.TCPConn.SetReadDeadline(PastDeadline) // fails only on a closed connection
 	}
 }
 
@@ -138,7 +138,7 @@
 	c.mutex.Unlock()
 	if mode == CloseLater {
 		// Ends a read or a write that the server waits in.
-		return c.TCPConn.SetDeadline(past)
+		return c.TCPConn.SetDeadline(PastDeadline)
 	}
 	return c.end(mode)
 }
@@ -159,7 +159,7 @@
 // endRead ends a read that the server waits in, and returns once it has ended: a deadline that is set sooner would
 // prolong it.
 func (c *conn) endRead() {
-	if err := c.TCPConn.SetReadDeadline(past); err != nil {
+	if err := c.TCPConn.SetReadDeadline(PastDeadline); err != nil {
 		return // the connection is closed
 	}
 	_, _ = c.TCPConn.Read(make([]byte, 1)) // waits for the other read, and fails by the deadline
--- a/goaway/conn_test.go
+++ b/goaway/conn_test.go
@@ -41,7 +41,7 @@
 	}{
 		"idle": {func(*is.I, *conn) {}, connNotice},
 		"write of an answer that was held back failed": {func(is *is.I, c *conn) {
-			is.NoErr(c.SetWriteDeadline(past))
+			is.NoErr(c.SetWriteDeadline(PastDeadline))
 			_, err := c.Write([]byte("answer"))
 			is.True(err != nil)
 		}, ""},
@@ -51,7 +51,7 @@
 			l, served, client := accepted(t)
 			l.ConnState(served, fasthttp.StateNew)
 			l.ConnState(served, fasthttp.StateActive)
-			served.begin()
+			served.started()
 			l.ConnState(served, fasthttp.StateIdle)
 			c.before(is, served)
 			is.NoErr(served.Close())
@@ -87,7 +87,7 @@
 		return isIn("TestRequestThatArrivesAtTheWakeIsReadOn.", "goaway.(*conn).Read", "(*Mutex).Lock")
 	})
 	served.woken = true // what wake does
-	is.NoErr(served.TCPConn.SetReadDeadline(past))
+	is.NoErr(served.TCPConn.SetReadDeadline(PastDeadline))
 	served.mutex.Unlock()
 	is.NoErr(<-read)
 	_, err = client.Write([]byte("HTTP/1.1"))
@@ -133,7 +133,7 @@
 				_, err = served.Read(data)
 				is.NoErr(err)
 			}
-			is.NoErr(served.SetReadDeadline(past))
+			is.NoErr(served.SetReadDeadline(PastDeadline))
 			_, err := served.Read(data)
 			is.True(errors.Is(err, c.want))
 		})
@@ -146,7 +146,7 @@
 	l, served, _ := accepted(t)
 	l.ConnState(served, fasthttp.StateNew)
 	l.ConnState(served, fasthttp.StateActive)
-	served.begin()
+	served.started()
 	read := make(chan error, 1)
 	go func() {
 		_, err := served.Read(make([]byte, 64))
--- a/goaway/goaway.go
+++ b/goaway/goaway.go
@@ -25,7 +25,7 @@
 	net.Listener
 	notice       []byte
 	notices      atomic.Int64
-	reportsBegin atomic.Bool
+	reportsStart atomic.Bool
 	stopping     atomic.Bool
 	// open counts the connections that are not closed.
 	open  sync.WaitGroup
@@ -41,10 +41,10 @@
 // Handler returns the handler for the server. With it, a connection that is closed before its request begins to run gets
 // the notice too.
 func (l *Listener) Handler(handle fasthttp.RequestHandler) fasthttp.RequestHandler {
-	l.reportsBegin.Store(true)
+	l.reportsStart.Store(true)
 	return func(request *fasthttp.RequestCtx) {
 		if c, ok := unwrap(request.Conn()).(*conn); ok {
-			c.begin()
+			c.started()
 		}
 		handle(request)
 	}
@@ -75,7 +75,7 @@
 }
 
 func (l *Listener) wrap(accepted *net.TCPConn) *conn {
-	c := &conn{TCPConn: accepted, listener: l, Lifecycle: Lifecycle{ReportsBegin: l.reportsBegin.Load()}}
+	c := &conn{TCPConn: accepted, listener: l, Lifecycle: Lifecycle{ReportsStart: l.reportsStart.Load()}}
 	l.open.Add(1)
 	l.mutex.Lock()
 	l.conns[c] = struct{}{}
@@ -128,5 +128,5 @@
 	}
 }
 
-// past is a deadline that has passed.
-var past = time.Unix(1, 0)
+// PastDeadline is a deadline that has passed, which ends reads and writes at once.
+var PastDeadline = time.Unix(1, 0)
--- a/goaway/lifecycle.go
+++ b/goaway/lifecycle.go
@@ -23,13 +23,13 @@
 //
 // A connection is closed by its serving goroutine, by its hijacker, or by a shutdown in another goroutine. A shutdown
 // only closes connections whose serving goroutine begins no further request, but it may do so before that goroutine has
-// reported that the connection is idle.
+// reported that the connection is idle. A connection may be closed more than once; the first close counts.
 type Lifecycle struct {
 	// active is set from the first byte of a request until the server reports that its answer is written.
 	active bool
-	// ReportsBegin is set if Begin is called before each request runs. Otherwise a request counts as running as soon as
-	// the connection is active.
-	ReportsBegin bool
+	// ReportsStart is set if Started is called before each request runs: a connection that is closed while its request is
+	// still being read counts as idle then. Otherwise a request counts as running as soon as the connection is active.
+	ReportsStart bool
 	running      bool
 	// received and written are set if something was read or written since the connection was new or idle. An answer that
 	// is held back behind the report of an idle connection does not count as written.
@@ -65,8 +65,8 @@
 	return CloseIdle
 }
 
-// Begin records that a request runs from now on.
-func (l *Lifecycle) Begin() { l.running = true }
+// Started records that a request runs from now on.
+func (l *Lifecycle) Started() { l.running = true }
 
 // Received records that a part of a request has been read.
 func (l *Lifecycle) Received() { l.received = true }
@@ -89,7 +89,7 @@
 	switch {
 	case l.hijacked:
 		return CloseHijacked
-	case l.written, l.running, l.active && !l.ReportsBegin:
+	case l.written, l.running, l.active && !l.ReportsStart:
 		l.undecided = true
 		return CloseLater
 	}
--- a/goaway/lifecycle_test.go
+++ b/goaway/lifecycle_test.go
@@ -18,9 +18,9 @@
 		}
 	}
 	const fresh, active, idle, hijacked, closed = fasthttp.StateNew, fasthttp.StateActive, fasthttp.StateIdle, fasthttp.StateHijacked, fasthttp.StateClosed
-	received, begin, written := (*Lifecycle).Received, (*Lifecycle).Begin, (*Lifecycle).Written
+	received, started, written := (*Lifecycle).Received, (*Lifecycle).Started, (*Lifecycle).Written
 	for name, c := range map[string]struct {
-		reportsBegin bool
+		reportsStart bool
 		steps        []func(*Lifecycle)
 		want         CloseMode
 		// next is the state behind a close that waits for one.
@@ -33,21 +33,21 @@
 		"read":                               {true, []func(*Lifecycle){report(fresh), received, report(active)}, CloseIdle, closed, CloseLater},
 		"read, begin is not reported":        {false, []func(*Lifecycle){report(fresh), received, report(active)}, CloseLater, closed, CloseBusy},
 		"read, refused":                      {true, []func(*Lifecycle){report(fresh, active), written}, CloseLater, closed, CloseBusy},
-		"runs, then idle":                    {true, []func(*Lifecycle){report(fresh, active), begin}, CloseLater, idle, CloseIdle},
-		"runs, then closed":                  {true, []func(*Lifecycle){report(fresh, active), begin}, CloseLater, closed, CloseBusy},
-		"runs, then hijacked":                {true, []func(*Lifecycle){report(fresh, active), begin}, CloseLater, hijacked, CloseHijacked},
-		"answered, then idle":                {true, []func(*Lifecycle){report(fresh, active), begin, written}, CloseLater, idle, CloseIdle},
-		"answered, then closed":              {true, []func(*Lifecycle){report(fresh, active), begin, written}, CloseLater, closed, CloseBusy},
-		"idle":                               {true, []func(*Lifecycle){report(fresh, active), begin, written, report(idle)}, CloseIdle, closed, CloseLater},
-		"idle, an answer that was held back": {true, []func(*Lifecycle){report(fresh, active), begin, report(idle), written}, CloseIdle, closed, CloseLater},
-		"second request runs":                {true, []func(*Lifecycle){report(fresh, active), begin, report(idle, active), begin}, CloseLater, closed, CloseBusy},
-		"second request read":                {true, []func(*Lifecycle){report(fresh, active), begin, written, report(idle, active)}, CloseIdle, closed, CloseLater},
-		"second request, held-back answer written": {true, []func(*Lifecycle){report(fresh, active), begin, report(idle, active), written}, CloseLater, closed, CloseBusy},
-		"hijacked": {true, []func(*Lifecycle){report(fresh, active), begin, report(hijacked)}, CloseHijacked, closed, CloseLater},
+		"runs, then idle":                    {true, []func(*Lifecycle){report(fresh, active), started}, CloseLater, idle, CloseIdle},
+		"runs, then closed":                  {true, []func(*Lifecycle){report(fresh, active), started}, CloseLater, closed, CloseBusy},
+		"runs, then hijacked":                {true, []func(*Lifecycle){report(fresh, active), started}, CloseLater, hijacked, CloseHijacked},
+		"answered, then idle":                {true, []func(*Lifecycle){report(fresh, active), started, written}, CloseLater, idle, CloseIdle},
+		"answered, then closed":              {true, []func(*Lifecycle){report(fresh, active), started, written}, CloseLater, closed, CloseBusy},
+		"idle":                               {true, []func(*Lifecycle){report(fresh, active), started, written, report(idle)}, CloseIdle, closed, CloseLater},
+		"idle, an answer that was held back": {true, []func(*Lifecycle){report(fresh, active), started, report(idle), written}, CloseIdle, closed, CloseLater},
+		"second request runs":                {true, []func(*Lifecycle){report(fresh, active), started, report(idle, active), started}, CloseLater, closed, CloseBusy},
+		"second request read":                {true, []func(*Lifecycle){report(fresh, active), started, written, report(idle, active)}, CloseIdle, closed, CloseLater},
+		"second request, held-back answer written": {true, []func(*Lifecycle){report(fresh, active), started, report(idle, active), written}, CloseLater, closed, CloseBusy},
+		"hijacked": {true, []func(*Lifecycle){report(fresh, active), started, report(hijacked)}, CloseHijacked, closed, CloseLater},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			l := Lifecycle{ReportsBegin: c.reportsBegin}
+			l := Lifecycle{ReportsStart: c.reportsStart}
 			for _, step := range c.steps {
 				step(&l)
 			}
--- a/goaway/notice_test.go
+++ b/goaway/notice_test.go
@@ -63,7 +63,7 @@
 	l, served, _ := accepted(t)
 	l.ConnState(served, fasthttp.StateNew)
 	l.ConnState(served, fasthttp.StateActive)
-	served.begin()
+	served.started()
 	l.ConnState(served, fasthttp.StateHijacked)
 	waited := make(chan struct{})
 	go func() {
