--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -35,9 +35,9 @@
 		head   bool
 		answer string
 	}{
-		"answer":                  {false, "HTTP/1.1 200 OK\r\nLimehold-Request-Id: r-1\r\nContent-Length: 2\r\n\r\nok"},
-		"answer without a body":   {true, "HTTP/1.1 200 OK\r\nLimehold-Request-Id: r-1\r\nContent-Length: 2\r\n\r\n"},
-		"the request did not run": {false, "HTTP/1.1 421 Misdirected Request\r\nLimehold-Request-Id: r-1\r\nContent-Length: 2\r\n\r\nno"},
+		"answer":                  {false, "HTTP/1.1 200 OK\r\nRequest-Token: r-1\r\nContent-Length: 2\r\n\r\nok"},
+		"answer without a body":   {true, "HTTP/1.1 200 OK\r\nRequest-Token: r-1\r\nContent-Length: 2\r\n\r\n"},
+		"the request did not run": {false, "HTTP/1.1 421 Misdirected Request\r\nRequest-Token: r-1\r\nContent-Length: 2\r\n\r\nno"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -58,7 +58,7 @@
 			i := &Ingress{options: options, logger: options.Logger, upstreams: upstream.NewPool(time.Minute), link: newLink(0)}
 			i.instance = newInstance(options, newSlotGate(config.Ingress.QueueTime))
 			names := config.Headers
-			names.RequestID = "Limehold-Request-Id"
+			names.RequestID = "Request-Token"
 			p := &proxyRequest{tracker: upstream.NewTracker(), requestID: "r-1", isHead: c.head, names: names}
 			conn.Raw = &pooledConn{conn.Raw.(*net.TCPConn), p.tracker.Cancel}
 			is.NoErr(conn.SetDeadline(clock.Now(), clock.Now()+time.Minute))
