router: charge the retry budget for repeats after a refusal by the owner

Cause: mayRetry returned for 'not the owner', 'draining' and 'zone drained' before it counted the attempt or withdrew from the budget, also when the instance itself had refused, so that the next attempt was a repeat. Class: a cost that is charged by the reason of a decision instead of by the event that causes it.

Why this works: each attempt that reached an instance is counted in one place, and a retry needs as many charges as there were such attempts. A charge whose attempt an ingress refused pays for the next one; it was charged twice before. Where routers share no limit, retries that wait for an owner stay free: a transfer must cost no request there.

--- a/router/pool.go
+++ b/router/pool.go
@@ -156,6 +156,13 @@
 	return b.budget.Withdraw()
 }
 
+// isLimited reports whether all routers together may make a limited number of retries.
+func (b *serviceBudget) isLimited() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.limit.Slack > 0
+}
+
 // credit returns how many retries the budget has saved.
 func (b *serviceBudget) credit() float64 {
 	b.mutex.Lock()
--- a/router/request.go
+++ b/router/request.go
@@ -32,10 +32,11 @@
 	attempts  int
 	// rematches counts how often an ingress reported that the request's route has changed.
 	rematches int
-	// backendAttempts counts the attempts that reached a backend.
-	backendAttempts int
-	service         *service
-	route           *catalog.Route
+	// backendAttempts counts the attempts that reached a backend, and charges those that the retry budget was charged
+	// with: all but the first.
+	backendAttempts, charges int
+	service                  *service
+	route                    *catalog.Route
 	// routed is set when the request matched the route table.
 	routed *routedRoute
 	// tenant is the one whose API key the request carries, nil if there is none.
--- a/router/retry.go
+++ b/router/retry.go
@@ -10,46 +10,57 @@
 )
 
 // mayRetry applies the retry rules of docs/design/0004-requests.md. A request that is not
-// repeatable is never retried once it may have run. A retry that waits for a new owner spends no
-// retry budget. Before any other retry, mayRetry counts the attempt if it reached a backend, and
-// spends budget if any attempt has.
+// repeatable is never retried once it may have run. Before any other retry, mayRetry counts the attempt
+// if it reached a backend, and charges the retry budget if the retry is a repeat. Where routers share no limit of
+// retries, one that waits for a new owner is neither counted nor charged.
 func (r *Router) mayRetry(p *proxiedRequest, wait *ownerWait, result *attempt, attemptNumber int) bool {
-	if p.bodyUsed || clock.Now()+minRemaining >= p.deadline || p.mustNotResend(result) {
+	if p.bodyUsed || clock.Now()+minRemaining >= p.deadline || p.mustNotResend(result) || !p.allowsRetryAfter(result) {
 		return false
 	}
-	switch result.state {
-	case attemptNotRun:
-		if p.service.spec.Keyed && result.reason == wire.BackendReasonFull && !result.shedsBelowCapacity() {
-			// No other instance may run it, and the owner reports that it is full.
+	awaitsOwner := p.awaitsOwner(result)
+	if awaitsOwner {
+		wait.rejectedEpoch = p.epoch
+		if wait.remaining() <= 0 {
 			return false
 		}
-		if result.reason == wire.BackendReasonNotOwner || p.service.spec.Keyed && isHandingOver(result.reason) {
-			wait.rejectedEpoch = p.epoch
-			if wait.remaining() <= 0 {
-				return false
-			}
+		if !p.service.budget.isLimited() {
+			// After a transfer many requests are sent again at once, which must cost none of them.
 			r.recordRetry(p, result, false)
 			return true
 		}
-	case attemptUnknown:
-		if !p.repeatable || result.reason == rejectCallerGone.reason {
-			return false
-		}
-	case attemptNotSent:
-		if result.reason == rejectDeadline.reason {
-			return false
-		}
-	case attemptAnswered:
-		return false
 	}
 	if result.reachedBackend {
 		p.backendAttempts++
 	}
-	if p.backendAttempts >= p.route.MaxAttempts || attemptNumber >= p.route.MaxAttempts+maxIngressRejections {
+	if p.backendAttempts >= p.route.MaxAttempts || !awaitsOwner && attemptNumber >= p.route.MaxAttempts+maxIngressRejections {
 		return false
 	}
-	if p.backendAttempts == 0 {
-		// No backend has received the request, so the retry needs no budget.
+	return r.payForRetry(p, result)
+}
+
+// allowsRetryAfter reports whether the outcome of an attempt allows another one.
+func (p *proxiedRequest) allowsRetryAfter(result *attempt) bool {
+	switch result.state {
+	case attemptNotRun:
+		// No other instance may run a keyed request, and its owner reports that it is full.
+		return !p.service.spec.Keyed || result.reason != wire.BackendReasonFull || result.shedsBelowCapacity()
+	case attemptUnknown:
+		return p.repeatable && result.reason != rejectCallerGone.reason
+	case attemptNotSent:
+		return result.reason != rejectDeadline.reason
+	}
+	return false
+}
+
+// awaitsOwner reports whether an attempt was refused because the shard is, or is about to be, another node's.
+func (p *proxiedRequest) awaitsOwner(result *attempt) bool {
+	return result.state == attemptNotRun && (result.reason == wire.BackendReasonNotOwner || p.service.spec.Keyed && isHandingOver(result.reason))
+}
+
+// payForRetry charges the retry budget unless no backend has received the request, or an earlier charge has paid for
+// an attempt that reached none. It reports whether the request may be sent again.
+func (r *Router) payForRetry(p *proxiedRequest, result *attempt) bool {
+	if p.charges >= p.backendAttempts {
 		return true
 	}
 	if !p.service.budget.withdraw() {
@@ -57,6 +68,7 @@
 		r.logRetry("retry_refused", p, result, false)
 		return false
 	}
+	p.charges++
 	r.metrics.retries.Inc()
 	r.recordRetry(p, result, true)
 	return true
