router: charge the retry budget for the calls of repeated runs

Cause: a run that is a repeat makes its calls again. The router beside that instance took each for a first request, so that it earned a part of a retry instead of costing one.

Why this works: the router marks the attempts that are repeats, the ingress remembers those that run, and the router in the same process knows a call by the ID of its run. Each call of a repeat is charged when it is seen, also into a debt, which is bounded by what one window earns. Callers whose IDs do not begin with that of the run are taken for first requests, as before.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -344,3 +344,32 @@
 		})
 	}
 }
+
+// Guards against a debt that outlives the window in which its repeats count, and against retries in spite of a debt.
+func TestChargeLeavesABoundedDebt(t *testing.T) {
+	const percent, recent = 10, 100
+	for name, c := range map[string]struct {
+		charges int
+		// deposits is how many requests it takes until the next retry.
+		deposits int
+	}{
+		"none":                    {0, 0},
+		"paid from the credit":    {1, 10},
+		"a debt":                  {5, 50},
+		"as large a debt as ever": {1000, 110},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			budget := NewRetryBudget(percent)
+			for range c.charges {
+				budget.Charge(recent)
+			}
+			deposits := 0
+			for !budget.Withdraw() {
+				budget.Deposit()
+				deposits++
+			}
+			is.True(deposits >= c.deposits && deposits <= c.deposits+1) // the sum of tenths is not exact
+		})
+	}
+}
--- a/admission/budget.go
+++ b/admission/budget.go
@@ -73,6 +73,12 @@
 	b.credit += float64(b.percent) / percentScale
 }
 
+// Charge subtracts a retry that has been made, and may leave a debt, of at most what the given number of requests earn.
+func (b *RetryBudget) Charge(recent float64) {
+	most := max(1, recent*float64(b.percent)/percentScale)
+	b.credit = min(b.credit, max(b.credit-1, -most))
+}
+
 // Withdraw uses up the credit for one retry. It returns false if there is not enough.
 func (b *RetryBudget) Withdraw() bool {
 	if b.percent == 0 || b.credit < 1 {
--- /dev/null
+++ b/callchain/callchain.go
@@ -0,0 +1,73 @@
+// Package callchain tells which calls an instance makes while it runs a repeat. These calls are repeats as well, as the
+// first run of their request has made them before, although each has an ID of its own.
+package callchain
+
+import (
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// separator follows the ID of a run in the IDs of the calls that it makes.
+	separator = "."
+	// maxRuns bounds the runs that are remembered. Those beyond it are not, and their calls count as first requests.
+	maxRuns = 4096
+)
+
+// Repeats holds the runs at one instance that are repeats. It is safe for concurrent use.
+type Repeats struct {
+	now   func() time.Duration
+	mutex sync.Mutex
+	// until holds, by request ID, the time until which the run may make calls.
+	until map[string]time.Duration
+	// sweepAt is when expired runs are removed next.
+	sweepAt time.Duration
+}
+
+// New returns an empty Repeats that reads the time from now.
+func New(now func() time.Duration) *Repeats {
+	return &Repeats{now: now, until: map[string]time.Duration{}}
+}
+
+// sweepInterval is the interval at which expired runs are removed.
+const sweepInterval = time.Second
+
+// Add records a repeat that begins to run and ends at its deadline at the latest. An instance may go on with it after
+// its connection has been closed.
+func (r *Repeats) Add(requestID string, deadline time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if now := r.now(); now >= r.sweepAt || len(r.until) >= maxRuns {
+		r.removeExpired(now)
+	}
+	if len(r.until) < maxRuns {
+		r.until[requestID] = max(r.until[requestID], deadline)
+	}
+}
+
+// removeExpired removes the runs whose deadline has passed. The mutex is held.
+func (r *Repeats) removeExpired(now time.Duration) {
+	r.sweepAt = now + sweepInterval
+	for id, until := range r.until {
+		if until <= now {
+			delete(r.until, id)
+		}
+	}
+}
+
+// HasCall reports whether a request is a call of one of the runs.
+func (r *Repeats) HasCall(requestID string) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for parent := requestID; ; {
+		at := strings.LastIndex(parent, separator)
+		if at <= 0 {
+			return false
+		}
+		parent = parent[:at]
+		if r.until[parent] > r.now() {
+			return true
+		}
+	}
+}
--- a/ingress/proxyrequest.go
+++ b/ingress/proxyrequest.go
@@ -42,6 +42,7 @@
 	isHead         bool
 	priority       int
 	rejectedBefore bool
+	isRepeat       bool
 	target         time.Duration
 	deadline       time.Duration
 	// routerStopsAt is when the router that sent the request stops; 0 if unknown.
@@ -227,6 +228,7 @@
 	p.keyed = p.epoch > 0
 	p.priority = int(numbers.signed(wire.HeaderPriority))
 	p.rejectedBefore = len(header.Peek(wire.HeaderRejectedBefore)) > 0
+	p.isRepeat = len(header.Peek(wire.HeaderRepeat)) > 0
 	p.target = time.Duration(numbers.unsigned(wire.HeaderTarget)) * time.Millisecond
 	p.trial = numbers.unsigned(wire.HeaderTrial)
 	p.deadline = p.arrived + time.Duration(numbers.unsigned(wire.HeaderDeadline))*time.Millisecond
@@ -317,6 +319,9 @@
 		return
 	}
 	i.buildOutgoing(request, p)
+	if p.isRepeat && i.options.OnRepeat != nil {
+		i.options.OnRepeat(p.requestID, p.deadline)
+	}
 	p.sent = clock.Now()
 	result := i.send(p)
 	if result.connectionBroke() && i.instanceRefusesConnections() {
@@ -416,7 +421,7 @@
 // internalHeaders lists the headers that routers add for ingresses.
 var internalHeaders = []string{
 	wire.HeaderAttempt, wire.HeaderService, wire.HeaderShard, wire.HeaderEpoch, wire.HeaderRoute, wire.HeaderRouteVersion,
-	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderRejectedBefore, wire.HeaderRepeatable, wire.HeaderDeadline, wire.HeaderTrial, wire.HeaderStopsIn,
+	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderRejectedBefore, wire.HeaderRepeatable, wire.HeaderDeadline, wire.HeaderTrial, wire.HeaderRepeat, wire.HeaderStopsIn,
 }
 
 // respond sends the instance's response to the router. If the body was read completely, the slot is
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -110,6 +110,9 @@
 	out.Header.Set(wire.HeaderAttempt, attemptID)
 	out.Header.Set(wire.HeaderDeadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
 	out.Header.Set(wire.HeaderEpoch, strconv.FormatUint(request.epoch, 10))
+	if request.isRepeat() {
+		out.Header.Set(wire.HeaderRepeat, strconv.FormatBool(true))
+	}
 	if request.routed != nil {
 		targetRemaining := request.started + request.routed.route.TargetLatency - now
 		out.Header.Set(wire.HeaderTarget, strconv.FormatInt(max(0, targetRemaining.Milliseconds()), 10))
--- a/router/pool.go
+++ b/router/pool.go
@@ -156,6 +156,14 @@
 	return b.budget.Withdraw()
 }
 
+// charge records a repeat that cannot be prevented. It may leave a debt, which is at most what the requests of one
+// window earn, as older repeats no longer count.
+func (b *serviceBudget) charge() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.budget.Charge(b.recent)
+}
+
 // isLimited reports whether all routers together may make a limited number of retries.
 func (b *serviceBudget) isLimited() bool {
 	b.mutex.Lock()
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -45,7 +45,7 @@
 		r.reject(request, r.requestIDOr(request, id), p, rejected)
 		return
 	}
-	p.service.budget.deposit()
+	r.accountRequest(p)
 	r.buildOutbound(request, p)
 	if rejected := p.attachBody(request); rejected.isSet() {
 		r.reject(request, p.displayID, p, rejected)
--- a/router/request.go
+++ b/router/request.go
@@ -56,10 +56,12 @@
 	selfLimited bool
 	// rejectedBefore is set when the caller has sent the request before and was rejected.
 	rejectedBefore bool
-	head           bool
-	shard          uint32
-	epoch          uint64
-	deadline       time.Duration
+	// repeatedCall is set if the request is a call that the run of a repeat makes.
+	repeatedCall bool
+	head         bool
+	shard        uint32
+	epoch        uint64
+	deadline     time.Duration
 	// callerDeadline is when the caller stops waiting, 0 if it does not announce it.
 	callerDeadline time.Duration
 	// viewAge is the age of the router's view when it matched the request. viewWasCurrent is set if the router could
@@ -188,6 +190,7 @@
 		started: now, tracker: upstream.NewTracker(),
 	}
 	p.displayID = r.requestIDOr(request, p.id)
+	p.repeatedCall = r.options.IsRepeatedCall != nil && r.options.IsRepeatedCall(p.displayID)
 	p.viewAge = r.freshness.age(now)
 	// Before the look-up: the table that it misses a route in may be replaced by a newer one right after it.
 	p.viewWasCurrent = r.viewIsCurrent()
--- a/router/retry.go
+++ b/router/retry.go
@@ -9,6 +9,21 @@
 	"limehold/wire"
 )
 
+// accountRequest records a request at the retry budget of its service: it earns a part of a retry, unless the request
+// is itself a repeat.
+func (r *Router) accountRequest(p *proxiedRequest) {
+	if !p.repeatedCall {
+		p.service.budget.deposit()
+		return
+	}
+	p.service.budget.charge()
+	r.metrics.repeatedCalls.WithLabelValues(p.service.name).Inc()
+	r.logger.Info("repeated_call", zap.String("request", p.displayID), zap.String("service", p.service.name), zap.Float64("credit", p.service.budget.credit()))
+}
+
+// isRepeat reports whether the next attempt is a repeat.
+func (p *proxiedRequest) isRepeat() bool { return p.repeatedCall || p.backendAttempts > 0 }
+
 // mayRetry applies the retry rules of docs/design/0004-requests.md. A request that is not
 // repeatable is never retried once it may have run. Before any other retry, mayRetry counts the attempt
 // if it reached a backend, and charges the retry budget if the retry is a repeat. Where routers share no limit of
--- a/router/router.go
+++ b/router/router.go
@@ -47,6 +47,9 @@
 	ExpectRouteTable bool
 	// CallLeader calls the leader of control. If nil, the router calls it by way of the member that it follows.
 	CallLeader func(ctx context.Context, kind wire.Kind, request, reply any) error
+	// IsRepeatedCall reports whether a request, given by its ID, is a call that the instance on this machine makes while
+	// it runs a repeat. If nil, the router takes no request for one.
+	IsRepeatedCall func(requestID string) bool
 	// DisableAdmin is set if the process has its own listener for operators.
 	DisableAdmin bool
 	// OnBodySent, if not nil, is called with the size of each body that is sent over the machine's
@@ -110,6 +113,7 @@
 	retries            prometheus.Counter
 	budgetEmpty        prometheus.Counter
 	repeats            *prometheus.CounterVec
+	repeatedCalls      *prometheus.CounterVec
 	truncatedResponses prometheus.Counter
 	latency            prometheus.Histogram
 	confirmTime        prometheus.Histogram
@@ -216,6 +220,7 @@
 		retries:            registry.Counter("router", "retries_total", "Attempts after the first of a request."),
 		budgetEmpty:        registry.Counter("router", "retry_budget_empty_total", "Retries that were not made because the budget was spent."),
 		repeats:            registry.CounterVec("router", "repeats_total", "Arrivals at instances beyond the first of their request, by service and whether the retry budget was charged with them.", "service", "charged"),
+		repeatedCalls:      registry.CounterVec("router", "repeated_calls_total", "Calls that the instance on this machine made while it ran a repeat, by the service that it called. The retry budget is charged with each.", "service"),
 		truncatedResponses: registry.Counter("router", "cut_answers_total", "Answers that a back end broke off after their head had been passed on."),
 		latency: registry.Histogram("router", "answer_seconds", "Time from a request's arrival to the head of its answer.",
 			[]float64{.0005, .001, .002, .005, .01, .015, .025, .05, .1, .25, .5, 1, 2.5, 5}),
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -20,6 +20,8 @@
 	"limehold/accept"
 	"limehold/adminserver"
 	"limehold/agent"
+	"limehold/callchain"
+	"limehold/clock"
 	"limehold/ingress"
 	"limehold/logging"
 	"limehold/metrics"
@@ -65,19 +67,22 @@
 func New(options Options) (*Process, error) {
 	config := options.Settings
 	p := &Process{options: options, logger: options.Logger}
+	repeats := callchain.New(clock.Now)
 	var err error
 	if p.router, err = router.New(router.Options{
 		Settings: config, Logger: options.Logger, Metrics: options.Metrics, TLS: options.TLS,
 		CallLeader: func(ctx context.Context, kind wire.Kind, request, reply any) error {
 			return p.agent.CallLeader(ctx, kind, request, reply)
 		},
-		LocalService: config.Agent.Pool, ExpectRouteTable: true, DisableAdmin: true, OnBodySent: func(bytes int) { p.ingress.RecordSent(bytes) },
+		IsRepeatedCall: repeats.HasCall,
+		LocalService:   config.Agent.Pool, ExpectRouteTable: true, DisableAdmin: true, OnBodySent: func(bytes int) { p.ingress.RecordSent(bytes) },
 	}); err != nil {
 		return nil, err
 	}
 	if p.ingress, err = ingress.New(ingress.Options{
 		Settings: config, Logger: options.Logger, Metrics: options.Metrics, Keys: options.Keys, Service: p.router.RouteTableService,
 		CrashReports: p.router.CrashReports(),
+		OnRepeat:     repeats.Add,
 		RelayTo:      p.router.IsControlAddress,
 		RoutesTo:     p.router.RoutesTo,
 		ZoneDraining: func() (bool, time.Duration) { return p.router.ZoneDraining(config.Zone) },
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -46,6 +46,9 @@
 	HeaderRejectedBefore = "Limehold-Returning"
 	// HeaderRepeatable is "true" on requests that may run more than once.
 	HeaderRepeatable = "Limehold-Repeatable"
+	// HeaderRepeat is "true" on an attempt that is a repeat: an earlier attempt of the request has reached a back end, or
+	// the request is a call that the run of a repeat makes.
+	HeaderRepeat = "Limehold-Repeat"
 	// HeaderTrial is the number of the trial as which a quarantined request may run.
 	HeaderTrial = "Limehold-Trial"
 	// HeaderTimeout is set by callers that want less than the route's timeout.
