router: a request that is matched anew earns a part of a retry once

What callers saw: nothing yet.

Evidence: TestRematchedRequestEarnsOnce, with budgets of 100 percent: 2 retries earned before, 1 now.

--- a/router/rematch_test.go
+++ b/router/rematch_test.go
@@ -111,6 +111,19 @@
 	return router
 }
 
+// Guards against a request that earns a part of a retry at each service that it is matched to.
+func TestRematchedRequestEarnsOnce(t *testing.T) {
+	is := is.New(t)
+	router := startRematchRouter(t, &rematchBackends{first: outcomeRefused}, routing.KindSafe, routing.KindSafe)
+	credit := func() float64 {
+		return router.table.services["former"].budget.credit() + router.table.services["new"].budget.credit()
+	}
+	before := credit()
+	status, _ := askRouter(t, router)
+	is.Equal(status, http.StatusOK)
+	is.Equal(credit()-before, 1.0) // the budgets of the test are of 100 percent
+}
+
 // Guards against a second run of a request that may have run and is then matched to a route which does not allow
 // that.
 func TestRematchedRequestRunsOnceUnlessBothRoutesAllowMore(t *testing.T) {
--- a/router/supersede.go
+++ b/router/supersede.go
@@ -88,7 +88,6 @@
 	if rejected := r.assign(request, p, found, ""); rejected.isSet() {
 		return rejected
 	}
-	p.service.budget.deposit()
 	r.setMatchHeaders(request, p)
 	return rejection{}
 }
