--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -75,6 +75,7 @@
 	disconnects  *disconnect.Watcher
 	crashReports *crashreport.Exchange
 	isolation    *isolation
+	firstAnswers firstAnswers
 	stopping     atomic.Bool
 	// tunnels counts the connections that are being relayed.
 	tunnels  atomic.Int64
