ingress: keep to the limit that the instance names in its answers

Cause: nothing read the field; rates did not change at the moment it was named, at any machine, and nothing was rejected (the first hypothesis; the two others predict a fall). Class: what an instance says in its answers reaches only the process that passes them on.

Why this works: every request reaches the instance through the ingress beside it, whose gate now paces them. Routers learn when the next place is free instead of a longer run time: with a first version that reported the time that a slot takes at the limit (0.4 s), the instance got nothing any more as long as others had room, and so could not say that its limit had ended.

The throttle of log lines is a type of its own; the test of the rejections' lines names its fields anew and checks the same.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -214,6 +214,8 @@
 		"one is four times slower":         {usual, with(func(l *Load) { l.RunTime *= 4 }), nil, 0, 0, 20},
 		"one has refused the request":      {usual, with(func(l *Load) { l.RunTime /= 4 }), []InstanceID{2}, 0, 0, 0},
 		"both have refused it":             {with(func(l *Load) { l.RunTime *= 8 }), usual, []InstanceID{1, 2}, 0, 80, 100},
+		"the limit of one is used up":      {usual, with(func(l *Load) { l.FreeAt = time.Second }), nil, 0, 0, 0},
+		"the limit of one was used up":     {with(func(l *Load) { l.RunTime *= 8 }), with(func(l *Load) { l.FreeAt = 0 }), nil, 0, 80, 100},
 		"one lets nothing through":         {usual, with(func(l *Load) { l.RunTime /= 4 }), nil, 2, 0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/admission/choose.go
+++ b/admission/choose.go
@@ -119,6 +119,7 @@
 	if inst.load.Slots == 0 {
 		runTime = meanRunTime
 	}
+	runTime += float64(max(0, inst.load.FreeAt-now)) / float64(time.Millisecond)
 	if age := now - inst.warmupStart; g.options.SlowStart > 0 && age < g.options.SlowStart {
 		runTime *= 2
 	}
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -131,6 +131,8 @@
 	// occupied by large request bodies.
 	LinkBusy    time.Duration
 	InboundBusy time.Duration
+	// FreeAt is when the instance takes the next request, if it limits the rate of requests, on the gate's clock.
+	FreeAt time.Duration
 }
 
 // SetLoad stores the newest load report of a self-limited instance.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -151,6 +151,7 @@
 		}
 		return 0
 	})
+	registry.Gauge("ingress", "named_limit", "Requests a second that the instance says that it takes from all callers together; 0: it names no limit.", i.gate.namedLimit)
 	registry.Gauge("ingress", "link_backlog_seconds", "For how long the link is taken by answers that wait for it and by those expected.", func() float64 {
 		return i.link.load(clock.Now()).Seconds()
 	})
--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -100,6 +100,11 @@
 	crashCount *prometheus.CounterVec
 	success    success
 	rejections rejections
+	// reports is what the current incarnation has said of itself in its answers, unreadable counts what it has said
+	// and could not be read.
+	reports                     selfReports
+	unreadable                  *prometheus.CounterVec
+	limitLines, unreadableLines logThrottle
 	// zoneChangeSeen is the time of the newest change of the zone that has been processed.
 	zoneChangeSeen time.Duration
 }
@@ -138,6 +143,7 @@
 		checkRequests: make(chan struct{}, 1), rejections: newRejections(options.Metrics),
 	}
 	i.crashCount = options.Metrics.CounterVec("ingress", "instance_ends_total", "Instances that ended without having said that they would, by how it showed.", "cause")
+	i.unreadable = options.Metrics.CounterVec("ingress", "answer_fields_unreadable_total", "Header fields of the instance's answers that were ignored because they could not be read, by field.", "field")
 	i.keys = newKeyHolder(options)
 	i.probe = newColdProbe(i)
 	i.predecessorProof = newPredecessorProof(i)
@@ -231,6 +237,8 @@
 	i.probe.markUncertain("new incarnation")
 	i.slowdown.reset()
 	i.success.reset()
+	i.setLimit(0, i.firstAnnounced)
+	i.reports = selfReports{}
 	i.gate.resize(i.usableSlots(announced.Slots))
 	i.logger.Info("instance_started", zap.String("instance", announced.ID), zap.Stringer("before", before.From()),
 		zap.String("service", announced.Service), zap.Int("slots", announced.Slots), zap.String("version", announced.Version), zap.Uint64("sequence", announced.Sequence), zap.Int64("born", announced.StartedAt))
--- a/ingress/instance_test.go
+++ b/ingress/instance_test.go
@@ -260,7 +260,7 @@
 	is.Equal(line.ContextMap()["field"], "slots")
 	is.True(len(line.ContextMap()["value"].(string)) < 100)
 	is.True(len(line.ContextMap()["instance"].(string)) < 100)
-	i.rejections.loggedAt -= rejectionLogInterval
+	i.rejections.lines.loggedAt -= logInterval
 	i.RecordRejected("i-1", NewRejectedError("slots", "-1", "use a whole number"))
 	is.Equal(lines.Len(), 2)
 	is.Equal(lines.All()[1].ContextMap()["left_out"], int64(99))
--- a/ingress/proxyrequest.go
+++ b/ingress/proxyrequest.go
@@ -497,7 +497,7 @@
 	if line := i.logger.Check(zap.InfoLevel, "attempt_refused"); line != nil {
 		load := i.gate.load()
 		line.Write(zap.String("request", p.requestID), zap.String("attempt", p.attemptID), zap.String("reason", reason),
-			zap.String("instance", p.instance.id), zap.Int("running", load.running), zap.Int("waiting", load.waiting), zap.Int("slots", load.slots),
+			zap.String("instance", p.instance.id), zap.Int("running", load.running), zap.Int("waiting", load.waiting), zap.Int("slots", load.slots), zap.Float64("limit", i.gate.namedLimit()),
 			zap.Bool("returning", p.rejectedBefore), zap.String("route", p.route), zap.Uint64("version", p.version), zap.Duration("target", p.target), zap.Uint32("shard", p.shard), zap.Uint64("epoch", p.epoch), zap.Duration("waited", clock.Now()-p.arrived))
 	}
 	if retryAfter > 0 {
@@ -513,7 +513,7 @@
 	load := i.gate.load()
 	text := strconv.AppendInt(nil, int64(load.running), 10)
 	successPermille := int64(i.instance.success.share(clock.Now()) * permille)
-	for _, number := range []int64{int64(load.waiting), int64(load.slots), load.runTime.Milliseconds(), successPermille, i.link.load(clock.Now()).Milliseconds(), i.inbound.load().Milliseconds()} {
+	for _, number := range []int64{int64(load.waiting), int64(load.slots), load.runTime.Milliseconds(), successPermille, i.link.load(clock.Now()).Milliseconds(), i.inbound.load().Milliseconds(), load.limitWait.Milliseconds()} {
 		text = append(text, ',')
 		text = strconv.AppendInt(text, number, 10)
 	}
--- a/ingress/refusals.go
+++ b/ingress/refusals.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/netip"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -73,17 +72,9 @@
 // rejections counts the rejected announcements and limits the rate at which they are logged.
 type rejections struct {
 	byField *prometheus.CounterVec
-	mutex   sync.Mutex
-	// loggedAt is when a line was last logged, and suppressed how many have been suppressed since.
-	loggedAt   time.Duration
-	hasLogged  bool
-	suppressed int
+	lines   logThrottle
 }
 
-// rejectionLogInterval is the shortest interval between two log lines: an instance with a wrong
-// configuration keeps sending such announcements.
-const rejectionLogInterval = time.Second
-
 func newRejections(registry *metrics.Registry) rejections {
 	return rejections{byField: registry.CounterVec("ingress", "heartbeats_refused_total", "Heartbeats that name no instance to use, by the field that was wrong.", "field")}
 }
@@ -92,15 +83,7 @@
 // lines have been suppressed before it.
 func (r *rejections) record(field string, now time.Duration) (suppressed int, due bool) {
 	r.byField.WithLabelValues(field).Inc()
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if r.hasLogged && now-r.loggedAt < rejectionLogInterval {
-		r.suppressed++
-		return 0, false
-	}
-	suppressed = r.suppressed
-	r.loggedAt, r.hasLogged, r.suppressed = now, true, 0
-	return suppressed, true
+	return r.lines.allow(now)
 }
 
 // RecordRejected counts and logs a rejected announcement that names an instance ID.
--- /dev/null
+++ b/ingress/selfreport.go
@@ -0,0 +1,100 @@
+package ingress
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"limehold/clock"
+	"limehold/incarnation"
+	"limehold/settings"
+)
+
+// selfReport is what an instance says of itself in the header of an answer.
+type selfReport struct {
+	// limit is the number of requests a second that the instance takes from all callers together; 0 if it names none.
+	limit float64
+	// limitUnreadable is set if the instance names a limit that is no number.
+	limitUnreadable bool
+}
+
+// minLimit is the lowest limit in requests a second that is kept to. An instance without any requests could never say
+// that it takes some again.
+const minLimit = 0.25
+
+// parseSelfReport parses the header fields of an answer. With an error the rest of the report is valid.
+func parseSelfReport(names settings.Headers, header *fasthttp.ResponseHeader) (selfReport, *RejectedError) {
+	var report selfReport
+	if names.Limit == "" {
+		return report, nil
+	}
+	var rejected *RejectedError
+	for _, value := range header.PeekAll(names.Limit) {
+		limit, err := strconv.ParseFloat(string(value), 64)
+		if err != nil || math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0 {
+			report.limitUnreadable = true
+			rejected = NewRejectedError(names.Limit, string(value), "use a decimal number of requests a second, 0 or more")
+			continue
+		}
+		limit = max(limit, minLimit)
+		if report.limit == 0 || limit < report.limit {
+			report.limit = limit
+		}
+	}
+	return report, rejected
+}
+
+// selfReports is what the current incarnation has said of itself so far.
+type selfReports struct {
+	limit float64
+	// limitAt is when an answer last named the limit.
+	limitAt time.Duration
+}
+
+// observeAnswer records what an answer of an incarnation says of the instance. sent is when its request was sent.
+func (i *Instance) observeAnswer(from incarnation.ID, header *fasthttp.ResponseHeader, sent time.Duration) {
+	report, rejected := parseSelfReport(i.options.Settings.Headers, header)
+	if rejected != nil {
+		i.recordUnreadable(from, rejected)
+	}
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if from != i.current.From() {
+		return
+	}
+	now := clock.Now()
+	switch {
+	case report.limit > 0:
+		i.reports.limitAt = now
+		i.setLimit(report.limit, now)
+	case report.limitUnreadable:
+	case sent > i.reports.limitAt:
+		// The answer to a request that was sent earlier may be older than the limit.
+		i.setLimit(0, now)
+	}
+}
+
+// setLimit sets the request rate that the instance takes; 0 stands for any. The mutex is held.
+func (i *Instance) setLimit(perSecond float64, now time.Duration) {
+	before := i.reports.limit
+	if perSecond == before {
+		return
+	}
+	i.reports.limit = perSecond
+	i.gate.setLimit(perSecond, now)
+	if leftOut, due := i.limitLines.allow(now); due {
+		i.logger.Info("instance_limit", zap.Stringer("instance", i.current.From()), zap.Float64("per_second", perSecond), zap.Float64("before", before), zap.Int("left_out", leftOut))
+	}
+}
+
+// recordUnreadable counts and logs a header field of an answer that is ignored.
+func (i *Instance) recordUnreadable(from incarnation.ID, rejected *RejectedError) {
+	i.unreadable.WithLabelValues(rejected.Field).Inc()
+	if leftOut, due := i.unreadableLines.allow(clock.Now()); due {
+		i.logger.Warn("instance_says_unreadable", zap.Stringer("instance", from), zap.String("field", rejected.Field),
+			zap.String("value", rejected.Value), zap.String("next", rejected.Fix), zap.Int("left_out", leftOut))
+	}
+}
--- a/ingress/slotgate.go
+++ b/ingress/slotgate.go
@@ -14,7 +14,7 @@
 // Invariants:
 //   - running never exceeds slots, except right after slots was lowered.
 //   - A waiting request is admitted at most once.
-//   - The request rate of a cold instance is limited; see coldStart.
+//   - The request rate is limited; see coldStart and rateLimit.
 //   - Waiting requests are admitted by priority; then by the step of their route's run time, the
 //     shortest first, as calls from other instances, which hold slots there, are much shorter than
 //     the requests of callers; then those sent for the first time before those that return after
@@ -34,10 +34,11 @@
 	// byRoute holds the run time and the occupied share of the slots for each route.
 	byRoute map[string]*routeLoad
 
-	cold coldStart
-	// coldTimer admits waiting requests once a cold instance sustains another one; nil if no
+	cold  coldStart
+	limit rateLimit
+	// rateTimer admits waiting requests once a cold or limited instance takes another one; nil if no
 	// request waits for that.
-	coldTimer *clock.Timer
+	rateTimer *clock.Timer
 }
 
 // waiter is a request that waits for a slot.
@@ -108,16 +109,22 @@
 type gateLoad struct {
 	running, waiting, slots int
 	runTime                 time.Duration
+	// limitWait is how long it takes until the instance's limit allows another request, after those that wait.
+	limitWait time.Duration
 }
 
 func (g *slotGate) load() gateLoad {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return gateLoad{g.running, len(g.waiting), g.slots, g.slotTime(clock.Now())}
+	now := clock.Now()
+	return gateLoad{
+		running: g.running, waiting: len(g.waiting), slots: g.slots, runTime: max(g.runTime, time.Duration(g.slots)*g.cold.interval(now)),
+		limitWait: g.limit.wait(now) + time.Duration(len(g.waiting))*g.limit.interval(),
+	}
 }
 
 // capacity returns the share of its usual load that the instance can handle now; it is less than
-// 1 while the instance is cold.
+// 1 while the instance is cold or names a limit.
 func (g *slotGate) capacity() float64 {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -132,6 +139,21 @@
 	g.admitNext()
 }
 
+// setLimit sets the request rate that the instance takes, in requests a second; 0 removes the limit.
+func (g *slotGate) setLimit(perSecond float64, now time.Duration) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.limit.set(perSecond, now)
+	g.admitNext()
+}
+
+// namedLimit returns the request rate that the instance takes, in requests a second; 0 if there is no limit.
+func (g *slotGate) namedLimit() float64 {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.limit.perSecond
+}
+
 // coldLimit returns the request rate per second of a cold instance; 0 if it is not limited.
 func (g *slotGate) coldLimit() int {
 	g.mutex.Lock()
@@ -204,7 +226,7 @@
 	if g.closed {
 		return nil, 0, decisionClosed
 	}
-	if now := clock.Now(); g.running < g.slots && len(g.waiting) == 0 && g.cold.wait(now) == 0 {
+	if now := clock.Now(); g.running < g.slots && len(g.waiting) == 0 && g.rateWait(now) == 0 {
 		g.admit(now)
 		return nil, 0, decisionAdmitted
 	}
@@ -279,14 +301,15 @@
 func (g *slotGate) admit(now time.Duration) {
 	g.running++
 	g.cold.record(now)
+	g.limit.record(now)
 }
 
-// admitNext admits the waiting requests that may run now. If the limit of a cold instance does not allow
-// the next one yet, a timer admits it later. The mutex is held.
+// admitNext admits the waiting requests that may run now. If the request rate does not allow the next one
+// yet, a timer admits it later. The mutex is held.
 func (g *slotGate) admitNext() {
 	now := clock.Now()
 	for g.running < g.slots && len(g.waiting) > 0 {
-		if wait := g.cold.wait(now); wait > 0 {
+		if wait := g.rateWait(now); wait > 0 {
 			g.scheduleAdmission(wait)
 			return
 		}
@@ -300,13 +323,13 @@
 
 // scheduleAdmission schedules admitNext, unless that is already scheduled.
 func (g *slotGate) scheduleAdmission(wait time.Duration) {
-	if g.coldTimer != nil {
+	if g.rateTimer != nil {
 		return
 	}
-	g.coldTimer = clock.AfterFunc(wait, func() {
+	g.rateTimer = clock.AfterFunc(wait, func() {
 		g.mutex.Lock()
 		defer g.mutex.Unlock()
-		g.coldTimer = nil
+		g.rateTimer = nil
 		g.admitNext()
 	})
 }
--- a/ingress/waits.go
+++ b/ingress/waits.go
@@ -32,10 +32,22 @@
 	u.counted = 0
 }
 
-// slotTime returns for how long a request occupies a slot. It is longer for a cold instance, which
-// sustains fewer requests than its slots could run.
+// slotTime returns for how long a request occupies a slot. It is longer for an instance that takes
+// fewer requests than its slots could run.
 func (g *slotGate) slotTime(now time.Duration) time.Duration {
-	return max(g.runTime, time.Duration(g.slots)*g.cold.interval(now))
+	return max(g.runTime, g.minSlotTime(now))
+}
+
+// minSlotTime returns how long a request occupies a slot at least, however short it is, because the
+// request rate is limited.
+func (g *slotGate) minSlotTime(now time.Duration) time.Duration {
+	return time.Duration(g.slots) * max(g.cold.interval(now), g.limit.interval())
+}
+
+// rateWait returns how long it takes until the request rate allows another request; 0 if it allows one
+// now.
+func (g *slotGate) rateWait(now time.Duration) time.Duration {
+	return max(g.cold.wait(now), g.limit.wait(now))
 }
 
 // maxWaitLocked returns how long a request may wait for a slot: as long as it can still be served
@@ -116,8 +128,7 @@
 		return time.Hour
 	}
 	now := clock.Now()
-	// A cold instance sustains a fixed request rate, however short the requests are.
-	minRunTime := time.Duration(g.slots) * g.cold.interval(now)
+	minRunTime := g.minSlotTime(now)
 	ahead := g.slotTime(now)
 	for _, other := range g.waiting {
 		if other.rank.before(place) {
@@ -125,7 +136,7 @@
 		}
 	}
 	wait := float64(ahead) / float64(g.slots)
-	return max(time.Duration(wait/(1-g.occupiedBefore(place))), g.cold.wait(now))
+	return max(time.Duration(wait/(1-g.occupiedBefore(place))), g.rateWait(now))
 }
 
 // occupiedBefore returns the share of the slots for requests that arrive later and are nevertheless
@@ -169,7 +180,7 @@
 		return time.Second
 	}
 	now := clock.Now()
-	return max(g.cold.wait(now), time.Duration(len(g.waiting)+1)*g.slotTime(now)/time.Duration(g.slots))
+	return max(g.rateWait(now), time.Duration(len(g.waiting)+1)*g.slotTime(now)/time.Duration(g.slots))
 }
 
 func (g *slotGate) recordRun(route string, rejectedBefore bool, ran time.Duration) {
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -178,7 +178,7 @@
 		fail(reasonCrossedAnswer, eris.Errorf("response from %s is for attempt %q, want %q", conn.Address, response.Header.Peek(wire.HeaderAttempt), attemptID))
 		return
 	}
-	result.load = parseLoad(response.Header.Peek(wire.HeaderLoad))
+	result.load = parseLoad(response.Header.Peek(wire.HeaderLoad), clock.Now())
 	switch string(response.Header.Peek(wire.HeaderOutcome)) {
 	case wire.OutcomeUnknown:
 		// The ingress forwarded the request and received no usable response.
@@ -219,10 +219,10 @@
 }
 
 // parseLoad parses the load that an ingress reports in wire.HeaderLoad. It returns
-// the zero Load if the text is missing or malformed.
-func parseLoad(text []byte) admission.Load {
+// the zero Load if the text is missing or malformed. Ingresses of earlier versions report fewer parts.
+func parseLoad(text []byte, now time.Duration) admission.Load {
 	parts := strings.Split(string(text), ",")
-	if len(parts) != loadParts {
+	if len(parts) < minLoadParts || len(parts) > loadParts {
 		return admission.Load{}
 	}
 	var numbers [loadParts]int
@@ -237,14 +237,16 @@
 		Running: numbers[0], QueueLen: numbers[1], Slots: numbers[2],
 		RunTime: time.Duration(numbers[3]) * time.Millisecond, SuccessShare: float64(numbers[4]) / permille,
 		LinkBusy: time.Duration(numbers[5]) * time.Millisecond, InboundBusy: time.Duration(numbers[6]) * time.Millisecond,
+		FreeAt: now + time.Duration(numbers[7])*time.Millisecond,
 	}
 }
 
-// loadParts is the number of values in wire.HeaderLoad. permille converts its share of successful
-// runs, which is in thousandths.
+// loadParts is the number of values in wire.HeaderLoad, the last of which may be missing. permille converts its
+// share of successful runs, which is in thousandths.
 const (
-	loadParts = 7
-	permille  = 1000
+	loadParts    = 8
+	minLoadParts = 7
+	permille     = 1000
 )
 
 // identityLength is the content length that fasthttp reports for a response that
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -292,6 +292,9 @@
 	NotRun string `yaml:"not_run"`
 	// Load carries the load of an instance: running, waiting, slots.
 	Load string `yaml:"load"`
+	// Limit carries how many requests a second an instance takes from all callers together, for as long as its answers
+	// carry the field. If empty, instances do not send it.
+	Limit string `yaml:"limit"`
 	// Identity carries, in answers of an instance's health path, the identity of the
 	// answering instance. If empty, instances do not send it.
 	Identity string `yaml:"identity"`
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -29,7 +29,8 @@
 	HeaderFromIngress = "Limehold-In-Front"
 	// HeaderLoad on an ingress's answer reports its load: running requests, queued
 	// requests, slots, the smoothed run time in milliseconds, successful runs per
-	// thousand, and for how many milliseconds its link is occupied by responses and by request bodies.
+	// thousand, for how many milliseconds its link is occupied by responses and by request bodies, and in how
+	// many milliseconds the limit that the instance names allows another request.
 	HeaderLoad = "Limehold-Load"
 	// HeaderRoute, HeaderPriority and HeaderTarget send the ingress the route, its priority
 	// (0 is the highest) and the remainder of its target latency in milliseconds.
