ingress: an instance that says in its answers that it leaves is draining

Cause: nothing read the field; only announcements told that an instance leaves.

Why this works: the answer begins the drain time at the ingress, through which all requests pass; control, the routers and the keys follow as with an announcement. An announcement of the same incarnation that says otherwise may be older and does not take it back.

--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -250,7 +250,7 @@
 	case announced.Draining && i.drainingSince == 0:
 		i.drainingSince = now
 		i.logger.Info("instance_draining", zap.Stringer("instance", announced.From()), zap.Uint64("sequence", announced.Sequence))
-	case !announced.Draining && i.drainingSince != 0:
+	case !announced.Draining && i.drainingSince != 0 && !i.reports.leaving:
 		i.drainingSince = 0
 		i.logger.Info("instance_resumed", zap.Stringer("instance", announced.From()), zap.Uint64("sequence", announced.Sequence))
 	}
--- a/ingress/selfreport.go
+++ b/ingress/selfreport.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"fmt"
 	"math"
 	"strconv"
 	"time"
@@ -19,19 +20,24 @@
 	limit float64
 	// limitUnreadable is set if the instance names a limit that is no number.
 	limitUnreadable bool
+	// leaving is set if the instance is about to end.
+	leaving bool
 }
 
 // minLimit is the lowest limit in requests a second that is kept to. An instance without any requests could never say
 // that it takes some again.
 const minLimit = 0.25
 
+// leavingValue is the only value of the field by which an instance says that it is about to end.
+const leavingValue = "1"
+
 // parseSelfReport parses the header fields of an answer. With an error the rest of the report is valid.
 func parseSelfReport(names settings.Headers, header *fasthttp.ResponseHeader) (selfReport, *RejectedError) {
 	var report selfReport
+	rejected := report.parseLeaving(names.Leaving, header)
 	if names.Limit == "" {
-		return report, nil
+		return report, rejected
 	}
-	var rejected *RejectedError
 	for _, value := range header.PeekAll(names.Limit) {
 		limit, err := strconv.ParseFloat(string(value), 64)
 		if err != nil || math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0 {
@@ -47,11 +53,27 @@
 	return report, rejected
 }
 
+// parseLeaving parses the field by which an instance says that it is about to end.
+func (r *selfReport) parseLeaving(name string, header *fasthttp.ResponseHeader) *RejectedError {
+	if name == "" {
+		return nil
+	}
+	value := string(header.Peek(name))
+	r.leaving = value == leavingValue
+	if value != "" && !r.leaving {
+		return NewRejectedError(name, value, fmt.Sprintf("use %q, or leave the field out", leavingValue))
+	}
+	return nil
+}
+
 // selfReports is what the current incarnation has said of itself so far.
 type selfReports struct {
 	limit float64
 	// limitAt is when an answer last named the limit.
 	limitAt time.Duration
+	// leaving is set once an answer has said that the instance is about to end. It stays set: an announcement may be
+	// older, and no request may reach an instance that has said so once its drain time is over.
+	leaving bool
 }
 
 // observeAnswer records what an answer of an incarnation says of the instance. sent is when its request was sent.
@@ -66,6 +88,9 @@
 		return
 	}
 	now := clock.Now()
+	if report.leaving {
+		i.setLeaving(now, 0)
+	}
 	switch {
 	case report.limit > 0:
 		i.reports.limitAt = now
@@ -77,6 +102,18 @@
 	}
 }
 
+// setLeaving records that the instance has been about to end for a while. The mutex is held.
+func (i *Instance) setLeaving(now, since time.Duration) {
+	if i.reports.leaving {
+		return
+	}
+	i.reports.leaving = true
+	if begin := now - since; i.drainingSince == 0 || begin < i.drainingSince {
+		i.drainingSince = begin
+	}
+	i.logger.Info("instance_draining", zap.Stringer("instance", i.current.From()), zap.String("source", "answer"), zap.Duration("since", since))
+}
+
 // setLimit sets the request rate that the instance takes; 0 stands for any. The mutex is held.
 func (i *Instance) setLimit(perSecond float64, now time.Duration) {
 	before := i.reports.limit
--- a/ingress/selfreport_test.go
+++ b/ingress/selfreport_test.go
@@ -11,10 +11,12 @@
 	"limehold/clock"
 	"limehold/incarnation"
 	"limehold/settings"
+	"limehold/wire"
 )
 
 const (
-	testLimitHeader = "Server-Limit"
+	testLimitHeader   = "Server-Limit"
+	testLeavingHeader = "Server-Leaving"
 )
 
 func TestParseSelfReport(t *testing.T) {
@@ -55,11 +57,64 @@
 	}
 }
 
+func TestParseLeaving(t *testing.T) {
+	for value, c := range map[string]struct{ leaving, unreadable bool }{
+		"1":    {true, false},
+		"":     {false, false},
+		"0":    {false, true},
+		"true": {false, true},
+		"1, 1": {false, true},
+	} {
+		t.Run(value, func(t *testing.T) {
+			report, rejected := parseSelfReport(settings.Headers{Leaving: testLeavingHeader}, answerOf(testLeavingHeader, value))
+			if report.leaving != c.leaving || (rejected != nil) != c.unreadable {
+				t.Errorf("%q is read as leaving %t with %v, want %t and an error %t", value, report.leaving, rejected, c.leaving, c.unreadable)
+			}
+		})
+	}
+}
+
+// Guards against requests to an instance that has said that it leaves, because an announcement or an
+// answer says something else.
+func TestWhatTakesALeavingInstanceBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		then func(i *Instance, from incarnation.ID)
+		want bool
+	}{
+		"nothing": {func(*Instance, incarnation.ID) {}, true},
+		"an announcement that it is ready": {func(i *Instance, _ incarnation.ID) {
+			i.Announce(announcementOf("i-1", 1, 2))
+		}, true},
+		"an answer that does not say so": {func(i *Instance, from incarnation.ID) {
+			i.observeAnswer(from, answerOf(), clock.Now()+time.Second)
+		}, true},
+		"another incarnation": {func(i *Instance, _ incarnation.ID) {
+			i.Announce(announcementOf("i-2", 2, 1))
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i, from, _ := newReportingInstance(t)
+			i.observeAnswer(from, answerOf(testLeavingHeader, "1"), 0)
+			c.then(i, from)
+			i.mutex.Lock()
+			draining := i.drainingSince != 0
+			i.mutex.Unlock()
+			if draining != c.want {
+				t.Errorf("the instance is draining: %t, want %t", draining, c.want)
+			}
+			rejected := i.state(clock.Now()+i.options.Settings.Ingress.DrainTime).rejectReason == wire.BackendReasonDraining
+			if rejected != c.want {
+				t.Errorf("requests are rejected once the drain time is over: %t, want %t", rejected, c.want)
+			}
+		})
+	}
+}
+
 // newReportingInstance returns an instance whose answers name a limit, and which has announced itself.
 func newReportingInstance(t *testing.T) (*Instance, incarnation.ID, *observer.ObservedLogs) {
 	t.Helper()
 	i := newHeartbeatInstance(t, 0)
-	i.options.Settings.Headers.Limit = testLimitHeader
+	i.options.Settings.Headers.Limit, i.options.Settings.Headers.Leaving = testLimitHeader, testLeavingHeader
 	core, lines := observer.New(zap.InfoLevel)
 	i.logger = zap.New(core)
 	i.Announce(announcementOf("i-1", 1, 1))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -295,6 +295,8 @@
 	// Limit carries how many requests a second an instance takes from all callers together, for as long as its answers
 	// carry the field. If empty, instances do not send it.
 	Limit string `yaml:"limit"`
+	// Leaving is "1" in the answers of an instance that is about to end. If empty, instances do not send it.
+	Leaving string `yaml:"leaving"`
 	// Identity carries, in answers of an instance's health path, the identity of the
 	// answering instance. If empty, instances do not send it.
 	Identity string `yaml:"identity"`
