router, ingress: what an instance has said survives a restart of its ingress

The restart excuses only requests that begin at the restarted machine.

Cause: what an instance says in its answers was known to one process alone, until that restarts.

Why this works: the answers of the ingress carry what its instance has said, with the incarnation; routers remember it for each node and send it along, so that the first request from any machine that was told tells the ingress before it is passed on. Requests from other machines are bound by nothing. An ingress that has heard its instance itself does not take an older limit from routers.

--- a/ingress/proxyrequest.go
+++ b/ingress/proxyrequest.go
@@ -28,6 +28,9 @@
 	identity quarantine.Identity
 	// trial is the number of the trial as which the request may run; 0 if none.
 	trial uint64
+	// told is what the router has been told of the instance's state, and hasTold whether it has been told anything.
+	told    wire.InstanceState
+	hasTold bool
 	// isolated is set while no other isolated request may run; see isolation.
 	isolated bool
 	// admitted is set while the request holds a slot.
@@ -89,6 +92,9 @@
 		request.Response.Header.Set(wire.HeaderRouteVersion, strconv.FormatUint(inForce, 10))
 		return
 	}
+	if p.hasTold {
+		i.instance.adoptState(p.told)
+	}
 	history, quarantined := i.quarantineStatus(p)
 	if quarantined {
 		i.reject(request, p, wire.BackendReasonQuarantined, 0)
@@ -235,6 +241,7 @@
 	if left := numbers.unsigned(wire.HeaderStopsIn); left > 0 {
 		p.routerStopsAt = p.arrived + time.Duration(left)*time.Millisecond
 	}
+	i.parseInstanceState(p, header)
 	p.identity = crashreport.Identify(&request.Request, names.Caller, names.Tenant)
 	if numbers.err != nil {
 		i.logger.Warn("request_unreadable", append(logging.ErrorFields("read headers", request.RemoteAddr().String(), numbers.err), zap.String("request", p.requestID))...)
@@ -242,6 +249,20 @@
 	return p, numbers.err == nil && p.attemptID != "" && p.service != "" && len(header.Peek(wire.HeaderDeadline)) > 0
 }
 
+// parseInstanceState parses what the router has been told of the instance. The request is served without it.
+func (i *Ingress) parseInstanceState(p *proxyRequest, header *fasthttp.RequestHeader) {
+	text := header.Peek(wire.HeaderInstanceState)
+	if len(text) == 0 {
+		return
+	}
+	state, err := wire.ParseInstanceState(string(text))
+	if err != nil {
+		i.logger.Warn("instance_state_unreadable", append(logging.ErrorFields("read instance state", "router", err), zap.String("request", p.requestID))...)
+		return
+	}
+	p.told, p.hasTold = state, true
+}
+
 // headerNumbers parses numbers in headers and keeps the first error.
 type headerNumbers struct {
 	header *fasthttp.RequestHeader
@@ -421,7 +442,7 @@
 // internalHeaders lists the headers that routers add for ingresses.
 var internalHeaders = []string{
 	wire.HeaderAttempt, wire.HeaderService, wire.HeaderShard, wire.HeaderEpoch, wire.HeaderRoute, wire.HeaderRouteVersion,
-	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderRejectedBefore, wire.HeaderRepeatable, wire.HeaderDeadline, wire.HeaderTrial, wire.HeaderRepeat, wire.HeaderStopsIn,
+	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderRejectedBefore, wire.HeaderRepeatable, wire.HeaderDeadline, wire.HeaderTrial, wire.HeaderRepeat, wire.HeaderInstanceState, wire.HeaderStopsIn,
 }
 
 // respond sends the instance's response to the router. If the body was read completely, the slot is
@@ -434,7 +455,7 @@
 	}
 	response.Header.Set(wire.HeaderAttempt, p.attemptID)
 	response.Header.Set(wire.HeaderOutcome, wire.OutcomeOK)
-	i.setLoadHeader(response)
+	i.setStateHeaders(response)
 	i.outcomes.WithLabelValues(wire.OutcomeOK, "").Inc()
 	ran := clock.Now() - p.sent
 	if result.bodyRead {
@@ -508,8 +529,9 @@
 	}
 }
 
-// setLoadHeader sets the header by which routers choose the least busy instance.
-func (i *Ingress) setLoadHeader(response *fasthttp.Response) {
+// setStateHeaders sets the header by which routers choose the least busy instance, and the one with what the
+// instance has said of itself.
+func (i *Ingress) setStateHeaders(response *fasthttp.Response) {
 	load := i.gate.load()
 	text := strconv.AppendInt(nil, int64(load.running), 10)
 	successPermille := int64(i.instance.success.share(clock.Now()) * permille)
@@ -518,6 +540,9 @@
 		text = strconv.AppendInt(text, number, 10)
 	}
 	response.Header.SetBytesV(wire.HeaderLoad, text)
+	if state := i.instance.reportedState(clock.Now()); state.IsSet() {
+		response.Header.Set(wire.HeaderInstanceState, state.String())
+	}
 }
 
 func (i *Ingress) write(request *fasthttp.RequestCtx, p *proxyRequest, status int, outcome, reason string) {
@@ -527,5 +552,5 @@
 	request.Response.Header.Set(wire.HeaderAttempt, p.attemptID)
 	request.Response.Header.Set(wire.HeaderOutcome, outcome)
 	request.Response.Header.Set(wire.HeaderReason, reason)
-	i.setLoadHeader(&request.Response)
+	i.setStateHeaders(&request.Response)
 }
--- a/ingress/selfreport.go
+++ b/ingress/selfreport.go
@@ -12,6 +12,7 @@
 	"limehold/clock"
 	"limehold/incarnation"
 	"limehold/settings"
+	"limehold/wire"
 )
 
 // selfReport is what an instance says of itself in the header of an answer.
@@ -68,9 +69,11 @@
 
 // selfReports is what the current incarnation has said of itself so far.
 type selfReports struct {
+	// heard is set once this process has received an answer of the incarnation.
+	heard bool
 	limit float64
-	// limitAt is when an answer last named the limit.
-	limitAt time.Duration
+	// answeredAt is when an answer was last received, and limitAt when one last named the limit.
+	answeredAt, limitAt time.Duration
 	// leaving is set once an answer has said that the instance is about to end. It stays set: an announcement may be
 	// older, and no request may reach an instance that has said so once its drain time is over.
 	leaving bool
@@ -88,6 +91,7 @@
 		return
 	}
 	now := clock.Now()
+	i.reports.heard, i.reports.answeredAt = true, now
 	if report.leaving {
 		i.setLeaving(now, 0)
 	}
@@ -102,6 +106,39 @@
 	}
 }
 
+// adoptState adopts what a router was told by an answer of the current incarnation that this process may not have
+// received, as it has restarted since. What it has heard itself of the limit is newer.
+func (i *Instance) adoptState(told wire.InstanceState) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if !i.isKnown || told.Incarnation != i.current.From().String() {
+		return
+	}
+	now := clock.Now()
+	if told.Leaving {
+		i.setLeaving(now, told.LeavingFor)
+	}
+	if !i.reports.heard && told.Limit > 0 && (i.reports.limit == 0 || told.Limit < i.reports.limit) {
+		i.reports.limitAt, i.reports.answeredAt = now, now
+		i.setLimit(told.Limit, now)
+	}
+}
+
+// reportedState returns what the current incarnation has said of itself.
+func (i *Instance) reportedState(now time.Duration) wire.InstanceState {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	state := wire.InstanceState{Limit: i.reports.limit, Leaving: i.reports.leaving}
+	if !state.IsSet() {
+		return state
+	}
+	state.Incarnation = i.current.From().String()
+	if state.Leaving {
+		state.LeavingFor = now - i.drainingSince
+	}
+	return state
+}
+
 // setLeaving records that the instance has been about to end for a while. The mutex is held.
 func (i *Instance) setLeaving(now, since time.Duration) {
 	if i.reports.leaving {
--- a/ingress/selfreport_test.go
+++ b/ingress/selfreport_test.go
@@ -210,3 +210,46 @@
 		t.Errorf("the second request may come back after %v, the limit allows it after 0.25 s", wait)
 	}
 }
+
+// Guards against an ingress that forgets with a restart what its instance has said, and against one that believes
+// routers more than the instance.
+func TestWhatRoutersWereToldIsAdopted(t *testing.T) {
+	current := incarnation.ID{ID: "i-1", StartedAt: 1}.String()
+	for name, c := range map[string]struct {
+		// heard is what the instance has answered to this process, nil for nothing.
+		heard   *fasthttp.ResponseHeader
+		told    wire.InstanceState
+		limit   float64
+		leaving bool
+	}{
+		"after a restart":             {nil, wire.InstanceState{Incarnation: current, Limit: 20, Leaving: true}, 20, true},
+		"an earlier incarnation":      {nil, wire.InstanceState{Incarnation: "i-0", Limit: 20, Leaving: true}, 0, false},
+		"the instance says no limit":  {answerOf(), wire.InstanceState{Incarnation: current, Limit: 20}, 0, false},
+		"the instance says a limit":   {answerOf(testLimitHeader, "30"), wire.InstanceState{Incarnation: current, Limit: 20}, 30, false},
+		"it said that it leaves once": {answerOf(), wire.InstanceState{Incarnation: current, Leaving: true}, 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i, from, _ := newReportingInstance(t)
+			if c.heard != nil {
+				i.observeAnswer(from, c.heard, clock.Now())
+			}
+			i.adoptState(c.told)
+			if got := i.gate.namedLimit(); got != c.limit {
+				t.Errorf("the limit is %g, want %g", got, c.limit)
+			}
+			if state := i.reportedState(clock.Now()); state.Leaving != c.leaving {
+				t.Errorf("the instance leaves: %t, want %t", state.Leaving, c.leaving)
+			}
+		})
+	}
+}
+
+// Guards against a drain time that begins anew for an ingress that learns late that its instance leaves.
+func TestAdoptedDrainTimeGoesOn(t *testing.T) {
+	i, from, _ := newReportingInstance(t)
+	drainTime := i.options.Settings.Ingress.DrainTime
+	i.adoptState(wire.InstanceState{Incarnation: from.String(), Leaving: true, LeavingFor: drainTime})
+	if reason := i.state(clock.Now()).rejectReason; reason != wire.BackendReasonDraining {
+		t.Errorf("a request is rejected with %q, want %q", reason, wire.BackendReasonDraining)
+	}
+}
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -51,6 +51,8 @@
 	routeVersion uint64
 	// load is the load that the instance's ingress reported, zero if it reported none.
 	load admission.Load
+	// instanceState is the encoded wire.InstanceState of the answer, "" if it has none.
+	instanceState string
 }
 
 const (
@@ -93,6 +95,7 @@
 	}
 	result.reachedBackend = true
 	r.receive(request, result, attemptID)
+	r.recordInstanceState(node, result)
 	return result
 }
 
@@ -110,6 +113,7 @@
 	out.Header.Set(wire.HeaderAttempt, attemptID)
 	out.Header.Set(wire.HeaderDeadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
 	out.Header.Set(wire.HeaderEpoch, strconv.FormatUint(request.epoch, 10))
+	r.setInstanceState(node, out)
 	if request.isRepeat() {
 		out.Header.Set(wire.HeaderRepeat, strconv.FormatBool(true))
 	}
@@ -178,6 +182,7 @@
 		fail(reasonCrossedAnswer, eris.Errorf("response from %s is for attempt %q, want %q", conn.Address, response.Header.Peek(wire.HeaderAttempt), attemptID))
 		return
 	}
+	result.instanceState = string(response.Header.Peek(wire.HeaderInstanceState))
 	result.load = parseLoad(response.Header.Peek(wire.HeaderLoad), clock.Now())
 	switch string(response.Header.Peek(wire.HeaderOutcome)) {
 	case wire.OutcomeUnknown:
--- a/router/router.go
+++ b/router/router.go
@@ -102,6 +102,8 @@
 	members  atomic.Pointer[wire.MemberList]
 	follower *follower
 	quotas   *quotas
+	// instanceStates is what instances have said of themselves in answers.
+	instanceStates *instanceStates
 	// regionZones lists the zones of this router's region; nil if its zone is in none.
 	regionZones []string
 	// lastWorkReport is when service time was last reported to control.
@@ -151,7 +153,7 @@
 	r.table.retryLimit = admission.RetryLimit{Ratio: config.Router.RetryRatio, Slack: config.Router.RetrySlack}
 	r.table.retryDraw = rand.Float64()
 	r.table.crashReports, r.table.onReplaced = r.crashReports, r.instanceReplaced
-	r.follower, r.quotas = newFollower(r), newQuotas(r)
+	r.follower, r.quotas, r.instanceStates = newFollower(r), newQuotas(r), newInstanceStates()
 	r.regionZones = zonesOfRegion(config.Regions, config.Zone)
 	r.registerMetrics()
 	var err error
@@ -341,6 +343,7 @@
 			return nil
 		case <-ticker.C:
 			r.upstreams.Sweep()
+			r.instanceStates.sweep(r.table.hasNode, clock.Now())
 		}
 	}
 }
--- a/router/table.go
+++ b/router/table.go
@@ -123,6 +123,18 @@
 	}
 }
 
+// hasNode reports whether there is a node of a name.
+func (t *table) hasNode(name string) bool {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+	for _, node := range t.nodes {
+		if node.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // removeMissing removes services and nodes that a snapshot does not contain.
 func (t *table) removeMissing(update *wire.Update, changedPools map[string]bool) {
 	present := map[string]bool{}
