ingress: a limited instance that gets no requests is asked whether its limit has ended

What callers saw: nothing yet. A keyed owner that names a limit loses its keys to others, as its capacity falls; without keys it gets no requests, answers none, and could never say that it takes more again: it was lost to its service until a restart.

Cause: a belief that only its object's answers can end, and that keeps it from being asked.

--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -92,6 +92,7 @@
 	ended            incarnation.ID
 	checkRequests    chan struct{}
 	probe            *coldProbe
+	limitProbe       *limitProbe
 	predecessorProof *predecessorProof
 	slowdown         slowdown
 	crashes          crashRecord
@@ -146,6 +147,7 @@
 	i.unreadable = options.Metrics.CounterVec("ingress", "answer_fields_unreadable_total", "Header fields of the instance's answers that were ignored because they could not be read, by field.", "field")
 	i.keys = newKeyHolder(options)
 	i.probe = newColdProbe(i)
+	i.limitProbe = newLimitProbe(i)
 	i.predecessorProof = newPredecessorProof(i)
 	return i
 }
@@ -333,6 +335,7 @@
 	defer parts.Wait()
 	parts.Go(func() { i.keys.notifier.Run(ctx) })
 	parts.Go(func() { i.probe.run(ctx) })
+	parts.Go(func() { i.limitProbe.run(ctx) })
 	parts.Go(func() { i.predecessorProof.run(ctx) })
 	parts.Go(func() {
 		<-ctx.Done()
