ingress: an instance first heard of as draining gets no request

What callers saw: nothing yet.

Evidence: TestInstanceFirstHeardOfAsDrainingGetsNoRequest failed before: a request was accepted.

Why this works: the process cannot know since when the instance has been draining, and assumes that the drain time is over. Its keys move as before.

--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -177,7 +177,7 @@
 	if !i.accepts(announced, now) {
 		return false
 	}
-	before := i.current
+	before, isFirst := i.current, !i.isKnown
 	sameIncarnation := i.isKnown && before.From() == announced.From()
 	if i.isKnown && !sameIncarnation {
 		i.superseded.Add(before.From())
@@ -196,6 +196,11 @@
 	} else if before.Slots != announced.Slots {
 		i.gate.resize(i.usableSlots(announced.Slots))
 	}
+	if isFirst && announced.Draining {
+		// It may have been draining for as long as this process has been away.
+		i.drainingSince = now - i.options.Settings.Ingress.DrainTime - 1
+		i.logger.Info("instance_draining", zap.Stringer("instance", announced.From()), zap.Uint64("sequence", announced.Sequence), zap.String("since", "before this process heard of it"))
+	}
 	i.updateDraining(announced, now)
 	return true
 }
--- a/ingress/instance_test.go
+++ b/ingress/instance_test.go
@@ -53,6 +53,31 @@
 	}
 }
 
+// Guards against a drain time that begins anew with a restart of the ingress, which does not know since when the
+// instance has been draining.
+func TestInstanceFirstHeardOfAsDrainingGetsNoRequest(t *testing.T) {
+	for name, c := range map[string]struct {
+		before bool // set if an announcement that it is ready has arrived before
+		want   string
+	}{
+		"first heard of": {false, wire.BackendReasonDraining},
+		"known as ready": {true, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			i := newHeartbeatInstance(t, 0)
+			i.options.Settings.Ingress.DrainTime = time.Minute
+			if c.before {
+				i.Announce(announcementOf("i-1", 1, 1))
+			}
+			draining := announcementOf("i-1", 1, 2)
+			draining.Draining = true
+			i.Announce(draining)
+			is.Equal(i.state(clock.Now()).rejectReason, c.want)
+		})
+	}
+}
+
 // announcementOf returns an announcement of one incarnation.
 func announcementOf(id string, born int64, sequence uint64) Announcement {
 	return Announcement{ID: id, StartedAt: born, Service: "numbers", Slots: 2, Sequence: sequence}
