ingress: an answer with 421 says nothing of the instance

What callers saw: nothing yet; found by reading. An answer with 421 may be that of another instance at the address, whose limit or leaving would then be taken for this one's.

Evidence: TestAnswersOfOtherInstancesSayNothingOfThisOne failed before: a limit of 20 was taken from it.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -185,7 +185,10 @@
 		fail(reasonCrossedAnswer, eris.Errorf("response of instance %s is for request %q, want %q", p.instance.id, answered, p.requestID))
 		return
 	}
-	i.instance.observeAnswer(p.instance.from(), &response.Header, p.sent)
+	if response.StatusCode() != fasthttp.StatusMisdirectedRequest {
+		// That status may be the answer of another instance.
+		i.instance.observeAnswer(p.instance.from(), &response.Header, p.sent)
+	}
 	i.firstAnswers.log(i.logger, p.instance.from(), &response.Header)
 	if refusal := p.notRun(response); refusal != "" {
 		i.handleNotRun(p, result, response, refusal)
--- a/ingress/limitprobe.go
+++ b/ingress/limitprobe.go
@@ -67,12 +67,13 @@
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + p.client.Addr + path)
+	if name := i.options.Settings.Headers.Instance; name != "" {
+		request.Header.Set(name, id)
+	}
 	sent := clock.Now()
 	err := p.client.DoTimeout(request, response, probeTimeout)
-	if err == nil {
-		if answered := string(response.Header.Peek(i.options.Settings.Headers.Identity)); answered != "" && answered != id {
-			err = eris.Errorf("response is from instance %s, want %s", answered, id)
-		}
+	if err == nil && !p.isFrom(id, response) {
+		err = eris.Errorf("status %d, want the response of instance %s", response.StatusCode(), id)
 	}
 	if err != nil {
 		i.logger.Info("limit_probe_failed", logging.ErrorFields("probe limit", id, eris.Wrapf(err, "GET %s", path))...)
@@ -80,3 +81,9 @@
 	}
 	i.observeAnswer(from, &response.Header, sent)
 }
+
+// isFrom reports whether a response is of the instance that the probe was for.
+func (p *limitProbe) isFrom(id string, response *fasthttp.Response) bool {
+	answered := string(response.Header.Peek(p.instance.options.Settings.Headers.Identity))
+	return response.StatusCode() != fasthttp.StatusMisdirectedRequest && (answered == "" || answered == id)
+}
--- a/ingress/selfreport_test.go
+++ b/ingress/selfreport_test.go
@@ -173,6 +173,31 @@
 	}
 }
 
+// Guards against a limit of whatever listens at the instance's address: an answer with 421 may be another instance's.
+func TestAnswersOfOtherInstancesSayNothingOfThisOne(t *testing.T) {
+	for name, c := range map[string]struct {
+		status string
+		want   float64
+	}{
+		"served":           {"200 OK", 20},
+		"failed":           {"500 Internal Server Error", 20},
+		"refused":          {"503 Service Unavailable\r\nX-Not-Run: 1", 20},
+		"another instance": {"421 Misdirected Request", 0},
+		"or not the owner": {"421 Misdirected Request\r\nX-Not-Run: 1", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := startIngress(t, startInstance(t, func(id string) string {
+				return "HTTP/1.1 " + c.status + "\r\nX-Request-Id: " + id + "\r\nServer-Limit: 20\r\nContent-Length: 0\r\n\r\n"
+			}, false))
+			i.instance.options.Settings.Headers.Limit = testLimitHeader
+			ask(t, i, nil).Body.Close()
+			if got := i.gate.namedLimit(); got != c.want {
+				t.Errorf("the limit is %g, want %g", got, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a log that grows with the answers of an instance.
 func TestLinesOnTheLimitAreBounded(t *testing.T) {
 	i, from, lines := newReportingInstance(t)
