--- a/router/instancestates_test.go
+++ b/router/instancestates_test.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,3 +61,33 @@
 		t.Errorf("%d states are remembered, that of the listed node: %t", len(states.byNode), ok)
 	}
 }
+
+// Guards against callers that see what only ingresses and routers exchange.
+func TestInstanceStateDoesNotReachCallers(t *testing.T) {
+	const said = "i-1 20.6 -"
+	var sentAlong atomic.Value
+	router := startLimitedRouters(t, 1, false, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		sentAlong.Store(request.Header.Get(wire.HeaderInstanceState))
+		writer.Header().Set(wire.HeaderAttempt, request.Header.Get(wire.HeaderAttempt))
+		writer.Header().Set(wire.HeaderOutcome, wire.OutcomeOK)
+		writer.Header().Set(wire.HeaderInstanceState, said)
+	}))[0]
+	for _, want := range []string{"", said} {
+		request, err := http.NewRequest(http.MethodGet, "http://"+router.Address()+"/moved/1", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Host = "shop.example"
+		response, err := http.DefaultTransport.RoundTrip(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		if got := response.Header.Get(wire.HeaderInstanceState); got != "" {
+			t.Errorf("the caller got %q", got)
+		}
+		if got := sentAlong.Load(); got != want {
+			t.Errorf("the ingress was sent %q, want %q", got, want)
+		}
+	}
+}
