ingress: reject requests whose run would outlast the deadline

Callers got 502 or 504 at the end of their timeout for runs that had begun with less time left than a run takes: a request could wait for a slot up to its target latency less 1.5 run times, cut only at the deadline, while the timeout of the route may be shorter than its target latency.

The run times are forgotten with the incarnation. A router may try another instance; the owner of a key is asked once.

--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -244,6 +244,7 @@
 	i.probe.markUncertain("new incarnation")
 	i.slowdown.reset()
 	i.success.reset()
+	i.gate.forgetRunTimes()
 	i.setLimit(0, i.firstAnnounced)
 	i.reports = selfReports{}
 	i.gate.resize(i.usableSlots(announced.Slots))
--- a/ingress/proxyrequest.go
+++ b/ingress/proxyrequest.go
@@ -129,6 +129,8 @@
 	switch i.gate.enter(p.slotRequest(), p.tracker.Cancelled()) {
 	case decisionFull:
 		i.reject(request, p, wire.BackendReasonFull, i.gate.retryAfter())
+	case decisionVain:
+		i.reject(request, p, wire.BackendReasonDeadline, 0)
 	case decisionClosed:
 		i.reject(request, p, wire.BackendReasonDraining, 0)
 	case decisionCancelled:
@@ -383,6 +385,20 @@
 	if result.connectionBroke() {
 		i.recordBroken(p)
 	}
+	i.recordRunTime(p, result)
+}
+
+// recordRunTime records how long the run took, by which the gate rejects requests that cannot end in time. Runs that
+// failed earlier tell nothing of it.
+func (i *Ingress) recordRunTime(p *proxyRequest, result *exchange) {
+	ran := clock.Now() - p.sent
+	switch {
+	case result.state == exchangeUnknown && result.reason == reasonLateAnswer,
+		result.state == exchangeResponded && result.response.StatusCode() == fasthttp.StatusGatewayTimeout:
+		i.gate.recordRunTime(p.route, ran, true)
+	case result.state == exchangeResponded && result.response.StatusCode() < fasthttp.StatusInternalServerError:
+		i.gate.recordRunTime(p.route, ran, false)
+	}
 }
 
 // release releases the request's slot and its other resources.
--- a/ingress/slotgate.go
+++ b/ingress/slotgate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"limehold/clock"
+	"limehold/runplan"
 )
 
 // slotGate shares the instance's slots among requests. Requests that find no free slot wait in
@@ -33,6 +34,9 @@
 	loadUpdatedAt time.Duration
 	// byRoute holds the run time and the occupied share of the slots for each route.
 	byRoute map[string]*routeLoad
+	// plansRuns is set if requests are rejected that most likely outlast their deadline, by runs.
+	plansRuns bool
+	runs      runplan.Routes
 
 	cold  coldStart
 	limit rateLimit
@@ -44,10 +48,15 @@
 // waiter is a request that waits for a slot.
 type waiter struct {
 	rank
+	route string
+	// deadline is that of the request, by clock.Now.
+	deadline time.Duration
 	// runTime is the smoothed run time of its route.
 	runTime time.Duration
 	decided chan struct{}
 	hasSlot bool
+	// isVain is set instead of hasSlot if the request would most likely outlast its deadline.
+	isVain bool
 }
 
 // rank orders the waiting requests.
@@ -103,6 +112,8 @@
 	decisionFull
 	decisionClosed
 	decisionCancelled
+	// decisionVain: the request's run would most likely outlast its deadline.
+	decisionVain
 )
 
 // gateLoad is how busy the gate is.
@@ -218,22 +229,27 @@
 func (g *slotGate) enqueue(request slotRequest) (w *waiter, maxWait time.Duration, result decision) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	maxWait = g.maxWaitLocked(request)
+	now := clock.Now()
+	startWithin, isVain := g.startWithin(request, now)
+	maxWait = min(g.maxWaitLocked(request), startWithin)
 	place := rank{
 		priority: request.priority, runTimeStep: runTimeStep(g.routeRunTimeLocked(request.route)),
-		rejectedBefore: request.rejectedBefore, due: clock.Now() + maxWait,
+		rejectedBefore: request.rejectedBefore, due: now + maxWait,
 	}
 	if g.closed {
 		return nil, 0, decisionClosed
 	}
-	if now := clock.Now(); g.running < g.slots && len(g.waiting) == 0 && g.rateWait(now) == 0 {
-		g.admit(now)
+	if isVain {
+		return nil, 0, decisionVain
+	}
+	if g.running < g.slots && len(g.waiting) == 0 && g.rateWait(now) == 0 {
+		g.admit(request.route, now)
 		return nil, 0, decisionAdmitted
 	}
 	if g.expectedWait(place) > maxWait {
 		return nil, 0, decisionFull
 	}
-	w = &waiter{rank: place, runTime: g.routeRunTimeLocked(request.route), decided: make(chan struct{})}
+	w = &waiter{rank: place, route: request.route, deadline: now + request.remaining, runTime: g.routeRunTimeLocked(request.route), decided: make(chan struct{})}
 	at, _ := slices.BinarySearchFunc(g.waiting, place, func(other *waiter, place rank) int {
 		if place.before(other.rank) {
 			return 1
@@ -276,6 +292,9 @@
 		}
 		return decisionAdmitted
 	}
+	if w.isVain && outcome != decisionCancelled {
+		return decisionVain
+	}
 	if at := slices.Index(g.waiting, w); at >= 0 {
 		g.waiting = slices.Delete(g.waiting, at, at+1)
 	} else if outcome == decisionFull && g.closed {
@@ -298,8 +317,9 @@
 }
 
 // admit counts an admitted request.
-func (g *slotGate) admit(now time.Duration) {
+func (g *slotGate) admit(route string, now time.Duration) {
 	g.running++
+	g.runs.Begin(route, now)
 	g.cold.record(now)
 	g.limit.record(now)
 }
@@ -315,8 +335,10 @@
 		}
 		next := g.waiting[0]
 		g.waiting = slices.Delete(g.waiting, 0, 1)
-		g.admit(now)
-		next.hasSlot = true
+		if next.isVain = g.plansRuns && g.runs.IsVain(next.route, next.deadline-now); !next.isVain {
+			g.admit(next.route, now)
+			next.hasSlot = true
+		}
 		close(next.decided)
 	}
 }
--- a/ingress/waits.go
+++ b/ingress/waits.go
@@ -63,6 +63,33 @@
 	return min(maxWait, request.remaining)
 }
 
+// startWithin returns the time within which a request has to begin so that it most likely ends before its deadline.
+// isVain is set if it would not even if it began at once. The mutex is held.
+func (g *slotGate) startWithin(request slotRequest, now time.Duration) (within time.Duration, isVain bool) {
+	if !g.plansRuns {
+		return request.remaining, false
+	}
+	return g.runs.MaxWait(request.route, request.remaining, now)
+}
+
+// recordRunTime records how long a run of a route took. wasCut is set if it had not ended at its deadline.
+func (g *slotGate) recordRunTime(route string, ran time.Duration, wasCut bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if wasCut {
+		g.runs.RecordCut(route, ran, clock.Now())
+		return
+	}
+	g.runs.Record(route, ran, clock.Now())
+}
+
+// forgetRunTimes discards what recordRunTime has recorded, for another incarnation of the instance.
+func (g *slotGate) forgetRunTimes() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.runs.Forget()
+}
+
 // baseMaxWait is maxWaitLocked without the extra time for short requests and the bound of the deadline.
 func (g *slotGate) baseMaxWait(request slotRequest) time.Duration {
 	share := time.Duration(float64(request.target) * g.queueTime)
--- a/router/retry.go
+++ b/router/retry.go
@@ -57,7 +57,11 @@
 func (p *proxiedRequest) allowsRetryAfter(result *attempt) bool {
 	switch result.state {
 	case attemptNotRun:
-		// No other instance may run a keyed request, and its owner reports that it is full.
+		// No other instance may run a keyed request, and its owner reports that it is full or that the request cannot
+		// end in time there.
+		if p.service.spec.Keyed && result.reason == wire.BackendReasonDeadline {
+			return false
+		}
 		return !p.service.spec.Keyed || result.reason != wire.BackendReasonFull || result.shedsBelowCapacity()
 	case attemptUnknown:
 		return p.repeatable && result.reason != rejectCallerGone.reason
--- a/router/retry_test.go
+++ b/router/retry_test.go
@@ -189,3 +189,26 @@
 	}
 	return response.Body.Close()
 }
+
+// An ingress rejects a request whose run would most likely outlast its deadline at its instance. Another instance may
+// be faster, but the owner of a key is the only one that may run a keyed request.
+func TestRequestTooLongForOneInstanceMayRunAtAnother(t *testing.T) {
+	for name, c := range map[string]struct {
+		keyed    bool
+		arrivals int
+	}{
+		"any instance may run it": {false, 2},
+		"only the owner may":      {true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			backends := &refusingBackends{reason: wire.BackendReasonDeadline, refusals: 1, fromIngress: true, arrivals: map[string]int{}}
+			router := startLimitedRouters(t, 2, c.keyed, backends)[0]
+			if err := askLimited(router, 0); err != nil {
+				t.Fatal(err)
+			}
+			if arrivals := backends.repeats() + 1; arrivals != c.arrivals {
+				t.Errorf("%d attempts, want %d", arrivals, c.arrivals)
+			}
+		})
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -238,6 +238,9 @@
 	// QueueTime bounds how long a request may wait for a slot of the instance, as a
 	// share of the request's target latency. Default 0.2.
 	QueueTime float64 `yaml:"queue_time"`
+	// PlanRuns rejects requests whose run would most likely outlast their deadline, by the run times that their
+	// route has had at the instance, instead of beginning them. Default false.
+	PlanRuns bool `yaml:"plan_runs"`
 	// SlotShare is the share of the instance's slots that are used concurrently. Lower it
 	// for instances that slow down when nearly all slots are in use. Default 1.
 	SlotShare float64 `yaml:"slot_share"`
