ingress: calls of instances go first, as far as more urgent requests begin in time

Cause: calls waited behind all callers' requests that were more urgent: 52 ms on average for a run of 30 ms, 152 ms until their caller had the answer. The runs that made them kept their slots, the called services filled up in turn, and calls to these waited as well.

Why this works: a slot that waits for a call elsewhere is free again sooner. A call lets a more urgent request pass that would begin too late otherwise.

--- a/callchain/callchain.go
+++ b/callchain/callchain.go
@@ -1,5 +1,6 @@
-// Package callchain tells which calls an instance makes while it runs a repeat. These calls are repeats as well, as the
-// first run of their request has made them before, although each has an ID of its own.
+// Package callchain tells which requests are calls that an instance makes while it runs another request. The calls of
+// a repeat are repeats as well, as the first run of their request has made them before, although each has an ID of its
+// own.
 package callchain
 
 import (
@@ -11,12 +12,12 @@
 const (
 	// separator follows the ID of a run in the IDs of the calls that it makes.
 	separator = "."
-	// maxRuns bounds the runs that are remembered. Those beyond it are not, and their calls count as first requests.
+	// maxRuns bounds the runs that are remembered. Those beyond it are not, and their calls count as requests of callers.
 	maxRuns = 4096
 )
 
-// Repeats holds the runs at one instance that are repeats. It is safe for concurrent use.
-type Repeats struct {
+// Runs holds runs at one instance that may make calls. It is safe for concurrent use.
+type Runs struct {
 	now   func() time.Duration
 	mutex sync.Mutex
 	// until holds, by request ID, the time until which the run may make calls.
@@ -25,17 +26,17 @@
 	sweepAt time.Duration
 }
 
-// New returns an empty Repeats that reads the time from now.
-func New(now func() time.Duration) *Repeats {
-	return &Repeats{now: now, until: map[string]time.Duration{}}
+// New returns an empty Runs that reads the time from now.
+func New(now func() time.Duration) *Runs {
+	return &Runs{now: now, until: map[string]time.Duration{}}
 }
 
 // sweepInterval is the interval at which expired runs are removed.
 const sweepInterval = time.Second
 
-// Add records a repeat that begins to run and ends at its deadline at the latest. An instance may go on with it after
+// Add records a run that begins to run and ends at its deadline at the latest. An instance may go on with it after
 // its connection has been closed.
-func (r *Repeats) Add(requestID string, deadline time.Duration) {
+func (r *Runs) Add(requestID string, deadline time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if now := r.now(); now >= r.sweepAt || len(r.until) >= maxRuns {
@@ -47,7 +48,7 @@
 }
 
 // removeExpired removes the runs whose deadline has passed. The mutex is held.
-func (r *Repeats) removeExpired(now time.Duration) {
+func (r *Runs) removeExpired(now time.Duration) {
 	r.sweepAt = now + sweepInterval
 	for id, until := range r.until {
 		if until <= now {
@@ -57,7 +58,7 @@
 }
 
 // HasCall reports whether a request is a call of one of the runs.
-func (r *Repeats) HasCall(requestID string) bool {
+func (r *Runs) HasCall(requestID string) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for parent := requestID; ; {
--- a/callchain/callchain_test.go
+++ b/callchain/callchain_test.go
@@ -37,7 +37,7 @@
 }
 
 // Guards against memory that grows with the requests: runs are forgotten after their deadlines, and there is a limit.
-func TestRepeatsAreBounded(t *testing.T) {
+func TestRunsAreBounded(t *testing.T) {
 	now := time.Duration(0)
 	repeats := New(func() time.Duration { return now })
 	for number := range 2 * maxRuns {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -52,6 +52,8 @@
 	// CrashReports holds the crash records of control and the reports of this process. If nil, the ingress
 	// creates an exchange of its own.
 	CrashReports *crashreport.Exchange
+	// OnRun, if not nil, is called with the ID and the deadline of each request before the instance receives it.
+	OnRun func(requestID string, deadline time.Duration)
 	// OnRepeat, if not nil, is called with the ID and the deadline of each repeat before the instance receives it.
 	OnRepeat func(requestID string, deadline time.Duration)
 	// RelayTo reports whether connections may be relayed to an address; see relay. If
--- a/ingress/proxyrequest.go
+++ b/ingress/proxyrequest.go
@@ -46,6 +46,7 @@
 	priority       int
 	rejectedBefore bool
 	isRepeat       bool
+	isCall         bool
 	target         time.Duration
 	deadline       time.Duration
 	// routerStopsAt is when the router that sent the request stops; 0 if unknown.
@@ -236,6 +237,7 @@
 	p.keyed = p.epoch > 0
 	p.priority = int(numbers.signed(wire.HeaderPriority))
 	p.rejectedBefore = len(header.Peek(wire.HeaderRejectedBefore)) > 0
+	p.isCall = i.options.Settings.Ingress.CallsFirst && len(header.Peek(wire.HeaderCall)) > 0
 	p.isRepeat = len(header.Peek(wire.HeaderRepeat)) > 0
 	p.target = time.Duration(numbers.unsigned(wire.HeaderTarget)) * time.Millisecond
 	p.trial = numbers.unsigned(wire.HeaderTrial)
@@ -295,7 +297,7 @@
 
 // slotRequest describes the request to the gate.
 func (p *proxyRequest) slotRequest() slotRequest {
-	return slotRequest{route: p.route, priority: p.priority, rejectedBefore: p.rejectedBefore, target: p.target, remaining: p.deadline - clock.Now()}
+	return slotRequest{route: p.route, priority: p.priority, rejectedBefore: p.rejectedBefore, isCall: p.isCall, target: p.target, remaining: p.deadline - clock.Now()}
 }
 
 // rejectReason returns why the request may not be sent to the instance; empty if it may. It first stores
@@ -342,6 +344,9 @@
 		return
 	}
 	i.buildOutgoing(request, p)
+	if i.options.OnRun != nil {
+		i.options.OnRun(p.requestID, p.deadline)
+	}
 	if p.isRepeat && i.options.OnRepeat != nil {
 		i.options.OnRepeat(p.requestID, p.deadline)
 	}
@@ -458,7 +463,7 @@
 // internalHeaders lists the headers that routers add for ingresses.
 var internalHeaders = []string{
 	wire.HeaderAttempt, wire.HeaderService, wire.HeaderShard, wire.HeaderEpoch, wire.HeaderRoute, wire.HeaderRouteVersion,
-	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderRejectedBefore, wire.HeaderRepeatable, wire.HeaderDeadline, wire.HeaderTrial, wire.HeaderRepeat, wire.HeaderInstanceState, wire.HeaderStopsIn,
+	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderRejectedBefore, wire.HeaderRepeatable, wire.HeaderDeadline, wire.HeaderTrial, wire.HeaderRepeat, wire.HeaderCall, wire.HeaderInstanceState, wire.HeaderStopsIn,
 }
 
 // respond sends the instance's response to the router. If the body was read completely, the slot is
--- a/ingress/slotgate.go
+++ b/ingress/slotgate.go
@@ -7,6 +7,7 @@
 
 	"limehold/clock"
 	"limehold/runplan"
+	"limehold/slotorder"
 )
 
 // slotGate shares the instance's slots among requests. Requests that find no free slot wait in
@@ -16,11 +17,8 @@
 //   - running never exceeds slots, except right after slots was lowered.
 //   - A waiting request is admitted at most once.
 //   - The request rate is limited; see coldStart and rateLimit.
-//   - Waiting requests are admitted by priority; then by the step of their route's run time, the
-//     shortest first, as calls from other instances, which hold slots there, are much shorter than
-//     the requests of callers; then those sent for the first time before those that return after
-//     a rejection, which have lost a part of their target latency; then by the end of their wait
-//     limit.
+//   - Waiting requests are admitted in the order of slotorder.Compare, except that a call lets more
+//     urgent requests pass that would otherwise begin too late.
 type slotGate struct {
 	// queueTime is the share of its target latency that a request may wait.
 	queueTime float64
@@ -67,22 +65,20 @@
 	runTimeStep int
 	// rejectedBefore is set for a request that was rejected before.
 	rejectedBefore bool
+	// isCall is set for a call of another instance; see slotorder.
+	isCall bool
 	// due is when the request has to begin, by clock.Now.
 	due time.Duration
 }
 
 // before reports whether a request of this rank is admitted before one of the other rank.
-func (r rank) before(other rank) bool {
-	if r.priority != other.priority {
-		return r.priority < other.priority
-	}
-	if r.runTimeStep != other.runTimeStep {
-		return r.runTimeStep < other.runTimeStep
-	}
-	if r.rejectedBefore != other.rejectedBefore {
-		return other.rejectedBefore
+func (r rank) before(other rank) bool { return slotorder.Compare(r.request(0), other.request(0)) < 0 }
+
+// request describes a request of this rank and run time.
+func (r rank) request(runTime time.Duration) slotorder.Request {
+	return slotorder.Request{
+		Priority: r.priority, IsCall: r.isCall, RunTimeStep: r.runTimeStep, RejectedBefore: r.rejectedBefore, Due: r.due, RunTime: runTime,
 	}
-	return r.due < other.due
 }
 
 const (
@@ -210,6 +206,8 @@
 	route          string
 	priority       int
 	rejectedBefore bool
+	// isCall is set for a call of another instance.
+	isCall bool
 	// target is what remained of the request's target latency on its arrival, remaining the time until
 	// its deadline.
 	target    time.Duration
@@ -234,7 +232,7 @@
 	maxWait = min(g.maxWaitLocked(request), startWithin)
 	place := rank{
 		priority: request.priority, runTimeStep: runTimeStep(g.routeRunTimeLocked(request.route)),
-		rejectedBefore: request.rejectedBefore, due: now + maxWait,
+		rejectedBefore: request.rejectedBefore, isCall: request.isCall, due: now + maxWait,
 	}
 	if g.closed {
 		return nil, 0, decisionClosed
@@ -333,8 +331,9 @@
 			g.scheduleAdmission(wait)
 			return
 		}
-		next := g.waiting[0]
-		g.waiting = slices.Delete(g.waiting, 0, 1)
+		at := g.next(now)
+		next := g.waiting[at]
+		g.waiting = slices.Delete(g.waiting, at, at+1)
 		if next.isVain = g.plansRuns && g.runs.IsVain(next.route, next.deadline-now); !next.isVain {
 			g.admit(next.route, now)
 			next.hasSlot = true
@@ -343,6 +342,23 @@
 	}
 }
 
+// next returns the index of the waiting request that gets the next slot. The mutex is held.
+func (g *slotGate) next(now time.Duration) int {
+	if !g.waiting[0].isCall {
+		return 0
+	}
+	return slotorder.Next(g.order(), g.slots, now)
+}
+
+// order describes the waiting requests in their order. The mutex is held.
+func (g *slotGate) order() []slotorder.Request {
+	list := make([]slotorder.Request, 0, len(g.waiting))
+	for _, w := range g.waiting {
+		list = append(list, w.request(w.runTime))
+	}
+	return list
+}
+
 // scheduleAdmission schedules admitNext, unless that is already scheduled.
 func (g *slotGate) scheduleAdmission(wait time.Duration) {
 	if g.rateTimer != nil {
--- a/ingress/waits.go
+++ b/ingress/waits.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"limehold/clock"
+	"limehold/slotorder"
 )
 
 // This file estimates, from the observed run times of the routes, how long a request may wait for
@@ -157,8 +158,9 @@
 	now := clock.Now()
 	minRunTime := g.minSlotTime(now)
 	ahead := g.slotTime(now)
+	pressed := g.isPressed(place, now)
 	for _, other := range g.waiting {
-		if other.rank.before(place) {
+		if g.goesFirst(other.rank, place, pressed) {
 			ahead += max(other.runTime, minRunTime)
 		}
 	}
@@ -166,6 +168,23 @@
 	return max(time.Duration(wait/(1-g.occupiedBefore(place))), g.rateWait(now))
 }
 
+// goesFirst reports whether a waiting request is expected to be admitted before one of a rank. Calls are not counted
+// before more urgent requests, which they let pass in time; pressed is set if such requests now pass a call of the rank.
+func (g *slotGate) goesFirst(other, place rank, pressed bool) bool {
+	switch {
+	case other.isCall && !place.isCall:
+		return other.priority <= place.priority
+	case place.isCall && !other.isCall:
+		return pressed && other.priority < place.priority
+	}
+	return other.before(place)
+}
+
+// isPressed reports whether more urgent requests now pass a call of a rank. The mutex is held.
+func (g *slotGate) isPressed(place rank, now time.Duration) bool {
+	return place.isCall && slotorder.Pressed(g.order(), place.request(g.runTime), g.slots, now) >= 0
+}
+
 // occupiedBefore returns the share of the slots for requests that arrive later and are nevertheless
 // admitted before one of the rank. It does not consider priorities. The mutex is held.
 func (g *slotGate) occupiedBefore(place rank) float64 {
--- a/router/router.go
+++ b/router/router.go
@@ -50,6 +50,9 @@
 	// IsRepeatedCall reports whether a request, given by its ID, is a call that the instance on this machine makes while
 	// it runs a repeat. If nil, the router takes no request for one.
 	IsRepeatedCall func(requestID string) bool
+	// IsCall reports whether a request, given by its ID, is a call that the instance on this machine makes while it runs
+	// a request. If nil, the router takes no request for one.
+	IsCall func(requestID string) bool
 	// DisableAdmin is set if the process has its own listener for operators.
 	DisableAdmin bool
 	// OnBodySent, if not nil, is called with the size of each body that is sent over the machine's
--- a/router/routes.go
+++ b/router/routes.go
@@ -271,6 +271,9 @@
 	out.Header.Set(wire.HeaderPriority, strconv.Itoa(p.priority()))
 	r.setTenantHeaders(p, out)
 	out.Header.Set(wire.HeaderRepeatable, strconv.FormatBool(p.repeatable))
+	if r.options.IsCall != nil && r.options.IsCall(p.displayID) {
+		out.Header.Set(wire.HeaderCall, strconv.FormatBool(true))
+	}
 	if p.rejectedBefore {
 		out.Header.Set(wire.HeaderRejectedBefore, strconv.FormatBool(true))
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -260,6 +260,9 @@
 	// GrantBy is how keys are granted to the instance: call (limehold calls the
 	// instance) or heartbeat (in the answers to the instance's heartbeats). Default call.
 	GrantBy string `yaml:"grant_by"`
+	// CallsFirst admits the calls that other instances make while they run requests before callers' requests, as
+	// far as more urgent ones still begin in time. Set it alike on all sidecars. Default false.
+	CallsFirst bool `yaml:"calls_first"`
 	// HeartbeatWait is how long the answer to a heartbeat may be delayed until there is
 	// a change to report, if GrantBy is heartbeat. If 0, answers are not delayed. Default 0s.
 	HeartbeatWait time.Duration `yaml:"heartbeat_wait"`
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -68,12 +68,14 @@
 	config := options.Settings
 	p := &Process{options: options, logger: options.Logger}
 	repeats := callchain.New(clock.Now)
+	runs := callchain.New(clock.Now)
 	var err error
 	if p.router, err = router.New(router.Options{
 		Settings: config, Logger: options.Logger, Metrics: options.Metrics, TLS: options.TLS,
 		CallLeader: func(ctx context.Context, kind wire.Kind, request, reply any) error {
 			return p.agent.CallLeader(ctx, kind, request, reply)
 		},
+		IsCall:         runs.HasCall,
 		IsRepeatedCall: repeats.HasCall,
 		LocalService:   config.Agent.Pool, ExpectRouteTable: true, DisableAdmin: true, OnBodySent: func(bytes int) { p.ingress.RecordSent(bytes) },
 	}); err != nil {
@@ -82,6 +84,7 @@
 	if p.ingress, err = ingress.New(ingress.Options{
 		Settings: config, Logger: options.Logger, Metrics: options.Metrics, Keys: options.Keys, Service: p.router.RouteTableService,
 		CrashReports: p.router.CrashReports(),
+		OnRun:        runs.Add,
 		OnRepeat:     repeats.Add,
 		RelayTo:      p.router.IsControlAddress,
 		RoutesTo:     p.router.RoutesTo,
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -50,6 +50,8 @@
 	// HeaderRepeat is "true" on an attempt that is a repeat: an earlier attempt of the request has reached a back end, or
 	// the request is a call that the run of a repeat makes.
 	HeaderRepeat = "Limehold-Repeat"
+	// HeaderCall is "true" on a call that an instance makes while it runs a request, and holds a slot for.
+	HeaderCall = "Limehold-Call"
 	// HeaderTrial is the number of the trial as which a quarantined request may run.
 	HeaderTrial = "Limehold-Trial"
 	// HeaderTimeout is set by callers that want less than the route's timeout.
