pace: ingresses measure the pace of their instances and report it

Instances of one service differ by 2 to 3 times in pace for as long as they run, which nothing but the routers' own choice knew. The router tells the ingress with each request how long runs of its route usually last over all instances that answered it (the mean of the logarithms of the newest 50 run times, without waits for a slot), and the ingress compares. A pace is known after a dozen runs; a turn that lasts 0.6 s replaces the average, a stall of some hundred milliseconds does not.

Protocol version 13.

--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -95,6 +95,7 @@
 	limitProbe       *limitProbe
 	predecessorProof *predecessorProof
 	slowdown         slowdown
+	load             loadMeter
 	crashes          crashRecord
 	crashReports     *crashreport.Exchange
 	// crashCount counts the crashes of the instance, by how they were detected.
@@ -139,6 +140,7 @@
 		options.CrashReports = crashreport.New(options.Settings.Name, options.Logger, options.Metrics)
 	}
 	i := &Instance{
+		load:         newLoadMeter(),
 		crashReports: options.CrashReports, options: options, logger: options.Logger, gate: gate,
 		departed: incarnation.NewRecentSet(maxFormerIncarnations), superseded: incarnation.NewRecentSet(maxFormerIncarnations), departedUnannounced: incarnation.NewRecentSet(maxFormerIncarnations),
 		checkRequests: make(chan struct{}, 1), rejections: newRejections(options.Metrics),
@@ -243,6 +245,7 @@
 	i.drainingSince = 0
 	i.probe.markUncertain("new incarnation")
 	i.slowdown.reset()
+	i.load.reset()
 	i.success.reset()
 	i.setLimit(0, i.firstAnnounced)
 	i.reports = selfReports{}
@@ -449,7 +452,8 @@
 func (i *Instance) Health() wire.BackendHealth {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	health := wire.BackendHealth{Status: wire.BackendOK, Incarnation: i.current.From().String(), InFlight: i.gate.load().running, Capacity: i.gate.capacity() * i.slowdown.speed()}
+	speed, load := i.slowdown.speed(), i.loadReport(clock.Now())
+	health := wire.BackendHealth{Status: wire.BackendOK, Incarnation: i.current.From().String(), InFlight: load.Running, Capacity: i.gate.capacity() * speed, Speed: speed, Load: load}
 	if i.drainingSince != 0 {
 		health.Status = wire.BackendDraining
 	}
--- a/ingress/keyholder.go
+++ b/ingress/keyholder.go
@@ -399,7 +399,7 @@
 	if notifier, ok := i.keys.notifier.(*callNotifier); ok {
 		return notifier.inFlight.renewRequests
 	}
-	return nil
+	return i.load.renewRequests
 }
 
 // Release implements agent.Backend. A range counts as released once the instance confirms that, or once
--- a/ingress/proxyrequest.go
+++ b/ingress/proxyrequest.go
@@ -46,8 +46,10 @@
 	priority       int
 	rejectedBefore bool
 	isRepeat       bool
-	target         time.Duration
-	deadline       time.Duration
+	// usualRun is for how long requests of the route usually run at instances of the service; 0 if unknown.
+	usualRun time.Duration
+	target   time.Duration
+	deadline time.Duration
 	// routerStopsAt is when the router that sent the request stops; 0 if unknown.
 	routerStopsAt time.Duration
 	arrived       time.Duration
@@ -235,6 +237,7 @@
 	p.priority = int(numbers.signed(wire.HeaderPriority))
 	p.rejectedBefore = len(header.Peek(wire.HeaderRejectedBefore)) > 0
 	p.isRepeat = len(header.Peek(wire.HeaderRepeat)) > 0
+	p.usualRun = time.Duration(numbers.unsigned(wire.HeaderUsualRun)) * time.Microsecond
 	p.target = time.Duration(numbers.unsigned(wire.HeaderTarget)) * time.Millisecond
 	p.trial = numbers.unsigned(wire.HeaderTrial)
 	p.deadline = p.arrived + time.Duration(numbers.unsigned(wire.HeaderDeadline))*time.Millisecond
@@ -349,10 +352,18 @@
 		result.reason = wire.BackendReasonCrashed
 	}
 	i.recordOutcome(p, result)
-	i.runs.Observe((clock.Now() - p.sent).Seconds())
+	ran := clock.Now() - p.sent
+	i.runs.Observe(ran.Seconds())
+	i.recordPace(p, result, ran)
 	switch result.state {
 	case exchangeResponded:
+		showsPace := result.showsPace(p)
 		i.respond(request, p, result)
+		if showsPace {
+			request.Response.Header.Set(wire.HeaderRun, strconv.FormatInt(max(1, ran.Microseconds()), 10))
+		} else {
+			request.Response.Header.Del(wire.HeaderRun) // the instance cannot set it
+		}
 		return
 	case exchangeNotRun:
 		i.write(request, p, fasthttp.StatusServiceUnavailable, wire.OutcomeNotRun, result.reason)
@@ -442,7 +453,7 @@
 // internalHeaders lists the headers that routers add for ingresses.
 var internalHeaders = []string{
 	wire.HeaderAttempt, wire.HeaderService, wire.HeaderShard, wire.HeaderEpoch, wire.HeaderRoute, wire.HeaderRouteVersion,
-	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderRejectedBefore, wire.HeaderRepeatable, wire.HeaderDeadline, wire.HeaderTrial, wire.HeaderRepeat, wire.HeaderInstanceState, wire.HeaderStopsIn,
+	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderRejectedBefore, wire.HeaderRepeatable, wire.HeaderDeadline, wire.HeaderTrial, wire.HeaderRepeat, wire.HeaderInstanceState, wire.HeaderStopsIn, wire.HeaderUsualRun,
 }
 
 // respond sends the instance's response to the router. If the body was read completely, the slot is
@@ -512,6 +523,9 @@
 
 // reject answers a request that was not sent to the instance with the reason for that.
 func (i *Ingress) reject(request *fasthttp.RequestCtx, p *proxyRequest, reason string, retryAfter time.Duration) {
+	if reason == wire.BackendReasonFull {
+		i.instance.load.recordRefusal(clock.Now())
+	}
 	i.write(request, p, fasthttp.StatusServiceUnavailable, wire.OutcomeNotRun, reason)
 	i.RecordSent(0)
 	request.Response.Header.Set(wire.HeaderFromIngress, "1")
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -42,6 +42,13 @@
 	return counter
 }
 
+// GaugeVec registers a gauge with labels, whose values the caller sets.
+func (r *Registry) GaugeVec(subsystem, name, help string, labels ...string) *prometheus.GaugeVec {
+	gauge := prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem, Name: name, Help: help}, labels)
+	r.registry.MustRegister(gauge)
+	return gauge
+}
+
 // Gauge registers a gauge whose value is read when the metrics are collected.
 func (r *Registry) Gauge(subsystem, name, help string, read func() float64) {
 	r.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem, Name: name, Help: help}, read))
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -114,6 +114,7 @@
 	out.Header.Set(wire.HeaderDeadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
 	out.Header.Set(wire.HeaderEpoch, strconv.FormatUint(request.epoch, 10))
 	r.setInstanceState(node, out)
+	request.setUsualRun(out)
 	if request.isRepeat() {
 		out.Header.Set(wire.HeaderRepeat, strconv.FormatBool(true))
 	}
--- a/router/response.go
+++ b/router/response.go
@@ -20,6 +20,7 @@
 func (r *Router) forwardResponse(request *fasthttp.RequestCtx, p *proxiedRequest, result *attempt, id admission.InstanceID, sent time.Duration) bool {
 	latency := clock.Now() - sent
 	p.recordServiceTime(latency)
+	p.recordRun(&result.response.Header)
 	response := &request.Response
 	result.response.Header.CopyTo(&response.Header)
 	removeResponseHeaders(&response.Header)
@@ -77,7 +78,7 @@
 	for _, name := range hopByHop {
 		header.Del(name)
 	}
-	for _, name := range []string{wire.HeaderAttempt, wire.HeaderEpoch, wire.HeaderShard, wire.HeaderService, wire.HeaderReason, wire.HeaderRevision, wire.HeaderLoad, wire.HeaderInstanceState} {
+	for _, name := range []string{wire.HeaderAttempt, wire.HeaderEpoch, wire.HeaderShard, wire.HeaderService, wire.HeaderReason, wire.HeaderRevision, wire.HeaderLoad, wire.HeaderInstanceState, wire.HeaderRun} {
 		header.Del(name)
 	}
 }
--- a/router/routes.go
+++ b/router/routes.go
@@ -11,6 +11,7 @@
 
 	"limehold/admission"
 	"limehold/catalog"
+	"limehold/pace"
 	"limehold/routing"
 	"limehold/tenancy"
 	"limehold/wire"
@@ -92,6 +93,8 @@
 	// serviceTime is the smoothed time from sending a request until its response starts to be
 	// forwarded.
 	serviceTime time.Duration
+	// usualRun is the usual time of the requests' runs at instances, without their waits for a slot.
+	usualRun pace.Usual
 }
 
 // isReturning records the time that a caller allows for a request, and reports whether it
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -1,5 +1,7 @@
 package wire
 
+import "limehold/loadview"
+
 // The protocol between limehold and back ends is HTTP/1.1 with JSON bodies; see
 // docs/BACKEND-PROTOCOL.md. Its paths and headers are:
 const (
@@ -43,6 +45,12 @@
 	// HeaderRouteVersion sends the ingress the version of the route table that matched the
 	// request. On a rejection as BackendReasonSuperseded, it is the version in force there.
 	HeaderRouteVersion = "Limehold-Route-Version"
+	// HeaderUsualRun sends the ingress for how many microseconds runs of the route usually last, over all instances of
+	// the service that have answered the router.
+	HeaderUsualRun = "Limehold-Usual-Run-Us"
+	// HeaderRun on an ingress's answer is for how many microseconds the request ran. It is missing if that does not
+	// show how fast the instance is.
+	HeaderRun = "Limehold-Run-Us"
 	// HeaderRejectedBefore is "true" on requests that have been rejected before.
 	HeaderRejectedBefore = "Limehold-Returning"
 	// HeaderRepeatable is "true" on requests that may run more than once.
@@ -94,6 +102,9 @@
 	// Capacity is how much work the back end can do now, as a share of what it can usually
 	// do. It is below 1 during a cold start, for example. 0 if not reported.
 	Capacity float64 `json:"capacity,omitempty"`
+	// Speed and Load are set by an ingress, which is a back end in the agent's process; see Renew.
+	Speed float64         `json:"-"`
+	Load  loadview.Report `json:"-"`
 }
 
 // States in BackendHealth.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -10,6 +10,7 @@
 	"limehold/catalog"
 	"limehold/consensus"
 	"limehold/fleet"
+	"limehold/loadview"
 	"limehold/membership"
 	"limehold/ownership"
 	"limehold/quarantine"
@@ -62,7 +63,7 @@
 )
 
 // ProtocolVersion is compared when a connection is established.
-const ProtocolVersion = 12
+const ProtocolVersion = 13
 
 // Role is the kind of process at one end of a connection.
 type Role string
@@ -214,6 +215,11 @@
 	// Capacity is how much work the back end can do now, as a share of what it can usually do.
 	// 0 if not reported.
 	Capacity float64
+	// Speed is the factor of Capacity by which the back end says that it works faster than usual; 0 if not reported.
+	// A pace that was measured contains it already.
+	Speed float64
+	// Load is the back end's load; not set if it is not measured.
+	Load loadview.Report
 	// MembersVersion is the version of the agent's list of members.
 	MembersVersion uint64
 	// Claim is the node's statement about its grants.
