placement: the division of keys counts the pace of the nodes

With control.placement_pace a node's capacity is slots x pace x warmth; a node whose pace is not known counts as the mean of those known, so that slots decide at the start. The speed that an instance reports itself is left out then, as the measured pace contains it (TestWarmthAndPace).

Each plan that moves shards is logged (shards_moved); control_pool_busiest_ratio is the busiest node over the mean.

--- a/control/inputs.go
+++ b/control/inputs.go
@@ -106,9 +106,13 @@
 		if input == nil || !state.Eligible(node) {
 			continue
 		}
+		pace := 0.0
+		if b.member.options.Settings.Control.PlacementPace {
+			pace = b.member.sessions.pace(node.Session, b.now)
+		}
 		input.Nodes = append(input.Nodes, placement.Node{
 			Session: node.Session, Name: node.Name, Zone: node.Zone, Capacity: float64(node.Slots), Unresponsive: unresponsive[node.Session],
-			Warmth: b.member.sessions.warmth(node.Session, b.now, warmUp),
+			Warmth: b.member.sessions.warmth(node.Session, b.now, warmUp, pace > 0), Pace: pace,
 		})
 	}
 }
--- a/control/leader.go
+++ b/control/leader.go
@@ -69,6 +69,7 @@
 	if !status.Ready {
 		if current != nil {
 			m.sessions.endTerm()
+			m.busiest.Reset()
 		}
 		return nil
 	}
--- a/control/member.go
+++ b/control/member.go
@@ -59,6 +59,8 @@
 
 	renewals prometheus.Counter
 	moves    *prometheus.CounterVec
+	// busiest is the utilization of the busiest node over the mean, by pool.
+	busiest *prometheus.GaugeVec
 	// failedConfirmations counts the confirmation requests of routers that failed, by step.
 	failedConfirmations  *prometheus.CounterVec
 	confirmationFailures failureLimiter
@@ -91,6 +93,7 @@
 	m.formed.Store(disk.identity.Formed)
 	m.renewals = options.Metrics.Counter("control", "lease_renewals_total", "Lease renewals that reached this member while it led.")
 	m.moves = options.Metrics.CounterVec("control", "shard_moves_total", "Shards that this member proposed to move, by kind of decision.", "kind")
+	m.busiest = options.Metrics.GaugeVec("control", "pool_busiest_ratio", "Utilization of the busiest node of a pool over the mean, by the newest placement round of this member.", "pool")
 	m.registerRouterMetrics()
 	m.registerQuarantineMetrics()
 	m.server = transport.NewServer(accept.RetryTemporary(listener, "control", m.logger, options.Metrics), m, m.transportOptions())
--- /dev/null
+++ b/control/pace_test.go
@@ -0,0 +1,37 @@
+package control
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"limehold/loadview"
+)
+
+// TestWarmthAndPace shows that a slow instance which also says that it is slow counts as slow once.
+func TestWarmthAndPace(t *testing.T) {
+	const session, warmUp = 3, time.Second
+	for name, test := range map[string]struct {
+		capacity, speed, pace float64
+		paceCounts            bool
+		want                  float64
+	}{
+		"nothing reported":              {0, 0, 0, true, 1},
+		"slow by its own word":          {0.5, 0.5, 0, false, 0.5},
+		"slow by its word and measured": {0.5, 0.5, 0.5, true, 1},
+		"cold and slow":                 {0.2, 0.5, 0.5, true, 0.4},
+		"not a number":                  {math.NaN(), math.NaN(), 1, true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSessions()
+			s.openedAt[session] = 0
+			s.capacity[session], s.speed[session] = test.capacity, test.speed
+			s.reports.Record(session, loadview.Report{Slots: 8, Pace: test.pace}, time.Minute)
+			is.Equal(s.pace(session, time.Minute), test.pace)
+			is.Equal(s.warmth(session, time.Minute, warmUp, test.paceCounts), test.want)
+		})
+	}
+}
--- a/control/place.go
+++ b/control/place.go
@@ -34,10 +34,14 @@
 		builder.addNodes(state)
 	})
 	m.loadMutex.Unlock()
+	if rebalance {
+		m.busiest.Reset()
+	}
 	for pool, input := range builder.inputs {
 		plan := m.plan(*input)
 		leader.loads[pool] = plan.Loads
 		m.logOversized(leader, plan.Oversized)
+		m.recordPlan(pool, input, &plan)
 		m.proposeAssignments(ctx, pool, plan.Assign)
 		m.proposeTransfers(ctx, leader, pool, plan.Transfer)
 	}
@@ -67,6 +71,25 @@
 	}
 }
 
+// recordPlan records how even the work of a pool is, and logs a plan that moves shards for balance.
+func (m *Member) recordPlan(pool string, input *placement.Input, plan *placement.Plan) {
+	if input.Partial != nil {
+		return
+	}
+	m.busiest.WithLabelValues(pool).Set(plan.BusiestBefore)
+	if len(plan.Transfer) == 0 {
+		return
+	}
+	paces := 0
+	for i := range input.Nodes {
+		if input.Nodes[i].Pace > 0 {
+			paces++
+		}
+	}
+	m.logger.Info("shards_moved", zap.String("pool", pool), zap.Int("moves", len(plan.Transfer)), zap.Int("nodes", len(input.Nodes)), zap.Int("known_paces", paces),
+		zap.Float64("busiest_before", plan.BusiestBefore), zap.Float64("busiest_after", plan.BusiestAfter))
+}
+
 func (m *Member) logOversized(leader *leaderState, keys []ownership.Key) {
 	for _, key := range keys {
 		if !leader.oversized[key] {
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -9,6 +9,7 @@
 	"limehold/clock"
 	"limehold/fleet"
 	"limehold/membership"
+	"limehold/pace"
 	"limehold/transport"
 	"limehold/wire"
 )
@@ -29,6 +30,11 @@
 	// is usual for its slots; 0 if the renewal did not report it. Nodes that have not renewed at
 	// this member have no entry.
 	capacity map[membership.SessionID]float64
+	// speed is the factor in capacity that a measured pace contains already; see wire.Renew.
+	speed map[membership.SessionID]float64
+	// reports holds the newest load report of each session. It is empty after a change of leader until the next
+	// renewals.
+	reports pace.Reports
 	// baseRevision is the list revision of sessions whose list has not changed since
 	// this member became leader.
 	baseRevision uint64
@@ -40,6 +46,7 @@
 		listRevision: map[membership.SessionID]uint64{},
 		openedAt:     map[membership.SessionID]time.Duration{},
 		capacity:     map[membership.SessionID]float64{},
+		speed:        map[membership.SessionID]float64{},
 	}
 }
 
@@ -110,6 +117,8 @@
 		delete(s.listRevision, session)
 		delete(s.openedAt, session)
 		delete(s.capacity, session)
+		delete(s.speed, session)
+		s.reports.Forget(session)
 	}
 }
 
@@ -145,15 +154,26 @@
 	}
 }
 
+// pace returns the pace of a session's instance by its newest report; 0 if it is not known.
+func (s *sessions) pace(session membership.SessionID, now time.Duration) float64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reports.Pace(session, now)
+}
+
 // warmth returns the share of its full capacity with which a node is weighted, computed from the
-// time since its session was opened and the capacity that it reports.
-func (s *sessions) warmth(session membership.SessionID, now, warmUp time.Duration) float64 {
+// time since its session was opened and the capacity that it reports. With paceCounts set, the node is also weighted
+// by its measured pace, so that the speed which the instance reports is left out.
+func (s *sessions) warmth(session membership.SessionID, now, warmUp time.Duration, paceCounts bool) float64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	share, reported := s.capacity[session]
-	if !reported || share == 0 {
+	if !reported || !(share > 0) {
 		share = 1
 	}
+	if speed := s.speed[session]; paceCounts && speed > 0 {
+		share /= speed
+	}
 	opened, known := s.openedAt[session]
 	if !known || warmUp <= 0 {
 		return share
@@ -271,6 +291,8 @@
 		s.leases.RecordClaim(request.Session, request.Claim, term)
 		s.conns[request.Session] = conn
 		s.capacity[request.Session] = request.Capacity
+		s.speed[request.Session] = request.Speed
+		s.reports.Record(request.Session, request.Load, now)
 	}
 	s.mutex.Unlock()
 	m.renewals.Inc()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -24,6 +24,9 @@
 	// Warmth is 1 for a node that has warmed up, and less for one that has recently started. It
 	// scales Capacity.
 	Warmth float64
+	// Pace is the work that one slot does in a given time, relative to the other nodes. It scales Capacity. A node
+	// whose pace is not known, 0, counts as the mean of those known.
+	Pace float64
 	// Unresponsive nodes keep their shards and get no new ones, as their lease may be about to expire.
 	Unresponsive bool
 }
@@ -95,6 +98,10 @@
 	Oversized []ownership.Key
 	// Loads are the loads under the plan, as the input of subsequent partial plans.
 	Loads *Loads
+	// BusiestBefore and BusiestAfter are the utilization of the most utilized node over the mean, without and with the
+	// plan; 0 if no node has any load.
+	BusiestBefore float64
+	BusiestAfter  float64
 }
 
 const (
@@ -120,7 +127,7 @@
 	if len(p.nodes) == 0 {
 		return Plan{}
 	}
-	var plan Plan
+	plan := Plan{BusiestBefore: p.busiest()}
 	plan.Assign = p.assignFree(input)
 	plan.Transfer = p.evacuate(input)
 	if input.Partial == nil {
@@ -130,6 +137,7 @@
 		plan.Transfer = append(plan.Transfer, p.rebalance(input)...)
 	}
 	plan.Loads = p.loads()
+	plan.BusiestAfter = p.busiest()
 	return plan
 }
 
@@ -157,10 +165,14 @@
 
 func newPlanner(input Input) *planner {
 	p := &planner{bySession: map[membership.SessionID]*nodeLoad{}}
-	warmest := maxWarmth(input.Nodes)
+	warmest, meanPace := maxWarmth(input.Nodes), meanPace(input.Nodes)
 	for _, node := range input.Nodes {
 		warmth := min(1, max(minWarmth, node.Warmth/warmest))
-		entry := &nodeLoad{Node: node, capacity: max(node.Capacity, 1) * warmth}
+		pace := meanPace
+		if node.Pace > 0 {
+			pace = node.Pace
+		}
+		entry := &nodeLoad{Node: node, capacity: max(node.Capacity, 1) * warmth * pace}
 		p.nodes = append(p.nodes, entry)
 		p.bySession[node.Session] = entry
 		p.capacity += entry.capacity
@@ -219,6 +231,21 @@
 	return warmest
 }
 
+// meanPace returns the mean of the paces that are known; 1 if none is.
+func meanPace(nodes []Node) float64 {
+	sum, known := 0.0, 0
+	for _, node := range nodes {
+		if node.Pace > 0 {
+			sum += node.Pace
+			known++
+		}
+	}
+	if known == 0 {
+		return 1
+	}
+	return sum / float64(known)
+}
+
 func baseLoad(shards []Shard) float64 {
 	sum := 0.0
 	for i := range shards {
@@ -234,6 +261,19 @@
 
 func (p *planner) meanUtilization() float64 { return p.total / p.capacity }
 
+// busiest returns the utilization of the most utilized node over the mean; 0 if no node has any load.
+func (p *planner) busiest() float64 {
+	highest, sum := 0.0, 0.0
+	for _, node := range p.nodes {
+		highest = max(highest, node.utilization())
+		sum += node.utilization()
+	}
+	if sum == 0 {
+		return 0
+	}
+	return highest * float64(len(p.nodes)) / sum
+}
+
 // affinity returns the rendezvous hash of a shard and a node name.
 func affinity(key ownership.Key, node string) uint64 {
 	var digest xxhash.Digest
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -129,6 +129,9 @@
 	PlatformEvery time.Duration `yaml:"platform_every"`
 	// Placement is weighted, hash or greedy; hash and greedy are baselines for experiments. Default weighted.
 	Placement string `yaml:"placement"`
+	// PlacementPace lets placement weigh instances by their measured pace. Without it, all slots count alike. Default
+	// false.
+	PlacementPace bool `yaml:"placement_pace"`
 	// WarmUp is how long placement counts a new node at less than its capacity. Default 10s.
 	WarmUp time.Duration `yaml:"warm_up"`
 	// LoadHalfLife is the half-life over which the measured load of shards is smoothed. Default 5s.
