placement: moves follow demand, and an oversized shard gets a node for itself

- The even division of idle shards before the first request used up the service's budget of moves.
Moves of shards without load are no longer counted.
- Nodes that keep a hot shard and nothing else took all four places among the sources that a plan considers, so that nobody else was relieved.
A shard that fills its node goes to the fastest one (1.3 times the capacity at least) and stays; such nodes are left out.
- Shards with a few requests a second were moved because of chance.

All of it is behind control.placement_pace.

--- a/control/inputs.go
+++ b/control/inputs.go
@@ -9,6 +9,9 @@
 	"limehold/placement"
 )
 
+// slotLoad is the load of a slot that is always occupied: loads are milliseconds of service time a second.
+const slotLoad = 1000
+
 // inputBuilder builds from the state one placement input for each pool that has
 // shards to place.
 type inputBuilder struct {
@@ -73,7 +76,7 @@
 func (b *inputBuilder) input(service *catalog.Service) *placement.Input {
 	input := b.inputs[service.Spec.Pool]
 	if input == nil {
-		input = &placement.Input{Services: map[string]placement.Service{}}
+		input = &placement.Input{Services: map[string]placement.Service{}, ByDemand: b.member.options.Settings.Control.PlacementPace, SlotLoad: slotLoad}
 		b.inputs[service.Spec.Pool] = input
 	}
 	if _, known := input.Services[service.Name]; !known {
--- a/control/member.go
+++ b/control/member.go
@@ -87,7 +87,7 @@
 		options: options, logger: options.Logger, storage: disk, recovered: recovered, admin: admin,
 		quotas:   quotas{policy: options.quotaPolicy()},
 		sessions: newSessions(), drains: newDrainLocks(), pusher: newPusher(resendAfterRenewals * config.Control.RenewEvery), routers: newRouterTable(), placeNow: make(chan struct{}, 1),
-		loads: placement.NewLoadTable(config.Control.LoadHalfLife), started: make(chan struct{}), startTime: clock.Now(),
+		loads: newLoadTable(config.Control), started: make(chan struct{}), startTime: clock.Now(),
 		joining: map[consensus.MemberID]joinRequest{},
 	}
 	m.formed.Store(disk.identity.Formed)
@@ -105,6 +105,13 @@
 	return m, nil
 }
 
+func newLoadTable(config settings.Control) *placement.LoadTable {
+	if config.PlacementPace {
+		return placement.NewSteadyLoadTable(config.LoadHalfLife)
+	}
+	return placement.NewLoadTable(config.LoadHalfLife)
+}
+
 func listen(config settings.Settings) (listener, admin net.Listener, err error) {
 	if listener, err = net.Listen("tcp", config.Control.Listen); err != nil {
 		return nil, nil, eris.Wrapf(err, "listen for members, agents and routers on %s (control.listen)", config.Control.Listen)
--- a/control/place.go
+++ b/control/place.go
@@ -132,7 +132,9 @@
 		cause := m.transferCause(decision.From)
 		if decision.Gain > 0 {
 			cause = fmt.Sprintf("balance of pool %s: weighted gain %.4f exceeds the price of the move", pool, decision.Gain)
-			leader.budgets[decision.Key.Service].Spend(1)
+			if !decision.Unbudgeted {
+				leader.budgets[decision.Key.Service].Spend(1)
+			}
 		}
 		byCause[cause] = append(byCause[cause], decision)
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -161,6 +161,9 @@
 	registry.Gauge("ingress", "inbound_body_bytes", "Bytes of announced request bodies that are in memory or on their way.", i.inbound.memory)
 	registry.Gauge("ingress", "close_notices_total", "Idle connections of routers that were closed with the notice that no request ran.", func() float64 { return float64(i.kept.Notices()) })
 	registry.Gauge("ingress", "runs_well_ratio", "Share of runs that end well, smoothed.", func() float64 { return i.instance.success.share(clock.Now()) })
+	registry.Gauge("ingress", "pace_ratio", "Pace of the instance as measured, relative to the mean of its service; 0: not known.", func() float64 {
+		return i.instance.load.currentPace(clock.Now())
+	})
 	registry.Gauge("ingress", "speed_ratio", "Pace that the instance tells, relative to what is usual there.", i.instance.slowdown.speed)
 }
 
--- a/placement/pace_test.go
+++ b/placement/pace_test.go
@@ -44,7 +44,7 @@
 
 func newClosedLoop(seed uint64, nodes, shards int, load float64) *closedLoop {
 	l := &closedLoop{
-		random: rand.New(rand.NewPCG(seed, 7)), meters: make([]pace.Meter, nodes), table: NewLoadTable(time.Second), moving: map[int]time.Duration{},
+		random: rand.New(rand.NewPCG(seed, 7)), meters: make([]pace.Meter, nodes), table: NewSteadyLoadTable(time.Second), moving: map[int]time.Duration{},
 		service: Service{Imbalance: 1, Churn: 0.25, Unavailable: 1, Moves: 400, Ranged: true},
 	}
 	levels := []float64{0.5, 0.7, 0.7, 1, 1.7}
@@ -118,7 +118,7 @@
 }
 
 func (l *closedLoop) plan() {
-	input := Input{Services: map[string]Service{"a": l.service}}
+	input := Input{Services: map[string]Service{"a": l.service}, ByDemand: true, SlotLoad: 1000}
 	for i := range l.paces {
 		input.Nodes = append(input.Nodes, Node{
 			Session: membership.SessionID(i + 1), Name: fmt.Sprintf("node-%d", i+1), Capacity: loopSlots, Warmth: 1, Pace: l.meters[i].Pace(l.now),
@@ -176,3 +176,218 @@
 		})
 	}
 }
+
+// TestCapacityCountsPace answers the load of instances that differ in pace with equal slots.
+func TestCapacityCountsPace(t *testing.T) {
+	for name, test := range map[string]struct {
+		paces []float64
+		want  []int
+	}{
+		"no pace known: slots decide":           {[]float64{0, 0, 0, 0}, []int{10, 10, 10, 10}},
+		"twice as fast gets twice as much":      {[]float64{1, 1, 1, 2}, []int{8, 8, 8, 16}},
+		"unknown counts as the mean of known":   {[]float64{0.5, 0.5, 0.5, 0}, []int{10, 10, 10, 10}},
+		"only ratios count":                     {[]float64{0.25, 0.25, 0.25, 0.5}, []int{8, 8, 8, 16}},
+		"a node that is not measured alone":     {[]float64{0, 0, 0, 2}, []int{10, 10, 10, 10}},
+		"slow and fast around an unknown third": {[]float64{0.5, 1.5, 0, 1}, []int{5, 15, 10, 10}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			input := pool(len(test.paces), equalLoads(40), noOwner, Service{Imbalance: 1})
+			for i, pace := range test.paces {
+				input.Nodes[i].Pace = pace
+			}
+			found := countByTarget(Compute(input).Assign)
+			for i, want := range test.want {
+				is.Equal(found[membership.SessionID(i+1)], want)
+			}
+		})
+	}
+}
+
+// TestOversizedShard answers the load of a hot key that asks for more than an instance can run: its shard belongs on
+// the fastest instance, alone, and a shard that is no burden stays where it is.
+func TestOversizedShard(t *testing.T) {
+	const slots, hot = 10, 0
+	for name, test := range map[string]struct {
+		load     float64
+		byDemand bool
+		moves    int
+		fast     float64
+		want     membership.SessionID
+		alone    bool
+	}{
+		"alone on the fastest":                  {20000, true, 400, 2, 4, true},
+		"stays on a node that is nearly so":     {20000, true, 400, 1.2, 1, true},
+		"the budget allows no move":             {20000, true, 0, 2, 1, false},
+		"less than a node can bear":             {5000, true, 400, 2, 1, false},
+		"off by default":                        {20000, false, 400, 2, 1, false},
+		"of a pool with hardly any load at all": {3, true, 400, 2, 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			loads := equalLoads(40)
+			for i := range loads {
+				loads[i] = test.load / 100
+			}
+			loads[hot] = test.load
+			service := Service{Imbalance: 1, Churn: 0.25, Unavailable: 1, Moves: test.moves, Ranged: true}
+			owners := func(i int) membership.SessionID { return membership.SessionID(i/10 + 1) }
+			input := pool(4, loads, owners, service)
+			input.ByDemand, input.SlotLoad = test.byDemand, 1000
+			for i := range input.Nodes {
+				input.Nodes[i].Capacity, input.Nodes[i].Pace = slots, 1
+			}
+			input.Nodes[3].Pace = test.fast
+			// Applies plans until nothing is moved any more.
+			for range 20 {
+				for _, decision := range Compute(input).Transfer {
+					input.Shards[decision.Key.Shard].Owner = decision.To
+				}
+			}
+			if test.byDemand && test.moves > 0 && test.load > 1000 {
+				is.Equal(len(Compute(input).Transfer), 0) // at rest
+			}
+			if test.alone {
+				is.Equal(input.Shards[hot].Owner, test.want)
+			}
+			beside := 0
+			for i := range input.Shards {
+				if i != hot && input.Shards[i].Owner == input.Shards[hot].Owner {
+					beside++
+				}
+			}
+			if test.alone {
+				is.Equal(beside, 0)
+			}
+		})
+	}
+}
+
+// TestBearableShardIsNotIsolated shows that only a shard that fills its node is kept on a node of its own.
+func TestBearableShardIsNotIsolated(t *testing.T) {
+	for name, test := range map[string]struct {
+		load   float64
+		pinned int
+	}{
+		"fills its node":        {9000, 1},
+		"half of what it bears": {5000, 0},
+		"a single request":      {1, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			loads := make([]float64, 40)
+			loads[0] = test.load
+			input := pool(4, loads, func(i int) membership.SessionID { return membership.SessionID(i/10 + 1) }, Service{Imbalance: 1, Moves: 400, Ranged: true})
+			input.ByDemand, input.SlotLoad = true, 1000
+			p := newPlanner(input)
+			p.rebalance(input)
+			pinned := 0
+			for _, node := range p.nodes {
+				if node.pinned > 0 {
+					pinned++
+				}
+			}
+			is.Equal(pinned, test.pinned)
+		})
+	}
+}
+
+// TestSeveralOversizedShards answers the load of hot keys in turn: nodes that keep one do not hinder moves between the
+// others.
+func TestSeveralOversizedShards(t *testing.T) {
+	is := is.New(t)
+	loads := equalLoads(200)
+	for i := range 5 {
+		loads[i*20] = 40000
+	}
+	for i := 100; i < 120; i++ {
+		loads[i] = 800 // node 6 has eight times what the others have
+	}
+	for i := range loads {
+		if loads[i] == 1 {
+			loads[i] = 100
+		}
+	}
+	input := pool(10, loads, func(i int) membership.SessionID { return membership.SessionID(i/20 + 1) }, Service{Imbalance: 1, Churn: 0.25, Unavailable: 1, Moves: 400, Ranged: true})
+	input.ByDemand, input.SlotLoad = true, 1000
+	relieved := 0
+	for _, decision := range Compute(input).Transfer {
+		if decision.From == 6 {
+			relieved++
+		}
+	}
+	is.True(relieved >= 5)
+}
+
+// TestIdleShardsMoveFreely answers the start of a deployment: the first nodes own all shards, and their even division
+// must not use up the moves that the first load needs.
+func TestIdleShardsMoveFreely(t *testing.T) {
+	for name, test := range map[string]struct {
+		load     float64
+		byDemand bool
+		want     bool
+	}{
+		"idle":           {0, true, true},
+		"loaded":         {1, true, false},
+		"off by default": {0, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			loads := make([]float64, 40)
+			for i := range loads {
+				loads[i] = test.load
+			}
+			// Node 1 has 1.6 times the mean: less than from which the budget is ignored.
+			owners := func(i int) membership.SessionID { return membership.SessionID(max(0, (i-7)/11) + 1) }
+			input := pool(4, loads, owners, Service{Imbalance: 1, Churn: 0.25, Unavailable: 1, Moves: 0, Ranged: true})
+			input.ByDemand, input.SlotLoad = test.byDemand, 1000
+			decisions := Compute(input).Transfer
+			is.Equal(len(decisions) > 0, test.want)
+			for _, decision := range decisions {
+				is.True(decision.Unbudgeted)
+			}
+		})
+	}
+}
+
+// TestSteadyLoadIgnoresChance answers the load of shards that get a few requests a second, and of a key that becomes
+// hot: only the latter is a change.
+func TestSteadyLoadIgnoresChance(t *testing.T) {
+	const round, work = 500 * time.Millisecond, 100.0
+	key := ownership.Key{Service: "a", Shard: 1}
+	for name, test := range map[string]struct {
+		// rates are the requests a second, for rounds rounds each.
+		rates  []float64
+		rounds int
+		// least and most bound the measured rate, in requests a second.
+		least, most float64
+	}{
+		"few requests":                 {[]float64{2}, 40, 1, 3.4},
+		"right from the start":         {[]float64{40}, 3, 28, 52},
+		"ten times as hot after 1.5 s": {[]float64{2, 2, 2, 60}, 3, 20, 80},
+		"a quarter of it after 4 s":    {[]float64{60, 60, 60, 2}, 8, 1, 15},
+		"gone":                         {[]float64{20, 0}, 60, 0, 0.5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(20) {
+				random := rand.New(rand.NewPCG(seed, 5))
+				table := NewSteadyLoadTable(time.Second)
+				now := time.Second
+				for _, rate := range test.rates {
+					for range test.rounds {
+						for range int(poisson(random, rate*round.Seconds())) {
+							table.Add(key, work, now)
+						}
+						now += round
+						table.Update(now)
+					}
+				}
+				if got := table.Rate(key) / work; got < test.least || got > test.most {
+					t.Fatalf("seed %d: %.1f requests a second, want %.1f to %.1f", seed, got, test.least, test.most)
+				}
+			}
+			is.Equal(NewSteadyLoadTable(time.Second).Rate(key), 0.0)
+		})
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -63,6 +63,11 @@
 	Services map[string]Service
 	// NoRebalance disables moves for balance.
 	NoRebalance bool
+	// ByDemand lets moves follow the demand more closely: the budgets do not limit moves of shards that have no load, and
+	// a shard that is too large for any node goes to the one with the highest capacity, alone.
+	ByDemand bool
+	// SlotLoad is the load that one unit of capacity can bear.
+	SlotLoad float64
 	// Partial is set if Shards holds only the shards to be placed. It then contains the loads of the
 	// nodes under the previous plan.
 	Partial *Loads
@@ -85,6 +90,8 @@
 	// Gain is the decrease in weighted imbalance minus the price of the move; 0 for moves that are
 	// not made for balance.
 	Gain float64
+	// Unbudgeted is set for a move that the budget of the service does not limit.
+	Unbudgeted bool
 }
 
 // Plan is the result of Compute.
@@ -146,6 +153,8 @@
 	Node
 	capacity float64
 	load     float64
+	// pinned is the load of the shard that the node keeps because it is too large for any node; 0 if there is none.
+	pinned float64
 }
 
 func (n *nodeLoad) utilization() float64 { return n.load / n.capacity }
@@ -159,6 +168,9 @@
 	base      float64
 	total     float64
 	capacity  float64
+	// pinnedLoad and pinnedCapacity are the sums over the nodes that keep a shard too large for any node.
+	pinnedLoad     float64
+	pinnedCapacity float64
 	// rangeOwners holds the owners of ranges while moves are planned.
 	rangeOwners *rangeOwners
 }
@@ -259,7 +271,14 @@
 
 func (p *planner) weight(shard *Shard) float64 { return shard.Load + p.base }
 
-func (p *planner) meanUtilization() float64 { return p.total / p.capacity }
+// meanUtilization returns the mean utilization of the nodes, except of those that keep a shard too large for any node:
+// no move brings them to the mean.
+func (p *planner) meanUtilization() float64 {
+	if p.pinnedCapacity >= p.capacity {
+		return p.total / p.capacity
+	}
+	return (p.total - p.pinnedLoad) / (p.capacity - p.pinnedCapacity)
+}
 
 // busiest returns the utilization of the most utilized node over the mean; 0 if no node has any load.
 func (p *planner) busiest() float64 {
@@ -304,12 +323,17 @@
 	before := square(from.utilization()/mean-1) + square(to.utilization()/mean-1)
 	after := square((from.load-load)/from.capacity/mean-1) + square((to.load+load)/to.capacity/mean-1)
 	drop := (before - after) / float64(len(p.nodes))
+	return service.Imbalance*drop - p.price(shard, from, to, service)
+}
+
+// price returns the price of a move.
+func (p *planner) price(shard *Shard, from, to *nodeLoad, service Service) float64 {
 	nodeMean := p.total / float64(len(p.nodes))
 	price := service.Churn*movePrice + service.Unavailable*unavailabilityPrice*shard.Load/math.Max(nodeMean, p.base)
 	if service.Ranged {
 		price += service.Churn * cutPrice * float64(p.rangeOwners.addedCuts(shard.Key, from.Session, to.Session))
 	}
-	return service.Imbalance*drop - price
+	return price
 }
 
 func square(x float64) float64 { return x * x }
--- a/placement/rebalance.go
+++ b/placement/rebalance.go
@@ -36,35 +36,50 @@
 		}
 	}
 	var decisions []Decision
+	if input.ByDemand {
+		decisions = p.isolateOversized(byOwner, input.Services, input.SlotLoad, allowed)
+	}
 	var to *nodeLoad
 	for len(decisions) < maxMoves {
 		to = p.nextTarget(to)
-		shard, from, gain := p.bestMove(byOwner, to, input.Services, allowed)
+		shard, from, gain := p.bestMove(byOwner, to, input, allowed)
 		if shard == nil {
 			break
 		}
-		from.load -= p.weight(shard)
-		to.load += p.weight(shard)
-		allowed[shard.Key.Service]--
-		p.rangeOwners.setOwner(shard.Key, to.Session)
-		byOwner[from.Session] = slices.DeleteFunc(byOwner[from.Session], func(other *Shard) bool { return other == shard })
-		decisions = append(decisions, Decision{Key: shard.Key, Epoch: shard.Epoch, From: from.Session, To: to.Session, Gain: gain})
+		unbudgeted := input.ByDemand && shard.Load == 0
+		if !unbudgeted {
+			allowed[shard.Key.Service]--
+		}
+		p.move(byOwner, shard, from, to)
+		decisions = append(decisions, Decision{Key: shard.Key, Epoch: shard.Epoch, From: from.Session, To: to.Session, Gain: gain, Unbudgeted: unbudgeted})
 	}
 	return decisions
 }
 
+// move records a move in the plan. The shard moves only once.
+func (p *planner) move(byOwner map[membership.SessionID][]*Shard, shard *Shard, from, to *nodeLoad) {
+	from.load -= p.weight(shard)
+	to.load += p.weight(shard)
+	p.rangeOwners.setOwner(shard.Key, to.Session)
+	removeShard(byOwner, from, shard)
+}
+
+func removeShard(byOwner map[membership.SessionID][]*Shard, owner *nodeLoad, shard *Shard) {
+	byOwner[owner.Session] = slices.DeleteFunc(byOwner[owner.Session], func(other *Shard) bool { return other == shard })
+}
+
 // nextTarget returns the least utilized node. Where ranges are moved, it returns the last target until
 // that has reached the mean utilization, so that neighbouring ranges stay together.
 func (p *planner) nextTarget(last *nodeLoad) *nodeLoad {
 	if last != nil && len(p.rangeOwners.owners) > 0 && last.utilization() < p.meanUtilization() {
 		return last
 	}
-	return slices.MinFunc(p.targets, func(x, y *nodeLoad) int { return cmp.Compare(x.utilization(), y.utilization()) })
+	return slices.MinFunc(p.unpinnedTargets(), func(x, y *nodeLoad) int { return cmp.Compare(x.utilization(), y.utilization()) })
 }
 
 // bestMove returns the move from one of the most utilized nodes to the target with the highest gain.
 // The shard is nil if no move gains anything.
-func (p *planner) bestMove(byOwner map[membership.SessionID][]*Shard, to *nodeLoad, services map[string]Service, allowed map[string]int) (*Shard, *nodeLoad, float64) {
+func (p *planner) bestMove(byOwner map[membership.SessionID][]*Shard, to *nodeLoad, input Input, allowed map[string]int) (*Shard, *nodeLoad, float64) {
 	mean := p.meanUtilization()
 	if mean <= 0 || len(p.nodes) < 2 {
 		return nil, nil, 0
@@ -72,15 +87,16 @@
 	var best *Shard
 	var bestFrom *nodeLoad
 	bestGain := 0.0
-	for _, from := range p.mostUtilized() {
+	for _, from := range p.mostUtilized(byOwner) {
 		if from == to || from.utilization() <= mean {
 			continue
 		}
 		for _, shard := range byOwner[from.Session] {
-			if allowed[shard.Key.Service] <= 0 && from.utilization() < overloadFactor*mean {
+			isLimited := allowed[shard.Key.Service] <= 0 && !(input.ByDemand && shard.Load == 0)
+			if isLimited && from.utilization() < overloadFactor*mean {
 				continue
 			}
-			gain := p.gain(shard, from, to, mean, services[shard.Key.Service])
+			gain := p.gain(shard, from, to, mean, input.Services[shard.Key.Service])
 			if gain > bestGain {
 				best, bestFrom, bestGain = shard, from, gain
 			}
@@ -89,10 +105,14 @@
 	return best, bestFrom, bestGain
 }
 
-// mostUtilized returns the maxSources most utilized nodes in no particular order.
-func (p *planner) mostUtilized() []*nodeLoad {
+// mostUtilized returns the maxSources most utilized nodes in no particular order. It leaves out nodes that keep a shard
+// too large for any node and have nothing else to give.
+func (p *planner) mostUtilized(byOwner map[membership.SessionID][]*Shard) []*nodeLoad {
 	top := make([]*nodeLoad, 0, maxSources)
 	for _, node := range p.nodes {
+		if node.pinned > 0 && len(byOwner[node.Session]) == 0 {
+			continue
+		}
 		if len(top) < maxSources {
 			top = append(top, node)
 			continue
