pace: instances that stall often do not turn with each stall

A turn now has to last 0.9 s and to exceed 2.5 times the usual difference of the two averages; the long one is over 8 s instead of 4 s.

--- a/pace/meter.go
+++ b/pace/meter.go
@@ -14,7 +14,9 @@
 type Meter struct {
 	// long is the estimate in force, and short the one by which a turn of pace shows.
 	long, short average
-	runs        int
+	// spread is the usual square of their difference.
+	spread average
+	runs   int
 	// deviatesSince is since when short differs from long by more than turnDeviation; 0 if it does not.
 	deviatesSince time.Duration
 	updatedAt     time.Duration
@@ -27,12 +29,18 @@
 	MinPace = 0.05
 	MaxPace = 20.0
 
-	longTimeConstant  = 4 * time.Second
+	longTimeConstant  = 8 * time.Second
 	shortTimeConstant = 400 * time.Millisecond
 	// turnDeviation is the logarithm of the factor by which the short average has to differ from the long one for
 	// turnDuration to replace it. Instances stall for some hundred milliseconds at a time, which is no turn.
 	turnDeviation = 0.4
-	turnDuration  = 600 * time.Millisecond
+	// turnSpread is by how many times their usual difference the averages have to differ at a turn. Some instances stall
+	// so often that a few stalls in a row are no turn either.
+	turnSpread         = 2.5
+	spreadTimeConstant = 20 * time.Second
+	// maxSpread bounds what a single run adds, so that a turn under way does not count as usual.
+	maxSpread    = 1.0
+	turnDuration = 900 * time.Millisecond
 	// minTurnRuns is the weight of the short average from which a turn counts.
 	minTurnRuns = 3.0
 	// priorRuns is the number of runs that the assumption of the mean pace weighs: the variance between the runs of
@@ -69,6 +77,7 @@
 	m.short.add(value, math.Exp(-float64(elapsed)/float64(shortTimeConstant)))
 	m.runs++
 	m.detectTurn(now)
+	m.spread.add(min(maxSpread, square(m.short.mean()-m.long.mean())), math.Exp(-float64(elapsed)/float64(spreadTimeConstant)))
 }
 
 // RecordAtLeast adds a run that was given up after ran. It counts only if it is slower than the pace says.
@@ -80,7 +89,8 @@
 
 // detectTurn replaces the long average by the short one once they have differed for turnDuration.
 func (m *Meter) detectTurn(now time.Duration) {
-	if math.Abs(m.short.mean()-m.long.mean()) <= turnDeviation || m.short.weight < minTurnRuns {
+	least := max(turnDeviation, turnSpread*math.Sqrt(m.spread.mean()))
+	if math.Abs(m.short.mean()-m.long.mean()) <= least || m.short.weight < minTurnRuns {
 		m.deviatesSince = 0
 		return
 	}
@@ -107,6 +117,8 @@
 // Reset forgets all runs, for another incarnation of the instance.
 func (m *Meter) Reset() { *m = Meter{} }
 
+func square(x float64) float64 { return x * x }
+
 func clampLog(value float64) float64 { return min(math.Log(MaxPace), max(math.Log(MinPace), value)) }
 
 // Usual is the usual time of runs of one kind over all instances of a service. The zero value knows none.
