control: load reports end with the term of the leader

Sessions that end while another member leads were not removed from the reports of a member that had led before. TestReportsOfATerm fails without the reset.

--- a/control/pace_test.go
+++ b/control/pace_test.go
@@ -8,8 +8,21 @@
 	"github.com/matryer/is"
 
 	"limehold/loadview"
+	"limehold/membership"
 )
 
+// TestReportsOfATerm shows that a member which leads again knows nothing of an earlier term: the sessions may have ended.
+func TestReportsOfATerm(t *testing.T) {
+	is := is.New(t)
+	s := newSessions()
+	s.beginTerm(1, membership.LeaseTiming{Length: time.Second}, nil, 1, 0)
+	s.reports.Record(3, loadview.Report{Slots: 8, Pace: 0.5}, time.Second)
+	is.Equal(s.pace(3, time.Second), 0.5)
+	s.endTerm()
+	s.beginTerm(2, membership.LeaseTiming{Length: time.Second}, nil, 1, 2*time.Second)
+	is.Equal(s.pace(3, 2*time.Second), 0.0)
+}
+
 // TestWarmthAndPace shows that a slow instance which also says that it is slow counts as slow once.
 func TestWarmthAndPace(t *testing.T) {
 	const session, warmUp = 3, time.Second
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -32,8 +32,7 @@
 	capacity map[membership.SessionID]float64
 	// speed is the factor in capacity that a measured pace contains already; see wire.Renew.
 	speed map[membership.SessionID]float64
-	// reports holds the newest load report of each session. It is empty after a change of leader until the next
-	// renewals.
+	// reports holds the newest load report of each session that has renewed in this term.
 	reports pace.Reports
 	// baseRevision is the list revision of sessions whose list has not changed since
 	// this member became leader.
@@ -62,6 +61,8 @@
 	}
 	s.baseRevision = revision
 	s.listRevision = map[membership.SessionID]uint64{}
+	// Sessions may have ended while another member led.
+	s.speed, s.reports = map[membership.SessionID]float64{}, pace.Reports{}
 }
 
 // currentTerm returns the term of this member's newest leadership, 0 if it has never led.
