control: a new leader moves nothing for balance before it knows loads and paces

It now waits for two renewal intervals; shards without an owner are assigned as before, and the first leader of a deployment divides at once. TestNewLeaderLeavesTheDivision fails without the guard.

--- a/control/inputs.go
+++ b/control/inputs.go
@@ -76,7 +76,7 @@
 func (b *inputBuilder) input(service *catalog.Service) *placement.Input {
 	input := b.inputs[service.Spec.Pool]
 	if input == nil {
-		input = &placement.Input{Services: map[string]placement.Service{}, ByDemand: b.member.options.Settings.Control.PlacementPace, SlotLoad: slotLoad}
+		input = &placement.Input{Services: map[string]placement.Service{}, ByDemand: b.member.options.Settings.Control.PlacementPace, SlotLoad: slotLoad, NoRebalance: b.now < b.leader.balanceFrom}
 		b.inputs[service.Spec.Pool] = input
 	}
 	if _, known := input.Services[service.Name]; !known {
--- a/control/leader.go
+++ b/control/leader.go
@@ -24,6 +24,20 @@
 	oversized map[ownership.Key]bool
 	// loads holds, by pool, the loads of the nodes under the newest plan.
 	loads map[string]*placement.Loads
+	// balanceFrom is from when shards are moved for balance.
+	balanceFrom time.Duration
+}
+
+// settleRenewals is for how many renewal intervals a new leader moves no shards for balance: it knows neither the load
+// of shards nor the pace of nodes, and would undo what its predecessor did by them.
+const settleRenewals = 2
+
+// balanceStart returns from when a leader moves shards for balance. The first leader has nothing to undo.
+func balanceStart(now, renewEvery time.Duration, byDemand, hasOwners bool) time.Duration {
+	if !byDemand || !hasOwners {
+		return now
+	}
+	return now + settleRenewals*renewEvery
 }
 
 // runLeader performs the leader's duties while this member leads: it ends expired
@@ -78,15 +92,21 @@
 		return current
 	}
 	var open []*membership.Node
+	hasOwners := false
 	m.replica.view(func(state *fleet.State) {
 		for _, node := range state.Membership.Sessions {
 			open = append(open, node)
+			hasOwners = hasOwners || state.Ownership.OwnedCount(node.Session) > 0
 		}
 		// Called within view so that no change of the sessions is applied in between.
 		m.sessions.beginTerm(status.Term, m.options.leaseTiming(), open, state.Revision, clock.Now())
 	})
 	m.logger.Info("leading", zap.Uint64("term", status.Term), zap.Int("sessions", len(open)))
-	return &leaderState{term: status.Term, budgets: map[string]*placement.Budget{}, oversized: map[ownership.Key]bool{}, loads: map[string]*placement.Loads{}}
+	config := m.options.Settings.Control
+	return &leaderState{
+		term: status.Term, budgets: map[string]*placement.Budget{}, oversized: map[ownership.Key]bool{}, loads: map[string]*placement.Loads{},
+		balanceFrom: balanceStart(clock.Now(), config.RenewEvery, config.PlacementPace, hasOwners),
+	}
 }
 
 // endExpiredSessions proposes the end of the sessions whose leases have expired. For those that
--- a/control/pace_test.go
+++ b/control/pace_test.go
@@ -7,8 +7,10 @@
 
 	"github.com/matryer/is"
 
+	"limehold/catalog"
 	"limehold/loadview"
 	"limehold/membership"
+	"limehold/placement"
 )
 
 // TestReportsOfATerm shows that a member which leads again knows nothing of an earlier term: the sessions may have ended.
@@ -23,6 +25,27 @@
 	is.Equal(s.pace(3, 2*time.Second), 0.0)
 }
 
+// TestNewLeaderLeavesTheDivision shows that a leader which knows no load and no pace yet does not undo what its predecessor
+// divided by them, and that the first leader divides at once.
+func TestNewLeaderLeavesTheDivision(t *testing.T) {
+	const now, renewEvery = time.Minute, time.Second
+	for name, test := range map[string]struct {
+		byDemand, hasOwners bool
+		want                time.Duration
+	}{
+		"first leader":   {true, false, now},
+		"later leader":   {true, true, now + settleRenewals*renewEvery},
+		"off by default": {false, true, now},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(balanceStart(now, renewEvery, test.byDemand, test.hasOwners), test.want)
+			builder := &inputBuilder{member: &Member{}, leader: &leaderState{balanceFrom: test.want, budgets: map[string]*placement.Budget{}}, now: now, inputs: map[string]*placement.Input{}}
+			is.Equal(builder.input(&catalog.Service{Name: "a"}).NoRebalance, test.want > now)
+		})
+	}
+}
+
 // TestWarmthAndPace shows that a slow instance which also says that it is slow counts as slow once.
 func TestWarmthAndPace(t *testing.T) {
 	const session, warmUp = 3, time.Second
