--- a/control/inputs.go
+++ b/control/inputs.go
@@ -9,6 +9,9 @@
 	"limehold/placement"
 )
 
+// slotLoad is the load of a slot that is always occupied: loads are milliseconds of service time a second.
+const slotLoad = 1000
+
 // inputBuilder builds from the state one placement input for each pool that has
 // shards to place.
 type inputBuilder struct {
@@ -73,7 +76,7 @@
 func (b *inputBuilder) input(service *catalog.Service) *placement.Input {
 	input := b.inputs[service.Spec.Pool]
 	if input == nil {
-		input = &placement.Input{Services: map[string]placement.Service{}}
+		input = &placement.Input{Services: map[string]placement.Service{}, ByDemand: b.member.options.Settings.Control.PlacementPace, SlotLoad: slotLoad, NoRebalance: b.now < b.leader.balanceFrom}
 		b.inputs[service.Spec.Pool] = input
 	}
 	if _, known := input.Services[service.Name]; !known {
@@ -106,9 +109,13 @@
 		if input == nil || !state.Eligible(node) {
 			continue
 		}
+		pace := 0.0
+		if b.member.options.Settings.Control.PlacementPace {
+			pace = b.member.sessions.pace(node.Session, b.now)
+		}
 		input.Nodes = append(input.Nodes, placement.Node{
 			Session: node.Session, Name: node.Name, Zone: node.Zone, Capacity: float64(node.Slots), Unresponsive: unresponsive[node.Session],
-			Warmth: b.member.sessions.warmth(node.Session, b.now, warmUp),
+			Warmth: b.member.sessions.warmth(node.Session, b.now, warmUp, pace > 0), Pace: pace,
 		})
 	}
 }
--- a/control/member.go
+++ b/control/member.go
@@ -59,6 +59,8 @@
 
 	renewals prometheus.Counter
 	moves    *prometheus.CounterVec
+	// busiest is the utilization of the busiest node over the mean, by pool.
+	busiest *prometheus.GaugeVec
 	// failedConfirmations counts the confirmation requests of routers that failed, by step.
 	failedConfirmations  *prometheus.CounterVec
 	confirmationFailures failureLimiter
@@ -85,12 +87,13 @@
 		options: options, logger: options.Logger, storage: disk, recovered: recovered, admin: admin,
 		quotas:   quotas{policy: options.quotaPolicy()},
 		sessions: newSessions(), drains: newDrainLocks(), pusher: newPusher(resendAfterRenewals * config.Control.RenewEvery), routers: newRouterTable(), placeNow: make(chan struct{}, 1),
-		loads: placement.NewLoadTable(config.Control.LoadHalfLife), started: make(chan struct{}), startTime: clock.Now(),
+		loads: newLoadTable(config.Control), started: make(chan struct{}), startTime: clock.Now(),
 		joining: map[consensus.MemberID]joinRequest{},
 	}
 	m.formed.Store(disk.identity.Formed)
 	m.renewals = options.Metrics.Counter("control", "lease_renewals_total", "Lease renewals that reached this member while it led.")
 	m.moves = options.Metrics.CounterVec("control", "shard_moves_total", "Shards that this member proposed to move, by kind of decision.", "kind")
+	m.busiest = options.Metrics.GaugeVec("control", "pool_busiest_ratio", "Utilization of the busiest node of a pool over the mean, by the newest placement round of this member.", "pool")
 	m.registerRouterMetrics()
 	m.registerQuarantineMetrics()
 	m.server = transport.NewServer(accept.RetryTemporary(listener, "control", m.logger, options.Metrics), m, m.transportOptions())
@@ -102,6 +105,13 @@
 	return m, nil
 }
 
+func newLoadTable(config settings.Control) *placement.LoadTable {
+	if config.PlacementPace {
+		return placement.NewSteadyLoadTable(config.LoadHalfLife)
+	}
+	return placement.NewLoadTable(config.LoadHalfLife)
+}
+
 func listen(config settings.Settings) (listener, admin net.Listener, err error) {
 	if listener, err = net.Listen("tcp", config.Control.Listen); err != nil {
 		return nil, nil, eris.Wrapf(err, "listen for members, agents and routers on %s (control.listen)", config.Control.Listen)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -24,6 +24,9 @@
 	// Warmth is 1 for a node that has warmed up, and less for one that has recently started. It
 	// scales Capacity.
 	Warmth float64
+	// Pace is the work that one slot does in a given time, relative to the other nodes. It scales Capacity. A node
+	// whose pace is not known, 0, counts as the mean of those known.
+	Pace float64
 	// Unresponsive nodes keep their shards and get no new ones, as their lease may be about to expire.
 	Unresponsive bool
 }
@@ -60,6 +63,11 @@
 	Services map[string]Service
 	// NoRebalance disables moves for balance.
 	NoRebalance bool
+	// ByDemand lets moves follow the demand more closely: the budgets do not limit moves of shards that have no load, and
+	// a shard that is too large for any node goes to the one with the highest capacity, alone.
+	ByDemand bool
+	// SlotLoad is the load that one unit of capacity can bear.
+	SlotLoad float64
 	// Partial is set if Shards holds only the shards to be placed. It then contains the loads of the
 	// nodes under the previous plan.
 	Partial *Loads
@@ -82,6 +90,8 @@
 	// Gain is the decrease in weighted imbalance minus the price of the move; 0 for moves that are
 	// not made for balance.
 	Gain float64
+	// Unbudgeted is set for a move that the budget of the service does not limit.
+	Unbudgeted bool
 }
 
 // Plan is the result of Compute.
@@ -95,6 +105,10 @@
 	Oversized []ownership.Key
 	// Loads are the loads under the plan, as the input of subsequent partial plans.
 	Loads *Loads
+	// BusiestBefore and BusiestAfter are the utilization of the most utilized node over the mean, without and with the
+	// plan; 0 if no node has any load.
+	BusiestBefore float64
+	BusiestAfter  float64
 }
 
 const (
@@ -120,7 +134,7 @@
 	if len(p.nodes) == 0 {
 		return Plan{}
 	}
-	var plan Plan
+	plan := Plan{BusiestBefore: p.busiest()}
 	plan.Assign = p.assignFree(input)
 	plan.Transfer = p.evacuate(input)
 	if input.Partial == nil {
@@ -130,6 +144,7 @@
 		plan.Transfer = append(plan.Transfer, p.rebalance(input)...)
 	}
 	plan.Loads = p.loads()
+	plan.BusiestAfter = p.busiest()
 	return plan
 }
 
@@ -138,6 +153,8 @@
 	Node
 	capacity float64
 	load     float64
+	// pinned is the load of the shard that the node keeps because it is too large for any node; 0 if there is none.
+	pinned float64
 }
 
 func (n *nodeLoad) utilization() float64 { return n.load / n.capacity }
@@ -151,16 +168,23 @@
 	base      float64
 	total     float64
 	capacity  float64
+	// pinnedLoad and pinnedCapacity are the sums over the nodes that keep a shard too large for any node.
+	pinnedLoad     float64
+	pinnedCapacity float64
 	// rangeOwners holds the owners of ranges while moves are planned.
 	rangeOwners *rangeOwners
 }
 
 func newPlanner(input Input) *planner {
 	p := &planner{bySession: map[membership.SessionID]*nodeLoad{}}
-	warmest := maxWarmth(input.Nodes)
+	warmest, meanPace := maxWarmth(input.Nodes), meanPace(input.Nodes)
 	for _, node := range input.Nodes {
 		warmth := min(1, max(minWarmth, node.Warmth/warmest))
-		entry := &nodeLoad{Node: node, capacity: max(node.Capacity, 1) * warmth}
+		pace := meanPace
+		if node.Pace > 0 {
+			pace = node.Pace
+		}
+		entry := &nodeLoad{Node: node, capacity: max(node.Capacity, 1) * warmth * pace}
 		p.nodes = append(p.nodes, entry)
 		p.bySession[node.Session] = entry
 		p.capacity += entry.capacity
@@ -219,6 +243,21 @@
 	return warmest
 }
 
+// meanPace returns the mean of the paces that are known; 1 if none is.
+func meanPace(nodes []Node) float64 {
+	sum, known := 0.0, 0
+	for _, node := range nodes {
+		if node.Pace > 0 {
+			sum += node.Pace
+			known++
+		}
+	}
+	if known == 0 {
+		return 1
+	}
+	return sum / float64(known)
+}
+
 func baseLoad(shards []Shard) float64 {
 	sum := 0.0
 	for i := range shards {
@@ -232,7 +271,27 @@
 
 func (p *planner) weight(shard *Shard) float64 { return shard.Load + p.base }
 
-func (p *planner) meanUtilization() float64 { return p.total / p.capacity }
+// meanUtilization returns the mean utilization of the nodes, except of those that keep a shard too large for any node:
+// no move brings them to the mean.
+func (p *planner) meanUtilization() float64 {
+	if p.pinnedCapacity >= p.capacity {
+		return p.total / p.capacity
+	}
+	return (p.total - p.pinnedLoad) / (p.capacity - p.pinnedCapacity)
+}
+
+// busiest returns the utilization of the most utilized node over the mean; 0 if no node has any load.
+func (p *planner) busiest() float64 {
+	highest, sum := 0.0, 0.0
+	for _, node := range p.nodes {
+		highest = max(highest, node.utilization())
+		sum += node.utilization()
+	}
+	if sum == 0 {
+		return 0
+	}
+	return highest * float64(len(p.nodes)) / sum
+}
 
 // affinity returns the rendezvous hash of a shard and a node name.
 func affinity(key ownership.Key, node string) uint64 {
@@ -264,12 +323,17 @@
 	before := square(from.utilization()/mean-1) + square(to.utilization()/mean-1)
 	after := square((from.load-load)/from.capacity/mean-1) + square((to.load+load)/to.capacity/mean-1)
 	drop := (before - after) / float64(len(p.nodes))
+	return service.Imbalance*drop - p.price(shard, from, to, service)
+}
+
+// price returns the price of a move.
+func (p *planner) price(shard *Shard, from, to *nodeLoad, service Service) float64 {
 	nodeMean := p.total / float64(len(p.nodes))
 	price := service.Churn*movePrice + service.Unavailable*unavailabilityPrice*shard.Load/math.Max(nodeMean, p.base)
 	if service.Ranged {
 		price += service.Churn * cutPrice * float64(p.rangeOwners.addedCuts(shard.Key, from.Session, to.Session))
 	}
-	return service.Imbalance*drop - price
+	return price
 }
 
 func square(x float64) float64 { return x * x }
