--- a/admission/choose.go
+++ b/admission/choose.go
@@ -61,6 +61,9 @@
 // rejected the request, is ejected, or has a gate that rejects everything is chosen only if there is
 // no other.
 func (g *Gate) chooseSelfLimited(now time.Duration, requirements Requirements) *instance {
+	if g.options.FadeLoads {
+		return g.chooseByFadedLoad(now, requirements)
+	}
 	var best *instance
 	bestCost := math.Inf(1)
 	meanRunTime := g.meanRunTime()
@@ -68,20 +71,8 @@
 		if inst.draining || !requirements.allowsZone(inst.zone) {
 			continue
 		}
-		cost := g.selfLimitedCost(inst, meanRunTime, now)
-		if requirements.Large {
-			cost += float64(inst.load.LinkBusy) / float64(time.Millisecond)
-		}
-		if requirements.Upload {
-			cost += float64(inst.load.InboundBusy) / float64(time.Millisecond)
-		}
-		if requirements.RemoteCost > 0 && inst.zone != requirements.Zone {
-			cost *= requirements.RemoteCost
-		}
-		if requirements.RegionZones != nil && !slices.Contains(requirements.RegionZones, inst.zone) {
-			cost *= RegionCost
-		}
-		if requirements.avoids(inst.id) || inst.ejectedUntil > now || inst.rejectedUntil > now {
+		cost := requirements.costAt(inst, g.selfLimitedCost(inst, meanRunTime, now), inst.load.LinkBusy, inst.load.InboundBusy)
+		if inst.isAvoided(now, &requirements) {
 			cost *= avoidPenalty
 		}
 		if cost < bestCost {
@@ -91,6 +82,28 @@
 	return best
 }
 
+// costAt returns the cost of the request at an instance whose cost for any request is given.
+func (r *Requirements) costAt(inst *instance, cost float64, linkBusy, inboundBusy time.Duration) float64 {
+	if r.Large {
+		cost += float64(linkBusy) / float64(time.Millisecond)
+	}
+	if r.Upload {
+		cost += float64(inboundBusy) / float64(time.Millisecond)
+	}
+	if r.RemoteCost > 0 && inst.zone != r.Zone {
+		cost *= r.RemoteCost
+	}
+	if r.RegionZones != nil && !slices.Contains(r.RegionZones, inst.zone) {
+		cost *= RegionCost
+	}
+	return cost
+}
+
+// isAvoided reports whether the instance is chosen only if there is no other.
+func (i *instance) isAvoided(now time.Duration, requirements *Requirements) bool {
+	return requirements.avoids(i.id) || i.ejectedUntil > now || i.rejectedUntil > now
+}
+
 const (
 	// avoidPenalty is the factor of the cost of an instance that is to be avoided, is ejected, or has
 	// just rejected a request. It ranks the instance behind all others.
@@ -134,7 +147,7 @@
 		successShare := max(minSuccessShare, inst.load.SuccessShare)
 		cost /= successShare * successShare
 	}
-	return cost * (1 + costJitter*float64(g.options.Random(jitterSteps))/jitterSteps)
+	return g.jittered(cost)
 }
 
 // meanRunTime returns the mean run time in milliseconds of the instances that have reported one.
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -29,6 +30,9 @@
 	SlowStart time.Duration
 	// FixedLimits keeps every limit at the slots of the instance, as a baseline for comparison.
 	FixedLimits bool
+	// FadeLoads is set if loads that other routers have learned are passed to SetLoad, too. A load then loses its
+	// weight with its age, and instances with room are preferred to full ones.
+	FadeLoads bool
 	// Random returns a value in [0, bound).
 	Random func(bound int) int
 }
@@ -67,9 +71,13 @@
 	selfLimited     bool
 	load            Load
 	sentSinceReport int
-	failures        int
-	ejectedUntil    time.Duration
-	ejections       int
+	// recentlySent holds when the newest requests were sent, if Options.FadeLoads is set.
+	recentlySent []time.Duration
+	// usual is the smoothed share of the slots that are used or waited for.
+	usual        float64
+	failures     int
+	ejectedUntil time.Duration
+	ejections    int
 	// rejections counts consecutive rejections by a gate that lets nothing through. Until
 	// rejectedUntil the instance is avoided.
 	rejections    int
@@ -97,6 +105,9 @@
 	// rejectionBackoffMax, about the time that an instance takes to start.
 	rejectionBackoffBase = 100 * time.Millisecond
 	rejectionBackoffMax  = 2 * time.Second
+	// maxRecentlySent bounds the times that are kept of requests sent to an instance. A report that another router has
+	// passed on is rarely older than that many requests of this one.
+	maxRecentlySent = 64
 	// rejectionBackoffDoublings is the number of doublings after which rejectionBackoffBase exceeds rejectionBackoffMax.
 	rejectionBackoffDoublings = 5
 )
@@ -133,15 +144,27 @@
 	InboundBusy time.Duration
 	// FreeAt is when the instance takes the next request, if it limits the rate of requests, on the gate's clock.
 	FreeAt time.Duration
+	// MadeAt is when the report was made, on the gate's clock. It is used only if Options.FadeLoads is set.
+	MadeAt time.Duration
 }
 
 // SetLoad stores the newest load report of a self-limited instance.
 func (g *Gate) SetLoad(id InstanceID, load Load) {
-	if inst := g.instances[id]; inst != nil {
-		inst.load, inst.sentSinceReport = load, 0
+	inst := g.instances[id]
+	if inst == nil {
+		return
+	}
+	inst.recordUsual(load)
+	inst.load, inst.sentSinceReport = load, 0
+	if g.options.FadeLoads {
+		inst.recentlySent = slices.DeleteFunc(inst.recentlySent, func(sent time.Duration) bool { return sent <= load.MadeAt })
+		inst.sentSinceReport = len(inst.recentlySent)
 	}
 }
 
+// Has reports whether the instance of a session is in the pool.
+func (g *Gate) Has(session uint64) bool { return g.instances[InstanceID(session)] != nil }
+
 // Update replaces the set of instances and returns the waiters that are granted by it.
 func (g *Gate) Update(now time.Duration, list []Instance) []*Waiter {
 	wasEmpty := len(g.instances) == 0
@@ -216,9 +239,15 @@
 
 // recordSent counts a request as sent to the instance. After a rejection by its gate, the instance is
 // avoided again, so that only one request probes it.
-func (i *instance) recordSent(now time.Duration) {
+func (g *Gate) recordSent(now time.Duration, i *instance) {
 	i.inFlight++
 	i.sentSinceReport++
+	if g.options.FadeLoads {
+		if len(i.recentlySent) >= maxRecentlySent {
+			i.recentlySent = i.recentlySent[1:]
+		}
+		i.recentlySent = append(i.recentlySent, now)
+	}
 	if i.rejections > 0 {
 		i.rejectedUntil = now + i.rejectionBackoff()
 	}
@@ -252,7 +281,7 @@
 	}
 	if len(g.queue) == 0 || g.isSelfLimited() || waiter.Requirements.Prioritized || waiter.Requirements.Instance != 0 {
 		if chosen := g.choose(now, waiter.Requirements); chosen != nil {
-			chosen.recordSent(now)
+			g.recordSent(now, chosen)
 			waiter.Granted = chosen.id
 			return Admitted
 		}
@@ -389,7 +418,7 @@
 			kept = append(kept, waiter)
 			continue
 		}
-		chosen.recordSent(now)
+		g.recordSent(now, chosen)
 		g.markDequeued(waiter)
 		waiter.Granted = chosen.id
 		granted = append(granted, waiter)
