router, ingress: load reports of instances in requests and answers

With router.load_view, a router sends with each request to a service that is not divided by key its two newest load reports of other instances, and the ingress answers with the two newest that the request did not show, and with its own, numbered. Ingresses answer routers that send none as before, so that versions may be mixed and other deployments' messages do not grow. Callers and instances can neither send nor see the reports.

Metrics router_load_view_age_seconds, router_load_reports_total, router_full_attempts_total.

Existing tests: shed_test.go uses the type of the report, startLimitedRouters takes changes of settings; neither checks less.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -8,7 +8,9 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +26,7 @@
 	"limehold/crashreport"
 	"limehold/disconnect"
 	"limehold/goaway"
+	"limehold/loadview"
 	"limehold/metrics"
 	"limehold/routing"
 	"limehold/settings"
@@ -76,7 +79,10 @@
 	crashReports *crashreport.Exchange
 	isolation    *isolation
 	firstAnswers firstAnswers
-	stopping     atomic.Bool
+	// loadsMutex guards loads, the load reports of this instance and the others of its service.
+	loadsMutex sync.Mutex
+	loads      *loadview.Exchange
+	stopping   atomic.Bool
 	// tunnels counts the connections that are being relayed.
 	tunnels  atomic.Int64
 	outcomes *prometheus.CounterVec
@@ -115,7 +121,7 @@
 	}
 	kept := goaway.New(listener, closedNotice())
 	i := &Ingress{
-		isolation: newIsolation(), options: options, logger: options.Logger,
+		isolation: newIsolation(), loads: loadview.NewExchange(rand.Uint32()), options: options, logger: options.Logger,
 		listener:  accept.RetryTemporary(kept, "ingress", options.Logger, options.Metrics),
 		kept:      kept,
 		gate:      newSlotGate(options.Settings.Ingress.QueueTime),
--- a/ingress/proxyrequest.go
+++ b/ingress/proxyrequest.go
@@ -11,6 +11,7 @@
 	"limehold/clock"
 	"limehold/crashreport"
 	"limehold/disconnect"
+	"limehold/loadview"
 	"limehold/logging"
 	"limehold/ownership"
 	"limehold/quarantine"
@@ -31,6 +32,10 @@
 	// told is what the router has been told of the instance's state, and hasTold whether it has been told anything.
 	told    wire.InstanceState
 	hasTold bool
+	// loads are the load reports of other instances that the router has sent along; sharesLoads is set if it expects
+	// such reports in the answer.
+	loads       []loadview.Entry
+	sharesLoads bool
 	// isolated is set while no other isolated request may run; see isolation.
 	isolated bool
 	// admitted is set while the request holds a slot.
@@ -118,7 +123,11 @@
 // whether the request holds a slot; if not, the request has been rejected.
 func (i *Ingress) admit(request *fasthttp.RequestCtx, p *proxyRequest) bool {
 	retryAfter := i.awaitKeys(p)
-	if reason := i.rejectReason(p, clock.Now()); reason != "" {
+	reason := i.rejectReason(p, clock.Now())
+	if p.instance.service == p.service {
+		i.hearLoads(p)
+	}
+	if reason != "" {
 		i.reject(request, p, reason, retryAfter)
 		return false
 	}
@@ -242,6 +251,7 @@
 		p.routerStopsAt = p.arrived + time.Duration(left)*time.Millisecond
 	}
 	i.parseInstanceState(p, header)
+	i.parseLoadView(p, header)
 	p.identity = crashreport.Identify(&request.Request, names.Caller, names.Tenant)
 	if numbers.err != nil {
 		i.logger.Warn("request_unreadable", append(logging.ErrorFields("read headers", request.RemoteAddr().String(), numbers.err), zap.String("request", p.requestID))...)
@@ -263,6 +273,20 @@
 	p.told, p.hasTold = state, true
 }
 
+// parseLoadView parses the load reports of other instances. The request is served without them.
+func (i *Ingress) parseLoadView(p *proxyRequest, header *fasthttp.RequestHeader) {
+	text := header.Peek(wire.HeaderLoadView)
+	if len(text) == 0 {
+		return
+	}
+	var err error
+	if p.loads, err = loadview.ParseEntries(text); err != nil {
+		i.logger.Info("load_reports_unreadable", append(logging.ErrorFields("read load reports", "router", err), zap.String("request", p.requestID))...)
+		return
+	}
+	p.sharesLoads = true
+}
+
 // headerNumbers parses numbers in headers and keeps the first error.
 type headerNumbers struct {
 	header *fasthttp.RequestHeader
@@ -442,7 +466,7 @@
 // internalHeaders lists the headers that routers add for ingresses.
 var internalHeaders = []string{
 	wire.HeaderAttempt, wire.HeaderService, wire.HeaderShard, wire.HeaderEpoch, wire.HeaderRoute, wire.HeaderRouteVersion,
-	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderRejectedBefore, wire.HeaderRepeatable, wire.HeaderDeadline, wire.HeaderTrial, wire.HeaderRepeat, wire.HeaderInstanceState, wire.HeaderStopsIn,
+	wire.HeaderPriority, wire.HeaderTarget, wire.HeaderRejectedBefore, wire.HeaderRepeatable, wire.HeaderDeadline, wire.HeaderTrial, wire.HeaderRepeat, wire.HeaderInstanceState, wire.HeaderStopsIn, wire.HeaderLoadView,
 }
 
 // respond sends the instance's response to the router. If the body was read completely, the slot is
@@ -455,7 +479,7 @@
 	}
 	response.Header.Set(wire.HeaderAttempt, p.attemptID)
 	response.Header.Set(wire.HeaderOutcome, wire.OutcomeOK)
-	i.setStateHeaders(response)
+	i.setStateHeaders(response, p)
 	i.outcomes.WithLabelValues(wire.OutcomeOK, "").Inc()
 	ran := clock.Now() - p.sent
 	if result.bodyRead {
@@ -529,18 +553,43 @@
 	}
 }
 
-// setStateHeaders sets the header by which routers choose the least busy instance, and the one with what the
-// instance has said of itself.
-func (i *Ingress) setStateHeaders(response *fasthttp.Response) {
+// loadReport returns the current load of the instance.
+func (i *Ingress) loadReport(now time.Duration) loadview.Report {
 	load := i.gate.load()
-	text := strconv.AppendInt(nil, int64(load.running), 10)
-	successPermille := int64(i.instance.success.share(clock.Now()) * permille)
-	for _, number := range []int64{int64(load.waiting), int64(load.slots), load.runTime.Milliseconds(), successPermille, i.link.load(clock.Now()).Milliseconds(), i.inbound.load().Milliseconds(), load.limitWait.Milliseconds()} {
-		text = append(text, ',')
-		text = strconv.AppendInt(text, number, 10)
-	}
-	response.Header.SetBytesV(wire.HeaderLoad, text)
-	if state := i.instance.reportedState(clock.Now()); state.IsSet() {
+	return loadview.Report{
+		Slots: load.slots, Running: load.running, Waiting: load.waiting, RunTime: load.runTime, SuccessShare: i.instance.success.share(now),
+		LinkBusy: i.link.load(now), InboundBusy: i.inbound.load(), LimitWait: load.limitWait,
+	}
+}
+
+// hearLoads records the load reports that a request has brought.
+func (i *Ingress) hearLoads(p *proxyRequest) {
+	i.loadsMutex.Lock()
+	defer i.loadsMutex.Unlock()
+	i.loads.HearOf(p.loads, p.arrived)
+}
+
+// exchangeLoads returns the report as this process's newest, and those of other instances for the answer to a request.
+func (i *Ingress) exchangeLoads(report loadview.Report, p *proxyRequest, now time.Duration) (loadview.Report, []loadview.Entry) {
+	i.loadsMutex.Lock()
+	defer i.loadsMutex.Unlock()
+	return i.loads.Number(report), i.loads.Freshest(now, p.loads)
+}
+
+// setStateHeaders sets the headers by which routers choose the least busy instance, and the one with what the
+// instance has said of itself.
+func (i *Ingress) setStateHeaders(response *fasthttp.Response, p *proxyRequest) {
+	now := clock.Now()
+	report := i.loadReport(now)
+	response.Header.Del(wire.HeaderLoadView)
+	if p.sharesLoads {
+		numbered, others := i.exchangeLoads(report, p, now)
+		response.Header.SetBytesV(wire.HeaderLoad, numbered.AppendText(nil))
+		response.Header.SetBytesV(wire.HeaderLoadView, loadview.AppendEntries(nil, others))
+	} else {
+		response.Header.SetBytesV(wire.HeaderLoad, report.AppendLoad(nil))
+	}
+	if state := i.instance.reportedState(now); state.IsSet() {
 		response.Header.Set(wire.HeaderInstanceState, state.String())
 	} else {
 		response.Header.Del(wire.HeaderInstanceState)
@@ -554,5 +603,5 @@
 	request.Response.Header.Set(wire.HeaderAttempt, p.attemptID)
 	request.Response.Header.Set(wire.HeaderOutcome, outcome)
 	request.Response.Header.Set(wire.HeaderReason, reason)
-	i.setStateHeaders(&request.Response)
+	i.setStateHeaders(&request.Response, p)
 }
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -14,6 +13,7 @@
 
 	"limehold/admission"
 	"limehold/clock"
+	"limehold/loadview"
 	"limehold/upstream"
 	"limehold/wire"
 )
@@ -50,7 +50,9 @@
 	// routeVersion is the version of the route table by which the ingress rejected the request.
 	routeVersion uint64
 	// load is the load that the instance's ingress reported, zero if it reported none.
-	load admission.Load
+	load loadview.Report
+	// loads are load reports of other instances that the ingress has passed on.
+	loads []loadview.Entry
 	// instanceState is the encoded wire.InstanceState of the answer, "" if it has none.
 	instanceState string
 }
@@ -114,6 +116,7 @@
 	out.Header.Set(wire.HeaderDeadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
 	out.Header.Set(wire.HeaderEpoch, strconv.FormatUint(request.epoch, 10))
 	r.setInstanceState(node, out)
+	request.setLoadView(node, out)
 	if request.isRepeat() {
 		out.Header.Set(wire.HeaderRepeat, strconv.FormatBool(true))
 	}
@@ -183,7 +186,7 @@
 		return
 	}
 	result.instanceState = string(response.Header.Peek(wire.HeaderInstanceState))
-	result.load = parseLoad(response.Header.Peek(wire.HeaderLoad), clock.Now())
+	r.readLoads(result, &response.Header)
 	switch string(response.Header.Peek(wire.HeaderOutcome)) {
 	case wire.OutcomeUnknown:
 		// The ingress forwarded the request and received no usable response.
@@ -223,37 +226,6 @@
 		string(header.Peek(wire.HeaderReason)) == wire.BackendReasonClosed
 }
 
-// parseLoad parses the load that an ingress reports in wire.HeaderLoad. It returns
-// the zero Load if the text is missing or malformed. Ingresses of earlier versions report fewer parts.
-func parseLoad(text []byte, now time.Duration) admission.Load {
-	parts := strings.Split(string(text), ",")
-	if len(parts) < minLoadParts || len(parts) > loadParts {
-		return admission.Load{}
-	}
-	var numbers [loadParts]int
-	for i, part := range parts {
-		number, err := strconv.Atoi(part)
-		if err != nil || number < 0 {
-			return admission.Load{}
-		}
-		numbers[i] = number
-	}
-	return admission.Load{
-		Running: numbers[0], QueueLen: numbers[1], Slots: numbers[2],
-		RunTime: time.Duration(numbers[3]) * time.Millisecond, SuccessShare: float64(numbers[4]) / permille,
-		LinkBusy: time.Duration(numbers[5]) * time.Millisecond, InboundBusy: time.Duration(numbers[6]) * time.Millisecond,
-		FreeAt: now + time.Duration(numbers[7])*time.Millisecond,
-	}
-}
-
-// loadParts is the number of values in wire.HeaderLoad, the last of which may be missing. permille converts its
-// share of successful runs, which is in thousandths.
-const (
-	loadParts    = 8
-	minLoadParts = 7
-	permille     = 1000
-)
-
 // identityLength is the content length that fasthttp reports for a response that
 // ends when the connection is closed.
 const identityLength = -2
--- a/router/instancestates.go
+++ b/router/instancestates.go
@@ -7,7 +7,9 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"limehold/admission"
 	"limehold/clock"
+	"limehold/loadview"
 	"limehold/logging"
 	"limehold/wire"
 )
@@ -99,3 +101,41 @@
 	}
 	out.Header.Del(wire.HeaderInstanceState)
 }
+
+// setLoadView adds the newest load reports of other instances to a request that any instance of its service may run.
+func (p *proxiedRequest) setLoadView(node *wire.NodeView, out *fasthttp.Request) {
+	pool := p.service.pool
+	if !pool.sharesLoads() || p.service.spec.Keyed || !node.SelfLimited {
+		out.Header.Del(wire.HeaderLoadView)
+		return
+	}
+	out.Header.SetBytesV(wire.HeaderLoadView, loadview.AppendEntries(nil, pool.freshestLoads(uint64(node.Session), clock.Now())))
+}
+
+// readLoads reads the load report of an answer, and those of other instances. A report that cannot be read is ignored.
+func (r *Router) readLoads(result *attempt, header *fasthttp.ResponseHeader) {
+	var err error
+	if text := header.Peek(wire.HeaderLoad); len(text) > 0 {
+		if result.load, err = loadview.Parse(text); err != nil {
+			r.logger.Info("load_report_unreadable", logging.ErrorFields("read load report", result.conn.Address, err)...)
+		}
+	}
+	if text := header.Peek(wire.HeaderLoadView); len(text) > 0 {
+		if result.loads, err = loadview.ParseEntries(text); err != nil {
+			r.logger.Info("load_report_unreadable", logging.ErrorFields("read load reports", result.conn.Address, err)...)
+		}
+	}
+}
+
+// observeLoads records the load reports of an attempt.
+func (r *Router) observeLoads(p *proxiedRequest, id admission.InstanceID, result *attempt) {
+	if result.state == attemptNotRun && result.reason == wire.BackendReasonFull {
+		r.metrics.fullAttempts.WithLabelValues(p.service.name).Inc()
+	}
+	if result.load.IsSet() {
+		p.service.pool.observe(id, result.load, clock.Now())
+	}
+	for _, verdict := range p.service.pool.observeOthers(result.loads, clock.Now()) {
+		r.metrics.loadReports.WithLabelValues(p.service.name, verdict.String()).Inc()
+	}
+}
--- a/router/pool.go
+++ b/router/pool.go
@@ -7,6 +7,7 @@
 
 	"limehold/admission"
 	"limehold/clock"
+	"limehold/loadview"
 	"limehold/wire"
 )
 
@@ -18,12 +19,25 @@
 	name  string
 	mutex sync.Mutex
 	gate  *admission.Gate
+	// loads holds the load reports of the instances; nil if routers do not share them.
+	loads *loadview.View
 }
 
-func newPool(name string, policy admission.Policy, fixedLimits bool) *pool {
-	return &pool{name: name, gate: admission.NewGate(admission.Options{
-		Policy: policy, SlowStart: slowStart, FixedLimits: fixedLimits, Random: rand.IntN,
+// poolOptions are the settings of all pools.
+type poolOptions struct {
+	policy      admission.Policy
+	fixedLimits bool
+	loadView    bool
+}
+
+func newPool(name string, options poolOptions) *pool {
+	p := &pool{name: name, gate: admission.NewGate(admission.Options{
+		Policy: options.policy, SlowStart: slowStart, FixedLimits: options.fixedLimits, FadeLoads: options.loadView, Random: rand.IntN,
 	})}
+	if options.loadView {
+		p.loads = loadview.NewView()
+	}
+	return p
 }
 
 // update replaces the pool's nodes. Nodes in a drained zone count as draining.
@@ -36,7 +50,12 @@
 		})
 	}
 	var granted []*admission.Waiter
-	p.withGate(func(gate *admission.Gate) { granted = gate.Update(clock.Now(), list) })
+	p.withGate(func(gate *admission.Gate) {
+		granted = gate.Update(clock.Now(), list)
+		if p.loads != nil {
+			p.loads.Keep(gate.Has)
+		}
+	})
 	notify(granted)
 }
 
@@ -94,9 +113,63 @@
 	return 0, reason
 }
 
-// observe records the load that an instance reports.
-func (p *pool) observe(id admission.InstanceID, load admission.Load) {
-	p.withGate(func(gate *admission.Gate) { gate.SetLoad(id, load) })
+// sharesLoads reports whether load reports are exchanged with other routers.
+func (p *pool) sharesLoads() bool { return p.loads != nil }
+
+// observe records the load report in an instance's own answer.
+func (p *pool) observe(id admission.InstanceID, report loadview.Report, now time.Duration) {
+	p.withGate(func(gate *admission.Gate) {
+		if p.loads != nil && report.Process != 0 && p.loads.Hear(uint64(id), report, now) != loadview.Taken {
+			return
+		}
+		gate.SetLoad(id, loadOf(report, now))
+	})
+}
+
+// observeOthers records load reports that an ingress has passed on, and returns what was done with each.
+func (p *pool) observeOthers(entries []loadview.Entry, now time.Duration) []loadview.Verdict {
+	if p.loads == nil || len(entries) == 0 {
+		return nil
+	}
+	verdicts := make([]loadview.Verdict, 0, len(entries))
+	p.withGate(func(gate *admission.Gate) {
+		for _, entry := range entries {
+			verdict := loadview.Unknown
+			if gate.Has(entry.Session) {
+				verdict = p.loads.HearOf(entry, now)
+			}
+			if verdict == loadview.Taken {
+				gate.SetLoad(admission.InstanceID(entry.Session), loadOf(entry.Report, now-entry.Age))
+			}
+			verdicts = append(verdicts, verdict)
+		}
+	})
+	return verdicts
+}
+
+// freshestLoads returns the load reports to send to an instance.
+func (p *pool) freshestLoads(to uint64, now time.Duration) []loadview.Entry {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.loads.Freshest(now, to, nil)
+}
+
+// meanLoadAge returns the mean age of the load reports; 0 if there are none.
+func (p *pool) meanLoadAge(now time.Duration) time.Duration {
+	if p.loads == nil {
+		return 0
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.loads.MeanAge(now)
+}
+
+// loadOf returns the load that a report states.
+func loadOf(r loadview.Report, madeAt time.Duration) admission.Load {
+	return admission.Load{
+		Running: r.Running, QueueLen: r.Waiting, Slots: r.Slots, RunTime: r.RunTime, SuccessShare: r.SuccessShare,
+		LinkBusy: r.LinkBusy, InboundBusy: r.InboundBusy, FreeAt: madeAt + r.LimitWait, MadeAt: madeAt,
+	}
 }
 
 // release releases a slot and notifies the waiters that receive one.
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -121,9 +121,7 @@
 		p.slotAt, p.selfLimited = id, node.SelfLimited
 		sent := clock.Now()
 		result := r.send(p, node)
-		if result.load.Slots > 0 {
-			p.service.pool.observe(id, result.load)
-		}
+		r.observeLoads(p, id, result)
 		if result.state == attemptAnswered {
 			return r.forwardResponse(request, p, result, id, sent)
 		}
--- a/router/response.go
+++ b/router/response.go
@@ -77,7 +77,7 @@
 	for _, name := range hopByHop {
 		header.Del(name)
 	}
-	for _, name := range []string{wire.HeaderAttempt, wire.HeaderEpoch, wire.HeaderShard, wire.HeaderService, wire.HeaderReason, wire.HeaderRevision, wire.HeaderLoad, wire.HeaderInstanceState} {
+	for _, name := range []string{wire.HeaderAttempt, wire.HeaderEpoch, wire.HeaderShard, wire.HeaderService, wire.HeaderReason, wire.HeaderRevision, wire.HeaderLoad, wire.HeaderLoadView, wire.HeaderInstanceState} {
 		header.Del(name)
 	}
 }
--- a/router/retry_test.go
+++ b/router/retry_test.go
@@ -71,8 +71,8 @@
 )
 
 // startLimitedRouters starts routers of a deployment that limits its retries, in front of the same nodes of one
-// service.
-func startLimitedRouters(t *testing.T, count int, keyed bool, backends http.Handler) []*Router {
+// service. changes are applied to the settings of each.
+func startLimitedRouters(t *testing.T, count int, keyed bool, backends http.Handler, changes ...func(*settings.Settings)) []*Router {
 	t.Helper()
 	spec := catalog.NewSpec()
 	spec.Pool, spec.RetryBudgetPercent, spec.Keyed, spec.Shards = "orders", 17, keyed, 4
@@ -97,6 +97,9 @@
 		config := settings.Default()
 		config.Name, config.Zone = fmt.Sprint("router-", n), "a"
 		config.Router.RetrySlack, config.Router.RetryRatio = limitedRetrySlack, limitedRetryRatio
+		for _, change := range changes {
+			change(&config)
+		}
 		router, err := New(Options{Settings: config, Logger: zap.NewNop(), Metrics: metrics.New(), ExpectRouteTable: true})
 		if err != nil {
 			t.Fatal(err)
--- a/router/router.go
+++ b/router/router.go
@@ -117,6 +117,8 @@
 	repeats            *prometheus.CounterVec
 	repeatedCalls      *prometheus.CounterVec
 	truncatedResponses prometheus.Counter
+	fullAttempts       *prometheus.CounterVec
+	loadReports        *prometheus.CounterVec
 	latency            prometheus.Histogram
 	confirmTime        prometheus.Histogram
 	lost               *prometheus.CounterVec
@@ -148,8 +150,8 @@
 	config := options.Settings
 	r := &Router{options: options, logger: options.Logger, upstreams: upstream.NewPool(upstream.DefaultIdleTimeout), disconnects: disconnect.NewWatcher(), work: newWorkTable(), crashes: newCrashLog()}
 	r.crashReports = crashreport.New(config.Name, options.Logger, options.Metrics)
-	policy := policyOf(config.Router.Balance)
-	r.table = newTable(func(name string) *pool { return newPool(name, policy, config.Router.Limits == settings.LimitsFixed) })
+	pools := poolOptions{policy: policyOf(config.Router.Balance), fixedLimits: config.Router.Limits == settings.LimitsFixed, loadView: config.Router.LoadView}
+	r.table = newTable(func(name string) *pool { return newPool(name, pools) })
 	r.table.retryLimit = admission.RetryLimit{Ratio: config.Router.RetryRatio, Slack: config.Router.RetrySlack}
 	r.table.retryDraw = rand.Float64()
 	r.table.crashReports, r.table.onReplaced = r.crashReports, r.instanceReplaced
@@ -224,6 +226,8 @@
 		repeats:            registry.CounterVec("router", "repeats_total", "Arrivals at instances beyond the first of their request, by service and whether the retry budget was charged with them.", "service", "charged"),
 		repeatedCalls:      registry.CounterVec("router", "repeated_calls_total", "Calls that the instance on this machine made while it ran a repeat, by the service that it called. The retry budget is charged with each.", "service"),
 		truncatedResponses: registry.Counter("router", "cut_answers_total", "Answers that a back end broke off after their head had been passed on."),
+		fullAttempts:       registry.CounterVec("router", "full_attempts_total", "Attempts that an instance rejected because it was full, by service.", "service"),
+		loadReports:        registry.CounterVec("router", "load_reports_total", "Load reports of other instances in answers, by service and what was done with them.", "service", "verdict"),
 		latency: registry.Histogram("router", "answer_seconds", "Time from a request's arrival to the head of its answer.",
 			[]float64{.0005, .001, .002, .005, .01, .015, .025, .05, .1, .25, .5, 1, 2.5, 5}),
 		confirmTime: registry.Histogram("router", "confirm_seconds", "Time until a control member confirmed that the view is current.",
@@ -234,6 +238,7 @@
 		staleViews:      registry.Counter("router", "configuration_old_total", "Times at which the view of the configuration had not been confirmed for 1.5 s."),
 	}
 	registry.Gauge("router", "in_flight", "Requests under way.", func() float64 { return float64(r.disconnects.Count()) })
+	registry.Gauge("router", "load_view_age_seconds", "Mean age of the load reports of the pool in which it is greatest; 0 if none are shared.", func() float64 { return r.table.loadAge(clock.Now()).Seconds() })
 	registry.Gauge("router", "configuration_age_seconds", "Age of the router's view of the configuration.", func() float64 { return r.freshness.age(clock.Now()).Seconds() })
 	registry.Gauge("router", "configuration_revision", "Revision in force.", func() float64 { return float64(r.table.currentRevision()) })
 	registry.Gauge("router", "route_table_version", "Version of the route table in force; 0: none.", func() float64 { return float64(r.table.routeVersion()) })
--- a/router/shed_test.go
+++ b/router/shed_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/matryer/is"
 
-	"limehold/admission"
+	"limehold/loadview"
 )
 
 // A backend that sheds while most of its slots are free may be tried again; one that is nearly
@@ -13,14 +13,14 @@
 func TestBackEndThatShedsWithRoomMayBeAskedAgain(t *testing.T) {
 	for name, c := range map[string]struct {
 		reached   bool
-		load      admission.Load
+		load      loadview.Report
 		retryable bool
 	}{
-		"nearly idle":            {true, admission.Load{Running: 2, Slots: 18}, true},
-		"four fifths taken":      {true, admission.Load{Running: 15, Slots: 18}, false},
-		"full":                   {true, admission.Load{Running: 18, Slots: 18}, false},
-		"refused in front of it": {false, admission.Load{Running: 2, Slots: 18}, false},
-		"does not tell its load": {true, admission.Load{}, false},
+		"nearly idle":            {true, loadview.Report{Running: 2, Slots: 18}, true},
+		"four fifths taken":      {true, loadview.Report{Running: 15, Slots: 18}, false},
+		"full":                   {true, loadview.Report{Running: 18, Slots: 18}, false},
+		"refused in front of it": {false, loadview.Report{Running: 2, Slots: 18}, false},
+		"does not tell its load": {true, loadview.Report{}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/router/table.go
+++ b/router/table.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"limehold/admission"
 	"limehold/catalog"
@@ -202,6 +203,17 @@
 	return existing
 }
 
+// loadAge returns the greatest mean age of a pool's load reports.
+func (t *table) loadAge(now time.Duration) time.Duration {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+	age := time.Duration(0)
+	for _, pool := range t.pools {
+		age = max(age, pool.meanLoadAge(now))
+	}
+	return age
+}
+
 func (t *table) nodesInPool(pool string) []*wire.NodeView {
 	var list []*wire.NodeView
 	for _, node := range t.nodes {
--- a/router/table_test.go
+++ b/router/table_test.go
@@ -8,13 +8,12 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
-	"limehold/admission"
 	"limehold/catalog"
 	"limehold/wire"
 )
 
 func testTable() *table {
-	return newTable(func(name string) *pool { return newPool(name, admission.PolicyOwnObservation, false) })
+	return newTable(func(name string) *pool { return newPool(name, poolOptions{}) })
 }
 
 func serviceView(name string, revision uint64, prefix string) wire.ServiceView {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -196,6 +196,9 @@
 	// RetryRatio is how many retries of a service's requests all routers together may make for each request, if
 	// RetrySlack is set. What it exceeds the service's retry budget by can be saved in part. Default 0.
 	RetryRatio float64 `yaml:"retry_ratio"`
+	// LoadView makes the router learn the load of the instances of services that are not divided by key from other routers
+	// too: requests and answers carry load reports of other instances, up to 150 bytes each. Default false.
+	LoadView bool `yaml:"load_view"`
 	// Certificate of the router for connections from callers. If it is empty, plain HTTP is used.
 	Certificate string `yaml:"certificate"`
 	// Key of the certificate.
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -32,6 +32,9 @@
 	// thousand, for how many milliseconds its link is occupied by responses and by request bodies, and in how
 	// many milliseconds the limit that the instance names allows another request.
 	HeaderLoad = "Limehold-Load"
+	// HeaderLoadView on a request carries load reports of other instances of the service, and on an ingress's answer to
+	// such a request those that the router may not have; see package loadview. HeaderLoad then also identifies the report.
+	HeaderLoadView = "Limehold-Load-View"
 	// HeaderRoute, HeaderPriority and HeaderTarget send the ingress the route, its priority
 	// (0 is the highest) and the remainder of its target latency in milliseconds.
 	HeaderRoute    = "Limehold-Route"
