--- a/loadview/loadview_test.go
+++ b/loadview/loadview_test.go
@@ -164,6 +164,8 @@
 		sessions = append(sessions, entry.Session)
 	}
 	is.Equal(sessions, []uint64{1, 3})
+	view.Keep(func(session uint64) bool { return session == 9 })
+	is.Equal(len(view.Freshest(now, 0, nil)), 0)
 }
 
 // Reports about any number of instances, also of forged ones, take bounded memory, and expired ones make room.
