router, ingress: Retry-After is the time in which the backlog drains

Callers were told to return after 1 s whatever the load, as the router took that as the least: they waited for a third of the time that they had left, and returned too late to be served within their target latency.

Mutations that turn tests red: both bounds of the delay, the step of the phase, the two conditions for an advised delay, the setting of the ingress, the validation.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -123,7 +123,7 @@
 		inbound:   newInbound(options.Settings.Ingress.LinkMbps),
 		upstreams: upstream.NewPool(instanceIdle), disconnects: disconnect.NewWatcher(),
 	}
-	i.gate.plansRuns = options.Settings.Ingress.PlanRuns
+	i.gate.plansRuns, i.gate.spreadsReturns = options.Settings.Ingress.PlanRuns, options.Settings.Ingress.SpreadReturns
 	i.instance = newInstance(options, i.gate)
 	i.crashReports = i.instance.crashReports
 	i.outcomes = options.Metrics.CounterVec("ingress", "requests_total", "Requests of routers, by outcome and reason.", "outcome", "reason")
--- a/ingress/proxyrequest.go
+++ b/ingress/proxyrequest.go
@@ -535,7 +535,7 @@
 		load := i.gate.load()
 		line.Write(zap.String("request", p.requestID), zap.String("attempt", p.attemptID), zap.String("reason", reason),
 			zap.String("instance", p.instance.id), zap.Int("running", load.running), zap.Int("waiting", load.waiting), zap.Int("slots", load.slots), zap.Float64("limit", i.gate.namedLimit()),
-			zap.Bool("returning", p.rejectedBefore), zap.String("route", p.route), zap.Uint64("version", p.version), zap.Duration("target", p.target), zap.Uint32("shard", p.shard), zap.Uint64("epoch", p.epoch), zap.Duration("waited", clock.Now()-p.arrived))
+			zap.Bool("returning", p.rejectedBefore), zap.String("route", p.route), zap.Uint64("version", p.version), zap.Duration("target", p.target), zap.Uint32("shard", p.shard), zap.Uint64("epoch", p.epoch), zap.Duration("waited", clock.Now()-p.arrived), zap.Duration("retry_after", retryAfter))
 	}
 	if retryAfter > 0 {
 		request.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
--- a/ingress/slotgate.go
+++ b/ingress/slotgate.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"limehold/backlog"
 	"limehold/clock"
 	"limehold/runplan"
 )
@@ -37,6 +38,9 @@
 	// plansRuns is set if requests are rejected that most likely outlast their deadline, by runs.
 	plansRuns bool
 	runs      runplan.Routes
+	// spreadsReturns is set if rejected requests are told to return at different times, by returns.
+	spreadsReturns bool
+	returns        backlog.Schedule
 
 	cold  coldStart
 	limit rateLimit
--- a/ingress/waits.go
+++ b/ingress/waits.go
@@ -207,7 +207,11 @@
 		return time.Second
 	}
 	now := clock.Now()
-	return max(g.rateWait(now), time.Duration(len(g.waiting)+1)*g.slotTime(now)/time.Duration(g.slots))
+	drain := max(g.rateWait(now), time.Duration(len(g.waiting)+1)*g.slotTime(now)/time.Duration(g.slots))
+	if g.spreadsReturns {
+		return g.returns.Delay(drain)
+	}
+	return drain
 }
 
 func (g *slotGate) recordRun(route string, rejectedBefore bool, ran time.Duration) {
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -320,11 +320,12 @@
 		r.reportUnknown(request, p, reason)
 		return
 	}
-	r.reject(request, p.displayID, p, rejectionFor(result))
+	r.reject(request, p.displayID, p, rejectionFor(result, r.options.Settings.Router.AdvisedRetryAfter))
 }
 
-// rejectionFor returns the rejection for an attempt that did not run.
-func rejectionFor(result *attempt) rejection {
+// rejectionFor returns the rejection for an attempt that did not run. advised is set if the delay that the backend
+// advised is passed on also if it is shorter than the usual one.
+func rejectionFor(result *attempt, advised bool) rejection {
 	switch {
 	case result.reason == rejectDeadline.reason:
 		return rejectDeadline
@@ -343,6 +344,9 @@
 	if result.reason != "" {
 		rejected.reason = "back-end-" + result.reason
 	}
+	if advised && result.retryAfter > 0 {
+		rejected.retryAfter = result.retryAfter
+	}
 	rejected.retryAfter = max(rejected.retryAfter, result.retryAfter)
 	return rejected
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -186,6 +186,8 @@
 	// RetryAfter is the minimum Retry-After for callers of the route table whose
 	// request has not run. Default 1s.
 	RetryAfter time.Duration `yaml:"retry_after"`
+	// AdvisedRetryAfter passes the time that an ingress advises on as Retry-After. By default that is at least 1s.
+	AdvisedRetryAfter bool `yaml:"advised_retry_after"`
 	// FractionalRetryAfter writes Retry-After in fractions of seconds, for callers that
 	// accept them. Default false.
 	FractionalRetryAfter bool `yaml:"fractional_retry_after"`
@@ -241,6 +243,9 @@
 	// PlanRuns rejects requests whose run would most likely outlast their deadline, by the run times that their
 	// route has had at the instance, instead of beginning them. Default false.
 	PlanRuns bool `yaml:"plan_runs"`
+	// SpreadReturns tells requests that the instance has no room for to return at different times after its backlog
+	// has drained, so that they do not return together; see Router.AdvisedRetryAfter. Default false.
+	SpreadReturns bool `yaml:"spread_returns"`
 	// SlotShare is the share of the instance's slots that are used concurrently. Lower it
 	// for instances that slow down when nearly all slots are in use. Default 1.
 	SlotShare float64 `yaml:"slot_share"`
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -58,6 +58,7 @@
 		{"unknown way of grants", node + ", grant_by: pigeon}\n", RoleSidecar, []string{"ingress.grant_by", `"pigeon"`, "call or heartbeat"}},
 		{"heartbeats answered too late", node + ", heartbeat_wait: 900ms}\n", RoleSidecar, []string{"ingress.heartbeat_wait", "900ms", "1s"}},
 		{"notice beyond the stop", node + ", stop_time: 1s, stop_notice: 2s}\n", RoleSidecar, []string{"ingress.stop_notice", "2s", "ingress.stop_time"}},
+		{"advised delays in whole seconds", node + "}\nrouter: {advised_retry_after: true}\n", RoleSidecar, []string{"router.advised_retry_after", "true", "router.fractional_retry_after"}},
 		{"illegal name", "name: Control_1\nzone: a\ndata_folder: /x\n", RoleControl, []string{"name", "Control_1"}},
 	}
 	for _, test := range cases {
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -97,6 +97,7 @@
 	problems.require(slices.Contains([]string{"debug", "info", "warn", "error"}, s.Log.Level), "log.level", s.Log.Level, "use debug, info, warn or error")
 	problems.requireAddress("admin.listen", s.Admin.Listen, true)
 	problems.require(s.Router.RetrySlack >= 0, "router.retry_slack", s.Router.RetrySlack, "use 0 or more")
+	problems.require(!s.Router.AdvisedRetryAfter || s.Router.FractionalRetryAfter, "router.advised_retry_after", s.Router.AdvisedRetryAfter, "set router.fractional_retry_after too: whole seconds are longer than most delays that ingresses advise")
 	problems.require(s.Router.RetryRatio >= 0, "router.retry_ratio", s.Router.RetryRatio, "use 0 or more")
 	problems.require(s.Quota.Window > 0, "quota.window", s.Quota.Window, "use more than 0s")
 	problems.require(s.Quota.Overage >= 0, "quota.overage", s.Quota.Overage, "use 0 or more")
