ingress: tell requests that the instance refuses when to return

A third of the refusals as full were of instances themselves, and were told 1 s as before, a long time within a target latency of some hundred milliseconds. They are now told the time of one run, spread over as long again, with ingress.spread_returns.

Mutations that turn the test red: the setting, the header.

--- a/ingress/backlog_test.go
+++ b/ingress/backlog_test.go
@@ -1,10 +1,13 @@
 package ingress
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"limehold/wire"
 )
 
 // Four slots and 7 waiting requests with runs of 100 ms: the backlog drains in 200 ms.
@@ -37,3 +40,33 @@
 		})
 	}
 }
+
+// A third of the refusals of a day were of the instances themselves, and told callers to return after 1 s.
+func TestRequestThatTheInstanceRefusesIsToldWhenToReturn(t *testing.T) {
+	for name, c := range map[string]struct {
+		spreads  bool
+		min, max float64
+	}{
+		"not set": {false, 0, 0},
+		"set":     {true, initialRunTime.Seconds(), 2 * initialRunTime.Seconds()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			i := startIngress(t, startInstance(t, func(id string) string {
+				return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nX-Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n"
+			}, false))
+			i.gate.mutex.Lock()
+			i.gate.spreadsReturns = c.spreads
+			i.gate.mutex.Unlock()
+			response := ask(t, i, nil)
+			is.Equal(response.Header.Get(wire.HeaderReason), wire.BackendReasonFull)
+			var after float64
+			if text := response.Header.Get("Retry-After"); text != "" {
+				var err error
+				after, err = strconv.ParseFloat(text, 64)
+				is.NoErr(err)
+			}
+			is.True(after >= c.min && after <= c.max)
+		})
+	}
+}
--- a/ingress/proxyrequest.go
+++ b/ingress/proxyrequest.go
@@ -358,6 +358,9 @@
 		return
 	case exchangeNotRun:
 		i.write(request, p, fasthttp.StatusServiceUnavailable, wire.OutcomeNotRun, result.reason)
+		if result.reason == wire.BackendReasonFull {
+			setRetryAfter(&request.Response, i.gate.retryAfterRefusal())
+		}
 	case exchangeNotSent:
 		i.reject(request, p, result.reason, 0)
 	case exchangeUnknown:
@@ -537,14 +540,19 @@
 			zap.String("instance", p.instance.id), zap.Int("running", load.running), zap.Int("waiting", load.waiting), zap.Int("slots", load.slots), zap.Float64("limit", i.gate.namedLimit()),
 			zap.Bool("returning", p.rejectedBefore), zap.String("route", p.route), zap.Uint64("version", p.version), zap.Duration("target", p.target), zap.Uint32("shard", p.shard), zap.Uint64("epoch", p.epoch), zap.Duration("waited", clock.Now()-p.arrived), zap.Duration("retry_after", retryAfter))
 	}
-	if retryAfter > 0 {
-		request.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
-	}
+	setRetryAfter(&request.Response, retryAfter)
 	if request.Request.IsBodyStream() && p.body == nil {
 		request.SetConnectionClose()
 	}
 }
 
+// setRetryAfter sets the time after which the request should return, unless it is 0.
+func setRetryAfter(response *fasthttp.Response, after time.Duration) {
+	if after > 0 {
+		response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+}
+
 // setStateHeaders sets the header by which routers choose the least busy instance, and the one with what the
 // instance has said of itself.
 func (i *Ingress) setStateHeaders(response *fasthttp.Response) {
--- a/ingress/waits.go
+++ b/ingress/waits.go
@@ -214,6 +214,17 @@
 	return drain
 }
 
+// retryAfterRefusal returns the time after which a request that the instance itself had no room for should return: one
+// of its runs has likely ended then. 0 if such requests are given no time.
+func (g *slotGate) retryAfterRefusal() time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if !g.spreadsReturns {
+		return 0
+	}
+	return g.returns.Delay(g.runTime)
+}
+
 func (g *slotGate) recordRun(route string, rejectedBefore bool, ran time.Duration) {
 	known := g.byRoute[route]
 	if known == nil {
