router, ingress: a caller's end does not wait behind its body

Uploads reached an instance 0.6 s and more after their callers had left, and ran there.

While a body waits for an ingress to ask for it, the router reads none of it: the check of the connection saw data and no close, and a body larger than the window kept the close from arriving at all. - A router that closed its connection to an ingress left the body that was queued there: the ingress read it whole and passed it on before it saw the close. - An ingress looked at the router's connection only every 100 ms, and not before it sent a request. - An ingress counted the router's deadline again from the moment at which it asked for the body.

Before: TestCallerThatLeavesIsNoticed failed for announced bodies that are not read, TestPeekSeesACloseBehindUnreadData and TestBodyOnASlowLinkDoesNotHideTheClose guard the parts.

--- a/disconnect/disconnect.go
+++ b/disconnect/disconnect.go
@@ -55,6 +55,9 @@
 	return watched
 }
 
+// IsDisconnected checks the caller's connection at once.
+func (r *Request) IsDisconnected() bool { return isDisconnected(r.caller) }
+
 // Remove stops watching a request.
 func (w *Watcher) Remove(watched *Request) {
 	w.mutex.Lock()
--- a/ingress/announced.go
+++ b/ingress/announced.go
@@ -36,13 +36,16 @@
 		i.reject(request, p, wire.BackendReasonFull, excess)
 		return request.Response.StatusCode()
 	}
+	accepted.arrived = p.arrived
 	i.inbound.endAt(accepted, p.deadline)
 	watched := i.disconnects.Add(request.Conn(), p.tracker.Cancel)
 	defer i.disconnects.Remove(watched)
 	select {
 	case <-accepted.ready:
-		request.SetUserValue(uploadKey, accepted)
-		return fasthttp.StatusContinue
+		if !watched.IsDisconnected() {
+			request.SetUserValue(uploadKey, accepted)
+			return fasthttp.StatusContinue
+		}
 	case <-p.tracker.Cancelled():
 	}
 	i.inbound.release(accepted)
@@ -68,6 +71,7 @@
 		return true
 	}
 	p.upload = announced
+	p.startAt(announced.arrived)
 	if request.Request.IsBodyStream() {
 		body := make([]byte, request.Request.Header.ContentLength())
 		if _, err := io.ReadFull(request.RequestBodyStream(), body); err != nil {
@@ -84,6 +88,16 @@
 	return true
 }
 
+// startAt counts the times that the router has sent from the arrival of the announcement: they do not begin again when
+// the body is asked for.
+func (p *proxyRequest) startAt(announced time.Duration) {
+	waited := p.arrived - announced
+	p.deadline -= waited
+	if p.routerStopsAt > 0 {
+		p.routerStopsAt -= waited
+	}
+}
+
 // releaseUpload releases the memory of an announced body.
 func (i *Ingress) releaseUpload(p *proxyRequest) {
 	if p.upload != nil {
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -100,6 +100,11 @@
 		result.err, result.reason = err, reasonUnreachable
 		return result
 	}
+	if p.isAbandoned() {
+		i.upstreams.Put(conn)
+		result.err, result.reason = errCallerGone, reasonCallerGone
+		return result
+	}
 	result.conn = conn
 	if p.upload != nil {
 		i.exchangeUpload(p, result)
@@ -117,6 +122,22 @@
 	return result
 }
 
+// uncheckedWait is how long a request without an announced body may have waited here without a check of its router's
+// connection before it is sent.
+const uncheckedWait = time.Millisecond
+
+// isAbandoned reports whether the router has closed the connection of a request that has waited here. The router does
+// that once its caller is gone.
+func (p *proxyRequest) isAbandoned() bool {
+	if p.upload == nil && clock.Now()-p.arrived < uncheckedWait {
+		return false
+	}
+	if p.watched.IsDisconnected() {
+		p.tracker.Cancel()
+	}
+	return p.tracker.IsCancelled()
+}
+
 // exchangeUpload sends a request with a large body and reads the response meanwhile: instances may respond before they
 // have read the body, and read the rest of it later.
 func (i *Ingress) exchangeUpload(p *proxyRequest, result *exchange) {
--- a/ingress/inbound.go
+++ b/ingress/inbound.go
@@ -32,6 +32,8 @@
 // upload is one announced body.
 type upload struct {
 	size float64
+	// arrived is when the announcement arrived, by clock.Now.
+	arrived time.Duration
 	// ready is closed when the body may be sent.
 	ready   chan struct{}
 	granted bool
--- a/router/announced.go
+++ b/router/announced.go
@@ -56,6 +56,9 @@
 	if err := interim.Read(conn.Reader); err != nil {
 		return eris.Wrap(err, "read the interim response")
 	}
+	if p.isAbandoned() {
+		return errors.Join(errNothingSent, errCallerGone) // of the body, without which nothing is run
+	}
 	if stream == nil {
 		_, err = conn.Writer.Write(out.Body())
 	} else {
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -82,12 +82,20 @@
 		result.err, result.reason = err, rejectUnreachable.reason
 		return result
 	}
+	if request.isAbandoned() {
+		r.upstreams.Put(conn)
+		result.err, result.reason = errCallerGone, rejectCallerGone.reason
+		return result
+	}
 	result.conn = conn
 	attemptID := request.nextAttemptID()
 	if err := r.write(request, conn, attemptID, node); err != nil {
 		conn.Close()
 		result.err, result.reason = eris.Wrapf(err, "send request to %s at %s", node.Name, node.Address), reasonNoAnswer
 		result.reachedBackend = true
+		if errors.Is(err, errCallerGone) {
+			result.reason = rejectCallerGone.reason
+		}
 		if !errors.Is(err, errNothingSent) {
 			result.state = attemptUnknown
 		}
@@ -99,6 +107,17 @@
 	return result
 }
 
+// uncheckedWait is how long a request may have waited here without a check of its caller's connection before it is sent.
+const uncheckedWait = time.Millisecond
+
+// isAbandoned reports whether the caller of a request that has waited here has closed its connection.
+func (p *proxiedRequest) isAbandoned() bool {
+	if clock.Now()-p.started >= uncheckedWait && p.disconnect.IsDisconnected() {
+		p.tracker.Cancel()
+	}
+	return p.tracker.IsCancelled()
+}
+
 var errNothingSent = errors.New("no byte was sent")
 
 // write sends the request. After an error that is not errNothingSent, it is unknown
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -47,7 +47,8 @@
 	}
 	r.accountRequest(p)
 	r.buildOutbound(request, p)
-	if rejected := p.attachBody(request); rejected.isSet() {
+	defer func() { r.stopReadingAhead(p) }()
+	if rejected := r.attachBody(request, p); rejected.isSet() {
 		r.reject(request, p.displayID, p, rejected)
 		fasthttp.ReleaseRequest(p.outbound)
 		return
@@ -328,6 +329,8 @@
 	switch {
 	case result.reason == rejectDeadline.reason:
 		return rejectDeadline
+	case result.state == attemptNotSent && result.reason == rejectCallerGone.reason:
+		return rejectCallerGone
 	case result.state == attemptNotSent:
 		return rejectUnreachable
 	case result.reason == wire.BackendReasonQuarantined:
--- a/router/request.go
+++ b/router/request.go
@@ -71,9 +71,11 @@
 	outbound       *fasthttp.Request
 	bodyUsed       bool
 	// body is set when the request's body is streamed.
-	body    *limitedBody
-	caller  net.Conn
-	started time.Duration
+	body *limitedBody
+	// bodyAhead is set when the body is read ahead.
+	bodyAhead *bodyAhead
+	caller    net.Conn
+	started   time.Duration
 
 	disconnect *disconnect.Request
 	tracker    *upstream.Tracker
@@ -340,7 +342,7 @@
 // attachBody reads a short body into memory, so that the request can be sent again
 // after a rejection; a longer one is streamed and sent once. It returns a rejection if
 // the body ends early or exceeds the limit before anything has been sent.
-func (p *proxiedRequest) attachBody(request *fasthttp.RequestCtx) rejection {
+func (r *Router) attachBody(request *fasthttp.RequestCtx, p *proxiedRequest) rejection {
 	if !request.Request.IsBodyStream() {
 		p.outbound.SetBodyRaw(request.Request.Body())
 		return rejection{}
@@ -348,7 +350,7 @@
 	p.body = &limitedBody{source: request.RequestBodyStream(), remaining: p.route.MaxRequestBytes}
 	length := request.Request.Header.ContentLength()
 	if length > bufferedBody {
-		p.outbound.SetBodyStream(p.body, length)
+		p.outbound.SetBodyStream(r.readAhead(p, length), length)
 		return rejection{}
 	}
 	buffered := bytes.NewBuffer(make([]byte, 0, max(0, length)))
@@ -367,6 +369,24 @@
 	return rejection{}
 }
 
+// readAhead begins to read a long body ahead if there is memory for it, and returns what the body is read from.
+func (r *Router) readAhead(p *proxiedRequest, length int) io.Reader {
+	if !r.bodiesAhead.reserve(length) {
+		return p.body
+	}
+	p.bodyAhead = readBodyAhead(p.body, p.caller, length)
+	return p.bodyAhead
+}
+
+// stopReadingAhead ends the reading of the request's body, if that is read ahead.
+func (r *Router) stopReadingAhead(p *proxiedRequest) {
+	if p == nil || p.bodyAhead == nil {
+		return
+	}
+	p.bodyAhead.stop()
+	r.bodiesAhead.release(p.bodyAhead.limit)
+}
+
 // connectionOptions returns the header names that a Connection header lists.
 func connectionOptions(connection []byte) []string {
 	if len(connection) == 0 {
--- a/router/retry.go
+++ b/router/retry.go
@@ -29,7 +29,7 @@
 // if it reached a backend, and charges the retry budget if the retry is a repeat. Where routers share no limit of
 // retries, one that waits for a new owner is neither counted nor charged.
 func (r *Router) mayRetry(p *proxiedRequest, wait *ownerWait, result *attempt, attemptNumber int) bool {
-	if p.bodyUsed || clock.Now()+minRemaining >= p.deadline || p.mustNotResend(result) || !p.allowsRetryAfter(result) {
+	if p.bodyUsed || p.tracker.IsCancelled() || clock.Now()+minRemaining >= p.deadline || p.mustNotResend(result) || !p.allowsRetryAfter(result) {
 		return false
 	}
 	awaitsOwner := p.awaitsOwner(result)
--- a/router/router.go
+++ b/router/router.go
@@ -85,6 +85,7 @@
 	table        *table
 	upstreams    *upstream.Pool
 	disconnects  *disconnect.Watcher
+	bodiesAhead  bodiesAhead
 	work         *workTable
 	crashReports *crashreport.Exchange
 	crashes      *crashLog
--- a/upstream/tracker.go
+++ b/upstream/tracker.go
@@ -3,7 +3,7 @@
 import "sync"
 
 // Tracker records the connection that a request uses, so that the connection can be closed
-// when the caller goes away, which notifies the server.
+// when the caller goes away, which notifies the server at once.
 type Tracker struct {
 	mutex      sync.Mutex
 	conn       *Conn
@@ -33,7 +33,7 @@
 	t.conn = nil
 }
 
-// Cancel closes the request's connection because the caller is gone.
+// Cancel closes the request's connection because the caller is gone. What has not reached the server is discarded.
 func (t *Tracker) Cancel() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -43,9 +43,16 @@
 	t.callerGone = true
 	close(t.cancelled)
 	if t.conn != nil {
-		t.conn.Close()
+		t.conn.Abort()
 	}
 }
 
+// IsCancelled reports whether the caller is gone.
+func (t *Tracker) IsCancelled() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.callerGone
+}
+
 // Cancelled returns a channel that is closed once the caller is gone.
 func (t *Tracker) Cancelled() <-chan struct{} { return t.cancelled }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 
 	"limehold/clock"
 )
@@ -195,6 +196,15 @@
 	c.Raw.Close()
 }
 
+// Abort closes the connection and discards what the peer has not received, so that the close does not wait behind it on
+// a slow link. The peer sees a reset.
+func (c *Conn) Abort() {
+	if tcp, ok := c.Raw.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	c.Close()
+}
+
 // isUsable reports whether an idle connection is open and has nothing to read: a late
 // or second response, or a close by the peer, makes it unusable.
 func (c *Conn) isUsable() bool {
@@ -208,9 +218,9 @@
 const (
 	// PeekIdle means that the connection is open and has nothing to read.
 	PeekIdle PeekState = iota
-	// PeekData means that data can be read.
+	// PeekData means that data can be read, and the peer has not closed the connection behind it.
 	PeekData
-	// PeekClosed means that the peer has closed or reset the connection.
+	// PeekClosed means that the peer has closed or reset the connection, also if data can still be read.
 	PeekClosed
 )
 
@@ -235,6 +245,8 @@
 			state = PeekIdle
 		case receiveErr != nil || count == 0:
 			state = PeekClosed
+		case isClosedBehindData(descriptor):
+			state = PeekClosed
 		default:
 			state = PeekData
 		}
@@ -244,3 +256,10 @@
 	}
 	return state
 }
+
+// isClosedBehindData reports whether the peer has closed or reset a connection of which data can still be read.
+func isClosedBehindData(descriptor uintptr) bool {
+	polled := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLRDHUP}}
+	count, err := unix.Poll(polled, 0)
+	return err == nil && count > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
