wal: a log for which the disk has no room stays usable

Callers saw a member of control end with code 1 while its disk was full, start again and end again: a write without room made the log refuse all further operations, and a start failed because it began a segment.

A write for which there is no room now returns ErrDiskFull. What it left in the segment is cut off at once, so that nothing is appended behind a torn record, and the same append may be repeated. A segment that cannot be begun is removed durably before the earlier one is written to again, since recovery accepts a torn tail in the newest segment only; the full segment stays open until its successor is on the disk. Open puts the first segment off. A mark without room is left out: its batch is synced. Any other failed write, and each failed sync of the log, whatever its cause, still ends it. A file that cannot be replaced leaves no temporary file that takes up room.

No existing test changed.

--- a/wal/mark.go
+++ b/wal/mark.go
@@ -30,14 +30,18 @@
 }
 
 // writeMark records that everything before this offset has been synced. If a mark is
-// lost, recovery treats the last batch before it as perhaps never synced.
+// lost, recovery treats the last batch before it as perhaps never synced. Without room for the mark
+// the batch is durable nevertheless: the mark's remains are cut off, and the next batch has a mark again.
 func (l *Log) writeMark() error {
 	mark := markAt(l.size)
-	written, err := l.file.Write(mark[:])
+	_, err := l.file.Write(mark[:])
+	if isOutOfSpace(err) {
+		return l.cutBack()
+	}
 	if err != nil {
-		return l.recordError(eris.Wrapf(err, "write log segment %s (disk full?)", l.file.Name()))
+		return l.failWrite(err)
 	}
-	l.size += int64(written)
+	l.size += markSize
 	return nil
 }
 
--- a/wal/snapshot.go
+++ b/wal/snapshot.go
@@ -53,28 +53,36 @@
 }
 
 // WriteFileDurably replaces a file atomically: after a crash, the file has either
-// the complete old or the complete new content.
+// the complete old or the complete new content. If the disk has no room, it returns ErrDiskFull, and the
+// old content stays.
 func WriteFileDurably(path string, data []byte) error {
 	temporary := path + temporarySuffix
-	file, err := os.OpenFile(temporary, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
+	if err := writeTemporary(temporary, data); err != nil {
+		// Room for the next attempt; an error here is less telling than the first one.
+		_ = os.Remove(temporary)
+		return err
+	}
+	if err := os.Rename(temporary, path); err != nil {
+		return classify("rename", temporary, err)
+	}
+	return SyncFolder(filepath.Dir(path))
+}
+
+func writeTemporary(path string, data []byte) error {
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
 	if err != nil {
-		return eris.Wrapf(err, "create %s", temporary)
+		return classify("create", path, err)
 	}
 	if _, err := file.Write(data); err != nil {
 		file.Close()
-		return eris.Wrapf(err, "write %s", temporary)
+		return classify("write", path, err)
 	}
+	// The file is written anew after a failed sync, so no page of the failed one is relied on.
 	if err := file.Sync(); err != nil {
 		file.Close()
-		return eris.Wrapf(err, "sync %s", temporary)
-	}
-	if err := file.Close(); err != nil {
-		return eris.Wrapf(err, "close %s", temporary)
+		return classify("sync", path, err)
 	}
-	if err := os.Rename(temporary, path); err != nil {
-		return eris.Wrapf(err, "rename %s", temporary)
-	}
-	return SyncFolder(filepath.Dir(path))
+	return classify("close", path, file.Close())
 }
 
 func snapshotNames(folder string) ([]string, error) {
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -14,6 +14,9 @@
 // it may remain after a loss of power: it is cut off from the first invalid record on,
 // as a torn tail, whatever makes that record invalid. A damaged mark at the end of the
 // segment is ErrCorrupt, too. See mark.go.
+//
+// A write for which the disk has no room fails with ErrDiskFull and leaves the log as it
+// was; see space.go. Any other failure ends the log.
 package wal
 
 import (
@@ -62,12 +65,16 @@
 	Folder string
 	// SegmentSize is the size in bytes after which a new segment is started. Default 64 MiB.
 	SegmentSize int64
+	// CreateFile creates a segment in place of the file system. Optional.
+	CreateFile func(path string) (File, error)
 }
 
 // Log is the durable log of one member. It is not safe for concurrent use.
 type Log struct {
-	options    Options
-	file       *os.File
+	options Options
+	// file is the current segment, nil if the disk was too full to begin one when the log was opened.
+	file File
+	// size is the length of the current segment up to its last complete write.
 	size       int64
 	sequence   uint64
 	segments   []segment
@@ -86,6 +93,9 @@
 	if options.SegmentSize <= 0 {
 		options.SegmentSize = defaultSegmentSize
 	}
+	if options.CreateFile == nil {
+		options.CreateFile = createFile
+	}
 	if err := os.MkdirAll(options.Folder, folderMode); err != nil {
 		return nil, Recovered{}, eris.Wrapf(err, "create log folder %s", options.Folder)
 	}
@@ -98,7 +108,8 @@
 	if err := log.syncLastSegment(); err != nil {
 		return nil, Recovered{}, err
 	}
-	if err := log.startSegment(); err != nil {
+	// On a full disk the first append begins the segment.
+	if err := log.startSegment(); err != nil && !errors.Is(err, ErrDiskFull) {
 		return nil, Recovered{}, err
 	}
 	return log, recovered, nil
@@ -106,35 +117,62 @@
 
 func segmentName(sequence uint64) string { return fmt.Sprintf("%016x%s", sequence, segmentSuffix) }
 
+// startSegment begins the next segment and then closes the current one. If the disk is full, it removes what
+// it has begun, and the current segment stays in use.
 func (l *Log) startSegment() error {
 	if l.file != nil {
 		// Makes the last mark of the finished segment durable.
 		if err := l.file.Sync(); err != nil {
 			return l.recordError(eris.Wrap(err, "sync full log segment"))
 		}
-		if err := l.file.Close(); err != nil {
-			return l.recordError(eris.Wrap(err, "close log segment"))
-		}
 	}
-	l.sequence++
-	path := filepath.Join(l.options.Folder, segmentName(l.sequence))
-	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, fileMode)
+	next := segment{sequence: l.sequence + 1}
+	path := filepath.Join(l.options.Folder, segmentName(next.sequence))
+	file, err := l.options.CreateFile(path)
+	if isOutOfSpace(err) {
+		return diskFull("create log segment", path, err)
+	}
 	if err != nil {
 		return l.recordError(eris.Wrapf(err, "create log segment %s", path))
 	}
-	l.file = file
-	l.size = 0
-	l.segments = append(l.segments, segment{sequence: l.sequence})
-	// Each segment begins with the hard state, so that older segments can be removed.
-	if err := l.write(record{HardState: &l.hardState}); err != nil {
-		return err
+	size, err := l.writeSegmentStart(file)
+	if isOutOfSpace(err) {
+		return l.abandonSegment(file, err)
 	}
-	if err := l.writeAndSync(); err != nil {
-		return err
+	if err != nil {
+		return l.recordError(err)
+	}
+	if l.file != nil {
+		if err := l.file.Close(); err != nil {
+			return l.recordError(eris.Wrap(err, "close log segment"))
+		}
 	}
+	l.file, l.size, l.sequence = file, size, next.sequence
+	l.segments = append(l.segments, next)
 	return l.recordError(SyncFolder(l.options.Folder))
 }
 
+// writeSegmentStart writes the hard state to a new segment and syncs it, so that older segments can be removed.
+// It returns the segment's size.
+func (l *Log) writeSegmentStart(file File) (int64, error) {
+	var start bytes.Buffer
+	if err := encodeRecord(&start, &record{HardState: &l.hardState}); err != nil {
+		return 0, err
+	}
+	size := int64(start.Len())
+	mark := markAt(size)
+	if _, err := file.Write(start.Bytes()); err != nil {
+		return 0, eris.Wrapf(err, "write log segment %s", file.Name())
+	}
+	if err := file.Sync(); err != nil {
+		return 0, syncError(file, err)
+	}
+	if _, err := file.Write(mark[:]); err != nil {
+		return 0, eris.Wrapf(err, "write log segment %s", file.Name())
+	}
+	return size + markSize, nil
+}
+
 // SyncFolder makes the creation, renaming and removal of files in a folder durable.
 func SyncFolder(folder string) error {
 	handle, err := os.Open(folder)
@@ -146,41 +184,48 @@
 }
 
 // Append writes a hard state (may be nil) and entries, and returns once they are
-// synced. After an error the log rejects all further operations: what reached the
+// synced. After ErrDiskFull the log is as before, and the same append may be repeated. After
+// any other error the log rejects all further operations: what reached the
 // disk is unknown until the folder is recovered.
 func (l *Log) Append(hard *consensus.HardState, entries []consensus.Entry) error {
-	if l.firstError != nil {
-		return l.firstError
-	}
+	var records []record
 	if hard != nil {
-		l.hardState = *hard
-		if err := l.write(record{HardState: hard}); err != nil {
-			return err
-		}
+		records = append(records, record{HardState: hard})
 	}
 	for i := range entries {
-		if err := l.write(record{Entry: &entries[i]}); err != nil {
-			return err
-		}
-		l.segments[len(l.segments)-1].lastIndex = entries[i].Index
+		records = append(records, record{Entry: &entries[i]})
 	}
-	if err := l.writeAndSync(); err != nil {
+	if err := l.append(records); err != nil {
 		return err
 	}
-	if l.size >= l.options.SegmentSize {
-		return l.startSegment()
+	if hard != nil {
+		l.hardState = *hard
+	}
+	if len(entries) > 0 {
+		l.segments[len(l.segments)-1].lastIndex = entries[len(entries)-1].Index
 	}
 	return nil
 }
 
 // Reset invalidates all entries written so far, after a snapshot from the leader has
 // become durable in their place.
-func (l *Log) Reset() error {
+func (l *Log) Reset() error { return l.append([]record{{Reset: true}}) }
+
+// append writes records to the current segment, or to a new one if that is full or there is none, and syncs them.
+func (l *Log) append(records []record) error {
 	if l.firstError != nil {
 		return l.firstError
 	}
-	if err := l.write(record{Reset: true}); err != nil {
-		return err
+	if l.file == nil || l.size >= l.options.SegmentSize {
+		if err := l.startSegment(); err != nil {
+			return err
+		}
+	}
+	l.buffer.Reset()
+	for i := range records {
+		if err := l.write(records[i]); err != nil {
+			return err
+		}
 	}
 	return l.writeAndSync()
 }
@@ -217,33 +262,40 @@
 	return l.recordError(SyncFolder(l.options.Folder))
 }
 
-func (l *Log) write(item record) error {
-	payload, err := codec.Marshal(&item)
+// write adds a record to the buffer.
+func (l *Log) write(item record) error { return l.recordError(encodeRecord(&l.buffer, &item)) }
+
+func encodeRecord(target *bytes.Buffer, item *record) error {
+	payload, err := codec.Marshal(item)
 	if err != nil {
-		return l.recordError(eris.Wrap(err, "encode log record"))
+		return eris.Wrap(err, "encode log record")
 	}
 	var header [headerSize]byte
 	binary.LittleEndian.PutUint32(header[0:4], uint32(len(payload)))
 	binary.LittleEndian.PutUint32(header[4:8], crc32.Checksum(payload, castagnoli))
 	binary.LittleEndian.PutUint32(header[checksummedHeaderSize:], crc32.Checksum(header[:checksummedHeaderSize], castagnoli))
-	l.buffer.Write(header[:])
-	l.buffer.Write(payload)
+	target.Write(header[:])
+	target.Write(payload)
 	return nil
 }
 
 func (l *Log) writeAndSync() error {
-	written, err := l.file.Write(l.buffer.Bytes())
-	l.buffer.Reset()
-	if err != nil {
-		return l.recordError(eris.Wrapf(err, "write log segment %s (disk full?)", l.file.Name()))
+	if _, err := l.file.Write(l.buffer.Bytes()); err != nil {
+		return l.failWrite(err)
 	}
-	l.size += int64(written)
 	if err := l.file.Sync(); err != nil {
-		return l.recordError(eris.Wrapf(err, "sync log segment %s", l.file.Name()))
+		return l.recordError(syncError(l.file, err))
 	}
+	l.size += int64(l.buffer.Len())
 	return l.writeMark()
 }
 
+// syncError wraps the error of a failed sync. It hides the system's error, so that a sync for
+// which the disk had no room is not mistaken for a write that can be repeated.
+func syncError(file File, err error) error {
+	return eris.Errorf("sync log segment %s: %v", file.Name(), err)
+}
+
 // recordError stores err as the log's first error, unless it is nil or one is stored already, and returns err.
 func (l *Log) recordError(err error) error {
 	if err != nil && l.firstError == nil {
@@ -253,4 +305,9 @@
 }
 
 // Close closes the current segment. All appended records are already synced.
-func (l *Log) Close() error { return eris.Wrap(l.file.Close(), "close log segment") }
+func (l *Log) Close() error {
+	if l.file == nil {
+		return nil
+	}
+	return eris.Wrap(l.file.Close(), "close log segment")
+}
