control: a member whose disk is full stays up and promises nothing

It could not say what was wrong but in its last line, and came back with a start.

Such an answer extends the lease, which rests on contact, and acknowledges nothing. A leader with a full disk takes no proposals and has a member elected that holds its whole log, once a majority without it does; otherwise it stays, so that reads can be confirmed. If the disks of a majority are full, changes are refused before they are in the log: 503, disk_full, Retry-After. Reads and confirmations at a full member end at once, so that routers go to another one. The state is shown by /healthz, limehold status (DISK), two metrics and one log line for each change, at most one "full" in 10 s. Failed syncs and all other errors still end the process. docs/design/0025 has the rest. Messages between members change: protocol version 13.

New tests: control/disk_test.go (three members with real logs: a follower, the leader, a majority full; starts on a full disk), consensus/fulldisk_test.go, diskspace, simulate/fulldisk_test.go.

Changed tests: calls of openStorage follow its new parameter; the test group of consensus learns full disks; the sampling loop of TestLeaderWhoseDiskHangsGivesWay moved to a function of its own.

--- a/adminapi/types.go
+++ b/adminapi/types.go
@@ -123,6 +123,8 @@
 	Alive      bool   `json:"alive"`
 	MatchIndex uint64 `json:"match"`
 	LostLog    bool   `json:"lost_log,omitempty"`
+	// DiskFull is true if the member persists nothing because its disk is full.
+	DiskFull bool `json:"disk_full,omitempty"`
 }
 
 // Status is an overview of the fleet.
--- a/bench/simulate/faults.go
+++ b/bench/simulate/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"limehold/consensus"
@@ -36,6 +37,9 @@
 	NodeDrain               FaultKind = "node drained and resumed"
 	AllCrash                FaultKind = "all members crash"
 	MemberRemoved           FaultKind = "member removed and added again"
+	MemberDiskFull          FaultKind = "member's disk is full"
+	LeaderDiskFull          FaultKind = "leader's disk is full"
+	MajorityDiskFull        FaultKind = "disks of a majority are full"
 )
 
 var faultKinds = []FaultKind{
@@ -44,6 +48,9 @@
 	NodeCrash, NodeFreeze, NodePartition, NodePartitionOutgoing, NodePartitionIncoming, NodeDuplicate, NodeDrain, AllCrash, MemberRemoved,
 }
 
+// fullDiskKinds are drawn as well if Options.FullDisks is set.
+var fullDiskKinds = []FaultKind{MemberDiskFull, LeaderDiskFull, MajorityDiskFull}
+
 // Fault is one entry of a run's fault schedule.
 type Fault struct {
 	At     time.Duration
@@ -61,10 +68,17 @@
 // so that leaving out one fault does not change the others.
 func drawFaults(options *Options) []Fault {
 	random := rand.New(rand.NewPCG(options.Seed, 12))
+	kinds := faultKinds
+	if options.FullDisks {
+		// Every second fault is one of these.
+		for range len(faultKinds) / len(fullDiskKinds) {
+			kinds = append(kinds[:len(kinds):len(kinds)], fullDiskKinds...)
+		}
+	}
 	var faults []Fault
 	for at := 1500 * time.Millisecond; at < options.faultsUntil(); {
 		length := 50*time.Millisecond + time.Duration(random.Int64N(int64(1800*time.Millisecond)))
-		faults = append(faults, Fault{At: at, Kind: faultKinds[random.IntN(len(faultKinds))], Target: random.IntN(1 << 16), For: length})
+		faults = append(faults, Fault{At: at, Kind: kinds[random.IntN(len(kinds))], Target: random.IntN(1 << 16), For: length})
 		at += time.Duration(random.Int64N(int64(2 * options.meanFaultInterval)))
 	}
 	return faults
@@ -87,6 +101,8 @@
 				leader.runOnCore(func() { leader.core.TransferLeadership(); leader.publishLease() })
 			})
 		}
+	case MemberDiskFull, LeaderDiskFull, MajorityDiskFull:
+		w.fillDisks(fault)
 	case MemberWipe:
 		w.wipeDisk(fault)
 	case MemberRemoved:
@@ -108,6 +124,20 @@
 // the meantime.
 func (w *simulation) schedule(d time.Duration, f func()) { w.scheduleOn(w.checker.observer, d, f) }
 
+// fillDisks fills the disks of the members that a fault names.
+func (w *simulation) fillDisks(fault Fault) {
+	first, count := fault.Target, 1
+	switch fault.Kind {
+	case LeaderDiskFull:
+		first = max(0, slices.Index(w.members, w.leader()))
+	case MajorityDiskFull:
+		count = len(w.members)/2 + 1
+	}
+	for i := range count {
+		w.members[(first+i)%len(w.members)].disk.fullUntil = w.now + fault.For
+	}
+}
+
 func (w *simulation) injectMemberFault(m *member, fault Fault) {
 	switch fault.Kind {
 	case MemberCrash, LeaderCrash:
--- a/bench/simulate/member.go
+++ b/bench/simulate/member.go
@@ -20,6 +20,7 @@
 	placeEvery      = 500 * time.Millisecond
 	snapshotEvery   = 25
 	retainedEntries = 5
+	fullDiskRetry   = 100 * time.Millisecond
 	maxAppend       = 16
 	maxAppendBytes  = 1 << 16
 )
@@ -41,6 +42,8 @@
 	slowUntil time.Duration
 	// blockedUntil is the time before which no sync completes.
 	blockedUntil time.Duration
+	// fullUntil is the time before which no write succeeds.
+	fullUntil time.Duration
 	// slow is set if Options.Sync applies to the disk.
 	slow bool
 }
@@ -204,13 +207,24 @@
 	length = max(length, m.disk.blockedUntil-m.sim.now)
 	pending := &output
 	m.disk.tearOnCrash(pending, m)
-	m.sim.scheduleOn(m.process, length, func() {
+	m.sim.scheduleOn(m.process, length, func() { m.finishSync(pending) })
+}
+
+// finishSync ends a sync. If the disk is full, the write is repeated until it succeeds.
+func (m *member) finishSync(pending *consensus.Output) {
+	if m.sim.now < m.disk.fullUntil {
+		m.sim.counts["writes without room"]++
+		m.sim.scheduleOn(m.process, fullDiskRetry, func() { m.finishSync(pending) })
+		m.runOnCore(func() { m.core.SetDiskFull(m.sim.clock(m.process), true) })
+		return
+	}
+	m.runOnCore(func() {
+		m.core.SetDiskFull(m.sim.clock(m.process), false)
 		m.syncing = false
 		m.disk.write(pending)
 		m.pipeline.WriteDone()
 		m.core.NotifyDurable(m.sim.clock(m.process), pending)
 		m.completeOutput(pending)
-		m.processOutput()
 	})
 }
 
--- a/bench/simulate/run.go
+++ b/bench/simulate/run.go
@@ -34,6 +34,8 @@
 	Sync time.Duration
 	// SlowDisks is the number of members that Sync applies to; 0 means all.
 	SlowDisks int
+	// FullDisks adds full disks to the faults.
+	FullDisks bool
 	// SkippedFaults holds the positions in the fault schedule of faults that are not injected.
 	SkippedFaults map[int]bool
 
@@ -182,7 +184,7 @@
 		w.resume(p)
 	}
 	for _, m := range w.members {
-		m.disk.slowUntil = 0
+		m.disk.slowUntil, m.disk.fullUntil = 0, 0
 	}
 }
 
--- a/bench/simulate/slowdisk_test.go
+++ b/bench/simulate/slowdisk_test.go
@@ -86,24 +86,7 @@
 	for _, members := range []int{3, 5} {
 		t.Run(fmt.Sprintf("%d members", members), func(t *testing.T) {
 			for seed := range uint64(8) {
-				options := Options{Seed: seed + 1, Members: members, Length: blockedUntil}
-				options.applyDefaults()
-				options.lossPermille, options.duplicatePermille, options.delayedPermille = 0, 0, 0
-				options.Length = blockedUntil + time.Minute // operators work until the end of the run
-				w := newSimulation(options)
-				w.build()
-				answered, last, longest := 0, blockedFrom, time.Duration(0)
-				w.schedule(blockedFrom, func() { w.leader().disk.blockedUntil = blockedUntil })
-				var sample func()
-				sample = func() {
-					w.schedule(sampleEvery, sample)
-					if now := w.counts["commands answered"]; now > answered {
-						answered, last = now, w.now
-					}
-					longest = max(longest, w.now-last)
-				}
-				w.schedule(blockedFrom, sample)
-				w.run(blockedUntil)
+				longest := longestUnanswered(seed+1, members, blockedFrom, blockedUntil, func(w *simulation) { w.leader().disk.blockedUntil = blockedUntil })
 				if longest > maxUnanswered {
 					t.Errorf("seed %d: no command was answered for %v", seed+1, longest)
 				}
@@ -112,6 +95,30 @@
 	}
 }
 
+// longestUnanswered simulates a run in which only the given fault is injected, at from, and returns the longest time
+// without an answered command between then and until.
+func longestUnanswered(seed uint64, members int, from, until time.Duration, inject func(*simulation)) time.Duration {
+	options := Options{Seed: seed, Members: members, Length: until}
+	options.applyDefaults()
+	options.lossPermille, options.duplicatePermille, options.delayedPermille = 0, 0, 0
+	options.Length = until + time.Minute // operators work until the end of the run
+	w := newSimulation(options)
+	w.build()
+	answered, last, longest := 0, from, time.Duration(0)
+	w.schedule(from, func() { inject(w) })
+	var sample func()
+	sample = func() {
+		w.schedule(sampleEvery, sample)
+		if now := w.counts["commands answered"]; now > answered {
+			answered, last = now, w.now
+		}
+		longest = max(longest, w.now-last)
+	}
+	w.schedule(from, sample)
+	w.run(until)
+	return longest
+}
+
 // observeLeadership simulates a run in which members[:lost] are down from the start and there are no other
 // faults. It returns the time of the first serving leader, the time without one after that, and the highest
 // term.
--- a/cli/fleet.go
+++ b/cli/fleet.go
@@ -109,9 +109,13 @@
 }
 
 func memberTable(list []adminapi.Member) *table {
-	rows := &table{header: []string{"MEMBER", "IDENTITY", "ROLE", "ADDRESS", "ALIVE", "HOLDS LOG TO"}}
+	rows := &table{header: []string{"MEMBER", "IDENTITY", "ROLE", "ADDRESS", "ALIVE", "DISK", "HOLDS LOG TO"}}
 	for _, member := range list {
-		rows.add(member.Name, member.ID, member.Role, member.Address, member.Alive, member.MatchIndex)
+		disk := "ok"
+		if member.DiskFull {
+			disk = "full"
+		}
+		rows.add(member.Name, member.ID, member.Role, member.Address, member.Alive, disk, member.MatchIndex)
 	}
 	return rows
 }
--- a/consensus/core.go
+++ b/consensus/core.go
@@ -60,6 +60,8 @@
 	transferring      bool // the leader released its lease in favour of another member
 	// transferStarted is when the lease was released; if no member takes over, the leader steps down.
 	transferStarted time.Duration
+	// diskFull is set while this member's writes fail for lack of room; see fulldisk.go.
+	diskFull bool
 
 	early           []Message
 	messages        []Message
@@ -140,7 +142,15 @@
 		c.tickLeader()
 		return
 	}
-	if now >= c.electionDeadline && c.isHardStateDurable() {
+	if now < c.electionDeadline {
+		return
+	}
+	if c.diskFull {
+		// As in startPreVote, but without a candidacy.
+		c.leader = 0
+		return
+	}
+	if c.isHardStateDurable() {
 		c.startPreVote()
 	}
 }
@@ -151,6 +161,9 @@
 	if c.role != RoleLeader || c.transferring {
 		return 0, ErrNotLeader
 	}
+	if c.diskFull || !c.CanCommit() {
+		return 0, ErrDiskFull
+	}
 	first := c.log.lastIndex() + 1
 	for _, command := range commands {
 		c.appendToLog(Entry{Kind: EntryCommand, Data: command})
@@ -166,6 +179,9 @@
 	if c.role != RoleLeader || c.transferring {
 		return 0, ErrNotLeader
 	}
+	if c.diskFull {
+		return 0, ErrDiskFull
+	}
 	// A leader that has not committed in its own term may be unaware of an
 	// earlier change that is still uncommitted.
 	if c.commit < c.termStart {
@@ -260,6 +276,7 @@
 
 // TakeOutput returns the pending work and clears it.
 func (c *Core) TakeOutput() Output {
+	c.dropUnpersisted()
 	output := Output{Early: c.early, Messages: c.messages, Fatal: c.fatal}
 	c.early, c.messages = nil, nil
 	if c.hardState != c.issuedHardState {
--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -20,7 +20,9 @@
 	stored     map[MemberID][]Entry
 	hardStates map[MemberID]HardState
 	// stalled holds the members whose disks are stalled; unwritten holds the outputs that wait for a disk.
-	stalled   map[MemberID]bool
+	stalled map[MemberID]bool
+	// full holds the members whose disks are full: their writes fail until it is unset.
+	full      map[MemberID]bool
 	unwritten map[MemberID][]Output
 	// loseSnapshots is the number of snapshots still to be dropped.
 	loseSnapshots int
@@ -57,6 +59,13 @@
 			g.unwritten[id] = append(g.unwritten[id], output)
 			for !g.stalled[id] && len(g.unwritten[id]) > 0 {
 				next := g.unwritten[id][0]
+				if g.full[id] && next.NeedsWrite() {
+					g.members[id].SetDiskFull(g.now, true)
+					break
+				}
+				if next.NeedsWrite() {
+					g.members[id].SetDiskFull(g.now, false)
+				}
 				g.unwritten[id] = g.unwritten[id][1:]
 				g.write(id, &next)
 			}
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -215,7 +215,7 @@
 	var bestMatch uint64
 	for _, voter := range c.Configuration().Voters() {
 		follower := c.progress[voter]
-		if voter != c.id && follower != nil && !follower.lostLog && follower.match >= bestMatch {
+		if voter != c.id && follower != nil && !follower.lostLog && !follower.diskFull && follower.match >= bestMatch {
 			best, bestMatch = voter, follower.match
 		}
 	}
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -26,6 +26,8 @@
 	progressMatch uint64
 	// lostLog marks a peer that returned with less than it had acknowledged.
 	lostLog bool
+	// diskFull is set if the peer's newest response said that its disk is full.
+	diskFull bool
 }
 
 // snapshotTimeout is how long the leader waits for the response to a snapshot
@@ -54,7 +56,8 @@
 		c.becomeFollower(c.hardState.Term, 0)
 		return
 	}
-	if c.isDiskStalled() && !c.TransferLeadership() {
+	c.giveWay()
+	if !c.diskFull && c.isDiskStalled() && !c.TransferLeadership() {
 		c.becomeFollower(c.hardState.Term, 0)
 		return
 	}
@@ -100,13 +103,18 @@
 		if peer == nil || peer.lostLog {
 			continue
 		}
-		if peer.ackedSentAt >= since && peer.hasAcked || peer.joinedAt >= since {
+		if peer.isActive(since) {
 			active++
 		}
 	}
 	return active >= c.Configuration().Quorum()
 }
 
+// isActive reports whether the peer has answered an append sent at or after since, or joined at or after it.
+func (p *progress) isActive(since time.Duration) bool {
+	return p.ackedSentAt >= since && p.hasAcked || p.joinedAt >= since
+}
+
 func (c *Core) broadcastAppend() {
 	for _, member := range c.Configuration().Members {
 		if member.ID != c.id {
@@ -127,7 +135,10 @@
 		c.sendSnapshot(to, peer)
 		return
 	}
-	entries := c.log.slice(peer.next, c.log.lastIndex(), c.maxAppendEntries, c.maxAppendBytes)
+	var entries []Entry
+	if !peer.diskFull {
+		entries = c.log.slice(peer.next, c.log.lastIndex(), c.maxAppendEntries, c.maxAppendBytes)
+	}
 	c.early = append(c.early, Message{
 		Kind: MessageAppend, From: c.id, To: to, Term: c.hardState.Term,
 		LogIndex: previous, LogTerm: previousTerm, Entries: entries,
@@ -138,7 +149,7 @@
 }
 
 func (c *Core) sendSnapshot(to MemberID, peer *progress) {
-	if c.now < peer.snapshotUntil || c.latestSnapshot.Index == 0 {
+	if peer.diskFull || c.now < peer.snapshotUntil || c.latestSnapshot.Index == 0 {
 		// An empty append keeps the peer from starting an election meanwhile.
 		c.early = append(c.early, Message{
 			Kind: MessageAppend, From: c.id, To: to, Term: c.hardState.Term,
@@ -170,6 +181,7 @@
 		return
 	}
 	peer.hasAcked = true
+	peer.diskFull = message.DiskFull
 	peer.ackedSentAt = max(peer.ackedSentAt, message.SentAt)
 	if message.Reject {
 		c.handleRejectedAppend(message, peer)
@@ -186,7 +198,7 @@
 		}
 	}
 	peer.next = max(peer.next, peer.match+1)
-	if peer.next <= c.log.lastIndex() {
+	if peer.next <= c.log.lastIndex() && !peer.diskFull {
 		c.sendAppend(message.From)
 	}
 }
@@ -205,7 +217,10 @@
 		return
 	}
 	peer.next = max(peer.match+1, min(message.LogIndex, message.Hint+1))
-	c.sendAppend(message.From)
+	if !peer.diskFull {
+		// A peer with a full disk gets the next heartbeat only.
+		c.sendAppend(message.From)
+	}
 }
 
 // advanceCommit commits the highest index that a majority holds durably, if it is of the
@@ -254,6 +269,8 @@
 	// Stalled is how long the peer has made nothing durable although it lacks committed entries.
 	// Such a peer may still answer heartbeats.
 	Stalled time.Duration
+	// DiskFull is true if the peer takes no entries because its disk is full.
+	DiskFull bool
 }
 
 // Progress lists the leader's view of its peers, nil on other members.
@@ -267,6 +284,7 @@
 			list = append(list, PeerProgress{
 				ID: member.ID, Match: peer.match, Silence: c.now - peer.ackedSentAt,
 				Contacted: peer.hasAcked, LostLog: peer.lostLog, Stalled: c.now - peer.progressAt,
+				DiskFull: peer.diskFull,
 			})
 		}
 	}
--- a/consensus/step.go
+++ b/consensus/step.go
@@ -13,6 +13,9 @@
 		c.handleLostLog(message)
 		return
 	}
+	if c.diskFull && !c.acceptsWithFullDisk(message) {
+		return
+	}
 	if !c.checkTerm(message) {
 		return
 	}
@@ -102,9 +105,10 @@
 	response := Message{
 		Kind: MessageAppendResponse, From: c.id, To: request.From, Term: c.hardState.Term,
 		LogIndex: request.LogIndex, Reject: reject, Match: min(match, c.durableIndex), Hint: c.log.lastIndex(), SentAt: request.SentAt,
+		DiskFull: c.diskFull,
 	}
 	c.early = append(c.early, response)
-	if match > c.durableIndex {
+	if match > c.durableIndex && !c.diskFull {
 		response.Match = match
 		c.messages = append(c.messages, response)
 	}
@@ -122,6 +126,9 @@
 			return
 		}
 	}
+	if c.diskFull {
+		message.Entries = c.heldPrefix(message.Entries)
+	}
 	for i, entry := range message.Entries {
 		if entry.Index <= c.commit {
 			continue
@@ -148,6 +155,9 @@
 		// The log matches up to the snapshot: entries after it may have been
 		// acknowledged and must stay.
 		c.commit = max(c.commit, snapshot.Index)
+	} else if c.diskFull {
+		c.respond(message, false, c.commit)
+		return
 	} else if snapshot.Index > c.commit {
 		c.log.restore(snapshot)
 		c.commit = snapshot.Index
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -153,6 +153,9 @@
 	Forced bool
 
 	Snapshot *Snapshot
+
+	// DiskFull is set in an append response by a member that takes no entries because its disk is full.
+	DiskFull bool
 }
 
 // Answer is a member's response to a vote or pre-vote request.
@@ -166,11 +169,12 @@
 	AnswerLogShorter
 	AnswerVotedForOther
 	AnswerNewerTerm
+	AnswerDiskFull
 )
 
 // String returns the answer's name for logs.
 func (a Answer) String() string {
-	names := [...]string{"none", "granted", "heard-a-leader", "log-shorter", "voted-for-another", "newer-term"}
+	names := [...]string{"none", "granted", "heard-a-leader", "log-shorter", "voted-for-another", "newer-term", "disk-full"}
 	if int(a) >= len(names) {
 		return fmt.Sprintf("answer-%d", uint8(a))
 	}
@@ -212,6 +216,9 @@
 	ErrChangePending = errors.New("an earlier membership change has not been committed yet")
 	// ErrUnsafeChange is returned for a change of more than one voter.
 	ErrUnsafeChange = errors.New("a membership change may add or remove one voter at a time")
+	// ErrDiskFull is returned by a leader that accepts no proposals because its own disk is full, or
+	// those of a majority.
+	ErrDiskFull = errors.New("the group accepts no changes: the disk of its leader or of a majority of its members is full")
 	// ErrLostLog is reported by a member that holds less than it acknowledged.
 	ErrLostLog = errors.New("this member's log is shorter than what it had acknowledged: its data folder is an older copy")
 )
--- a/control/admin.go
+++ b/control/admin.go
@@ -16,6 +16,7 @@
 	"limehold/adminapi"
 	"limehold/catalog"
 	"limehold/fleet"
+	"limehold/wal"
 	"limehold/wire"
 )
 
@@ -179,9 +180,16 @@
 	}
 	var remote *wire.Error
 	if errors.As(err, &remote) {
+		if remote.Code == wire.CodeDiskFull {
+			request.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(fullDiskRetrySeconds))
+		}
 		writeError(request, fasthttp.StatusServiceUnavailable, &adminapi.Error{Code: string(remote.Code), Message: remote.Message, Step: remote.Step, Peer: remote.Peer})
 		return
 	}
+	if errors.Is(err, wal.ErrDiskFull) {
+		writeError(request, fasthttp.StatusServiceUnavailable, &adminapi.Error{Code: string(wire.CodeDiskFull), Message: err.Error(), Peer: m.options.Settings.Name})
+		return
+	}
 	writeError(request, fasthttp.StatusServiceUnavailable, &adminapi.Error{Code: "internal", Message: err.Error(), Peer: m.options.Settings.Name})
 }
 
--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -287,6 +287,7 @@
 		view := adminapi.Member{
 			Name: member.Name, ID: member.ID.String(), Address: member.Address, Role: "follower",
 			Alive: known.Alive, MatchIndex: known.Match, LostLog: known.LostLog,
+			DiskFull: known.DiskFull || member.ID == m.storage.identity.ID && status.DiskFull,
 		}
 		switch {
 		case member.ID == status.Leader:
@@ -333,12 +334,12 @@
 	return answer, nil
 }
 
-// toleratedLosses returns how many voters that are alive the group can lose and still
+// toleratedLosses returns how many voters that are alive and have room on their disks the group can lose and still
 // have a quorum.
 func toleratedLosses(members []adminapi.Member, quorum int) int {
 	alive := 0
 	for _, member := range members {
-		if member.Role != "learner" && member.Alive && !member.LostLog {
+		if member.Role != "learner" && member.Alive && !member.LostLog && !member.DiskFull {
 			alive++
 		}
 	}
--- a/control/applier.go
+++ b/control/applier.go
@@ -5,14 +5,17 @@
 	"errors"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"limehold/consensus"
+	"limehold/diskspace"
 	"limehold/fleet"
 	"limehold/logging"
+	"limehold/wal"
 )
 
 // applier applies committed entries to the state in log order. It has a goroutine of
@@ -22,6 +25,7 @@
 	options Options
 	logger  *zap.Logger
 	storage *storage
+	disk    *diskMonitor
 	// onChanges receives each command's changes while the state is still locked.
 	onChanges func(*fleet.Changes)
 	// onApplied receives each applied command's changes, in log order.
@@ -49,7 +53,11 @@
 	progress *sync.Cond
 	index    uint64
 	stopped  bool
-	waiters  map[uint64]waiter
+	// diskFull is set while committed entries wait for room on the disk.
+	diskFull bool
+	// ending is closed when stopped is set.
+	ending  chan struct{}
+	waiters map[uint64]waiter
 
 	commands prometheus.Counter
 }
@@ -74,9 +82,9 @@
 
 var errStopped = errors.New("this member is stopping")
 
-func newApplier(options Options, disk *storage, state *fleet.State, snapshot consensus.Snapshot) *applier {
+func newApplier(options Options, disk *storage, monitor *diskMonitor, state *fleet.State, snapshot consensus.Snapshot) *applier {
 	a := &applier{
-		options: options, logger: options.Logger, storage: disk, queueReady: make(chan struct{}, 1),
+		options: options, logger: options.Logger, storage: disk, disk: monitor, ending: make(chan struct{}), queueReady: make(chan struct{}, 1),
 		state: state, term: snapshot.Term, configuration: snapshot.Configuration,
 		snapshotIndex: snapshot.Index, snapshotDone: make(chan snapshotOutcome, 1),
 		index: snapshot.Index, waiters: map[uint64]waiter{},
@@ -218,6 +226,7 @@
 	a.mutex.Lock()
 	a.stopped = true
 	a.mutex.Unlock()
+	close(a.ending)
 	a.progress.Broadcast()
 }
 
@@ -250,11 +259,22 @@
 		if ctx.Err() != nil || a.stopped {
 			return eris.Errorf("wait for log index %d: only %d has been applied", index, a.index)
 		}
+		if a.diskFull {
+			return eris.Wrapf(wal.ErrDiskFull, "wait for log index %d: only %d has been applied, and the next entries wait for room on this member's disk", index, a.index)
+		}
 		a.progress.Wait()
 	}
 	return nil
 }
 
+// setDiskFull ends the waits for entries that are not on the disk, and rejects new ones, while the disk is full.
+func (a *applier) setDiskFull(full bool) {
+	a.mutex.Lock()
+	a.diskFull = full
+	a.mutex.Unlock()
+	a.progress.Broadcast()
+}
+
 // maybeSnapshot takes a snapshot if one is due. It encodes the state synchronously and
 // writes the file in the background.
 func (a *applier) maybeSnapshot() error {
@@ -270,13 +290,28 @@
 	snapshot := consensus.Snapshot{Index: a.index, Term: a.term, Data: data, Configuration: a.configuration}
 	a.snapshotWriting.Store(true)
 	go func() {
-		outcome := snapshotOutcome{snapshot, a.storage.saveSnapshot(snapshot)}
+		outcome := snapshotOutcome{snapshot, a.saveSnapshot(snapshot)}
 		a.snapshotWriting.Store(false)
 		a.snapshotDone <- outcome
 	}()
 	return nil
 }
 
+// saveSnapshot saves a snapshot. It tries again while the disk is full, until the member stops.
+func (a *applier) saveSnapshot(snapshot consensus.Snapshot) error {
+	for {
+		err := a.storage.saveSnapshot(snapshot)
+		if !a.disk.observe(diskspace.StepSnapshot, err) {
+			return err
+		}
+		select {
+		case <-time.After(diskspace.StepSnapshot.RetryAfter()):
+		case <-a.ending:
+			return err
+		}
+	}
+}
+
 // view runs read with the state locked for reading; read must not retain references to it.
 func (a *applier) view(read func(*fleet.State)) {
 	a.stateMutex.RLock()
--- a/control/commands.go
+++ b/control/commands.go
@@ -25,6 +25,11 @@
 	// member cannot reach the leader must switch to another member well before the
 	// router's view becomes stale.
 	readIndexTimeout = 500 * time.Millisecond
+	// fullDiskPatience is how long a command is repeated that is refused because disks are full. A leader with a
+	// full disk passes leadership on within that time if it can.
+	fullDiskPatience = time.Second
+	// fullDiskRetrySeconds is the Retry-After of the refusal. An operator has to free space.
+	fullDiskRetrySeconds = 10
 )
 
 // notLeader returns the error for a request that only the leader can serve.
@@ -52,12 +57,17 @@
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	var last error
-	for ctx.Err() == nil {
+	taken := false
+	for start := clock.Now(); ctx.Err() == nil; {
 		result, err := m.executeOnce(ctx, command)
 		if err == nil {
 			return result, nil
 		}
 		last = err
+		taken = taken || !isDiskFull(err)
+		if !taken && clock.Now()-start > fullDiskPatience {
+			return fleet.Result{}, err
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(retryPause):
@@ -70,6 +80,12 @@
 	}
 }
 
+// isDiskFull reports whether a command was not taken because disks of the group are full.
+func isDiskFull(err error) bool {
+	var refusal *wire.Error
+	return errors.As(err, &refusal) && refusal.Code == wire.CodeDiskFull
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return "none"
@@ -99,6 +115,9 @@
 	if errors.Is(err, consensus.ErrNotLeader) {
 		return result, m.notLeader("commit command")
 	}
+	if errors.Is(err, consensus.ErrDiskFull) {
+		return result, &wire.Error{Code: wire.CodeDiskFull, Message: err.Error(), Step: "take command", Peer: m.options.Settings.Name}
+	}
 	return result, err
 }
 
--- a/control/leaderwatch.go
+++ b/control/leaderwatch.go
@@ -32,6 +32,9 @@
 	return length
 }
 
+// cancelSync ends a sync that failed for lack of room. Its time says nothing about the disk's speed.
+func (d *driverStats) cancelSync() { d.syncStart.Store(0) }
+
 // syncTimes returns how long the sync in progress has taken, 0 if there is none, and
 // the duration of the slowest completed sync since resetSlowest.
 func (d *driverStats) syncTimes(now time.Duration) (current, slowest time.Duration) {
--- a/control/member.go
+++ b/control/member.go
@@ -20,10 +20,12 @@
 	"limehold/clock"
 	"limehold/codec"
 	"limehold/consensus"
+	"limehold/diskspace"
 	"limehold/fleet"
 	"limehold/placement"
 	"limehold/settings"
 	"limehold/transport"
+	"limehold/wal"
 	"limehold/wire"
 )
 
@@ -32,6 +34,7 @@
 	options    Options
 	logger     *zap.Logger
 	storage    *storage
+	disk       *diskMonitor
 	recovered  recoveredState
 	server     *transport.Server
 	advertised string
@@ -77,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	disk, recovered, err := openStorage(config.DataFolder, config.Name, config.Control.SegmentBytes)
+	disk, recovered, err := openStorage(config.DataFolder, config.Name, wal.Options{SegmentSize: config.Control.SegmentBytes, CreateFile: options.createFile})
 	if err != nil {
 		return nil, errors.Join(err, listener.Close(), admin.Close())
 	}
@@ -89,6 +92,7 @@
 		joining: map[consensus.MemberID]joinRequest{},
 	}
 	m.formed.Store(disk.identity.Formed)
+	m.disk = newDiskMonitor(options)
 	m.renewals = options.Metrics.Counter("control", "lease_renewals_total", "Lease renewals that reached this member while it led.")
 	m.moves = options.Metrics.CounterVec("control", "shard_moves_total", "Shards that this member proposed to move, by kind of decision.", "kind")
 	m.registerRouterMetrics()
@@ -139,7 +143,7 @@
 		zap.Stringer("member", m.storage.identity.ID), zap.Bool("tls", m.options.TLS != nil), zap.Bool("operator_token", m.options.Token != ""))
 	group.Go(func() error { return m.server.Run(serving) })
 	group.Go(func() error {
-		return adminserver.Run(serving, adminserver.Options{Logger: m.logger, Listener: m.admin, Metrics: m.options.Metrics, Intercept: m.adminHandler(), Fallback: m.handleAdmin})
+		return adminserver.Run(serving, adminserver.Options{Logger: m.logger, Listener: m.admin, Metrics: m.options.Metrics, Healthy: m.disk.healthy, Intercept: m.adminHandler(), Fallback: m.handleAdmin})
 	})
 	group.Go(func() error {
 		err := m.runReplica(ctx, serving)
@@ -161,7 +165,7 @@
 		}
 		state = formed
 	}
-	replica, err := newReplica(m.options, m.storage, state)
+	replica, err := newReplica(m.options, m.storage, m.disk, state)
 	if err != nil {
 		return err
 	}
@@ -245,7 +249,11 @@
 		status := m.replica.status.Load()
 		m.peers.update(status.Configuration)
 		if !m.formed.Load() && len(status.Configuration.Members) > 0 {
-			if err := m.storage.markFormed(); err != nil {
+			err := m.storage.markFormed()
+			if m.disk.observe(diskspace.StepIdentity, err) {
+				continue
+			}
+			if err != nil {
 				return err
 			}
 			m.formed.Store(true)
--- a/control/members.go
+++ b/control/members.go
@@ -28,10 +28,11 @@
 // memberHealth returns the health of all members, as this leader observes it.
 func (m *Member) memberHealth() []wire.MemberHealth {
 	status := m.replica.status.Load()
-	list := []wire.MemberHealth{{ID: m.storage.identity.ID, Alive: true, Match: status.LastIndex}}
+	list := []wire.MemberHealth{{ID: m.storage.identity.ID, Alive: true, Match: status.LastIndex, DiskFull: status.DiskFull}}
 	for _, peer := range status.Progress {
 		list = append(list, wire.MemberHealth{
 			ID: peer.ID, Alive: peer.Contacted && peer.Silence < aliveWithin, Match: peer.Match, LostLog: peer.LostLog,
+			DiskFull: peer.DiskFull,
 		})
 	}
 	return list
@@ -247,7 +248,7 @@
 func (m *Member) checkQuorumAfter(next consensus.Configuration) error {
 	alive := map[consensus.MemberID]bool{}
 	for _, health := range m.memberHealth() {
-		alive[health.ID] = health.Alive && !health.LostLog
+		alive[health.ID] = health.Alive && !health.LostLog && !health.DiskFull
 	}
 	aliveVoters := 0
 	for _, voter := range next.Voters() {
@@ -256,7 +257,7 @@
 		}
 	}
 	if aliveVoters < next.Quorum() {
-		return invalidf("refused: the group would have %d voters, of which only %d answer, and needs %d; bring a member back or add one first", len(next.Voters()), aliveVoters, next.Quorum())
+		return invalidf("refused: the group would have %d voters, of which only %d answer and have room on their disks, and needs %d; bring a member back or add one first", len(next.Voters()), aliveVoters, next.Quorum())
 	}
 	return nil
 }
--- a/control/options.go
+++ b/control/options.go
@@ -15,6 +15,7 @@
 	"limehold/membership"
 	"limehold/metrics"
 	"limehold/settings"
+	"limehold/wal"
 )
 
 // Options configures a member.
@@ -29,6 +30,9 @@
 	// NewAdminHandler returns a handler that gets each request on the operators' listener first
 	// and returns false for requests that it does not serve. Optional.
 	NewAdminHandler func(*Member) func(*fasthttp.RequestCtx) bool
+
+	// createFile creates the segments of the log in place of the file system. Optional.
+	createFile func(path string) (wal.File, error)
 }
 
 const (
--- a/control/replay_test.go
+++ b/control/replay_test.go
@@ -10,6 +10,7 @@
 	"limehold/catalog"
 	"limehold/consensus"
 	"limehold/fleet"
+	"limehold/wal"
 )
 
 // Guards against members that end again whenever they replay a log with an update of a service that the
@@ -20,7 +21,7 @@
 	for _, name := range []string{"control-1", "control-2"} {
 		folder := filepath.Join(t.TempDir(), name)
 		is.NoErr(os.CopyFS(folder, os.DirFS(filepath.Join("testdata", "update-of-routed-service", name))))
-		disk, recovered, err := openStorage(folder, name, 0)
+		disk, recovered, err := openStorage(folder, name, wal.Options{})
 		is.NoErr(err)
 		is.NoErr(disk.log.Close())
 		results = append(results, replay(t, recovered))
--- a/control/replica.go
+++ b/control/replica.go
@@ -11,6 +11,7 @@
 
 	"limehold/clock"
 	"limehold/consensus"
+	"limehold/diskspace"
 	"limehold/fleet"
 )
 
@@ -26,6 +27,7 @@
 	// pipeline delays the parts of an output that depend on a write until it is done.
 	pipeline consensus.Pipeline
 	writer   *logWriter
+	disk     *diskMonitor
 	// send sends messages to peers. It must not block.
 	send func([]consensus.Message)
 
@@ -60,6 +62,8 @@
 	LeaderContact time.Duration
 	// Rounds are the newest election round and the one before it. Set only while no leader is known.
 	Rounds [2]consensus.Round
+	// DiskFull is true while this member persists nothing because its disk is full.
+	DiskFull bool
 }
 
 type outcome struct {
@@ -91,14 +95,14 @@
 	err   error
 }
 
-func newReplica(options Options, disk *storage, state recoveredState) (*replica, error) {
+func newReplica(options Options, disk *storage, monitor *diskMonitor, state recoveredState) (*replica, error) {
 	machine, err := fleet.DecodeState(state.snapshot.Data)
 	if err != nil {
 		return nil, eris.Wrap(err, "restore the snapshot")
 	}
 	r := &replica{
-		applier: newApplier(options, disk, machine, state.snapshot),
-		options: options, logger: options.Logger, storage: disk, inbox: make(chan event, maxBatch),
+		applier: newApplier(options, disk, monitor, machine, state.snapshot),
+		disk:    monitor, options: options, logger: options.Logger, storage: disk, inbox: make(chan event, maxBatch),
 	}
 	r.writer = newLogWriter(disk, r.writeLog)
 	r.core = consensus.New(consensus.Options{
@@ -223,11 +227,18 @@
 	r.completeOutput(next)
 }
 
-// handleWriteResult completes an output that is durable now.
+// handleWriteResult completes an output that is durable now. While the disk is full, the writer goes on
+// trying to write it.
 func (r *replica) handleWriteResult(done writeResult) error {
-	if done.err != nil {
+	full := r.disk.observe(diskspace.StepLog, done.err)
+	if done.err != nil && !full {
 		return done.err
 	}
+	r.core.SetDiskFull(clock.Now(), full)
+	r.setDiskFull(full)
+	if full {
+		return nil
+	}
 	r.pipeline.WriteDone()
 	r.core.NotifyDurable(clock.Now(), &done.output)
 	r.completeOutput(done.output)
@@ -250,6 +261,7 @@
 	}
 	r.driver.beginSync(clock.Now())
 	if err := r.storage.log.Append(output.HardState, output.Entries); err != nil {
+		r.driver.cancelSync()
 		return err
 	}
 	r.syncSeconds.Observe(r.driver.endSync(clock.Now()).Seconds())
@@ -264,6 +276,7 @@
 		Commit: r.core.CommitIndex(), Applied: r.appliedIndex(),
 		LastIndex: r.core.LastIndex(), FirstIndex: r.core.FirstIndex(),
 		Configuration: r.core.Configuration(), Progress: r.core.Progress(), LeaderContact: r.core.LeaderContact(),
+		DiskFull: r.core.DiskFull(),
 	}
 	if status.Leader == 0 {
 		status.Rounds[0], status.Rounds[1] = r.core.Rounds()
--- a/control/restore_test.go
+++ b/control/restore_test.go
@@ -25,7 +25,7 @@
 	restored, err := Restore(files[0], target, "control-1", "127.0.0.1:1")
 	is.NoErr(err)
 	is.True(restored.Term > reached)
-	disk, recovered, err := openStorage(target, "control-1", 1<<20)
+	disk, recovered, err := openStorage(target, "control-1", wal.Options{SegmentSize: 1 << 20})
 	is.NoErr(err)
 	is.NoErr(disk.log.Close())
 	is.Equal(recovered.snapshot.Term, restored.Term)
--- a/control/storage.go
+++ b/control/storage.go
@@ -40,7 +40,7 @@
 
 // openStorage recovers a data folder, or initializes a new one. It fails if the
 // folder holds less than this member has acknowledged.
-func openStorage(folder, name string, segmentBytes int64) (*storage, recoveredState, error) {
+func openStorage(folder, name string, logOptions wal.Options) (*storage, recoveredState, error) {
 	identity, err := wal.LoadIdentity(folder, name)
 	if err != nil {
 		return nil, recoveredState{}, err
@@ -52,7 +52,8 @@
 	if identity.Formed && !found {
 		return nil, recoveredState{}, eris.Errorf("data folder %s belongs to member %s of a group but holds no snapshot: part of it was lost; move it away and admit this member again with 'limehold member replace %s'", folder, identity.ID, name)
 	}
-	log, recovered, err := wal.Open(wal.Options{Folder: filepath.Join(folder, logFolder), SegmentSize: segmentBytes})
+	logOptions.Folder = filepath.Join(folder, logFolder)
+	log, recovered, err := wal.Open(logOptions)
 	if err != nil {
 		return nil, recoveredState{}, err
 	}
@@ -97,8 +98,13 @@
 	if s.identity.Formed {
 		return nil
 	}
-	s.identity.Formed = true
-	return wal.SaveIdentity(s.folder, s.identity)
+	formed := s.identity
+	formed.Formed = true
+	if err := wal.SaveIdentity(s.folder, formed); err != nil {
+		return err
+	}
+	s.identity = formed
+	return nil
 }
 
 // saveSnapshot writes a snapshot without touching the log. It skips a snapshot older
--- a/control/storage_test.go
+++ b/control/storage_test.go
@@ -39,7 +39,7 @@
 // A member that is admitted marks its folder from two goroutines at once.
 func TestFolderIsMarkedFromTwoGoroutines(t *testing.T) {
 	is := is.New(t)
-	disk, _, err := openStorage(t.TempDir(), "control-1", 1<<20)
+	disk, _, err := openStorage(t.TempDir(), "control-1", wal.Options{SegmentSize: 1 << 20})
 	is.NoErr(err)
 	defer disk.log.Close()
 	var marks errgroup.Group
--- a/control/voters.go
+++ b/control/voters.go
@@ -53,7 +53,8 @@
 func (m *Member) requestAdmission(ctx context.Context) error {
 	for turn := 0; len(m.options.Settings.Control.Seeds) > 0; turn++ {
 		status := m.replica.status.Load()
-		if m.mayNeedAdmission(status, clock.Now()) {
+		// A member that cannot persist the group's log would be admitted and taken out by turns.
+		if !status.DiskFull && m.mayNeedAdmission(status, clock.Now()) {
 			known := m.knownAddresses(status.Configuration)
 			address := known[turn%len(known)]
 			if err := m.sendJoinRequest(ctx, address); err != nil {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -62,7 +62,7 @@
 )
 
 // ProtocolVersion is compared when a connection is established.
-const ProtocolVersion = 12
+const ProtocolVersion = 13
 
 // Role is the kind of process at one end of a connection.
 type Role string
@@ -95,7 +95,9 @@
 	CodeInvalid        ErrorCode = "invalid"
 	CodeNotFound       ErrorCode = "not_found"
 	CodeTimeout        ErrorCode = "timeout"
-	CodeInternal       ErrorCode = "internal"
+	// CodeDiskFull is returned for a change that was not taken because disks of the group are full.
+	CodeDiskFull ErrorCode = "disk_full"
+	CodeInternal ErrorCode = "internal"
 )
 
 // Error is sent in place of a reply.
@@ -156,6 +158,8 @@
 	// itself, the last index of its log.
 	Match   uint64
 	LostLog bool
+	// DiskFull is true if the member persists nothing because its disk is full.
+	DiskFull bool
 }
 
 // NodeSilence is the time since a session's newest renewal.
