--- a/wire/wire.go
+++ b/wire/wire.go
@@ -96,7 +96,9 @@
 	CodeInvalid        ErrorCode = "invalid"
 	CodeNotFound       ErrorCode = "not_found"
 	CodeTimeout        ErrorCode = "timeout"
-	CodeInternal       ErrorCode = "internal"
+	// CodeDiskFull is returned for a change that was not taken because disks of the group are full.
+	CodeDiskFull ErrorCode = "disk_full"
+	CodeInternal ErrorCode = "internal"
 )
 
 // Error is sent in place of a reply.
@@ -157,6 +159,8 @@
 	// itself, the last index of its log.
 	Match   uint64
 	LostLog bool
+	// DiskFull is true if the member persists nothing because its disk is full.
+	DiskFull bool
 }
 
 // NodeSilence is the time since a session's newest renewal.
