--- a/ingress/leaving_test.go
+++ b/ingress/leaving_test.go
@@ -46,16 +46,7 @@
 			body := make([]byte, announcedBody)
 			conn := &reportingConn{}
 			conn.gone.Store(c.gone)
-			request := &fasthttp.RequestCtx{}
-			request.Init2(conn, nil, false)
-			request.Request.Header.SetMethod(fasthttp.MethodPost)
-			request.Request.SetRequestURI("/orders/1")
-			request.Request.Header.SetHost("x")
-			for name, value := range map[string]string{
-				wire.HeaderAttempt: "a.1", wire.HeaderService: "orders", wire.HeaderDeadline: "20000", wire.HeaderTarget: "10000", "X-Request-Id": "r-1",
-			} {
-				request.Request.Header.Set(name, value)
-			}
+			request := announcedRequest(conn)
 			request.Request.SetBody(body)
 			accepted, _ := i.inbound.announce(len(body), time.Minute)
 			accepted.arrived = clock.Now() - c.waited
@@ -69,3 +60,40 @@
 		})
 	}
 }
+
+// announcedRequest returns a request with an announced body, which has not been read.
+func announcedRequest(conn net.Conn) *fasthttp.RequestCtx {
+	request := &fasthttp.RequestCtx{}
+	request.Init2(conn, nil, false)
+	request.Request.Header.SetMethod(fasthttp.MethodPost)
+	request.Request.SetRequestURI("/orders/1")
+	request.Request.Header.SetHost("x")
+	request.Request.Header.SetContentLength(announcedBody)
+	for name, value := range map[string]string{
+		wire.HeaderAttempt: "a.1", wire.HeaderService: "orders", wire.HeaderDeadline: "20000", wire.HeaderTarget: "10000", "X-Request-Id": "r-1",
+	} {
+		request.Request.Header.Set(name, value)
+	}
+	return request
+}
+
+// Guards against bodies that are asked for after their routers have gone.
+func TestNoBodyIsAskedForOfARouterThatHasGone(t *testing.T) {
+	for name, c := range map[string]struct {
+		gone   bool
+		status int
+		held   float64
+	}{
+		"the router is there": {false, fasthttp.StatusContinue, announcedBody},
+		"the router has gone": {true, fasthttp.StatusServiceUnavailable, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			i := startIngress(t, startInstance(t, okResponse, false))
+			conn := &reportingConn{}
+			conn.gone.Store(c.gone)
+			is.Equal(i.handleAnnounced(announcedRequest(conn)), c.status)
+			is.Equal(i.inbound.memory(), c.held)
+		})
+	}
+}
--- a/router/bodyahead_test.go
+++ b/router/bodyahead_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -46,15 +47,40 @@
 	}
 }
 
+// signallingReader sends a value before each read.
+type signallingReader struct {
+	io.Reader
+	reads chan struct{}
+}
+
+func (r *signallingReader) Read(data []byte) (int, error) {
+	r.reads <- struct{}{}
+	return r.Reader.Read(data)
+}
+
 // Guards against goroutines that go on reading a connection whose request has ended.
 func TestReadingAheadEndsWithItsRequest(t *testing.T) {
 	is := is.New(t)
 	caller, router := net.Pipe()
 	defer caller.Close()
-	ahead := readBodyAhead(router, router, 100)
+	source := &signallingReader{router, make(chan struct{}, 8)}
+	ahead := readBodyAhead(source, router, 100)
+	<-source.reads
 	_, err := io.WriteString(caller, "some")
 	is.NoErr(err)
-	ahead.stop()
+	<-source.reads // the next read waits for the caller
+	stopped := make(chan struct{})
+	go func() { ahead.stop(); close(stopped) }()
+	select {
+	case <-stopped:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the body is still being read")
+	}
+	select {
+	case <-ahead.done:
+	default:
+		t.Fatal("stop does not wait for the end of the reading")
+	}
 	go func() { _, _ = io.WriteString(caller, "rest") }()
 	rest := make([]byte, 4)
 	_, err = io.ReadFull(router, rest) // the connection can be read again
--- a/router/leaving_test.go
+++ b/router/leaving_test.go
@@ -7,13 +7,17 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 
+	"limehold/admission"
+	"limehold/catalog"
 	"limehold/clock"
 	"limehold/disconnect"
 	"limehold/membership"
@@ -206,3 +210,60 @@
 
 // Disconnected is read by package disconnect.
 func (c *reportingConn) Disconnected() bool { return c.gone.Load() }
+
+// Guards against requests and bodies that are sent for a caller that is gone by then, and against an instance, a
+// connection or a retry that pays for it.
+func TestAttemptForACallerThatHasGone(t *testing.T) {
+	for name, c := range map[string]struct {
+		// The caller goes before the request is sent, or before the node asks for the body.
+		goneBefore, goneAtAsk bool
+		state                 attemptState
+		reason                string
+		idle                  int
+	}{
+		"it is there":                     {false, false, attemptAnswered, "", 1},
+		"it has gone before":              {true, false, attemptNotSent, rejectCallerGone.reason, 1},
+		"it goes before the body is sent": {false, true, attemptNotSent, rejectCallerGone.reason, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			router, _ := startRouter(t, routing.KindUpload, 0, nil)
+			caller := &reportingConn{}
+			caller.gone.Store(c.goneBefore)
+			node := startAskingNode(t, func() { caller.gone.Store(c.goneBefore || c.goneAtAsk) })
+			p := &proxiedRequest{
+				id: "r", tracker: upstream.NewTracker(), caller: caller, started: clock.Now() - time.Second, deadline: clock.Now() + time.Minute,
+				outbound: fasthttp.AcquireRequest(), route: &catalog.Route{MaxAttempts: 3}, service: router.table.services["orders"],
+			}
+			p.outbound.Header.SetMethod(fasthttp.MethodPost)
+			p.outbound.Header.SetHost("shop.example")
+			p.outbound.Header.SetRequestURI("/moved/1")
+			p.outbound.SetBodyRaw(make([]byte, announcedBody))
+			p.disconnect = disconnect.NewWatcher().Add(caller, p.tracker.Cancel)
+			result := router.send(p, &wire.NodeView{Name: "node", Address: node, SelfLimited: true})
+			is.Equal(result.state, c.state)
+			is.Equal(result.reason, c.reason)
+			is.Equal(router.upstreams.IdleCount(node), c.idle)
+			if c.state != attemptAnswered {
+				is.Equal(instanceOutcome(p, result), admission.OutcomeNeutral)
+				is.Equal(router.mayRetry(p, newOwnerWait(p), result, 1), false)
+			}
+		})
+	}
+}
+
+// startAskingNode starts a node that calls a function, asks for the body of each request, and answers it once it has
+// read that. It returns its address.
+func startAskingNode(t *testing.T, beforeAsk func()) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		beforeAsk()
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		writer.Header().Set(wire.HeaderAttempt, request.Header.Get(wire.HeaderAttempt))
+		writer.Header().Set(wire.HeaderOutcome, wire.OutcomeOK)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
