admission: full instances of the region are preferred to other regions

Instances with room were preferred to full ones whatever their region. Those of other regions are now compared with the full ones of the router's own, by cost as before. TestFullInstancesOfTheRegionArePreferredToOtherRegions was red before.

--- a/admission/choose.go
+++ b/admission/choose.go
@@ -93,12 +93,17 @@
 	if r.RemoteCost > 0 && inst.zone != r.Zone {
 		cost *= r.RemoteCost
 	}
-	if r.RegionZones != nil && !slices.Contains(r.RegionZones, inst.zone) {
+	if !r.inRegion(inst.zone) {
 		cost *= RegionCost
 	}
 	return cost
 }
 
+// inRegion reports whether the zone is in the router's region.
+func (r *Requirements) inRegion(zone string) bool {
+	return r.RegionZones == nil || slices.Contains(r.RegionZones, zone)
+}
+
 // isAvoided reports whether the instance is chosen only if there is no other.
 func (i *instance) isAvoided(now time.Duration, requirements *Requirements) bool {
 	return requirements.avoids(i.id) || i.ejectedUntil > now || i.rejectedUntil > now
--- a/admission/fadedload.go
+++ b/admission/fadedload.go
@@ -154,7 +154,7 @@
 func (c *choices) isEmpty() bool { return len(c.local)+len(c.remote) == 0 }
 
 // chooseByFadedLoad returns an instance with room, or if all are expected to be full, one that is expected to answer
-// soon. It compares a few that it draws: routers share their reports, so that all of them would choose the best of all.
+// soon. An instance of another region is compared with the full ones. It compares a few that it draws: routers share their reports, so that all of them would choose the best of all.
 func (g *Gate) chooseByFadedLoad(now time.Duration, requirements Requirements) *instance {
 	mean := g.meanLoad(now)
 	var free, full, avoided choices
@@ -168,7 +168,7 @@
 		switch {
 		case inst.isAvoided(now, &requirements):
 			avoided.add(isLocal, item)
-		case e.hasRoom():
+		case e.hasRoom() && requirements.inRegion(inst.zone):
 			item.weight = e.slots - e.used
 			free.add(isLocal, item)
 		default:
--- a/admission/fadedload_test.go
+++ b/admission/fadedload_test.go
@@ -322,3 +322,27 @@
 		})
 	}
 }
+
+// A service over its room in one of two regions: links between regions are slow and expensive.
+func TestFullInstancesOfTheRegionArePreferredToOtherRegions(t *testing.T) {
+	for name, c := range map[string]struct {
+		waiting int
+		want    InstanceID
+	}{
+		"a short queue": {1, 1},
+		"a long queue":  {60, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := NewGate(Options{FadeLoads: true, Random: rand.New(rand.NewPCG(1, 2)).IntN})
+			g.Update(0, []Instance{{ID: 1, Zone: "a", Slots: 7, SelfLimited: true}, {ID: 2, Zone: "z", Slots: 7, SelfLimited: true}})
+			load := Load{Slots: 7, Running: 7, QueueLen: c.waiting, RunTime: 50 * time.Millisecond, SuccessShare: 1, MadeAt: time.Second}
+			g.SetLoad(1, load)
+			load.Running, load.QueueLen = 0, 0
+			g.SetLoad(2, load)
+			waiter := &Waiter{Requirements: Requirements{GroupLimit: 1, Zone: "a", RegionZones: []string{"a", "b"}}, Notify: func() {}}
+			is.Equal(g.Acquire(time.Second, waiter), Admitted)
+			is.Equal(waiter.Granted, c.want)
+		})
+	}
+}
