control: an operator's drain outlives the node's sessions

Operators saw a node that they had drained live again: its lease had ended while keys were still moving (no renewal for 505 ms on a machine under load), and the order went with the session. Its next session was live.

The order is replicated by the node's name (fleet.DrainOrder), recorded with the drain whatever became of the session meanwhile, and removed by resume and by 'limehold node ended', also for a node that is away. Sessions open as drained; one that opens while an operator's command is applied is aligned after it. The platform's list no longer ends an operator's drain.

TestNextSessionOfADrainedNodeBeginsDrained closes the session in place of waiting for load and is red with the code before (the session's state in place of the order). New beside it: fleet/drainorders_test.go, TestOperatorsDrainOutlivesThatOfThePlatform, TestSessionThatOpensBesideAnOrderFollowsIt.

--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -182,17 +183,19 @@
 		return nil, methodNotAllowed(method)
 	}
 	var session membership.SessionID
+	var ordered bool
 	if err := m.read(ctx, request, func(state *fleet.State) {
+		ordered = state.IsDrainOrdered(name)
 		if node := state.Membership.Current(name); node != nil {
 			session = node.Session
 		}
 	}); err != nil {
 		return nil, err
 	}
-	if session == 0 {
+	if session == 0 && !ordered {
 		return nil, notFound("node " + name)
 	}
-	answer, err := m.change(ctx, request, fleet.Command{SetDraining: &fleet.SetDraining{Session: session, Draining: action == "drain", Cause: membership.DrainCauseOperator}})
+	answer, err := m.change(ctx, request, fleet.Command{SetDraining: &fleet.SetDraining{Session: session, Draining: action == "drain", Cause: membership.DrainCauseOperator, Node: name}})
 	if err == nil && action == "drain" {
 		err = m.checkDrainedByOperator(ctx, request, session)
 	}
@@ -239,7 +242,18 @@
 		}
 		list = append(list, view)
 	}
-	return list
+	return append(list, awayViews(state)...)
+}
+
+// awayViews lists the nodes that operators have drained and that have no session.
+func awayViews(state *fleet.State) []adminapi.Node {
+	var away []adminapi.Node
+	for _, name := range slices.Sorted(maps.Keys(state.DrainOrders)) {
+		if state.Membership.Current(name) == nil {
+			away = append(away, adminapi.Node{Name: name, State: "drained", DrainCause: membership.DrainCauseOperator})
+		}
+	}
+	return away
 }
 
 func (m *Member) routeMembers(ctx context.Context, request *fasthttp.RequestCtx, method, action string) (any, error) {
--- a/control/drains.go
+++ b/control/drains.go
@@ -66,18 +66,33 @@
 	return &wire.ReleasedReply{Revision: result.Revision}, nil
 }
 
-// keepOperatorsDrain marks a node as draining whose current session an operator drains, so that the session of
-// its next incarnation begins to drain with its opening.
+// keepOperatorsDrain marks a node as draining that an operator has drained, so that its next session begins to drain
+// with its opening, whatever became of the sessions before.
 func (m *Member) keepOperatorsDrain(node *membership.Node) {
 	m.replica.view(func(state *fleet.State) {
-		current := state.Membership.Current(node.Name)
-		if current != nil && current.Draining && current.DrainCause == membership.DrainCauseOperator {
-			node.Draining, node.DrainCause = true, current.DrainCause
-			m.logger.Info("operator_drain_kept", zap.String("node", node.Name), zap.Uint64("session", uint64(current.Session)), zap.String("incarnation", node.Incarnation))
+		if state.IsDrainOrdered(node.Name) {
+			node.Draining, node.DrainCause = true, membership.DrainCauseOperator
+			m.logger.Info("operator_drain_kept", zap.String("node", node.Name), zap.String("incarnation", node.Incarnation))
 		}
 	})
 }
 
+// alignOperatorsDrain makes a session that has just been opened drain exactly if an operator has drained its node: the
+// operator's command may have been applied between keepOperatorsDrain and the opening.
+func (m *Member) alignOperatorsDrain(ctx context.Context, session membership.SessionID, name string) error {
+	var ordered, aligned bool
+	m.replica.view(func(state *fleet.State) {
+		ordered = state.IsDrainOrdered(name)
+		node := state.Membership.Sessions[session]
+		aligned = node == nil || node.Draining == ordered || node.Draining && node.DrainCause != membership.DrainCauseOperator
+	})
+	if aligned {
+		return nil
+	}
+	_, err := m.executeLocally(ctx, fleet.Command{SetDraining: &fleet.SetDraining{Session: session, Draining: ordered, Cause: membership.DrainCauseOperator}})
+	return err
+}
+
 // endAgentDrain returns a node to service whose agent has requested its drain. Drains by operators and by the
 // platform go on.
 func (m *Member) endAgentDrain(ctx context.Context, session membership.SessionID) error {
--- a/control/lostnodes.go
+++ b/control/lostnodes.go
@@ -39,15 +39,16 @@
 }
 
 // endLostNode closes the lost sessions of a node whose machine is off by an operator's word, so that their keys
-// are free, and the session that keeps an operator's drain. A node with a lease is rejected: it has to expire first.
+// are free, and an operator's drain of it. A node with a lease is rejected: it has to expire first.
 func (m *Member) endLostNode(ctx context.Context, request *fasthttp.RequestCtx, name string) (any, error) {
 	var sessions []membership.SessionID
-	var inForce bool
+	var inForce, ordered bool
 	leader := m.leaderView(ctx)
 	if leader.Leader == "" {
 		return nil, m.notLeader("ask the leader for the lease of node " + name)
 	}
 	err := m.read(ctx, request, func(state *fleet.State) {
+		ordered = state.IsDrainOrdered(name)
 		if current := state.Membership.Current(name); current != nil {
 			inForce = !state.IsDrainedByOperator(current.Session) || hasLease(&leader, current.Session)
 			sessions = append(sessions, current.Session)
@@ -63,11 +64,11 @@
 		return nil, err
 	case inForce:
 		return nil, &catalog.Failure{Code: catalog.FailureConflict, Message: fmt.Sprintf("node %s has a session in force: switch the machine off and wait until 'limehold node list' shows the node as lost", name)}
-	case len(sessions) == 0:
+	case len(sessions) == 0 && !ordered:
 		return nil, notFound("lost node " + name)
 	}
 	m.logger.Warn("lost_node_ended", zap.String("node", name), zap.Uint64s("sessions", sessionNumbers(sessions)), zap.String("proof", "an operator has stated that the machine is off"))
-	return m.change(ctx, request, fleet.Command{CloseSessions: &fleet.CloseSessions{Sessions: sessions, Cause: "an operator has stated that the machine is off"}})
+	return m.change(ctx, request, fleet.Command{CloseSessions: &fleet.CloseSessions{Sessions: sessions, EndedNode: name, Cause: "an operator has stated that the machine is off"}})
 }
 
 // hasLease reports whether the leader tracks a lease of a session.
--- a/control/platform.go
+++ b/control/platform.go
@@ -87,7 +87,7 @@
 	m.replica.view(func(state *fleet.State) {
 		for _, node := range state.Membership.Sorted() {
 			wanted := leaving[node.Name]
-			if wanted && !node.Draining || !wanted && node.Draining && node.DrainCause == membership.DrainCausePlatform {
+			if wanted && !node.Draining || !wanted && node.Draining && node.DrainCause == membership.DrainCausePlatform && !state.IsDrainOrdered(node.Name) {
 				changes = append(changes, *node)
 			}
 		}
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -216,6 +216,9 @@
 	if result.Failure != nil {
 		return nil, &wire.Error{Code: wire.CodeInvalid, Message: result.Failure.Message, Step: "open session of " + node.Name, Peer: m.options.Settings.Name}
 	}
+	if err := m.alignOperatorsDrain(ctx, result.Session, node.Name); err != nil {
+		return nil, err
+	}
 	if !node.Draining {
 		if err := m.endAgentDrain(ctx, result.Session); err != nil {
 			return nil, err
--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -240,6 +240,7 @@
 
 func (a *applier) closeSessions(command *CloseSessions) Result {
 	refused := 0
+	delete(a.state.DrainOrders, command.EndedNode)
 	sessions := append(slices.Clone(command.Sessions), a.superseded(command.Superseded)...)
 	for _, session := range sessions {
 		if node := a.state.Membership.Sessions[session]; node != nil && command.Process != 0 && node.Process != command.Process {
@@ -293,7 +294,18 @@
 }
 
 func (a *applier) setDraining(command *SetDraining) Result {
-	node := a.state.Membership.SetDraining(command.Session, command.Draining, command.Cause, a.state.Revision)
+	session := command.Session
+	if command.Node != "" {
+		current := a.state.Membership.Current(command.Node)
+		if failure := a.recordDrainOrder(command, current); failure != nil {
+			return Result{Failure: failure}
+		}
+		if current == nil {
+			return Result{}
+		}
+		session = current.Session
+	}
+	node := a.state.Membership.SetDraining(session, command.Draining, command.Cause, a.state.Revision)
 	if node == nil {
 		return Result{Stale: 1}
 	}
--- a/fleet/command.go
+++ b/fleet/command.go
@@ -107,6 +107,8 @@
 	Superseded membership.SessionID
 	Sessions   []membership.SessionID
 	Cause      string
+	// EndedNode, if not empty, is a node whose machine is off by an operator's word. An operator's drain of it ends.
+	EndedNode string
 }
 
 // MarkSessionsLost marks sessions as lost whose leases have expired while a grant sent
@@ -123,6 +125,9 @@
 	Session  membership.SessionID
 	Draining bool
 	Cause    string
+	// Node is the node's name if an operator orders or ends the drain. The order outlives the session: if that has
+	// been closed or superseded, it applies to the node's current one, if there is one.
+	Node string
 }
 
 // ShardDecision is the decision that a session is to own a shard. It is rejected if the
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -54,6 +54,8 @@
 	Zones map[string]Zone
 	// Quarantine holds the records of requests that were running when instances crashed.
 	Quarantine quarantine.Table
+	// DrainOrders holds the nodes that operators have drained, by name.
+	DrainOrders map[string]DrainOrder
 }
 
 // NewState returns the state before the first command.
@@ -65,6 +67,8 @@
 		Journal:    decisions.New(journalLimit),
 		Records:    map[string]Record{},
 		Zones:      map[string]Zone{},
+
+		DrainOrders: map[string]DrainOrder{},
 	}
 }
 
@@ -77,6 +81,7 @@
 	if len(data) == 0 {
 		return state, nil
 	}
+	state.DrainOrders = nil
 	if err := codec.Unmarshal(data, state); err != nil {
 		return nil, err
 	}
@@ -89,6 +94,7 @@
 	state.Catalog.Reindex()
 	state.Membership.Reindex()
 	state.Ownership.Reindex()
+	state.reindexDrainOrders()
 	return state, nil
 }
 
