cli: limehold load shows the load of a service's instances and its busiest shards

Operators could not see which instances have room, how fast they are, nor which shards ask for most. The leader's load reports and shard rates are shown together with owners and moves; without a leader the instances are listed without them. The level of a service and the time promised to a caller are not part of it: no level is built.

--- a/adminapi/types.go
+++ b/adminapi/types.go
@@ -222,6 +222,53 @@
 	Refused uint64 `json:"refused"`
 }
 
+// ServiceLoad is the load of a service, by the reports that its instances send with their renewals.
+type ServiceLoad struct {
+	Service string `json:"service"`
+	// Leader is the member that holds the reports. Empty if none answers; there are no reports then.
+	Leader    string         `json:"leader"`
+	Instances []InstanceLoad `json:"instances"`
+	// Busiest lists the shards with the most work, the busiest first; absent for services without keys.
+	Busiest []ShardLoad `json:"busiest,omitempty"`
+}
+
+// InstanceLoad is the load of one instance.
+type InstanceLoad struct {
+	Node     string `json:"node"`
+	Session  uint64 `json:"session"`
+	Zone     string `json:"zone"`
+	Slots    int    `json:"slots"`
+	Draining bool   `json:"draining,omitempty"`
+	// Report is absent if the leader has none.
+	Report *LoadReport `json:"report,omitempty"`
+}
+
+// LoadReport is the newest load report of an instance. Times are in seconds.
+type LoadReport struct {
+	// Pace is the work that the instance does in a given time, relative to the mean of its service; 0 if not known.
+	Pace    float64 `json:"pace"`
+	Running int     `json:"running"`
+	Waiting int     `json:"waiting"`
+	// Refused is the number of requests a second that were rejected for want of room.
+	Refused      float64 `json:"refused"`
+	RunTime      float64 `json:"run_time"`
+	SuccessShare float64 `json:"success_share"`
+	Age          float64 `json:"age"`
+}
+
+// ShardLoad is the load of one shard.
+type ShardLoad struct {
+	Shard uint32 `json:"shard"`
+	// First and Last are the keys of a range; absent for services that are divided by hash.
+	First *uint32 `json:"first,omitempty"`
+	Last  *uint32 `json:"last,omitempty"`
+	// Work is what is asked of the shard, in milliseconds of service time a second.
+	Work   float64 `json:"work"`
+	Owner  string  `json:"owner,omitempty"`
+	Phase  string  `json:"phase"`
+	Target string  `json:"target,omitempty"`
+}
+
 // States of a request during which instances crashed.
 const (
 	// RequestSuspected means that the request was running during a crash and may still be run.
@@ -273,6 +320,7 @@
 	PathSnapshot  = "/v1/snapshot"
 	PathZones     = "/v1/zones"
 	PathTenants   = "/v1/tenants"
+	PathLoad      = "/v1/load"
 	// PathQuarantine lists requests during which instances crashed, and releases them
 	// from quarantine.
 	PathQuarantine = "/v1/quarantine"
--- a/cli/app.go
+++ b/cli/app.go
@@ -75,7 +75,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			controlCommand(), routerCommand(), agentCommand(), sidecarCommand(), standaloneCommand(),
-			templateCommand(), serviceCommand(), nodeCommand(), zoneCommand(), tenantsCommand(), quarantineCommand(), memberCommand(),
+			templateCommand(), serviceCommand(), nodeCommand(), zoneCommand(), tenantsCommand(), loadCommand(), quarantineCommand(), memberCommand(),
 			statusCommand(), explainCommand(), journalCommand(),
 			snapshotCommand(), checkConfigCommand(), versionCommand(),
 		},
--- a/control/admin.go
+++ b/control/admin.go
@@ -89,6 +89,8 @@
 		return m.routeZones(ctx, request, method, name, action)
 	case "tenants":
 		return m.routeTenants(ctx, request, method)
+	case "load":
+		return m.routeLoad(ctx, request, method, name)
 	case "quarantine":
 		return m.routeQuarantine(ctx, request, method, name, action)
 	case "members":
--- a/control/members.go
+++ b/control/members.go
@@ -46,7 +46,7 @@
 	}
 	return &wire.LeaderView{
 		Leader: m.options.Settings.Name, Members: m.memberHealth(), Nodes: m.sessions.silences(clock.Now()),
-		Quotas: m.quotaUsage(),
+		Quotas: m.quotaUsage(), Loads: m.sessions.loads(clock.Now()), Busiest: m.busiestShards(),
 	}, nil
 }
 
--- a/placement/load.go
+++ b/placement/load.go
@@ -1,7 +1,10 @@
 package placement
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"limehold/ownership"
@@ -150,3 +153,33 @@
 
 // Spend removes used moves from the bucket.
 func (b *Budget) Spend(used int) { b.tokens -= float64(used) }
+
+// ShardRate is the smoothed work per second of one shard.
+type ShardRate struct {
+	Key  ownership.Key
+	Rate float64
+}
+
+// Busiest returns the shards with the highest rates, at most count of each service, by service and falling rate.
+func (t *LoadTable) Busiest(count int) []ShardRate {
+	byService := map[string][]ShardRate{}
+	for key, load := range t.shards {
+		list := byService[key.Service]
+		next := ShardRate{Key: key, Rate: load.rate}
+		at, _ := slices.BinarySearchFunc(list, next, compareRates)
+		if at < count {
+			list = slices.Insert(list, at, next)
+			byService[key.Service] = list[:min(count, len(list))]
+		}
+	}
+	var busiest []ShardRate
+	for _, name := range slices.Sorted(maps.Keys(byService)) {
+		busiest = append(busiest, byService[name]...)
+	}
+	return busiest
+}
+
+// compareRates orders rates of one service, the highest first.
+func compareRates(a, b ShardRate) int {
+	return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Key.Shard, b.Key.Shard))
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -176,6 +176,22 @@
 	Nodes   []NodeSilence
 	// Quotas is the use of the tenants' quotas.
 	Quotas []quota.Usage
+	// Loads holds the newest load reports of nodes, and Busiest the shards with the most work of each service.
+	Loads   []NodeLoad
+	Busiest []ShardLoad
+}
+
+// NodeLoad is the newest load report of a session's node, and its age.
+type NodeLoad struct {
+	Session membership.SessionID
+	Report  loadview.Report
+	Age     time.Duration
+}
+
+// ShardLoad is the work of a shard, in milliseconds of service time a second.
+type ShardLoad struct {
+	Key  ownership.Key
+	Rate float64
 }
 
 // RouterListReply lists the routers connected to a member.
