--- a/placement/load.go
+++ b/placement/load.go
@@ -163,9 +163,9 @@
 // Busiest returns the shards with the highest rates, at most count of each service, by service and falling rate.
 func (t *LoadTable) Busiest(count int) []ShardRate {
 	byService := map[string][]ShardRate{}
-	for key, load := range t.shards {
+	for key := range t.shards {
 		list := byService[key.Service]
-		next := ShardRate{Key: key, Rate: load.rate}
+		next := ShardRate{Key: key, Rate: t.Rate(key)}
 		at, _ := slices.BinarySearchFunc(list, next, compareRates)
 		if at < count {
 			list = slices.Insert(list, at, next)
