--- a/agent/backend.go
+++ b/agent/backend.go
@@ -13,6 +13,7 @@
 
 	"limehold/clock"
 	"limehold/fleet"
+	"limehold/loadview"
 	"limehold/membership"
 	"limehold/ownership"
 	"limehold/quiescence"
@@ -99,6 +100,8 @@
 	// quiescence. ClaimAcknowledged is called with each claim that control has acknowledged.
 	Claim() quiescence.Claim
 	ClaimAcknowledged(claim quiescence.Claim)
+	// LoadReport returns the next load report for control; not set if the back end does not measure its load.
+	LoadReport() loadview.Report
 	// RenewNow returns a channel that requests an immediate renewal for a new claim. It is nil if
 	// there are never any.
 	RenewNow() <-chan struct{}
@@ -250,6 +253,9 @@
 // ClaimAcknowledged implements Backend.
 func (b *backend) ClaimAcknowledged(quiescence.Claim) {}
 
+// LoadReport implements Backend: back ends behind HTTP do not measure their load.
+func (b *backend) LoadReport() loadview.Report { return loadview.Report{} }
+
 // RenewNow implements Backend.
 func (b *backend) RenewNow() <-chan struct{} { return nil }
 
--- a/agent/fulllink_test.go
+++ b/agent/fulllink_test.go
@@ -13,6 +13,7 @@
 	"limehold/clock"
 	"limehold/codec"
 	"limehold/fleet"
+	"limehold/loadview"
 	"limehold/membership"
 	"limehold/metrics"
 	"limehold/quiescence"
@@ -44,6 +45,7 @@
 func (healthyBackend) ProvenReleases() <-chan membership.SessionID     { return nil }
 func (healthyBackend) Claim() quiescence.Claim                         { return quiescence.Claim{} }
 func (healthyBackend) ClaimAcknowledged(quiescence.Claim)              {}
+func (healthyBackend) LoadReport() loadview.Report                     { return loadview.Report{} }
 func (healthyBackend) RenewNow() <-chan struct{}                       { return nil }
 func (healthyBackend) ReturnedShards() <-chan []fleet.ReleasedShard    { return nil }
 func (healthyBackend) Release(membership.SessionID, []wire.BackendGrant) ([]fleet.ReleasedShard, error) {
--- a/agent/session.go
+++ b/agent/session.go
@@ -202,7 +202,7 @@
 	health := a.backend.Health()
 	request := &wire.Renew{
 		Session: opened.Session, Revision: a.shards.revision(), InFlight: health.InFlight, Healthy: true,
-		Capacity: health.Capacity, Speed: health.Speed, Load: health.Load, MembersVersion: a.links.memberVersion(), Claim: a.claim(),
+		Capacity: health.Capacity, Speed: health.Speed, Load: a.backend.LoadReport(), MembersVersion: a.links.memberVersion(), Claim: a.claim(),
 	}
 	sentAt := clock.Now()
 	return a.links.renew(ctx, max(minRenewTryTimeout, opened.RenewEvery/renewTries), request, func(reply *wire.RenewReply, err error) {
--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -453,8 +453,8 @@
 func (i *Instance) Health() wire.BackendHealth {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	speed, load := i.slowdown.speed(), i.loadReport(clock.Now())
-	health := wire.BackendHealth{Status: wire.BackendOK, Incarnation: i.current.From().String(), InFlight: load.Running, Capacity: i.gate.capacity() * speed, Speed: speed, Load: load}
+	speed := i.slowdown.speed()
+	health := wire.BackendHealth{Status: wire.BackendOK, Incarnation: i.current.From().String(), InFlight: i.gate.load().running, Capacity: i.gate.capacity() * speed, Speed: speed}
 	if i.drainingSince != 0 {
 		health.Status = wire.BackendDraining
 	}
--- a/ingress/loadmeter.go
+++ b/ingress/loadmeter.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"limehold/clock"
 	"limehold/loadview"
 	"limehold/pace"
 )
@@ -116,8 +117,9 @@
 	}
 }
 
-// loadReport returns the next load report to control.
-func (i *Instance) loadReport(now time.Duration) loadview.Report {
+// LoadReport implements agent.Backend.
+func (i *Instance) LoadReport() loadview.Report {
+	now := clock.Now()
 	report := i.currentLoad(now)
 	i.load.report(&report, now)
 	return report
--- a/ingress/loadmeter_test.go
+++ b/ingress/loadmeter_test.go
@@ -103,7 +103,7 @@
 				})
 				is.Equal(response.Header.Get(wire.HeaderRun) != "", test.told)
 			}
-			is.Equal(i.Instance().Health().Load.Pace > 0, test.known)
+			is.Equal(i.Instance().LoadReport().Pace > 0, test.known)
 		})
 	}
 }
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -1,7 +1,5 @@
 package wire
 
-import "limehold/loadview"
-
 // The protocol between limehold and back ends is HTTP/1.1 with JSON bodies; see
 // docs/BACKEND-PROTOCOL.md. Its paths and headers are:
 const (
@@ -107,9 +105,8 @@
 	// Capacity is how much work the back end can do now, as a share of what it can usually
 	// do. It is below 1 during a cold start, for example. 0 if not reported.
 	Capacity float64 `json:"capacity,omitempty"`
-	// Speed and Load are set by an ingress, which is a back end in the agent's process; see Renew.
-	Speed float64         `json:"-"`
-	Load  loadview.Report `json:"-"`
+	// Speed is set by an ingress, which is a back end in the agent's process; see Renew.
+	Speed float64 `json:"-"`
 }
 
 // States in BackendHealth.
