--- a/review/.standin/deploy.go
+++ b/review/.standin/deploy.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -69,6 +70,9 @@
 	seeds  []*machine
 }
 
+// current is the deployment of the case that is played.
+var current atomic.Pointer[deployment]
+
 // newDeployment lays out a deployment with control members on three machines.
 func newDeployment(s site, r *record) (*deployment, error) {
 	folder, err := os.MkdirTemp("", "limehold-review-")
@@ -76,6 +80,7 @@
 		return nil, err
 	}
 	d := &deployment{site: s, folder: folder, record: r}
+	current.Store(d)
 	count := 3 + len(s.instanceOf) + s.spares
 	net, base, err := freeAddresses(count)
 	if err != nil {
@@ -271,6 +276,9 @@
 
 // stopAll kills all processes and removes the deployment's files.
 func (d *deployment) stopAll() {
+	if d == nil {
+		return
+	}
 	for _, m := range slices.Concat(d.sidecars, d.controls, d.spares) {
 		if m.command != nil {
 			m.signal(syscall.SIGCONT)
--- a/review/.standin/main.go
+++ b/review/.standin/main.go
@@ -8,6 +8,8 @@
 	"io"
 	"log"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -25,7 +27,10 @@
 	path := flag.String("record", "record.txt", "file to write what was sent, answered and run")
 	flag.Parse()
 	log.SetOutput(io.Discard) // the HTTP library tells of connections that servers close
-	cases := map[string]func(*record, bool) int{"own": runOwn, "drain": runDrain, "snapshot": runSnapshot, "voters": runVoters, "replaced": runReplaced, "planned": runPlanned}
+	cases := map[string]func(*record, bool) int{
+		"path": runPath, "voters": runVoters, "own": runOwn,
+		"snapshot": runSnapshot, "replaced": runReplaced, "drain": runDrain, "planned": runPlanned,
+	}
 	play := cases[flag.Arg(0)]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "name a case")
@@ -40,11 +45,17 @@
 	r.say("case %s, disruption: %v", flag.Arg(0), trouble)
 	done := make(chan int, 1)
 	go func() { done <- play(r, trouble) }()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
 	code := cannotRun
 	select {
 	case code = <-done:
 	case <-time.After(timeLimit):
 		r.say("not run: it took too long")
+		current.Load().stopAll()
+	case number := <-stopped:
+		r.say("not run: %v", number)
+		current.Load().stopAll()
 	}
 	r.say("result: %d", code)
 	os.Exit(code)
