--- a/review/.standin/main.go
+++ b/review/.standin/main.go
@@ -28,7 +28,7 @@
 	flag.Parse()
 	log.SetOutput(io.Discard) // the HTTP library tells of connections that servers close
 	cases := map[string]func(*record, bool) int{
-		"path": runPath, "voters": runVoters, "own": runOwn,
+		"path": runPath, "voters": runVoters, "leaving": runLeaving, "own": runOwn,
 		"snapshot": runSnapshot, "replaced": runReplaced, "drain": runDrain, "planned": runPlanned,
 	}
 	play := cases[flag.Arg(0)]
--- a/review/.standin/own.go
+++ b/review/.standin/own.go
@@ -141,27 +141,7 @@
 // killed, both start again, and the new incarnation is registered.
 func lateBeat(d *deployment, r *record, first *instance) error {
 	sidecar := d.sidecars[0]
-	type message struct {
-		id   string
-		body []byte
-	}
-	caught := make(chan message, 1)
-	first.mutex.Lock()
-	first.onBeat = func(id string, sequence uint64, body []byte) bool {
-		select {
-		case caught <- message{id, body}:
-			r.note("the cut holds beat %d of %s back: %s", sequence, id, body)
-			return true
-		default:
-			return false
-		}
-	}
-	first.mutex.Unlock()
-	late := <-caught
-	sent := time.Now()
-	first.mutex.Lock()
-	first.onBeat = nil
-	first.mutex.Unlock()
+	late := holdBack(r, first)
 	time.Sleep(100 * time.Millisecond)
 	first.crash()
 	sidecar.kill()
@@ -175,9 +155,8 @@
 	if err := first.start(); err != nil {
 		return err
 	}
-	time.Sleep(cutLength - time.Since(sent))
-	status, answer, err := sidecar.put(late.id, late.body)
-	r.note("the beat of %s arrives %.2f s after it was sent: %d %s %v", late.id, time.Since(sent).Seconds(), status, answer, err)
+	time.Sleep(cutLength - time.Since(late.sent))
+	late.arrive(r, sidecar)
 	return nil
 }
 
