--- a/review/.standin/replaced.go
+++ b/review/.standin/replaced.go
@@ -69,6 +69,8 @@
 	acknowledged := time.Now()
 	r.note("r2 is acknowledged: /approve/ goes to orders")
 	time.Sleep(settled)
+	ready, _, _, err := call(http.MethodGet, "http://"+d.sidecars[0].at(d.ports.ready)+"/limehold/readiness", nil, nil, time.Second)
+	r.note("%s says that it is ready: %d %v", d.sidecars[0].name, ready, err)
 	close(stop)
 	group.Wait()
 	for _, line := range d.sidecars[0].logLines("event=control_connected", "event=woke_up", "event=session_opened", "event=session_lost") {
