Review, case 2: the late beat arrives when the release has begun

Cause: the old beat arrived 0.45 s after the running instance had said that it leaves.

Done: it arrives 0.65 s after that.

--- a/review/.standin/leaving.go
+++ b/review/.standin/leaving.go
@@ -9,7 +9,7 @@
 	// leavingRounds is how often the case is tried: the beat has to arrive while keys are being let go.
 	leavingRounds = 4
 	// afterLeaving is how long after the running instance has said that it is leaving the old beat arrives.
-	afterLeaving = 450 * time.Millisecond
+	afterLeaving = 650 * time.Millisecond
 	// enoughKeys is how many keys the running instance holds before it leaves.
 	enoughKeys = 4000
 )
