consensus: quorums are counted in one place

Elections, commits, the lease, check-quorum, full disks and the checks of membership changes each counted a majority of their own. Configuration.HasQuorum, SpareVoters and quorumValue answer for all of them, so that a configuration can have another rule than one majority. No behaviour changes, but for the text of a refused change, which says how many voters are missing.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -15,7 +15,7 @@
 	c.role = RolePreCandidate
 	c.forced = false
 	c.preVotes = map[MemberID]bool{c.id: true}
-	if c.hasQuorum(c.preVotes) {
+	if c.isElectedBy(c.preVotes) {
 		c.startElection()
 		return
 	}
@@ -28,7 +28,7 @@
 	c.role = RoleCandidate
 	c.leader = 0
 	c.votes, c.preVotes = map[MemberID]bool{c.id: true}, nil
-	if c.hasQuorum(c.votes) {
+	if c.isElectedBy(c.votes) {
 		c.becomeLeader()
 		return
 	}
@@ -49,14 +49,9 @@
 	}
 }
 
-func (c *Core) hasQuorum(votes map[MemberID]bool) bool {
-	granted := 0
-	for _, voter := range c.Configuration().Voters() {
-		if votes[voter] {
-			granted++
-		}
-	}
-	return granted >= c.Configuration().Quorum()
+// isElectedBy reports whether the members that granted their votes are a quorum.
+func (c *Core) isElectedBy(votes map[MemberID]bool) bool {
+	return c.Configuration().HasQuorum(func(voter MemberID) bool { return votes[voter] })
 }
 
 // Rounds returns copies of the latest round of vote or pre-vote requests and of the one before it.
@@ -165,7 +160,7 @@
 		return
 	}
 	c.preVotes[message.From] = true
-	if c.hasQuorum(c.preVotes) {
+	if c.isElectedBy(c.preVotes) {
 		c.startElection()
 	}
 }
@@ -184,7 +179,7 @@
 	// other member can have won the term with this vote, and saving it may have taken the voter
 	// longer than the election timeout.
 	c.votes[message.From] = true
-	if c.hasQuorum(c.votes) {
+	if c.isElectedBy(c.votes) {
 		c.becomeLeader()
 	}
 }
--- a/consensus/fulldisk.go
+++ b/consensus/fulldisk.go
@@ -33,21 +33,10 @@
 // DiskFull reports whether this member's disk is full.
 func (c *Core) DiskFull() bool { return c.diskFull }
 
-// CanCommit reports whether a majority of the voters can persist entries, as far as this leader knows.
-// It is true on other members.
+// CanCommit reports whether a majority of the voters can persist entries, as far as this leader knows. Voters that do
+// not answer count as able to. It is true on other members.
 func (c *Core) CanCommit() bool {
-	return c.role != RoleLeader || c.votersWithRoom() >= c.Configuration().Quorum()
-}
-
-// votersWithRoom counts the voters that are not known to have a full disk. It includes voters that do not answer.
-func (c *Core) votersWithRoom() int {
-	count := 0
-	for _, voter := range c.Configuration().Voters() {
-		if !c.hasFullDisk(voter) {
-			count++
-		}
-	}
-	return count
+	return c.role != RoleLeader || c.Configuration().HasQuorum(func(voter MemberID) bool { return !c.hasFullDisk(voter) })
 }
 
 // hasFullDisk reports whether this leader knows that a member's disk is full.
@@ -92,14 +81,10 @@
 // canOthersElect reports whether a majority without this leader has answered lately and holds the whole log. The
 // newest entry is one that this leader could not write, so whoever holds it had room after that.
 func (c *Core) canOthersElect() bool {
-	count := 0
-	for _, voter := range c.Configuration().Voters() {
+	return c.Configuration().HasQuorum(func(voter MemberID) bool {
 		peer := c.progress[voter]
-		if voter != c.id && peer != nil && !peer.lostLog && !peer.diskFull && peer.match >= c.log.lastIndex() && peer.isActive(c.now-c.timing.ElectionMax) {
-			count++
-		}
-	}
-	return count >= c.Configuration().Quorum()
+		return voter != c.id && peer != nil && !peer.lostLog && !peer.diskFull && peer.match >= c.log.lastIndex() && peer.isActive(c.now-c.timing.ElectionMax)
+	})
 }
 
 // giveWay passes leadership on if this leader's disk is full and the other voters can elect a leader. As the leader
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -1,9 +1,6 @@
 package consensus
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // progress is the leader's view of one peer.
 type progress struct {
@@ -93,21 +90,13 @@
 // sent at or after since, or joined at or after it. It implements check-quorum: a leader without such a
 // majority steps down.
 func (c *Core) isQuorumActive(since time.Duration) bool {
-	active := 0
-	for _, voter := range c.Configuration().Voters() {
+	return c.Configuration().HasQuorum(func(voter MemberID) bool {
 		if voter == c.id {
-			active++
-			continue
+			return true
 		}
 		peer := c.progress[voter]
-		if peer == nil || peer.lostLog {
-			continue
-		}
-		if peer.isActive(since) {
-			active++
-		}
-	}
-	return active >= c.Configuration().Quorum()
+		return peer != nil && !peer.lostLog && peer.isActive(since)
+	})
 }
 
 // isActive reports whether the peer has answered an append sent at or after since, or joined at or after it.
@@ -226,23 +215,10 @@
 // advanceCommit commits the highest index that a majority holds durably, if it is of the
 // current term. A leader whose own removal is thereby committed steps down.
 func (c *Core) advanceCommit() {
-	voters := c.Configuration().Voters()
-	if len(voters) == 0 {
+	if len(c.Configuration().Voters()) == 0 {
 		return
 	}
-	matches := make([]uint64, 0, len(voters))
-	for _, voter := range voters {
-		switch peer := c.progress[voter]; {
-		case voter == c.id:
-			matches = append(matches, c.durableIndex)
-		case peer != nil && !peer.lostLog:
-			matches = append(matches, peer.match)
-		default:
-			matches = append(matches, 0)
-		}
-	}
-	slices.Sort(matches)
-	candidate := matches[len(matches)-c.Configuration().Quorum()]
+	candidate := quorumValue(c.Configuration(), c.matchIndex)
 	term, held := c.log.term(candidate)
 	if !held || term != c.hardState.Term || candidate <= c.commit {
 		return
@@ -255,6 +231,17 @@
 	}
 }
 
+// matchIndex returns the last index that a voter is known to hold durably.
+func (c *Core) matchIndex(voter MemberID) uint64 {
+	if voter == c.id {
+		return c.durableIndex
+	}
+	if peer := c.progress[voter]; peer != nil && !peer.lostLog {
+		return peer.match
+	}
+	return 0
+}
+
 // PeerProgress is the replication state of a peer.
 type PeerProgress struct {
 	ID    MemberID
--- a/consensus/lease.go
+++ b/consensus/lease.go
@@ -1,11 +1,15 @@
 package consensus
 
 import (
-	"slices"
+	"math"
 	"time"
 )
 
-const permille = 1000
+const (
+	permille = 1000
+	// neverAnswered precedes all clock readings.
+	neverAnswered = time.Duration(math.MinInt64)
+)
 
 // LeaseUntil returns the clock reading before which no other member can become
 // leader, 0 if there is no such guarantee.
@@ -20,29 +24,23 @@
 	if c.role != RoleLeader || c.transferring {
 		return 0
 	}
-	var sent []time.Duration
-	for _, voter := range c.Configuration().Voters() {
-		peer := c.progress[voter]
-		switch {
-		case voter == c.id:
-			sent = append(sent, now)
-		case peer != nil && peer.hasAcked && !peer.lostLog:
-			sent = append(sent, peer.ackedSentAt)
-		}
+	quorumSent := quorumValue(c.Configuration(), func(voter MemberID) time.Duration { return c.newestAnswered(voter, now) })
+	if quorumSent == neverAnswered {
+		return 0
 	}
-	return c.leaseFrom(sent)
+	return quorumSent + c.timing.ElectionMin*time.Duration(permille-c.timing.DriftPermille)/permille
 }
 
-// leaseFrom returns the end of the lease. sent holds, for each voter that has answered, when the
-// newest answered append was sent.
-func (c *Core) leaseFrom(sent []time.Duration) time.Duration {
-	quorum := c.Configuration().Quorum()
-	if len(sent) < quorum {
-		return 0
+// newestAnswered returns when the newest append that a voter has answered was sent, now for this leader itself, or
+// neverAnswered.
+func (c *Core) newestAnswered(voter MemberID, now time.Duration) time.Duration {
+	if voter == c.id {
+		return now
 	}
-	slices.Sort(sent)
-	quorumSent := sent[len(sent)-quorum]
-	return quorumSent + c.timing.ElectionMin*time.Duration(permille-c.timing.DriftPermille)/permille
+	if peer := c.progress[voter]; peer != nil && peer.hasAcked && !peer.lostLog {
+		return peer.ackedSentAt
+	}
+	return neverAnswered
 }
 
 // HoldsLease reports whether no other member can have become leader before now.
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -60,9 +60,6 @@
 	return voters
 }
 
-// Quorum returns the number of voters needed for a decision.
-func (c Configuration) Quorum() int { return len(c.Voters())/2 + 1 }
-
 // Clone returns a copy that shares no memory with the receiver.
 func (c Configuration) Clone() Configuration {
 	return Configuration{Members: append([]Member(nil), c.Members...)}
--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -344,20 +344,18 @@
 	for _, router := range m.allRouters(ctx).routers {
 		answer.Routers = append(answer.Routers, routerView(router))
 	}
-	answer.ToleratedLosses = toleratedLosses(answer.Members, status.Configuration.Quorum())
+	answer.ToleratedLosses = toleratedLosses(answer.Members, status.Configuration)
 	return answer, nil
 }
 
 // toleratedLosses returns how many voters that are alive and have room on their disks the group can lose and still
 // have a quorum.
-func toleratedLosses(members []adminapi.Member, quorum int) int {
-	alive := 0
+func toleratedLosses(members []adminapi.Member, configuration consensus.Configuration) int {
+	usable := map[string]bool{}
 	for _, member := range members {
-		if member.Role != "learner" && member.Alive && !member.LostLog && !member.DiskFull {
-			alive++
-		}
+		usable[member.ID] = member.Alive && !member.LostLog && !member.DiskFull
 	}
-	return max(0, alive-quorum)
+	return max(0, configuration.SpareVoters(func(id consensus.MemberID) bool { return usable[id.String()] }))
 }
 
 func eventView(event decisions.Event) adminapi.Event {
--- a/control/members.go
+++ b/control/members.go
@@ -250,14 +250,8 @@
 	for _, health := range m.memberHealth() {
 		alive[health.ID] = health.Alive && !health.LostLog && !health.DiskFull
 	}
-	aliveVoters := 0
-	for _, voter := range next.Voters() {
-		if alive[voter] {
-			aliveVoters++
-		}
-	}
-	if aliveVoters < next.Quorum() {
-		return invalidf("refused: the group would have %d voters, of which only %d answer and have room on their disks, and needs %d; bring a member back or add one first", len(next.Voters()), aliveVoters, next.Quorum())
+	if spare := next.SpareVoters(func(id consensus.MemberID) bool { return alive[id] }); spare < 0 {
+		return invalidf("refused: the group would have %d voters, and %d more of them have to answer and have room on their disks; bring a member back or add one first", len(next.Voters()), -spare)
 	}
 	return nil
 }
