control, consensus: a lost voter is replaced in one change, by joint consensus

Callers saw: after one core machine had lost its disk, come back and lost it again 0.3 s later, control had no leader any more though all three members ran.

Cause: a lost voter was replaced in two changes, promotion of the learner and removal of the voter, with four voters in between of which three had to agree. The learner was judged by what it had answered up to 1 s before, and it was the second loss itself.

Ruled out: a newcomer that was admitted wrongly (nobody could admit it), and lost entries (both other members held all).

Why this works: with a joint configuration a decision takes a majority of the old voters and one of the new, and both exist without the newcomer. Also for `member replace`; promotions must be committable without the newcomer.

--- a/bench/simulate/faults.go
+++ b/bench/simulate/faults.go
@@ -303,6 +303,7 @@
 	member, present := configuration.Find(m.disk.id)
 	_, oldPresent := configuration.Find(old)
 	var next consensus.Configuration
+	joint := false
 	switch {
 	case !present:
 		next = configuration.Clone()
@@ -315,6 +316,14 @@
 	case !w.isCaughtUp(leader, m.disk.id):
 		retry()
 		return
+	case oldPresent && w.options.JointReplacements:
+		joint = true
+		for _, other := range configuration.Members {
+			if other.ID != old {
+				other.Learner = other.Learner && other.ID != m.disk.id
+				next.Members = append(next.Members, other)
+			}
+		}
 	case oldPresent:
 		for _, other := range configuration.Members {
 			if other.ID != old {
@@ -334,7 +343,7 @@
 		w.counts["members replaced"]++
 		return
 	}
-	w.proposeMembers(leader, next)
+	w.proposeMembersJointly(leader, next, joint)
 	retry()
 }
 
@@ -348,11 +357,22 @@
 // proposeMembers sends the leader a new configuration. A frozen leader proposes it
 // when it resumes, unless the operator has timed out by then.
 func (w *simulation) proposeMembers(leader *member, next consensus.Configuration) {
+	w.proposeMembersJointly(leader, next, false)
+}
+
+// proposeMembersJointly is like proposeMembers, by way of a joint configuration if joint is set.
+func (w *simulation) proposeMembersJointly(leader *member, next consensus.Configuration, joint bool) {
 	const maxWait = 100 * time.Millisecond
 	proposedAt := w.now
 	w.scheduleOn(leader.process, 0, func() {
 		if w.now-proposedAt < maxWait {
-			leader.runOnCore(func() { _, _ = leader.core.ProposeConfiguration(w.clock(leader.process), next) })
+			leader.runOnCore(func() {
+				if !joint {
+					_, _ = leader.core.ProposeConfiguration(w.clock(leader.process), next)
+				} else if _, err := leader.core.ProposeJointConfiguration(w.clock(leader.process), next); err == nil {
+					w.counts["joint configurations"]++
+				}
+			})
 		}
 	})
 }
--- a/bench/simulate/run.go
+++ b/bench/simulate/run.go
@@ -36,6 +36,8 @@
 	SlowDisks int
 	// FullDisks adds full disks to the faults.
 	FullDisks bool
+	// JointReplacements has operators replace a member by one joint change, in place of a removal and a promotion.
+	JointReplacements bool
 	// SkippedFaults holds the positions in the fault schedule of faults that are not injected.
 	SkippedFaults map[int]bool
 
--- a/consensus/core.go
+++ b/consensus/core.go
@@ -176,30 +176,76 @@
 // It takes effect as soon as it is in the log, as in the Raft paper.
 func (c *Core) ProposeConfiguration(now time.Duration, next Configuration) (uint64, error) {
 	c.now = now
+	if err := c.checkConfigurable(); err != nil {
+		return 0, err
+	}
+	if voterDifference(c.Configuration(), next) > 1 {
+		return 0, ErrUnsafeChange
+	}
+	return c.appendConfiguration(next), nil
+}
+
+// ProposeJointConfiguration appends a joint configuration that leads to next, whose voters may differ by any number
+// from the current ones. Once it is committed, the leader appends next itself; see leaveJoint. A voter that does
+// not vote in next leaves the group. It returns ErrJointUnsupported if a member could not decode the entry.
+func (c *Core) ProposeJointConfiguration(now time.Duration, next Configuration) (uint64, error) {
+	c.now = now
+	if err := c.checkConfigurable(); err != nil {
+		return 0, err
+	}
+	joint := c.Configuration().Joint(next)
+	if !c.canAllDecodeJoint() {
+		return 0, ErrJointUnsupported
+	}
+	return c.appendConfiguration(joint), nil
+}
+
+// checkConfigurable returns an error unless this member can propose a configuration now.
+func (c *Core) checkConfigurable() error {
 	if c.role != RoleLeader || c.transferring {
-		return 0, ErrNotLeader
+		return ErrNotLeader
 	}
 	if c.diskFull {
-		return 0, ErrDiskFull
+		return ErrDiskFull
 	}
 	// A leader that has not committed in its own term may be unaware of an
 	// earlier change that is still uncommitted.
 	if c.commit < c.termStart {
-		return 0, ErrNotReady
+		return ErrNotReady
 	}
-	latest := c.log.latestConfiguration()
-	if latest.index > c.commit {
-		return 0, ErrChangePending
+	if latest := c.log.latestConfiguration(); latest.index > c.commit || latest.configuration.IsJoint() {
+		return ErrChangePending
 	}
-	if voterDifference(latest.configuration, next) > 1 {
-		return 0, ErrUnsafeChange
+	return nil
+}
+
+// canAllDecodeJoint reports whether all members that have answered this leader can decode joint configurations.
+func (c *Core) canAllDecodeJoint() bool {
+	for _, peer := range c.progress {
+		if peer.hasAcked && !peer.decodesJoint {
+			return false
+		}
 	}
+	return true
+}
+
+func (c *Core) appendConfiguration(next Configuration) uint64 {
 	copied := next.Clone()
 	index := c.appendToLog(Entry{Kind: EntryConfiguration, Configuration: &copied})
 	c.refreshProgress()
 	c.broadcastAppend()
 	c.advanceCommit()
-	return index, nil
+	return index
+}
+
+// leaveJoint completes a joint change: a leader appends the configuration that follows once the joint one is
+// committed. A joint configuration of an earlier term counts as committed only along with an entry of this one.
+func (c *Core) leaveJoint() {
+	latest := c.log.latestConfiguration()
+	if latest.configuration.IsJoint() && c.role == RoleLeader && !c.transferring && !c.diskFull &&
+		c.commit >= max(latest.index, c.termStart) {
+		c.appendConfiguration(latest.configuration.Settled())
+	}
 }
 
 func voterDifference(before, after Configuration) int {
@@ -332,10 +378,7 @@
 }
 
 // isVoter reports whether the member votes in the latest configuration.
-func (c *Core) isVoter(id MemberID) bool {
-	member, found := c.Configuration().Find(id)
-	return found && !member.Learner
-}
+func (c *Core) isVoter(id MemberID) bool { return c.Configuration().IsVoter(id) }
 
 func (c *Core) becomeFollower(term uint64, leader MemberID) {
 	if term > c.hardState.Term {
--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -26,6 +26,8 @@
 	unwritten map[MemberID][]Output
 	// loseSnapshots is the number of snapshots still to be dropped.
 	loseSnapshots int
+	// beforeStep, if set, is called before each write and each delivery of a message.
+	beforeStep func()
 }
 
 func newGroup(count int) *group {
@@ -75,6 +77,9 @@
 
 // write makes an output durable and delivers its messages.
 func (g *group) write(id MemberID, output *Output) {
+	if g.takeStep(); g.stalled[id] {
+		return
+	}
 	for _, entry := range output.Entries {
 		g.store(id, entry)
 	}
@@ -87,12 +92,19 @@
 
 func (g *group) deliver(messages []Message) {
 	for _, message := range messages {
+		g.takeStep()
 		if to := g.members[message.To]; to != nil && g.shouldDeliver(message) {
 			to.Step(g.now, message)
 		}
 	}
 }
 
+func (g *group) takeStep() {
+	if g.beforeStep != nil {
+		g.beforeStep()
+	}
+}
+
 func (g *group) shouldDeliver(message Message) bool {
 	if message.Kind == MessageSnapshot && g.loseSnapshots > 0 {
 		g.loseSnapshots--
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -37,7 +37,7 @@
 
 func (c *Core) requestVotes(kind MessageKind, term uint64) {
 	c.previousRound, c.newestRound = c.newestRound, Round{Role: c.role, Term: term, Answers: map[MemberID]Answer{}}
-	for _, voter := range c.Configuration().Voters() {
+	for _, voter := range c.Configuration().AllVoters() {
 		if voter == c.id {
 			continue
 		}
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -25,6 +25,8 @@
 	lostLog bool
 	// diskFull is set if the peer's newest response said that its disk is full.
 	diskFull bool
+	// decodesJoint is set if the peer's newest response said that it can decode joint configurations.
+	decodesJoint bool
 }
 
 // snapshotTimeout is how long the leader waits for the response to a snapshot
@@ -58,6 +60,7 @@
 		c.becomeFollower(c.hardState.Term, 0)
 		return
 	}
+	c.leaveJoint()
 	if c.now >= c.heartbeatDue {
 		c.heartbeatDue = c.now + c.timing.Heartbeat
 		c.broadcastAppend()
@@ -171,6 +174,7 @@
 	}
 	peer.hasAcked = true
 	peer.diskFull = message.DiskFull
+	peer.decodesJoint = message.Forced
 	peer.ackedSentAt = max(peer.ackedSentAt, message.SentAt)
 	if message.Reject {
 		c.handleRejectedAppend(message, peer)
--- a/consensus/quorum.go
+++ b/consensus/quorum.go
@@ -7,6 +7,9 @@
 
 // electorates returns the sets of voters that have to agree on a decision, each by a majority.
 func (c Configuration) electorates() [][]MemberID {
+	if c.IsJoint() {
+		return [][]MemberID{c.Voters(), c.Outgoing}
+	}
 	return [][]MemberID{c.Voters()}
 }
 
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -27,6 +28,10 @@
 // Configuration is the set of members in force from a log index on.
 type Configuration struct {
 	Members []Member
+	// Outgoing is set in a joint configuration only (Raft paper, section 6): it lists the voters of the
+	// configuration before it. Decisions need a majority of them and one of the voters in Members. Those that
+	// leave the group stay in Members as learners, so that they go on receiving the log.
+	Outgoing []MemberID
 }
 
 // Find returns the member with the ID, if it is in the configuration.
@@ -49,7 +54,58 @@
 	return Member{}, false
 }
 
-// Voters lists the IDs of the members that vote and count towards commit.
+// IsJoint reports whether a change of several voters is under way.
+func (c Configuration) IsJoint() bool { return len(c.Outgoing) > 0 }
+
+// Joint returns the joint configuration that leads from c to next. A voter of c that does not vote in next leaves
+// the group.
+func (c Configuration) Joint(next Configuration) Configuration {
+	joint := next.Clone()
+	joint.Outgoing = c.Voters()
+	for _, member := range c.Members {
+		if _, found := next.Find(member.ID); !found && !member.Learner {
+			member.Learner = true
+			joint.Members = append(joint.Members, member)
+		}
+	}
+	return joint
+}
+
+// Settled returns the configuration that follows a joint one once that is committed. Other configurations are
+// returned as they are.
+func (c Configuration) Settled() Configuration {
+	if !c.IsJoint() {
+		return c
+	}
+	var settled Configuration
+	for _, member := range c.Members {
+		if !member.Learner || !slices.Contains(c.Outgoing, member.ID) {
+			settled.Members = append(settled.Members, member)
+		}
+	}
+	return settled
+}
+
+// IsVoter reports whether a member counts towards decisions. In a joint configuration, that includes the voters
+// of the configuration before it.
+func (c Configuration) IsVoter(id MemberID) bool {
+	member, found := c.Find(id)
+	return found && !member.Learner || slices.Contains(c.Outgoing, id)
+}
+
+// AllVoters lists the IDs of all members for which IsVoter returns true.
+func (c Configuration) AllVoters() []MemberID {
+	all := c.Voters()
+	for _, id := range c.Outgoing {
+		if !slices.Contains(all, id) {
+			all = append(all, id)
+		}
+	}
+	return all
+}
+
+// Voters lists the IDs of the members that vote and count towards commit. In a joint configuration, Outgoing lists
+// further ones.
 func (c Configuration) Voters() []MemberID {
 	voters := make([]MemberID, 0, len(c.Members))
 	for _, member := range c.Members {
@@ -62,7 +118,7 @@
 
 // Clone returns a copy that shares no memory with the receiver.
 func (c Configuration) Clone() Configuration {
-	return Configuration{Members: append([]Member(nil), c.Members...)}
+	return Configuration{Members: slices.Clone(c.Members), Outgoing: slices.Clone(c.Outgoing)}
 }
 
 // EntryKind determines how an entry's data is interpreted.
@@ -146,7 +202,8 @@
 	// returns it so that the leader can extend its lease.
 	SentAt time.Duration
 	// Forced marks a vote request that follows MessageTimeoutNow: the old leader has
-	// released its lease, so voters need not wait for it to expire.
+	// released its lease, so voters need not wait for it to expire. In an append response, it marks a sender that
+	// can decode joint configurations: it is false in those of earlier versions, which ignore it.
 	Forced bool
 
 	Snapshot *Snapshot
@@ -213,6 +270,8 @@
 	ErrChangePending = errors.New("an earlier membership change has not been committed yet")
 	// ErrUnsafeChange is returned for a change of more than one voter.
 	ErrUnsafeChange = errors.New("a membership change may add or remove one voter at a time")
+	// ErrJointUnsupported is returned for a joint change while a member runs a version that cannot decode it.
+	ErrJointUnsupported = errors.New("several voters cannot be changed at once while a member runs a version without joint configurations")
 	// ErrDiskFull is returned by a leader that accepts no proposals because its own disk is full, or
 	// those of a majority.
 	ErrDiskFull = errors.New("the group accepts no changes: the disk of its leader or of a majority of its members is full")
--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -306,7 +306,7 @@
 		switch {
 		case member.ID == status.Leader:
 			view.Role = "leader"
-		case member.Learner:
+		case !status.Configuration.IsVoter(member.ID):
 			view.Role = "learner"
 		}
 		list = append(list, view)
--- a/control/disk_test.go
+++ b/control/disk_test.go
@@ -64,13 +64,16 @@
 	return &fullDiskFile{file, &d.full}, err
 }
 
-// newDiskGroup starts three members and waits until all of them vote.
-func newDiskGroup(t *testing.T) *diskGroup {
+// newDiskGroup starts three members with default settings, as edited, and waits until all of them vote.
+func newDiskGroup(t *testing.T, edits ...func(*settings.Settings)) *diskGroup {
 	g := &diskGroup{t: t}
 	for i := range 3 {
 		config := settings.Default()
 		config.Name, config.DataFolder = fmt.Sprintf("control-%d", i+1), t.TempDir()
 		config.Control.Join = i > 0
+		for _, edit := range edits {
+			edit(&config)
+		}
 		d := &diskMember{options: Options{Settings: config, Logger: zap.NewNop()}}
 		d.options.createFile = d.createFile
 		g.members = append(g.members, d)
--- a/control/leaderwatch.go
+++ b/control/leaderwatch.go
@@ -92,7 +92,7 @@
 func (m *Member) voterStates(status *replicaStatus) []leaderless.Voter {
 	var list []leaderless.Voter
 	for _, member := range status.Configuration.Members {
-		if member.Learner || member.ID == m.storage.identity.ID {
+		if !status.Configuration.IsVoter(member.ID) || member.ID == m.storage.identity.ID {
 			continue
 		}
 		voter := leaderless.Voter{Name: member.Name}
--- a/control/members.go
+++ b/control/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -106,9 +107,9 @@
 	return consensus.Member{}, false
 }
 
-// admit adds a learner, waits until it holds the whole log, removes the member that it
-// replaces, if any, and promotes the learner. It returns nil only when the new voter is
-// committed and has caught up. A repeated call continues where an interrupted one stopped.
+// admit adds a learner, waits until it holds the whole log, and makes it a voter in place of the member that it
+// replaces, if any. It returns nil only when the new voter is committed and has caught up. A repeated call
+// continues where an interrupted one stopped.
 func (m *Member) admit(ctx context.Context, name, address string, replaces bool) error {
 	identity, err := m.queryFormationAt(ctx, address)
 	if err != nil {
@@ -130,24 +131,35 @@
 		return invalidf("the data folder of the process at %s has already belonged to a group (identity %s); start it with an empty folder", address, identity.ID)
 	}
 	if !admitted {
-		if err := m.changeMembers(ctx, "add learner "+name, withMember(learner)); err != nil {
+		if err := m.changeMembers(ctx, addLearner(learner)); err != nil {
 			return err
 		}
 	}
 	if err := m.waitCaughtUp(ctx, learner); err != nil {
 		return err
 	}
-	if old, found := predecessor(m.replica.status.Load().Configuration, learner); replaces && found {
-		if err := m.changeMembers(ctx, "remove the old "+name, withoutMember(old.ID)); err != nil {
-			return err
-		}
-	}
-	if err := m.changeMembers(ctx, "promote "+name, withVoter(learner.ID)); err != nil {
+	if err := m.makeVoter(ctx, learner, replaces); err != nil {
 		return err
 	}
 	return m.confirmAdmitted(ctx, learner)
 }
 
+// makeVoter promotes a learner, in place of its predecessor if it replaces one.
+func (m *Member) makeVoter(ctx context.Context, learner consensus.Member, replaces bool) error {
+	old, found := predecessor(m.replica.status.Load().Configuration, learner)
+	if !replaces || !found {
+		return m.changeMembers(ctx, promote(learner))
+	}
+	err := m.changeMembers(ctx, replaceVoter("remove the old "+old.Name, old, learner))
+	if !errors.Is(err, consensus.ErrJointUnsupported) {
+		return err
+	}
+	if err := m.changeMembers(ctx, removeMember("remove the old "+old.Name, old)); err != nil {
+		return err
+	}
+	return m.changeMembers(ctx, promote(learner))
+}
+
 // confirmAdmitted waits until the configuration in which the newcomer votes is
 // committed and the newcomer holds it as well. The newest configuration may be
 // uncommitted and be lost with its leader, so it does not prove the admission.
@@ -163,8 +175,51 @@
 	return m.waitCaughtUp(ctx, newcomer)
 }
 
-// configurationEdit returns the next configuration for the current one. Applying an
-// edit twice has the same result as applying it once.
+// memberChange is a change of the group's members.
+type memberChange struct {
+	// step describes the change in logs and errors.
+	step string
+	edit configurationEdit
+	// successor is the learner that is promoted in the same change as a voter is removed. The change then takes
+	// a joint configuration.
+	successor string
+}
+
+func (c memberChange) isJoint() bool { return c.successor != "" }
+
+func (c memberChange) logFields() []zap.Field {
+	fields := []zap.Field{zap.String("step", c.step)}
+	if c.isJoint() {
+		fields = append(fields, zap.String("successor", c.successor))
+	}
+	return fields
+}
+
+func addLearner(learner consensus.Member) memberChange {
+	return memberChange{step: "add learner " + learner.Name, edit: withMember(learner)}
+}
+
+func promote(learner consensus.Member) memberChange {
+	return memberChange{step: "promote " + learner.Name, edit: withVoter(learner.ID)}
+}
+
+func removeMember(step string, member consensus.Member) memberChange {
+	return memberChange{step: step, edit: withoutMember(member.ID)}
+}
+
+// replaceVoter removes a voter and promotes a learner in one change. In two changes, the group would have one voter
+// more or one fewer in between: the loss of the learner, or of another voter, could then leave it without a quorum.
+func replaceVoter(step string, old, learner consensus.Member) memberChange {
+	return memberChange{
+		step: step, successor: learner.Name,
+		edit: func(current consensus.Configuration) consensus.Configuration {
+			return withVoter(learner.ID)(withoutMember(old.ID)(current))
+		},
+	}
+}
+
+// configurationEdit returns the next configuration for the current one, which is not joint. Applying an edit twice
+// has the same result as applying it once.
 type configurationEdit func(consensus.Configuration) consensus.Configuration
 
 func withMember(added consensus.Member) configurationEdit {
@@ -208,50 +263,75 @@
 	if !exists {
 		return invalidf("there is no member %s", name)
 	}
-	return m.changeMembers(ctx, "remove member "+name, withoutMember(member.ID))
+	return m.changeMembers(ctx, removeMember("remove member "+name, member))
 }
 
-// changeMembers proposes one configuration change and waits until it is committed.
-func (m *Member) changeMembers(ctx context.Context, step string, change configurationEdit) error {
+// changeMembers proposes a change of the members and waits until it is committed.
+func (m *Member) changeMembers(ctx context.Context, change memberChange) error {
 	for {
-		index, err := m.replica.proposeConfiguration(ctx, func(current consensus.Configuration) (consensus.Configuration, error) {
-			next := change(current)
-			return next, m.checkQuorumAfter(next)
+		index, err := m.replica.proposeConfiguration(ctx, change.isJoint(), func(current consensus.Configuration) (consensus.Configuration, error) {
+			if current.IsJoint() {
+				return current, consensus.ErrChangePending
+			}
+			next := change.edit(current)
+			return next, m.checkQuorumAfter(current, next, change.isJoint())
 		})
 		if err == nil {
-			return m.confirmMembers(ctx, step, index, change)
+			return m.confirmMembers(ctx, change, index)
 		}
 		if err != consensus.ErrChangePending && err != consensus.ErrNotReady {
 			return err
 		}
 		if err := pause(ctx, memberPollInterval); err != nil {
-			return invalidf("%s: %v", step, consensus.ErrChangePending)
+			return invalidf("%s: %v", change.step, consensus.ErrChangePending)
 		}
 	}
 }
 
-// confirmMembers waits until a change is committed. It fails if another leader has
-// committed a different entry at the index.
-func (m *Member) confirmMembers(ctx context.Context, step string, index uint64, change configurationEdit) error {
+// confirmMembers waits until a change is committed, a joint one with the configuration that follows. It fails if
+// another leader has committed a different entry at the index.
+func (m *Member) confirmMembers(ctx context.Context, change memberChange, index uint64) error {
 	if err := m.replica.waitApplied(ctx, index); err != nil {
 		return err
 	}
+	if change.isJoint() {
+		if err := m.awaitSettled(ctx, change.step); err != nil {
+			return err
+		}
+	}
 	current := m.replica.status.Load().Configuration
-	if !slices.Equal(change(current).Members, current.Members) {
-		return m.notLeader(step)
+	if !slices.Equal(change.edit(current).Members, current.Members) {
+		return m.notLeader(change.step)
 	}
-	m.logger.Info("members_changed", zap.String("step", step))
+	m.logger.Info("members_changed", change.logFields()...)
 	return nil
 }
 
-// checkQuorumAfter rejects a configuration whose voters that are alive are not a quorum.
-func (m *Member) checkQuorumAfter(next consensus.Configuration) error {
+// awaitSettled waits until the configuration that follows a joint one is committed.
+func (m *Member) awaitSettled(ctx context.Context, step string) error {
+	for m.replica.status.Load().Configuration.IsJoint() {
+		if err := pause(ctx, memberPollInterval); err != nil {
+			return invalidf("%s: %v", step, consensus.ErrChangePending)
+		}
+	}
+	return m.replica.waitApplied(ctx, m.replica.status.Load().LastIndex)
+}
+
+// checkQuorumAfter rejects a change after which the voters that are alive would not be a quorum. A voter that the
+// change adds counts as alive only if the group would need it even with all of its current voters: it may have been
+// lost since it last answered.
+func (m *Member) checkQuorumAfter(current, next consensus.Configuration, joint bool) error {
 	alive := map[consensus.MemberID]bool{}
 	for _, health := range m.memberHealth() {
 		alive[health.ID] = health.Alive && !health.LostLog && !health.DiskFull
 	}
-	if spare := next.SpareVoters(func(id consensus.MemberID) bool { return alive[id] }); spare < 0 {
-		return invalidf("refused: the group would have %d voters, and %d more of them have to answer and have room on their disks; bring a member back or add one first", len(next.Voters()), -spare)
+	if joint {
+		next = current.Joint(next)
+	}
+	needsNewcomers := !next.HasQuorum(current.IsVoter)
+	spare := next.SpareVoters(func(id consensus.MemberID) bool { return alive[id] && (needsNewcomers || current.IsVoter(id)) })
+	if spare < 0 {
+		return invalidf("refused: the group would have %d voters, and %d more of them, not counting one that is added, have to answer and have room on their disks; bring a member back or replace it first", len(next.Voters()), -spare)
 	}
 	return nil
 }
--- a/control/replica.go
+++ b/control/replica.go
@@ -87,7 +87,9 @@
 // configurationChange is an edit of the newest configuration. It runs on the replica's goroutine.
 type configurationChange struct {
 	edit func(consensus.Configuration) (consensus.Configuration, error)
-	done chan configurationOutcome
+	// joint is set for a change of several voters at once.
+	joint bool
+	done  chan configurationOutcome
 }
 
 type configurationOutcome struct {
@@ -181,7 +183,7 @@
 	case next.proposal != nil:
 		r.propose(now, next.proposal)
 	case next.configuration != nil:
-		next.configuration.done <- r.changeMembers(now, next.configuration.edit)
+		next.configuration.done <- r.changeMembers(now, next.configuration)
 	case next.transfer != nil:
 		started := r.core.TransferLeadership()
 		r.publishLease()
@@ -330,19 +332,23 @@
 	}
 }
 
-func (r *replica) changeMembers(now time.Duration, edit func(consensus.Configuration) (consensus.Configuration, error)) configurationOutcome {
-	next, err := edit(r.core.Configuration())
+func (r *replica) changeMembers(now time.Duration, change *configurationChange) configurationOutcome {
+	next, err := change.edit(r.core.Configuration())
 	if err != nil {
 		return configurationOutcome{err: err}
 	}
-	index, err := r.core.ProposeConfiguration(now, next)
+	propose := r.core.ProposeConfiguration
+	if change.joint {
+		propose = r.core.ProposeJointConfiguration
+	}
+	index, err := propose(now, next)
 	return configurationOutcome{index: index, err: err}
 }
 
-// proposeConfiguration proposes a change of the members. It returns the index of the
-// change when the entry is in the leader's log, before it is committed.
-func (r *replica) proposeConfiguration(ctx context.Context, edit func(consensus.Configuration) (consensus.Configuration, error)) (uint64, error) {
-	change := &configurationChange{edit: edit, done: make(chan configurationOutcome, 1)}
+// proposeConfiguration proposes a change of the members, by way of a joint configuration if joint is set. It returns
+// the index of the change when the entry is in the leader's log, before it is committed.
+func (r *replica) proposeConfiguration(ctx context.Context, joint bool, edit func(consensus.Configuration) (consensus.Configuration, error)) (uint64, error) {
+	change := &configurationChange{edit: edit, joint: joint, done: make(chan configurationOutcome, 1)}
 	select {
 	case r.inbox <- event{configuration: change}:
 	case <-ctx.Done():
--- a/control/voters.go
+++ b/control/voters.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -153,7 +154,7 @@
 
 // maintainVoters keeps the number of voters at control.voters while this member leads.
 // Processes that ask to join become learners; a learner that holds the log replaces a
-// voter that has been lost.
+// voter that has been lost. A joint change is completed by the consensus core.
 func (m *Member) maintainVoters(ctx context.Context) error {
 	if m.options.Settings.Control.Voters == 0 {
 		return nil
@@ -161,22 +162,32 @@
 	manager := &voterManager{member: m}
 	for pause(ctx, voterCheckInterval) == nil {
 		status := m.replica.status.Load()
-		if !status.Ready {
+		if !status.Ready || status.Configuration.IsJoint() {
 			continue
 		}
-		step, change := manager.nextChange(status, clock.Now())
-		if change == nil {
-			continue
-		}
-		changeContext, cancel := context.WithTimeout(ctx, membershipChangeTimeout)
-		if err := m.changeMembers(changeContext, step, change); err != nil {
-			m.logger.Warn("members_not_changed", logging.ErrorFields(step, m.options.Settings.Name, err)...)
+		if changes := manager.nextChange(status, clock.Now()); len(changes) > 0 {
+			m.tryChanges(ctx, changes)
 		}
-		cancel()
 	}
 	return nil
 }
 
+// tryChanges makes the first of the changes that the members' versions allow.
+func (m *Member) tryChanges(ctx context.Context, changes []memberChange) {
+	ctx, cancel := context.WithTimeout(ctx, membershipChangeTimeout)
+	defer cancel()
+	for _, change := range changes {
+		err := m.changeMembers(ctx, change)
+		if err == nil {
+			return
+		}
+		m.logger.Warn("members_not_changed", logging.ErrorFields(change.step, m.options.Settings.Name, err)...)
+		if !errors.Is(err, consensus.ErrJointUnsupported) {
+			return
+		}
+	}
+}
+
 // observe records when the members of a status were first seen in its term.
 func (v *voterManager) observe(status *replicaStatus, now time.Duration) {
 	if v.term != status.Term {
@@ -201,12 +212,14 @@
 	return max(peer.Silence, peer.Stalled) > limit
 }
 
-// nextChange returns the most urgent configuration change and its description, or a nil
-// edit if none is needed.
+// nextChange returns the most urgent configuration change, or none if none is needed. Each further change is for a
+// group whose members do not support the one before it.
 //
-// Invariant: a process becomes a voter only after the leader has observed that it
-// holds everything committed at that time; an empty disk never does.
-func (v *voterManager) nextChange(status *replicaStatus, now time.Duration) (string, configurationEdit) {
+// Invariants:
+//   - A process becomes a voter only after the leader has observed that it holds everything committed at that time;
+//     an empty disk never does.
+//   - No change needs a vote of the process that it makes a voter, which may have been lost since it last answered.
+func (v *voterManager) nextChange(status *replicaStatus, now time.Duration) []memberChange {
 	v.observe(status, now)
 	configuration := status.Configuration
 	progress := map[consensus.MemberID]consensus.PeerProgress{}
@@ -217,24 +230,36 @@
 	wanted := v.member.options.Settings.Control.Voters
 	voters := len(configuration.Voters())
 	if len(lost) > 0 && voters > wanted {
-		return "remove lost voter " + lost[0].Name, withoutMember(lost[0].ID)
+		return []memberChange{removeMember("remove lost voter "+lost[0].Name, lost[0])}
 	}
-	if len(lost) > 0 || voters < wanted {
-		for _, member := range configuration.Members {
-			if member.Learner && holdsLog(status, progress[member.ID]) {
-				return "promote " + member.Name, withVoter(member.ID)
-			}
+	if learner, found := readyLearner(status, progress); found {
+		// With an even number of voters, one more does not raise the quorum.
+		if voters < wanted && (len(lost) == 0 || voters%2 == 0) {
+			return []memberChange{promote(learner)}
+		}
+		if len(lost) > 0 {
+			return []memberChange{replaceVoter("remove lost voter "+lost[0].Name, lost[0], learner), promote(learner)}
 		}
 	}
 	for _, member := range configuration.Members {
 		if member.Learner && v.isSilent(progress[member.ID], member.ID, now) {
-			return "remove silent learner " + member.Name, withoutMember(member.ID)
+			return []memberChange{removeMember("remove silent learner "+member.Name, member)}
 		}
 	}
 	for _, joining := range v.member.pendingJoins(configuration) {
-		return "add learner " + joining.Name, withMember(joining)
+		return []memberChange{addLearner(joining)}
+	}
+	return nil
+}
+
+// readyLearner returns a learner that holds the log.
+func readyLearner(status *replicaStatus, progress map[consensus.MemberID]consensus.PeerProgress) (consensus.Member, bool) {
+	for _, member := range status.Configuration.Members {
+		if member.Learner && holdsLog(status, progress[member.ID]) {
+			return member, true
+		}
 	}
-	return "", nil
+	return consensus.Member{}, false
 }
 
 // lostVoters lists the voters that have been silent for too long or have lost their
--- /dev/null
+++ b/control/voters_test.go
@@ -0,0 +1,89 @@
+package control
+
+import (
+	"os"
+	"testing"
+
+	"limehold/settings"
+)
+
+// newVoterGroup starts a group that keeps three voters by itself. A member that comes back with an empty disk asks to
+// be admitted.
+func newVoterGroup(t *testing.T) *diskGroup {
+	t.Helper()
+	g := newDiskGroup(t, func(config *settings.Settings) { config.Control.Voters = 3 })
+	var seeds []string
+	for _, d := range g.members {
+		seeds = append(seeds, d.Address())
+	}
+	for _, d := range g.members {
+		d.options.Settings.Control.Seeds, d.options.Settings.Control.Join = seeds, true
+	}
+	return g
+}
+
+// loseDisk ends a member and empties its data folder.
+func (g *diskGroup) loseDisk(d *diskMember) {
+	g.t.Helper()
+	g.end(d)
+	if err := os.RemoveAll(d.options.Settings.DataFolder); err != nil {
+		g.t.Fatal(err)
+	}
+}
+
+// awaitLearner waits until a learner with the member's ID holds the log, as the leader sees it.
+func (g *diskGroup) awaitLearner(d *diskMember) {
+	g.t.Helper()
+	g.await("a learner that holds the log", func() bool {
+		leader := g.leader()
+		if leader == nil {
+			return false
+		}
+		status := leader.replica.status.Load()
+		for _, peer := range status.Progress {
+			if member, found := status.Configuration.Find(peer.ID); found && peer.ID == d.storage.identity.ID {
+				return member.Learner && holdsLog(status, peer)
+			}
+		}
+		return false
+	})
+}
+
+// awaitVoters waits until the group consists of its three members, and all of them vote.
+func (g *diskGroup) awaitVoters() {
+	g.t.Helper()
+	g.await("three voters and no other member", func() bool {
+		leader := g.leader()
+		if leader == nil {
+			return false
+		}
+		status := leader.replica.status.Load()
+		for _, d := range g.members {
+			if !status.Configuration.IsVoter(d.storage.identity.ID) {
+				return false
+			}
+		}
+		return len(status.Configuration.Members) == len(g.members) && !status.Configuration.IsJoint()
+	})
+}
+
+// Guards against a group without a leader for good after a member lost its disk, came back, and lost its disk again
+// before it was a voter: the newcomer was promoted beside the lost voter, and two of four voters were gone.
+func TestNewcomerThatIsLostAgainCostsNoQuorum(t *testing.T) {
+	g := newVoterGroup(t)
+	g.mustDrain()
+	lost := g.followers()[0]
+	for range 2 {
+		g.loseDisk(lost)
+		g.start(lost)
+		g.awaitLearner(lost)
+	}
+	g.loseDisk(lost)
+	g.mustDrain()
+	g.start(lost)
+	g.awaitVoters()
+	g.mustDrain()
+	if !g.holdsAll(g.leader()) {
+		t.Error("an acknowledged command is lost")
+	}
+}
