control: a stopping voter hands its vote to a learner that holds the log

Cause: a voter that ended counted for 3 s more (control.replace_after), in which only one of three voters was left. The learner held the log and had no vote.

Ruled out: a learner without the log.

Why this works: the member asks the leader before it ends, after it has passed leadership on. The leader replaces it in one joint change and answers once the configuration that follows is committed, so three living voters are left. A replacement whose learner has become a voter meanwhile is refused, as it would only remove a voter.

Commands in the tests of control have a time limit now, so that a group without a leader fails them instead of blocking.

--- a/control/disk_test.go
+++ b/control/disk_test.go
@@ -161,7 +161,9 @@
 // drain drains a further zone through a member.
 func (g *diskGroup) drain(d *diskMember) error {
 	zone := fmt.Sprintf("zone-%d", len(g.acknowledged))
-	_, err := d.execute(context.Background(), fleet.Command{ID: "drain " + zone, SetZoneDraining: &fleet.SetZoneDraining{Zone: zone, Draining: true}})
+	ctx, cancel := context.WithTimeout(context.Background(), eventually)
+	defer cancel()
+	_, err := d.execute(ctx, fleet.Command{ID: "drain " + zone, SetZoneDraining: &fleet.SetZoneDraining{Zone: zone, Draining: true}})
 	if err == nil {
 		g.acknowledged = append(g.acknowledged, zone)
 	}
--- a/control/member.go
+++ b/control/member.go
@@ -212,8 +212,8 @@
 
 var errStopping = errors.New("stopping")
 
-// awaitStop transfers leadership when ctx ends, and then returns errStopping, which stops the
-// other goroutines of runReplica.
+// awaitStop transfers leadership and hands over this member's vote when ctx ends, and then returns errStopping,
+// which stops the other goroutines of runReplica.
 func (m *Member) awaitStop(ctx, running context.Context) error {
 	select {
 	case <-running.Done():
@@ -223,6 +223,7 @@
 	if m.replica.status.Load().Role == consensus.RoleLeader {
 		m.transferLeadership(running)
 	}
+	m.handOverVote(running)
 	return errStopping
 }
 
@@ -305,7 +306,7 @@
 var allowedRoles = map[wire.Kind][]wire.Role{
 	wire.KindConsensus: {wire.RoleControl}, wire.KindForward: {wire.RoleControl},
 	wire.KindReadIndex: {wire.RoleControl}, wire.KindRouterList: {wire.RoleControl}, wire.KindLoadRelay: {wire.RoleControl},
-	wire.KindLeaderView: {wire.RoleControl}, wire.KindJoin: {wire.RoleControl},
+	wire.KindLeaderView: {wire.RoleControl}, wire.KindJoin: {wire.RoleControl}, wire.KindLeave: {wire.RoleControl},
 	wire.KindEndSession:  {wire.RoleAgent},
 	wire.KindOpenSession: {wire.RoleAgent}, wire.KindRenew: {wire.RoleAgent},
 	wire.KindReleased: {wire.RoleAgent}, wire.KindDrainSelf: {wire.RoleAgent},
@@ -329,6 +330,8 @@
 		return m.localLeaderView()
 	case wire.KindJoin:
 		return decodeAndHandle(payload, func(r *wire.Join) (*wire.JoinReply, error) { return m.handleJoin(r), nil })
+	case wire.KindLeave:
+		return decodeAndHandle(payload, func(r *wire.Leave) (*wire.LeaveReply, error) { return m.handleLeave(ctx, r) })
 	case wire.KindEndSession:
 		return decodeAndHandle(payload, func(r *wire.EndSession) (any, error) { return struct{}{}, m.endSession(ctx, r) })
 	case wire.KindLoadRelay:
--- a/control/members.go
+++ b/control/members.go
@@ -325,6 +325,9 @@
 	for _, health := range m.memberHealth() {
 		alive[health.ID] = health.Alive && !health.LostLog && !health.DiskFull
 	}
+	if joint && len(next.Voters()) < len(current.Voters()) {
+		return invalidf("refused: the successor has become a voter in another change meanwhile; send the command again")
+	}
 	if joint {
 		next = current.Joint(next)
 	}
--- a/control/voters.go
+++ b/control/voters.go
@@ -69,10 +69,10 @@
 	return nil
 }
 
-// mayNeedAdmission reports whether this member is not in its newest configuration, or has
-// had no contact to a leader for longer than control.replace_after.
+// mayNeedAdmission reports whether this member is not in its newest configuration, or leaves with it, or has had no
+// contact to a leader for longer than control.replace_after.
 func (m *Member) mayNeedAdmission(status *replicaStatus, now time.Duration) bool {
-	if _, admitted := status.Configuration.Find(m.storage.identity.ID); !admitted {
+	if _, admitted := status.Configuration.Settled().Find(m.storage.identity.ID); !admitted {
 		return true
 	}
 	return status.Role != consensus.RoleLeader && now-status.LeaderContact > m.options.Settings.Control.ReplaceAfter
@@ -221,11 +221,7 @@
 //   - No change needs a vote of the process that it makes a voter, which may have been lost since it last answered.
 func (v *voterManager) nextChange(status *replicaStatus, now time.Duration) []memberChange {
 	v.observe(status, now)
-	configuration := status.Configuration
-	progress := map[consensus.MemberID]consensus.PeerProgress{}
-	for _, peer := range status.Progress {
-		progress[peer.ID] = peer
-	}
+	configuration, progress := status.Configuration, progressByID(status)
 	lost := v.lostVoters(configuration, progress, now)
 	wanted := v.member.options.Settings.Control.Voters
 	voters := len(configuration.Voters())
@@ -252,6 +248,14 @@
 	return nil
 }
 
+func progressByID(status *replicaStatus) map[consensus.MemberID]consensus.PeerProgress {
+	progress := map[consensus.MemberID]consensus.PeerProgress{}
+	for _, peer := range status.Progress {
+		progress[peer.ID] = peer
+	}
+	return progress
+}
+
 // readyLearner returns a learner that holds the log.
 func readyLearner(status *replicaStatus, progress map[consensus.MemberID]consensus.PeerProgress) (consensus.Member, bool) {
 	for _, member := range status.Configuration.Members {
--- a/control/voters_test.go
+++ b/control/voters_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"os"
+	"slices"
 	"testing"
 
+	"go.uber.org/zap"
+
 	"limehold/settings"
 )
 
@@ -87,3 +90,71 @@
 		t.Error("an acknowledged command is lost")
 	}
 }
+
+// addSpare adds a member with an empty disk, and waits until it is a learner that holds the log.
+func (g *diskGroup) addSpare() *diskMember {
+	g.t.Helper()
+	config := g.members[0].options.Settings
+	config.Name, config.DataFolder = "control-spare", g.t.TempDir()
+	config.Control.Listen, config.Control.Join = settings.Default().Control.Listen, true
+	spare := &diskMember{options: Options{Settings: config, Logger: zap.NewNop()}}
+	spare.options.createFile = spare.createFile
+	g.members = append(g.members, spare)
+	g.start(spare)
+	g.awaitLearner(spare)
+	return spare
+}
+
+// Guards against a group without a leader for good after a voter was stopped and its successor was at hand: the stopped
+// one counted as a voter for 3 s more, and another one lost its disk meanwhile.
+func TestStoppingVoterHandsItsVoteToALearner(t *testing.T) {
+	tests := map[string]func(*diskGroup) *diskMember{
+		"a follower stops": func(g *diskGroup) *diskMember { return g.followers()[0] },
+		"the leader stops": func(g *diskGroup) *diskMember { return g.leader() },
+	}
+	for name, choose := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := newVoterGroup(t)
+			g.mustDrain()
+			g.addSpare()
+			leaving := choose(g)
+			g.end(leaving)
+			g.members = slices.DeleteFunc(g.members, func(d *diskMember) bool { return d == leaving })
+			lost := g.members[0]
+			g.loseDisk(lost)
+			g.mustDrain()
+			g.start(lost)
+			g.awaitVoters()
+			if !g.holdsAll(g.leader()) {
+				t.Error("an acknowledged command is lost")
+			}
+		})
+	}
+}
+
+// Guards against a restart that costs a vote, with and without a learner that takes it meanwhile.
+func TestRestartedVoterLeavesTheGroupItsVotes(t *testing.T) {
+	tests := map[string]bool{"no learner": false, "a learner takes the vote": true}
+	for name, spare := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := newVoterGroup(t)
+			g.mustDrain()
+			if spare {
+				g.addSpare()
+			}
+			restarted := g.followers()[0]
+			g.end(restarted)
+			g.mustDrain()
+			if voters := len(g.leader().replica.status.Load().Configuration.Voters()); voters != 3 {
+				t.Errorf("%d voters while one restarts", voters)
+			}
+			g.start(restarted)
+			if spare {
+				g.awaitLearner(restarted)
+			} else {
+				g.awaitVoters()
+			}
+			g.mustDrain()
+		})
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -41,6 +41,8 @@
 	KindLeaderView Kind = 16
 	// From a process that wants to become a member, to any member.
 	KindJoin Kind = 17
+	// From a stopping voter to the leader. Members of earlier versions answer it with an error.
+	KindLeave Kind = 18
 
 	// From agents to the leader.
 	KindOpenSession Kind = 20
@@ -329,6 +331,13 @@
 // follower, sent it on to the leader.
 type JoinReply struct{ Forwarded bool }
 
+// Leave asks the leader to give the vote of a stopping member to a learner.
+type Leave struct{ ID consensus.MemberID }
+
+// LeaveReply names the learner that votes now in place of the stopping member, or is empty if no learner holds the
+// log.
+type LeaveReply struct{ Successor string }
+
 // Watch subscribes to everything that changed after a revision, and to all later
 // changes. Services limits it to the named services; empty means all.
 type Watch struct {
