control: a change of members needs answers given since it was requested

Operators saw: a member ended, and a removal or an addition of another one within the next second was accepted, never committed, and left the group without a leader until the ended one was back.

Cause: checkQuorumAfter counted members that had answered within the last second.

Why this works: only answers to appends that were sent after the request count, with up to a second to wait for them. It holds for operators' commands and for the leader's own changes.

Test: TestMembershipChangesNeedFreshAnswers; on the removal failed with "wait for log index 12: only 11 has been applied", and then no command was accepted for 30 s.

--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -253,6 +253,8 @@
 	// Silence is how long ago the newest answered append was sent. It is valid only if Contacted
 	// is true.
 	Silence time.Duration
+	// AnsweredSentAt is the leader's clock reading at which it sent that append.
+	AnsweredSentAt time.Duration
 	// Contacted is false if the peer has not answered this leader yet.
 	Contacted bool
 	// LostLog is true if the peer returned with less than it acknowledged.
@@ -273,7 +275,7 @@
 	for _, member := range c.Configuration().Members {
 		if peer := c.progress[member.ID]; peer != nil {
 			list = append(list, PeerProgress{
-				ID: member.ID, Match: peer.match, Silence: c.now - peer.ackedSentAt,
+				ID: member.ID, Match: peer.match, Silence: c.now - peer.ackedSentAt, AnsweredSentAt: peer.ackedSentAt,
 				Contacted: peer.hasAcked, LostLog: peer.lostLog, Stalled: c.now - peer.progressAt,
 				DiskFull: peer.diskFull,
 			})
--- a/control/members.go
+++ b/control/members.go
@@ -266,28 +266,51 @@
 	return m.changeMembers(ctx, removeMember("remove member "+name, member))
 }
 
-// changeMembers proposes a change of the members and waits until it is committed.
+// changeMembers proposes a change of the members and waits until it is committed. It gives the voters that the group
+// will need up to aliveWithin to answer.
 func (m *Member) changeMembers(ctx context.Context, change memberChange) error {
+	began := clock.Now()
 	for {
 		index, err := m.replica.proposeConfiguration(ctx, change.isJoint(), func(current consensus.Configuration) (consensus.Configuration, error) {
 			if current.IsJoint() {
 				return current, consensus.ErrChangePending
 			}
 			next := change.edit(current)
-			return next, m.checkQuorumAfter(current, next, change.isJoint())
+			return next, m.checkQuorumAfter(current, next, change.isJoint(), began)
 		})
 		if err == nil {
 			return m.confirmMembers(ctx, change, index)
 		}
-		if err != consensus.ErrChangePending && err != consensus.ErrNotReady {
+		if !mayBeAccepted(err, clock.Now()-began) {
 			return err
 		}
-		if err := pause(ctx, memberPollInterval); err != nil {
-			return invalidf("%s: %v", change.step, consensus.ErrChangePending)
+		if pause(ctx, memberPollInterval) != nil {
+			return invalidf("%s: %v", change.step, err)
 		}
 	}
 }
 
+// mayBeAccepted reports whether a change that was refused with err may be accepted if it is proposed again. elapsed is
+// the time since it was first proposed.
+func mayBeAccepted(err error, elapsed time.Duration) bool {
+	var missing *missingVotersError
+	if errors.As(err, &missing) {
+		return elapsed < aliveWithin
+	}
+	return err == consensus.ErrChangePending || err == consensus.ErrNotReady
+}
+
+// missingVotersError is returned for a change after which the voters that answer would not be a quorum.
+type missingVotersError struct{ voters, missing int }
+
+// Error implements error.
+func (e *missingVotersError) Error() string {
+	return fmt.Sprintf("refused: the group would have %d voters, and %d more of them, not counting one that is added, have to answer and have room on their disks; bring a member back or replace it first", e.voters, e.missing)
+}
+
+// Unwrap returns the failure that operators get.
+func (e *missingVotersError) Unwrap() error { return invalidf("%s", e.Error()) }
+
 // confirmMembers waits until a change is committed, a joint one with the configuration that follows. It fails if
 // another leader has committed a different entry at the index.
 func (m *Member) confirmMembers(ctx context.Context, change memberChange, index uint64) error {
@@ -317,14 +340,11 @@
 	return m.replica.waitApplied(ctx, m.replica.status.Load().LastIndex)
 }
 
-// checkQuorumAfter rejects a change after which the voters that are alive would not be a quorum. A voter that the
-// change adds counts as alive only if the group would need it even with all of its current voters: it may have been
-// lost since it last answered.
-func (m *Member) checkQuorumAfter(current, next consensus.Configuration, joint bool) error {
-	alive := map[consensus.MemberID]bool{}
-	for _, health := range m.memberHealth() {
-		alive[health.ID] = health.Alive && !health.LostLog && !health.DiskFull
-	}
+// checkQuorumAfter rejects a change after which the voters that have answered an append sent at or after since would
+// not be a quorum. A voter that the change adds counts only if the group would need it even with all of its current
+// voters: it may be lost before the change is committed.
+func (m *Member) checkQuorumAfter(current, next consensus.Configuration, joint bool, since time.Duration) error {
+	alive := m.answeringSince(since)
 	if joint && len(next.Voters()) < len(current.Voters()) {
 		return invalidf("refused: the successor has become a voter in another change meanwhile; send the command again")
 	}
@@ -334,11 +354,22 @@
 	needsNewcomers := !next.HasQuorum(current.IsVoter)
 	spare := next.SpareVoters(func(id consensus.MemberID) bool { return alive[id] && (needsNewcomers || current.IsVoter(id)) })
 	if spare < 0 {
-		return invalidf("refused: the group would have %d voters, and %d more of them, not counting one that is added, have to answer and have room on their disks; bring a member back or replace it first", len(next.Voters()), -spare)
+		return &missingVotersError{voters: len(next.Voters()), missing: -spare}
 	}
 	return nil
 }
 
+// answeringSince returns the members that hold their logs, have room on their disks and have answered an append that
+// this leader sent at or after since.
+func (m *Member) answeringSince(since time.Duration) map[consensus.MemberID]bool {
+	status := m.replica.status.Load()
+	answering := map[consensus.MemberID]bool{m.storage.identity.ID: !status.DiskFull}
+	for _, peer := range status.Progress {
+		answering[peer.ID] = peer.Contacted && peer.AnsweredSentAt >= since && !peer.LostLog && !peer.DiskFull
+	}
+	return answering
+}
+
 // waitCaughtUp waits until a member holds every entry that this leader's log held
 // when the wait began.
 func (m *Member) waitCaughtUp(ctx context.Context, member consensus.Member) error {
--- a/control/voters_test.go
+++ b/control/voters_test.go
@@ -1,8 +1,10 @@
 package control
 
 import (
+	"context"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 
 	"go.uber.org/zap"
@@ -91,8 +93,51 @@
 	}
 }
 
+// Guards against a group without a leader after an operator removed a member while another one had just ended: what the
+// latter had answered up to 1 s before was taken for its vote. The added case guards the same for a new member.
+func TestMembershipChangesNeedFreshAnswers(t *testing.T) {
+	tests := map[string]func(ctx context.Context, g *diskGroup, leader, ended *diskMember) error{
+		"a member is removed": func(ctx context.Context, g *diskGroup, leader, ended *diskMember) error {
+			for _, d := range g.followers() {
+				if d != ended {
+					return leader.RemoveMember(ctx, d.options.Settings.Name)
+				}
+			}
+			return nil
+		},
+		"a member is added": func(ctx context.Context, g *diskGroup, leader, _ *diskMember) error {
+			spare := g.newSpare()
+			return leader.AddMember(ctx, spare.options.Settings.Name, spare.Address())
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := newDiskGroup(t)
+			g.mustDrain()
+			leader, ended := g.leader(), g.followers()[0]
+			g.end(ended)
+			ctx, cancel := context.WithTimeout(context.Background(), eventually)
+			defer cancel()
+			if err := change(ctx, g, leader, ended); err == nil || !strings.Contains(err.Error(), "refused") {
+				t.Errorf("the change: %v", err)
+			}
+			g.mustDrain()
+			g.start(ended)
+			g.mustDrain()
+		})
+	}
+}
+
 // addSpare adds a member with an empty disk, and waits until it is a learner that holds the log.
 func (g *diskGroup) addSpare() *diskMember {
+	g.t.Helper()
+	spare := g.newSpare()
+	g.awaitLearner(spare)
+	return spare
+}
+
+// newSpare starts a member with an empty disk.
+func (g *diskGroup) newSpare() *diskMember {
 	g.t.Helper()
 	config := g.members[0].options.Settings
 	config.Name, config.DataFolder = "control-spare", g.t.TempDir()
@@ -101,7 +146,6 @@
 	spare.options.createFile = spare.createFile
 	g.members = append(g.members, spare)
 	g.start(spare)
-	g.awaitLearner(spare)
 	return spare
 }
 
