consensus: leadership is passed to the voter that answered most recently

Operators saw: a leader that was stopped while another member was down could pass leadership to that one; no member led until the stopping one had given up and an election had run.

Cause: TransferLeadership took the last voter that holds the whole log, whether it still answers or not.

Why this works: a voter that has ended stops answering appends, so a running one has a newer answer after one heartbeat.

Test: TestLeadershipPassesToAMemberThatAnswers; before, the case in which the last voter of the configuration ends failed ("not true: g.leader().ID() != leader.ID()").

--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -388,6 +388,23 @@
 	is.Equal(leader.HoldsLease(g.now), false)
 }
 
+// Guards against a planned stop that leaves the group without a leader for an election timeout, as leadership was
+// passed to a member that had ended.
+func TestLeadershipPassesToAMemberThatAnswers(t *testing.T) {
+	for offset := range MemberID(2) {
+		t.Run(fmt.Sprintf("the follower %d further ends", offset+1), func(t *testing.T) {
+			is := is.New(t)
+			g, leader := newElectedGroup(t, 3)
+			g.partitioned[(leader.ID()+offset)%3+1] = true
+			g.advance(testTiming.ElectionMin)
+			is.True(leader.TransferLeadership())
+			g.exchange()
+			is.True(g.leader().ID() != leader.ID())
+			is.Equal(g.partitioned[g.leader().ID()], false)
+		})
+	}
+}
+
 func TestReadNeedsTheLease(t *testing.T) {
 	is := is.New(t)
 	g, leader := newElectedGroup(t, 3)
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -198,7 +198,7 @@
 	c.broadcastAppend()
 }
 
-// TransferLeadership releases the leader's lease and makes the most up-to-date voter start an
+// TransferLeadership releases the leader's lease and makes another voter that holds the whole log start an
 // election at once. It is used before a planned stop and when this leader's disk is stalled. It
 // returns false and does nothing if this member is not the leader or no other voter is known to
 // hold the whole log.
@@ -206,24 +206,34 @@
 	if c.role != RoleLeader {
 		return false
 	}
-	var best MemberID
-	var bestMatch uint64
-	for _, voter := range c.Configuration().Voters() {
-		follower := c.progress[voter]
-		if voter != c.id && follower != nil && !follower.lostLog && !follower.diskFull && follower.match >= bestMatch {
-			best, bestMatch = voter, follower.match
-		}
-	}
-	if best == 0 || bestMatch < c.log.lastIndex() {
+	successor := c.successor()
+	if successor == 0 {
 		return false
 	}
 	c.transferring = true
 	c.transferStarted = c.now
 	// The message waits for no write: a stalled disk may be the reason for the transfer.
-	c.early = append(c.early, Message{Kind: MessageTimeoutNow, From: c.id, To: best, Term: c.hardState.Term})
+	c.early = append(c.early, Message{Kind: MessageTimeoutNow, From: c.id, To: successor, Term: c.hardState.Term})
 	return true
 }
 
+// successor returns the voter that answered most recently among those that are known to hold the whole log, or 0 if
+// there is none. One that has ended may hold it as well.
+func (c *Core) successor() MemberID {
+	var best MemberID
+	newest := neverAnswered
+	for _, voter := range c.Configuration().Voters() {
+		peer := c.progress[voter]
+		if peer == nil || peer.lostLog || peer.diskFull || peer.match < c.log.lastIndex() {
+			continue
+		}
+		if peer.hasAcked && peer.ackedSentAt > newest {
+			best, newest = voter, peer.ackedSentAt
+		}
+	}
+	return best
+}
+
 func (c *Core) handleTimeoutNow(message Message) {
 	if c.role == RoleLeader || message.Term != c.hardState.Term || !c.isVoter(c.id) {
 		return
