--- a/control/replica.go
+++ b/control/replica.go
@@ -262,7 +262,7 @@
 		return nil
 	}
 	r.driver.beginSync(clock.Now())
-	if err := r.storage.log.Append(output.HardState, output.Entries); err != nil {
+	if err := r.storage.append(output.HardState, output.Entries); err != nil {
 		r.driver.cancelSync()
 		return err
 	}
--- a/control/storage.go
+++ b/control/storage.go
@@ -20,6 +20,9 @@
 	folder   string
 	identity wal.Identity
 	log      *wal.Log
+	// needsReset is set if the log holds entries that the snapshot replaces, and nothing that follows it: the member
+	// ended after it had saved a snapshot from the leader and before it had reset the log. Used by the log's writer only.
+	needsReset bool
 
 	// snapshotMutex serializes the writing of snapshots. snapshotIndex is the index of
 	// the newest saved snapshot.
@@ -64,7 +67,42 @@
 	if err := checkContinuity(folder, snapshot, state.entries); err != nil {
 		return nil, recoveredState{}, err
 	}
-	return &storage{folder: folder, identity: identity, log: log, snapshotIndex: snapshot.Index}, state, nil
+	return &storage{
+		folder: folder, identity: identity, log: log, snapshotIndex: snapshot.Index,
+		needsReset: isReplaced(snapshot, recovered.Entries),
+	}, state, nil
+}
+
+// isReplaced reports whether entries have to be dropped before any that follow the snapshot are appended to them.
+func isReplaced(snapshot consensus.Snapshot, entries []consensus.Entry) bool {
+	if len(entries) == 0 || entries[0].Index > snapshot.Index {
+		return false
+	}
+	for _, entry := range entries {
+		if entry.Index == snapshot.Index {
+			return entry.Term != snapshot.Term
+		}
+	}
+	return true
+}
+
+// append makes a hard state (may be nil) and entries durable. Before its first entries it drops those that the
+// snapshot replaces. It has the errors of wal.Log.Append.
+func (s *storage) append(hard *consensus.HardState, entries []consensus.Entry) error {
+	if s.needsReset {
+		if err := s.resetLog(); err != nil {
+			return err
+		}
+	}
+	return s.log.Append(hard, entries)
+}
+
+func (s *storage) resetLog() error {
+	if err := s.log.Reset(); err != nil {
+		return err
+	}
+	s.needsReset = false
+	return nil
 }
 
 // entriesAfter returns the entries that follow the snapshot. It returns none if the
@@ -131,5 +169,5 @@
 	if err := s.markFormed(); err != nil {
 		return err
 	}
-	return s.log.Reset()
+	return s.resetLog()
 }
