wal: each removal of a segment is synced before the next one

Operators could see: a member that lost power during a compaction of its log found the log damaged at each start.

Cause: several segments were removed with one sync of the folder after them. Of removals that are not synced, a loss of power may undo any, so an older segment could come back without the newer one that follows it.

Why this works: at most one removal is not synced at any time, so what is left is always a suffix.

Test: TestRemovalOfSegmentsSurvivesALossOfPower; with the loop as before (one sync at the end) "entry 9 follows entry 2: the log is damaged".

--- a/wal/wal.go
+++ b/wal/wal.go
@@ -81,6 +81,8 @@
 	buffer     bytes.Buffer
 	hardState  consensus.HardState
 	firstError error
+	// syncFolder makes the removal of segments durable. Tests replace it.
+	syncFolder func(folder string) error
 }
 
 type segment struct {
@@ -99,7 +101,7 @@
 	if err := os.MkdirAll(options.Folder, folderMode); err != nil {
 		return nil, Recovered{}, eris.Wrapf(err, "create log folder %s", options.Folder)
 	}
-	log := &Log{options: options}
+	log := &Log{options: options, syncFolder: SyncFolder}
 	recovered, err := log.recover()
 	if err != nil {
 		return nil, Recovered{}, err
@@ -239,9 +241,10 @@
 	return l.removeBefore(index)
 }
 
+// removeBefore syncs each removal before the next one: after a loss of power, any of those since the last sync may be
+// undone, and a log that lacks a segment between others is damaged.
 func (l *Log) removeBefore(keepFrom uint64) error {
 	kept := l.segments[:0]
-	removed := false
 	prefix := true
 	for i, old := range l.segments {
 		prefix = prefix && old.lastIndex < keepFrom && i < len(l.segments)-1
@@ -253,13 +256,12 @@
 		if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
 			return l.recordError(eris.Wrapf(err, "remove log segment %s", path))
 		}
-		removed = true
+		if err := l.syncFolder(l.options.Folder); err != nil {
+			return l.recordError(err)
+		}
 	}
 	l.segments = kept
-	if !removed {
-		return nil
-	}
-	return l.recordError(SyncFolder(l.options.Folder))
+	return nil
 }
 
 // write adds a record to the buffer.
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -302,3 +302,43 @@
 		}
 	})
 }
+
+// Guards against a log that is refused as damaged after a loss of power during a compaction, which undid the removal of
+// an older segment and not that of a newer one.
+func TestRemovalOfSegmentsSurvivesALossOfPower(t *testing.T) {
+	is := is.New(t)
+	options := Options{Folder: t.TempDir(), SegmentSize: 100}
+	writeLog(t, options, 20)
+	log, _, err := Open(options)
+	is.NoErr(err)
+	saved := t.TempDir()
+	is.NoErr(os.CopyFS(saved, os.DirFS(options.Folder)))
+	synced, err := segmentNames(options.Folder)
+	is.NoErr(err)
+	syncs := 0
+	log.syncFolder = func(folder string) error {
+		syncs++
+		left, err := segmentNames(folder)
+		is.NoErr(err)
+		removed := slices.DeleteFunc(slices.Clone(synced), func(name string) bool { return slices.Contains(left, name) })
+		for undone := range 1 << len(removed) {
+			after := t.TempDir()
+			is.NoErr(os.CopyFS(after, os.DirFS(folder)))
+			for i, name := range removed {
+				if undone&(1<<i) != 0 {
+					data, err := os.ReadFile(filepath.Join(saved, name))
+					is.NoErr(err)
+					is.NoErr(os.WriteFile(filepath.Join(after, name), data, fileMode))
+				}
+			}
+			recovered, _, err := Open(Options{Folder: after, SegmentSize: options.SegmentSize})
+			is.NoErr(err)
+			is.NoErr(recovered.Close())
+		}
+		synced = left
+		return SyncFolder(folder)
+	}
+	is.NoErr(log.RemoveBefore(10))
+	is.True(syncs > 0)
+	is.NoErr(log.Close())
+}
