ledger: a range without an entry is not free while discarded grants may be in force

Callers saw: a heartbeat of a crashed incarnation arrived seconds late while the running one, behind a restarted sidecar, waited to release its keys.

Cause: SetIncarnation discards all entries, and ReleasedRanges took a range without an entry for one that nobody was granted, so the waiting release was answered in the same millisecond.

Evidence: the case's record, keys_released of all ranges in the millisecond of the late heartbeat. Ruled out: control freed nothing by itself before that, and no grant was late.

Why this works: the ledger keeps the latest end of the grants that it discards and reports no unknown range as free before it, so the running instance's grants have expired by then.

--- a/ledger/heartbeat.go
+++ b/ledger/heartbeat.go
@@ -65,6 +65,8 @@
 	sequence     uint64
 	receivedAt   time.Duration
 	held         []limehold.KeyRange
+	// discardedUntil bounds until when an instance may hold shards whose entries were discarded.
+	discardedUntil time.Duration
 }
 
 // notification is the state of the notifications of one shard.
@@ -95,19 +97,26 @@
 )
 
 // SetIncarnation sets the incarnation of the instance. If another one was set before, its grants and the list are
-// discarded: the keys that it held are gone, and its fences do not apply to the new one.
+// discarded, as its fences do not apply to the new one. The discarded grants may still be in force: the heartbeat of
+// the new one may be a late one of an incarnation that has ended.
 func (l *Ledger) SetIncarnation(incarnation string) {
 	if incarnation == l.heartbeat.incarnation {
 		return
 	}
+	discardedUntil := l.heartbeat.discardedUntil
 	if l.heartbeat.incarnation != "" {
+		for _, e := range l.entries {
+			discardedUntil = max(discardedUntil, e.maxUntil())
+		}
 		l.entries = map[ownership.Key]*entry{}
 		l.listed = false
 	}
 	// An earlier process may have sent grants to this incarnation, so that processStart is kept. That this
 	// process knew another incarnation before does not exclude this: the other one's heartbeat may have
 	// arrived late, after that incarnation ended.
-	l.heartbeat = heartbeats{answerBytes: l.heartbeat.answerBytes, processStart: l.heartbeat.processStart, incarnation: incarnation}
+	l.heartbeat = heartbeats{
+		answerBytes: l.heartbeat.answerBytes, processStart: l.heartbeat.processStart, incarnation: incarnation, discardedUntil: discardedUntil,
+	}
 }
 
 // RecordHeartbeat records a heartbeat. It returns false, and does nothing, if the heartbeat is not the newest.
@@ -325,7 +334,8 @@
 func (l *Ledger) LastHeartbeat() time.Duration { return l.heartbeat.receivedAt }
 
 // ReleasedRanges returns those of the ranges that the instance no longer holds and cannot hold again: by its report,
-// with the token that it gave, because every grant has expired, or because the range has no entry.
+// with the token that it gave, because every grant has expired, or because the range has no entry and every grant
+// whose entry was discarded has expired.
 // The release of the shards must have begun.
 func (l *Ledger) ReleasedRanges(ranges []limehold.KeyRange, now time.Duration) []limehold.ReleasedRange {
 	byRange := make(map[limehold.KeyRange]*entry, len(l.entries))
@@ -335,6 +345,9 @@
 	var free []limehold.ReleasedRange
 	for _, ranged := range ranges {
 		e := byRange[ranged]
+		if e == nil && now < l.heartbeat.discardedUntil {
+			continue
+		}
 		if e == nil || e.notified.released || e.maxUntil() <= now {
 			released := limehold.ReleasedRange{KeyRange: ranged}
 			if e != nil {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -311,6 +311,33 @@
 	}
 }
 
+// Guards against two instances that hold the same keys: a late heartbeat of an incarnation that had ended made the ledger
+// discard what the running one had been granted, and a release that waited for the running one was answered at once.
+func TestLateHeartbeatDoesNotFreeWhatIsInRelease(t *testing.T) {
+	for name, incarnations := range map[string][]string{
+		"the late one is the newest":   {"i-1"},
+		"the running one has returned": {"i-1", "i-2"},
+		"two late ones":                {"i-1", "i-0", "i-2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := New(Options{Shards: testShards, Hold: testHold, ProcessStart: start - 10*testHold})
+			l.SetIncarnation("i-2")
+			l.SetLease(7, start+4*second)
+			l.ReplaceGrants(7, grantsOf(2, "", 5), start)
+			answer := l.heartbeatAnswer(1, start)
+			is.True(answer.Renews)
+			l.BeginRelease(grantsOf(2, "", 5))
+			for _, incarnation := range incarnations {
+				l.SetIncarnation(incarnation)
+			}
+			ranges := []limehold.KeyRange{keyRange(5, 5, 2)}
+			is.Equal(len(l.ReleasedRanges(ranges, start+RealHold(answer.Hold)-1)), 0) // the running one may hold it
+			is.Equal(len(l.ReleasedRanges(ranges, start+RealHold(answer.Hold))), 1)   // all grants have expired
+		})
+	}
+}
+
 // A heartbeat sent before the instance accepted the last answer, and received long after it, must not free
 // the keys that the answer granted, or two instances hold them.
 func TestLateHeartbeatDoesNotFreeWhatAnAnswerGave(t *testing.T) {
