ingress: only begin times show that an incarnation is a successor

Cause: without begin times, an incarnation counted as the successor of the one before if that had been announcing for 6 s, and control frees a predecessor's keys at once. How long one incarnation has been heard does not show when another one began.

Why this works: the claim needs begin times now. Without them the keys are freed by a probe that the new incarnation answers at the address, as for one that was heard briefly, or by the lease's end.

Test: TestInstanceStartProvesTheEndOfTheOneBeforeOnlyIfItBeganLater.

--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -83,9 +83,8 @@
 	// newest is the incarnation accepted last among those that announce when they began.
 	newest incarnation.ID
 	// firstAnnounced is when the current incarnation was first announced. isSuccessor is set if
-	// that incarnation is known to have begun after the previous one: either by their begin
-	// times, or because the previous one had been announcing for longer than any
-	// announcement is delayed, so that each earlier incarnation would have been announced.
+	// that incarnation is known by their begin times to have begun after the previous one. Without
+	// begin times nothing shows it: an announcement of an earlier incarnation may arrive at any time.
 	firstAnnounced time.Duration
 	isSuccessor    bool
 	// ended is the incarnation that is known to have ended.
@@ -192,7 +191,7 @@
 	i.updateCold(announced, now)
 	if !sameIncarnation {
 		later, ordered := announced.From().Follows(before.From())
-		i.isSuccessor = ordered && later || !ordered && before.ID != "" && now-i.firstAnnounced > maxAnnouncementDelay
+		i.isSuccessor = ordered && later
 		i.firstAnnounced = now
 		i.beginIncarnation(announced, before)
 	} else if before.Slots != announced.Slots {
--- a/ingress/instance_test.go
+++ b/ingress/instance_test.go
@@ -328,8 +328,8 @@
 	is.True(i.Announce(announcementOf("i-3", 11, 1)))
 }
 
-// The keys of the previous incarnation count as free only if the current one is known to have begun
-// after it.
+// Guards against keys that count as free while the previous incarnation still runs: a late announcement of one that had
+// ended was taken for a successor's, as the previous one had been announcing for long.
 func TestInstanceStartProvesTheEndOfTheOneBeforeOnlyIfItBeganLater(t *testing.T) {
 	for name, c := range map[string]struct {
 		before, present Announcement
@@ -338,7 +338,7 @@
 	}{
 		"born later":                           {announcementOf("i-1", 10, 1), announcementOf("i-2", 20, 1), 0, true},
 		"times not said, before heard briefly": {announcementOf("i-1", 0, 1), announcementOf("i-2", 0, 1), maxAnnouncementDelay / 2, false},
-		"times not said, before heard long":    {announcementOf("i-1", 0, 1), announcementOf("i-2", 0, 1), maxAnnouncementDelay + time.Second, true},
+		"times not said, before heard long":    {announcementOf("i-1", 0, 1), announcementOf("i-2", 0, 1), maxAnnouncementDelay + time.Second, false},
 		"born in the same millisecond":         {announcementOf("i-1", 10, 1), announcementOf("i-2", 10, 1), 0, false},
 		"none before":                          {Announcement{}, announcementOf("i-2", 0, 1), 0, false},
 	} {
