consensus: the search over losses covers groups of five voters

TestReplacementSurvivesALossAtEachStep plays a replacement in groups of five voters as well, in which two machines may lose their disks.

--- a/consensus/replacement_test.go
+++ b/consensus/replacement_test.go
@@ -77,11 +77,12 @@
 	index, term uint64
 }
 
-func newReplacement(t *testing.T, order replacementOrder, fate oldVoterFate) *replacement {
+func newReplacement(t *testing.T, voters int, order replacementOrder, fate oldVoterFate) *replacement {
 	t.Helper()
-	g, leader := newElectedGroup(t, 3)
+	g, leader := newElectedGroup(t, voters)
 	g.stalled = map[MemberID]bool{}
-	r := &replacement{group: g, initial: leader.Configuration(), leaderID: leader.ID(), old: leader.ID()%3 + 1, order: order, fate: fate}
+	old := leader.ID()%MemberID(voters) + 1
+	r := &replacement{group: g, initial: leader.Configuration(), leaderID: leader.ID(), old: old, order: order, fate: fate}
 	g.start(spareID, Snapshot{}, nil, HardState{})
 	next := r.initial.Clone()
 	next.Members = append(next.Members, Member{ID: spareID, Name: "spare", Learner: true})
@@ -200,25 +201,34 @@
 	return nil
 }
 
-// searchLosses plays a replacement with a loss of each member before each step, and returns what went wrong. No more
-// than one machine loses its disk.
-func searchLosses(t *testing.T, order replacementOrder, fate oldVoterFate) (failures []string, runs int) {
+// isTolerated reports whether the group has to survive the loss of a victim beside that of the old voter: less than half
+// of the machines lose their disks.
+func (r *replacement) isTolerated(victim MemberID, victimLosesDisk bool) bool {
+	if victim == r.old {
+		return r.fate == leavesPlanned
+	}
+	bothLoseDisks := victimLosesDisk && r.fate == losesDisk && victim != spareID
+	return !bothLoseDisks || len(r.initial.Members) > 3
+}
+
+// searchLosses plays a replacement with a loss of each member before each step, and returns what went wrong.
+func searchLosses(t *testing.T, voters int, order replacementOrder, fate oldVoterFate) (failures []string, runs int) {
 	t.Helper()
-	for _, victimLosesDisk := range []bool{true, false} {
-		for i := range 4 {
+	victims := []MemberID{spareID}
+	for id := range MemberID(voters) {
+		victims = append(victims, id+1)
+	}
+	for _, victim := range victims {
+		for _, losesDisk := range []bool{true, false} {
 			for step, steps := 1, 1; step <= steps; step++ {
-				r := newReplacement(t, order, fate)
-				victim := r.initial.Members[(int(r.leaderID)-1+i)%3].ID
-				if i == 3 {
-					victim = spareID
-				}
-				if victim == r.old && fate != leavesPlanned || victimLosesDisk && fate == losesDisk && victim != spareID {
+				r := newReplacement(t, voters, order, fate)
+				if !r.isTolerated(victim, losesDisk) {
 					break
 				}
 				var err error
-				steps, err = r.run(step, victim, victimLosesDisk)
+				steps, err = r.run(step, victim, losesDisk)
 				if runs++; err != nil {
-					failures = append(failures, fmt.Sprintf("member %d of leader %d is lost before step %d, with its disk %t: %v", victim, r.leaderID, step, victimLosesDisk, err))
+					failures = append(failures, fmt.Sprintf("member %d of leader %d is lost before step %d, with its disk %t: %v", victim, r.leaderID, step, losesDisk, err))
 				}
 			}
 		}
@@ -235,14 +245,17 @@
 // Guards against a replacement of a voter that leaves the group without a leader for good, or loses a committed
 // command, when one more member is lost before any of its steps.
 func TestReplacementSurvivesALossAtEachStep(t *testing.T) {
-	for name, fate := range oldVoterFates {
-		t.Run(name, func(t *testing.T) {
-			failures, runs := searchLosses(t, replaceJointly, fate)
-			for _, failure := range failures {
-				t.Error(failure)
-			}
-			t.Logf("%d runs", runs)
-		})
+	for _, voters := range []int{3, 5} {
+		for name, fate := range oldVoterFates {
+			t.Run(fmt.Sprintf("%d voters, %s", voters, name), func(t *testing.T) {
+				t.Parallel()
+				failures, runs := searchLosses(t, voters, replaceJointly, fate)
+				for _, failure := range failures {
+					t.Error(failure)
+				}
+				t.Logf("%d runs", runs)
+			})
+		}
 	}
 }
 
@@ -258,7 +271,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			failures, runs := searchLosses(t, test.order, test.fate)
+			failures, runs := searchLosses(t, 3, test.order, test.fate)
 			if len(failures) == 0 {
 				t.Errorf("no failure in %d runs", runs)
 			} else {
@@ -302,7 +315,7 @@
 // Guards against a joint change that stays half done when its leader is lost after it was committed.
 func TestNextLeaderCompletesAJointChange(t *testing.T) {
 	is := is.New(t)
-	r := newReplacement(t, replaceJointly, leavesPlanned)
+	r := newReplacement(t, 3, replaceJointly, leavesPlanned)
 	leader := r.members[r.leaderID]
 	_, err := leader.ProposeJointConfiguration(r.now, withSpare(withoutVoter(leader.Configuration(), r.old)))
 	is.NoErr(err)
@@ -324,7 +337,7 @@
 // Guards against a joint change that members of an earlier version could not follow.
 func TestJointChangeWaitsForMembersOfEarlierVersions(t *testing.T) {
 	is := is.New(t)
-	r := newReplacement(t, replaceJointly, leavesPlanned)
+	r := newReplacement(t, 3, replaceJointly, leavesPlanned)
 	leader := r.members[r.leaderID]
 	leader.progress[r.old].decodesJoint = false
 	_, err := leader.ProposeJointConfiguration(r.now, withSpare(withoutVoter(leader.Configuration(), r.old)))
