consensus: tests for a joint change without the old voters, and for changes during one

Two mutations were noticed by no test: leaving a joint configuration before it is committed, and accepting another change while one is in force. TestJointChangeNeedsAMajorityOfTheOldVoters and TestNoChangeIsAcceptedInAJointConfiguration fail with them. One more is left: a leader that completes a joint configuration of an earlier term before its own first entry is committed.

--- a/consensus/replacement_test.go
+++ b/consensus/replacement_test.go
@@ -334,6 +334,49 @@
 	is.True(next.Configuration().IsVoter(spareID))
 }
 
+// Guards against a joint change that is completed by the new voters alone: the old ones could elect another leader.
+func TestJointChangeNeedsAMajorityOfTheOldVoters(t *testing.T) {
+	is := is.New(t)
+	r := newReplacement(t, 3, replaceJointly, leavesPlanned)
+	leader := r.members[r.leaderID]
+	for _, member := range r.initial.Members {
+		r.partitioned[member.ID] = member.ID != r.leaderID
+	}
+	before := leader.CommitIndex()
+	replaceJointly(r.now, leader, r.old)
+	r.advance(testTiming.ElectionMin)
+	is.True(leader.Configuration().IsJoint())
+	is.Equal(leader.CommitIndex(), before)
+}
+
+// Guards against a change that takes the place of the configuration which has to follow a joint one.
+func TestNoChangeIsAcceptedInAJointConfiguration(t *testing.T) {
+	is := is.New(t)
+	r := newReplacement(t, 3, replaceJointly, leavesPlanned)
+	leader := r.members[r.leaderID]
+	third := r.old%3 + 1
+	replaceJointly(r.now, leader, r.old)
+	// Only the third voter answers, so that the leader's own write commits the joint configuration.
+	output := leader.TakeOutput()
+	for _, message := range output.Early {
+		if message.To == third {
+			r.members[third].Step(r.now, message)
+		}
+	}
+	written := r.members[third].TakeOutput()
+	r.members[third].NotifyDurable(r.now, &written)
+	for _, message := range append(written.Early, written.Messages...) {
+		leader.Step(r.now, message)
+	}
+	leader.NotifyDurable(r.now, &output)
+	is.Equal(leader.CommitIndex(), leader.LastIndex())
+	is.True(leader.Configuration().IsJoint())
+	_, err := leader.ProposeConfiguration(r.now, leader.Configuration().Settled())
+	is.Equal(err, ErrChangePending)
+	r.advance(testTiming.Heartbeat)
+	is.Equal(leader.Configuration().IsJoint(), false)
+}
+
 // Guards against a joint change that members of an earlier version could not follow.
 func TestJointChangeWaitsForMembersOfEarlierVersions(t *testing.T) {
 	is := is.New(t)
