control: in a group with earlier versions, a lost voter is removed before its successor is promoted

Operators would have seen: in a group with a member of an earlier version, which cannot take part in a joint change, a lost voter was never replaced. Nobody has; found by reading the diff again.

Cause: the second choice was to promote the learner first. It is refused since a promotion must not need the learner's own vote, which it does with one of three voters lost.

Why this works: the voter that is lost counts in neither quorum, so its removal and then the promotion can be committed by the others. The window in which another voter's loss costs the quorum is left to groups with earlier versions. A leaving member that has no vote any more is answered at once.

--- a/control/leave.go
+++ b/control/leave.go
@@ -75,8 +75,8 @@
 		if !status.Ready {
 			return nil, m.notLeader("replace a leaving voter")
 		}
-		leaving, found := status.Configuration.Find(request.ID)
-		if !found {
+		leaving, _ := status.Configuration.Find(request.ID)
+		if !status.Configuration.IsVoter(request.ID) {
 			return &wire.LeaveReply{}, nil
 		}
 		learner, ready := readyLearner(status, progressByID(status))
--- a/control/voters.go
+++ b/control/voters.go
@@ -212,8 +212,8 @@
 	return max(peer.Silence, peer.Stalled) > limit
 }
 
-// nextChange returns the most urgent configuration change, or none if none is needed. Each further change is for a
-// group whose members do not support the one before it.
+// nextChange returns the most urgent configuration change, or none if none is needed. A second change is for a group
+// whose members do not all support the first one.
 //
 // Invariants:
 //   - A process becomes a voter only after the leader has observed that it holds everything committed at that time;
@@ -234,7 +234,8 @@
 			return []memberChange{promote(learner)}
 		}
 		if len(lost) > 0 {
-			return []memberChange{replaceVoter("remove lost voter "+lost[0].Name, lost[0], learner), promote(learner)}
+			step := "remove lost voter " + lost[0].Name
+			return []memberChange{replaceVoter(step, lost[0], learner), removeMember(step, lost[0])}
 		}
 	}
 	for _, member := range configuration.Members {
