--- a/consensus/doc.go
+++ b/consensus/doc.go
@@ -6,7 +6,8 @@
 //
 // Extensions to the basic algorithm: pre-vote, check-quorum, a leader lease,
 // snapshots with log compaction, learners, and configuration changes of one
-// voter at a time or, by joint consensus, of several. docs/design/0001-replication.md gives the reasons.
+// voter at a time or, by joint consensus, of several.
+// docs/design/0001-replication.md gives the reasons.
 //
 // Clock readings are time.Duration values since an arbitrary fixed origin on the
 // local machine's monotonic clock. Readings of two members are never compared
