--- a/review/.standin-2/case_release.go
+++ b/review/.standin-2/case_release.go
@@ -21,7 +21,7 @@
 	surplusShare = 0.03
 	// faulty of the old instances send surplus answers; replaced of them are replaced.
 	old, faulty, replaced = 5, 3, 2
-	troubleTime  = 5 * time.Second
+	troubleTime           = 5 * time.Second
 )
 
 // The busy keys, which sit close together.
