--- a/codec/codec.go
+++ b/codec/codec.go
@@ -74,6 +74,20 @@
 	return nil
 }
 
+// EncodeFields encodes the fields of a struct as an array. Types whose EncodeMsgpack calls it can leave out their last
+// fields while these are empty; see DecodeFields.
+func EncodeFields(encoder *msgpack.Encoder, fields ...any) error {
+	if err := encoder.EncodeArrayLen(len(fields)); err != nil {
+		return eris.Wrap(err, "encode the number of fields")
+	}
+	for i, field := range fields {
+		if err := encoder.Encode(field); err != nil {
+			return eris.Wrapf(err, "encode field %d", i)
+		}
+	}
+	return nil
+}
+
 // DecodeFields decodes an array into the fields of a struct and returns how many it held. Types whose
 // DecodeMsgpack calls it can be read from records that were written before their last fields were added: required
 // is the number of fields without those.
--- a/consensus/encoding.go
+++ b/consensus/encoding.go
@@ -18,15 +18,7 @@
 	if c.IsJoint() {
 		fields = append(fields, c.Outgoing)
 	}
-	if err := encoder.EncodeArrayLen(len(fields)); err != nil {
-		return err
-	}
-	for _, field := range fields {
-		if err := encoder.Encode(field); err != nil {
-			return err
-		}
-	}
-	return nil
+	return codec.EncodeFields(encoder, fields...)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
--- a/control/member.go
+++ b/control/member.go
@@ -310,6 +310,7 @@
 	wire.KindEndSession:  {wire.RoleAgent},
 	wire.KindOpenSession: {wire.RoleAgent}, wire.KindRenew: {wire.RoleAgent},
 	wire.KindReleased: {wire.RoleAgent}, wire.KindDrainSelf: {wire.RoleAgent},
+	wire.KindRecordDeparture: {wire.RoleAgent}, wire.KindDepartures: {wire.RoleAgent},
 	wire.KindWatch: {wire.RoleRouter}, wire.KindConfirm: {wire.RoleRouter},
 	wire.KindReport: {wire.RoleRouter}, wire.KindTrial: {wire.RoleRouter},
 	wire.KindTakeQuota: {wire.RoleRouter, wire.RoleAgent, wire.RoleControl},
@@ -344,6 +345,10 @@
 		return decodeAndHandle(payload, func(r *wire.Released) (*wire.ReleasedReply, error) { return m.released(ctx, r) })
 	case wire.KindDrainSelf:
 		return decodeAndHandle(payload, func(r *wire.DrainSelf) (*wire.ReleasedReply, error) { return m.drainSelf(ctx, conn, r) })
+	case wire.KindRecordDeparture:
+		return decodeAndHandle(payload, func(r *wire.RecordDeparture) (any, error) { return struct{}{}, m.recordDeparture(ctx, conn, r) })
+	case wire.KindDepartures:
+		return m.departures(ctx, conn)
 	case wire.KindWatch:
 		return decodeAndHandle(payload, func(r *wire.Watch) (any, error) { return struct{}{}, m.watch(conn, r) })
 	case wire.KindReport:
--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -107,6 +107,8 @@
 		return a.updateQuarantine(command.UpdateQuarantine)
 	case command.ClaimTrial != nil:
 		return a.claimTrial(command.ClaimTrial)
+	case command.RecordDeparture != nil:
+		return a.recordDeparture(command.RecordDeparture)
 	}
 	return Result{Failure: &catalog.Failure{Code: catalog.FailureInvalid, Message: "the command is empty or of a newer version"}}
 }
--- a/fleet/command.go
+++ b/fleet/command.go
@@ -44,6 +44,8 @@
 	ReleaseRequest   *ReleaseRequest
 	UpdateQuarantine *UpdateQuarantine
 	ClaimTrial       *ClaimTrial
+
+	RecordDeparture *RecordDeparture
 }
 
 // ApplyTemplate creates or replaces a template and updates its services.
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -56,6 +56,8 @@
 	Quarantine quarantine.Table
 	// DrainOrders holds the nodes that operators have drained, by name.
 	DrainOrders map[string]DrainOrder
+	// Departures holds what the instances of nodes have announced about their end, by node.
+	Departures map[string]NodeDepartures
 }
 
 // NewState returns the state before the first command.
@@ -69,6 +71,7 @@
 		Zones:      map[string]Zone{},
 
 		DrainOrders: map[string]DrainOrder{},
+		Departures:  map[string]NodeDepartures{},
 	}
 }
 
@@ -91,6 +94,9 @@
 	if state.Zones == nil {
 		state.Zones = map[string]Zone{}
 	}
+	if state.Departures == nil {
+		state.Departures = map[string]NodeDepartures{}
+	}
 	state.Catalog.Reindex()
 	state.Membership.Reindex()
 	state.Ownership.Reindex()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -59,6 +59,8 @@
 	OnRun func(requestID string, deadline time.Duration)
 	// OnRepeat, if not nil, is called with the ID and the deadline of each repeat before the instance receives it.
 	OnRepeat func(requestID string, deadline time.Duration)
+	// Departures keeps what the instance announces about its end. If nil, that ends with this process.
+	Departures limehold.DepartureStore
 	// RelayTo reports whether connections may be relayed to an address; see relay. If
 	// nil, no connection is relayed.
 	RelayTo func(address string) bool
--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -15,6 +15,7 @@
 	"limehold/agent"
 	"limehold/clock"
 	"limehold/crashreport"
+	"limehold/departure"
 	"limehold/fleet"
 	"limehold/incarnation"
 	"limehold/ledger"
@@ -62,7 +63,8 @@
 //     has just started may receive the announcement of the earlier incarnation last.
 //   - Once an announcement of draining or a departure was acknowledged, no request reaches the
 //     incarnation later than the drain time after it, unless it announces before its departure
-//     that it is no longer draining.
+//     that it is no longer draining. This holds for later processes too: an announcement is
+//     acknowledged once control has it, and no request is sent before control was asked for it.
 type Instance struct {
 	options Options
 	logger  *zap.Logger
@@ -76,10 +78,18 @@
 	// drainingSince is when the current incarnation first announced that it is draining, or departed; 0 if
 	// it is not draining.
 	drainingSince time.Duration
+	// drainingSequence is that of the first of the announcements of draining up to the newest one; 0 if that is none.
+	drainingSequence uint64
 	// departed holds the incarnations that have departed, superseded those that
 	// another one has followed, and departedUnannounced those that departed without having
 	// been announced to this process.
 	departed, superseded, departedUnannounced *incarnation.RecentSet
+	// departuresKnown is set once what earlier processes have recorded is adopted: saidLeaving are the incarnations whose
+	// answers said that they leave, and drainedAt the sequences of the announcements with which others began to drain.
+	departuresKnown bool
+	saidLeaving     *incarnation.RecentSet
+	drainedAt       map[incarnation.ID]uint64
+	departures      *departures
 	// newest is the incarnation accepted last among those that announce when they began.
 	newest incarnation.ID
 	// firstAnnounced is when the current incarnation was first announced. isSuccessor is set if
@@ -146,6 +156,8 @@
 	}
 	i.crashCount = options.Metrics.CounterVec("ingress", "instance_ends_total", "Instances that ended without having said that they would, by how it showed.", "cause")
 	i.unreadable = options.Metrics.CounterVec("ingress", "answer_fields_unreadable_total", "Header fields of the instance's answers that were ignored because they could not be read, by field.", "field")
+	i.saidLeaving, i.drainedAt = incarnation.NewRecentSet(maxFormerIncarnations), map[incarnation.ID]uint64{}
+	i.departures, i.departuresKnown = newDepartures(options), options.Departures == nil
 	i.keys = newKeyHolder(options)
 	i.probe = newColdProbe(i)
 	i.limitProbe = newLimitProbe(i)
@@ -164,8 +176,8 @@
 	return notifier.answer(ledger.Report{Instance: announced.From().String(), Sequence: announced.Sequence, Holds: holds, Released: released}, !announced.Draining)
 }
 
-// Announce processes an announcement; it counts as acknowledged once Announce returns. It
-// reports whether the announcement was accepted. An announcement is not accepted if it is
+// Announce processes an announcement. One of draining may be acknowledged once AwaitRecorded has
+// returned, any other at once. Announce reports whether the announcement was accepted. An announcement is not accepted if it is
 // not the newest of its incarnation, if its incarnation is a former one or has departed, or
 // if it does not belong to this instance.
 func (i *Instance) Announce(announced Announcement) bool {
@@ -199,10 +211,13 @@
 	}
 	if isFirst && announced.Draining {
 		// It may have been draining for as long as this process has been away.
-		i.drainingSince = now - i.options.Settings.Ingress.DrainTime - 1
+		i.drainingSince = i.drainedBefore()
 		i.logger.Info("instance_draining", zap.Stringer("instance", announced.From()), zap.Uint64("sequence", announced.Sequence), zap.String("since", "before this process heard of it"))
 	}
 	i.updateDraining(announced, now)
+	if announced.Draining {
+		i.departures.record(departure.Notice{Kind: departure.Draining, Incarnation: announced.From(), Sequence: i.drainingSequence})
+	}
 	return true
 }
 
@@ -210,7 +225,7 @@
 // that supersedes it. The mutex is held.
 func (i *Instance) accepts(announced Announcement, now time.Duration) bool {
 	incarnation, current := announced.From(), i.current.From()
-	if i.hasDeparted(incarnation) {
+	if i.hasDeparted(incarnation) || announced.Sequence <= i.drainedAt[incarnation] {
 		return false
 	}
 	if later, known := i.newest.Follows(incarnation); known && later && i.isKnown && now-i.announcedAt < maxAnnouncementDelay {
@@ -234,14 +249,9 @@
 	return now-i.announcedAt >= successorSilentAfterMissed*i.options.Settings.Ingress.AnnounceEvery
 }
 
-// hasDeparted reports whether an incarnation has departed. The mutex is held.
-func (i *Instance) hasDeparted(sender incarnation.ID) bool {
-	return i.departed.Has(sender) || i.departedUnannounced.Has(sender) || i.departedUnannounced.HasLater(sender)
-}
-
 // beginIncarnation resets the state that was derived from the previous incarnation. The mutex is held.
 func (i *Instance) beginIncarnation(announced, before Announcement) {
-	i.drainingSince = 0
+	i.drainingSince, i.drainingSequence = 0, 0
 	i.probe.markUncertain("new incarnation")
 	i.slowdown.reset()
 	i.load.reset()
@@ -249,6 +259,7 @@
 	i.gate.forgetRunTimes()
 	i.setLimit(0, i.firstAnnounced)
 	i.reports = selfReports{}
+	i.applyDepartures(announced)
 	i.gate.resize(i.usableSlots(announced.Slots))
 	i.logger.Info("instance_started", zap.String("instance", announced.ID), zap.Stringer("before", before.From()),
 		zap.String("service", announced.Service), zap.Int("slots", announced.Slots), zap.String("version", announced.Version), zap.Uint64("sequence", announced.Sequence), zap.Int64("born", announced.StartedAt))
@@ -256,6 +267,11 @@
 
 // updateDraining records whether the current incarnation is draining. The mutex is held.
 func (i *Instance) updateDraining(announced Announcement, now time.Duration) {
+	if !announced.Draining {
+		i.drainingSequence = 0
+	} else if i.drainingSequence == 0 {
+		i.drainingSequence = announced.Sequence
+	}
 	switch {
 	case announced.Draining && i.drainingSince == 0:
 		i.drainingSince = now
@@ -271,37 +287,6 @@
 	return max(1, int(float64(slots)*i.options.Settings.Ingress.SlotShare))
 }
 
-// Depart records an instance's departure, which counts as acknowledged once Depart returns.
-// A departure names no incarnation: it applies to the current one if that has the ID, or
-// else to the last one that had it.
-func (i *Instance) Depart(id string) {
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	if !i.isKnown || i.current.ID != id {
-		i.departFormer(id)
-		return
-	}
-	departing := i.current.From()
-	i.departed.Add(departing)
-	if i.drainingSince == 0 {
-		i.drainingSince = clock.Now()
-	}
-	i.logger.Info("instance_departed", zap.Stringer("instance", departing))
-	i.requestCheck()
-}
-
-// departFormer records the departure of an incarnation that is not the current one. If the
-// incarnation was never announced to this process, its start time is unknown, but it is before
-// now by the clock of this machine. The mutex is held.
-func (i *Instance) departFormer(id string) {
-	if former, known := i.superseded.Latest(id); known {
-		i.departed.Add(former)
-		return
-	}
-	i.departedUnannounced.Add(incarnation.ID{ID: id})
-	i.departedUnannounced.Add(incarnation.ID{ID: id, StartedAt: time.Now().UnixMilli()})
-}
-
 // instanceState is the state of the instance at one moment, as the gate uses it.
 type instanceState struct {
 	id string
@@ -328,6 +313,8 @@
 	defer i.mutex.Unlock()
 	state := instanceState{id: i.current.ID, started: i.current.StartedAt, service: i.current.Service, version: i.current.Version}
 	switch {
+	case !i.departuresKnown:
+		state.rejectReason = wire.BackendReasonStarting
 	case !i.isKnown || i.ended == i.current.From():
 		state.rejectReason = reasonNoInstance
 	case i.drainingSince != 0 && now-i.drainingSince > i.options.Settings.Ingress.DrainTime-drainMargin:
@@ -342,6 +329,7 @@
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	parts.Go(func() { i.keys.notifier.Run(ctx) })
+	parts.Go(func() { i.departures.run(ctx, i.adoptDepartures) })
 	parts.Go(func() { i.probe.run(ctx) })
 	parts.Go(func() { i.limitProbe.run(ctx) })
 	parts.Go(func() { i.predecessorProof.run(ctx) })
@@ -438,7 +426,7 @@
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	fresh := now-i.announcedAt < unhealthyAfterMissed*i.options.Settings.Ingress.AnnounceEvery
-	return i.current.From().String(), i.isKnown && i.ended != i.current.From() && (fresh || i.drainingSince != 0)
+	return i.current.From().String(), i.isKnown && i.departuresKnown && i.ended != i.current.From() && (fresh || i.drainingSince != 0)
 }
 
 // HasEnded implements agent.Backend.
--- a/ingress/selfreport.go
+++ b/ingress/selfreport.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"limehold/clock"
+	"limehold/departure"
 	"limehold/incarnation"
 	"limehold/settings"
 	"limehold/wire"
@@ -145,6 +146,7 @@
 		return
 	}
 	i.reports.leaving = true
+	i.departures.record(departure.Notice{Kind: departure.Leaving, Incarnation: i.current.From()})
 	if begin := now - since; i.drainingSince == 0 || begin < i.drainingSince {
 		i.drainingSince = begin
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -22,6 +22,7 @@
 	"limehold/agent"
 	"limehold/callchain"
 	"limehold/clock"
+	"limehold/departure"
 	"limehold/ingress"
 	"limehold/logging"
 	"limehold/metrics"
@@ -86,6 +87,7 @@
 		CrashReports: p.router.CrashReports(),
 		OnRun:        runs.Add,
 		OnRepeat:     repeats.Add,
+		Departures:   agentDepartures{p},
 		RelayTo:      p.router.IsControlAddress,
 		RoutesTo:     p.router.RoutesTo,
 		ZoneDraining: func() (bool, time.Duration) { return p.router.ZoneDraining(config.Zone) },
@@ -117,6 +119,19 @@
 	return p, nil
 }
 
+// agentDepartures is the store of departures at the agent, which is created after the ingress.
+type agentDepartures struct{ process *Process }
+
+// RecordDeparture implements limehold.DepartureStore.
+func (d agentDepartures) RecordDeparture(ctx context.Context, notice departure.Notice) error {
+	return d.process.agent.RecordDeparture(ctx, notice)
+}
+
+// Departures implements limehold.DepartureStore.
+func (d agentDepartures) Departures(ctx context.Context) (departure.List, error) {
+	return d.process.agent.Departures(ctx)
+}
+
 func (p *Process) listen(config settings.Settings) error {
 	var err error
 	if p.admin, err = net.Listen("tcp", config.Admin.Listen); err != nil {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -9,6 +9,7 @@
 
 	"limehold/catalog"
 	"limehold/consensus"
+	"limehold/departure"
 	"limehold/fleet"
 	"limehold/loadview"
 	"limehold/membership"
@@ -50,6 +51,9 @@
 	KindReleased    Kind = 22
 	KindDrainSelf   Kind = 23
 	KindEndSession  Kind = 25
+	// From agents to the leader, and to any member. Members of earlier versions answer both with an error.
+	KindRecordDeparture Kind = 26
+	KindDepartures      Kind = 27
 	// From the leader to agents.
 	KindAssignments Kind = 24
 
@@ -310,6 +314,12 @@
 	Cause   string
 }
 
+// RecordDeparture asks control to keep what the instance of the sender's node has announced about its end.
+type RecordDeparture struct{ Notice departure.Notice }
+
+// DeparturesReply lists the departures of the sender's node that were recorded before the request.
+type DeparturesReply struct{ Notices departure.List }
+
 // EndSession closes a session whose back end is known to have ended. With CloseSuperseded set, it
 // closes the sessions that Session has superseded instead, because their grants are no longer held.
 type EndSession struct {
