--- a/callchain/callchain.go
+++ b/callchain/callchain.go
@@ -4,6 +4,7 @@
 package callchain
 
 import (
+	"hash/maphash"
 	"strings"
 	"sync"
 	"time"
@@ -14,21 +15,25 @@
 	separator = "."
 	// maxRuns bounds the runs that are remembered. Those beyond it are not, and their calls count as requests of callers.
 	maxRuns = 4096
+	// maxDepth bounds how many prefixes of an ID are looked up: calls are a few levels deep.
+	maxDepth = 16
 )
 
 // Runs holds runs at one instance that may make calls. It is safe for concurrent use.
 type Runs struct {
 	now   func() time.Duration
 	mutex sync.Mutex
-	// until holds, by request ID, the time until which the run may make calls.
-	until map[string]time.Duration
+	// seed is that of the digests of request IDs, which may be long.
+	seed maphash.Seed
+	// until holds, by the digest of the request ID, the time until which the run may make calls.
+	until map[uint64]time.Duration
 	// sweepAt is when expired runs are removed next.
 	sweepAt time.Duration
 }
 
 // New returns an empty Runs that reads the time from now.
 func New(now func() time.Duration) *Runs {
-	return &Runs{now: now, until: map[string]time.Duration{}}
+	return &Runs{now: now, seed: maphash.MakeSeed(), until: map[uint64]time.Duration{}}
 }
 
 // sweepInterval is the interval at which expired runs are removed.
@@ -43,16 +48,17 @@
 		r.removeExpired(now)
 	}
 	if len(r.until) < maxRuns {
-		r.until[requestID] = max(r.until[requestID], deadline)
+		digest := maphash.String(r.seed, requestID)
+		r.until[digest] = max(r.until[digest], deadline)
 	}
 }
 
 // removeExpired removes the runs whose deadline has passed. The mutex is held.
 func (r *Runs) removeExpired(now time.Duration) {
 	r.sweepAt = now + sweepInterval
-	for id, until := range r.until {
+	for digest, until := range r.until {
 		if until <= now {
-			delete(r.until, id)
+			delete(r.until, digest)
 		}
 	}
 }
@@ -61,14 +67,16 @@
 func (r *Runs) HasCall(requestID string) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for parent := requestID; ; {
+	now, parent := r.now(), requestID
+	for range maxDepth {
 		at := strings.LastIndex(parent, separator)
 		if at <= 0 {
 			return false
 		}
 		parent = parent[:at]
-		if r.until[parent] > r.now() {
+		if r.until[maphash.String(r.seed, parent)] > now {
 			return true
 		}
 	}
+	return false
 }
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"limehold/clock"
+	"limehold/logging"
 	"limehold/upstream"
 	"limehold/wire"
 )
@@ -105,6 +106,7 @@
 		result.err, result.reason = errCallerGone, reasonCallerGone
 		return result
 	}
+	conn.ReserveForID(p.requestID)
 	result.conn = conn
 	if p.upload != nil {
 		i.exchangeUpload(p, result)
@@ -203,7 +205,7 @@
 		return
 	}
 	if answered := string(response.Header.Peek(p.names.RequestID)); answered != p.requestID {
-		fail(reasonCrossedAnswer, eris.Errorf("response of instance %s is for request %q, want %q", p.instance.id, answered, p.requestID))
+		fail(reasonCrossedAnswer, eris.Errorf("response of instance %s is for request %q, want %q", p.instance.id, logging.ShortID(answered), logging.ShortID(p.requestID)))
 		return
 	}
 	if response.StatusCode() != fasthttp.StatusMisdirectedRequest {
--- a/ingress/proxyrequest.go
+++ b/ingress/proxyrequest.go
@@ -163,7 +163,7 @@
 		request.Error("this ingress failed\n", fasthttp.StatusInternalServerError)
 		return
 	}
-	logging.LogPanic(i.logger, "forward request", request.RemoteAddr().String(), cause, zap.String("request", p.requestID), zap.String("attempt", p.attemptID))
+	logging.LogPanic(i.logger, "forward request", request.RemoteAddr().String(), cause, logging.RequestID(p.requestID), zap.String("attempt", p.attemptID))
 	request.SetConnectionClose()
 	i.write(request, p, fasthttp.StatusBadGateway, wire.OutcomeUnknown, reasonPanicked)
 	if p.admitted {
@@ -261,7 +261,7 @@
 	i.parseLoadView(p, header)
 	p.identity = crashreport.Identify(&request.Request, names.Caller, names.Tenant)
 	if numbers.err != nil {
-		i.logger.Warn("request_unreadable", append(logging.ErrorFields("read headers", request.RemoteAddr().String(), numbers.err), zap.String("request", p.requestID))...)
+		i.logger.Warn("request_unreadable", append(logging.ErrorFields("read headers", request.RemoteAddr().String(), numbers.err), logging.RequestID(p.requestID))...)
 	}
 	return p, numbers.err == nil && p.attemptID != "" && p.service != "" && len(header.Peek(wire.HeaderDeadline)) > 0
 }
@@ -274,7 +274,7 @@
 	}
 	state, err := wire.ParseInstanceState(string(text))
 	if err != nil {
-		i.logger.Warn("instance_state_unreadable", append(logging.ErrorFields("read instance state", "router", err), zap.String("request", p.requestID))...)
+		i.logger.Warn("instance_state_unreadable", append(logging.ErrorFields("read instance state", "router", err), logging.RequestID(p.requestID))...)
 		return
 	}
 	p.told, p.hasTold = state, true
@@ -288,7 +288,7 @@
 	}
 	var err error
 	if p.loads, err = loadview.ParseEntries(text); err != nil {
-		i.logger.Info("load_reports_unreadable", append(logging.ErrorFields("read load reports", "router", err), zap.String("request", p.requestID))...)
+		i.logger.Info("load_reports_unreadable", append(logging.ErrorFields("read load reports", "router", err), logging.RequestID(p.requestID))...)
 		return
 	}
 	p.sharesLoads = true
@@ -408,7 +408,7 @@
 	}
 	if result.err != nil {
 		i.logger.Info("exchange_failed", append(logging.ErrorFields("exchange", p.instance.id, result.err),
-			zap.String("request", p.requestID), zap.String("attempt", p.attemptID), zap.String("reason", result.reason),
+			logging.RequestID(p.requestID), zap.String("attempt", p.attemptID), zap.String("reason", result.reason),
 			zap.Bool("sent", result.state == exchangeUnknown), zap.Stringer("identity", p.identity))...)
 	}
 	i.release(p)
@@ -540,7 +540,7 @@
 // is negative if the instance does not announce it.
 func (i *Ingress) logForwarded(p *proxyRequest, status, size int, ran time.Duration) {
 	if line := i.logger.Check(zap.InfoLevel, logging.EventRequestPassed); line != nil {
-		line.Write(zap.String("request", p.requestID), zap.String("attempt", p.attemptID), zap.String("instance", p.instance.id),
+		line.Write(logging.RequestID(p.requestID), zap.String("attempt", p.attemptID), zap.String("instance", p.instance.id),
 			zap.String("route", p.route), zap.Int("priority", p.priority), zap.Int("status", status), zap.Int("size", size), zap.Duration("target", p.target),
 			zap.Duration("waited", p.sent-p.arrived), zap.Duration("ran", ran), zap.Duration("link", clock.Now()-p.sent-ran))
 	}
@@ -579,7 +579,7 @@
 	request.Response.Header.Set(wire.HeaderFromIngress, "1")
 	if line := i.logger.Check(zap.InfoLevel, "attempt_refused"); line != nil {
 		load := i.gate.load()
-		line.Write(zap.String("request", p.requestID), zap.String("attempt", p.attemptID), zap.String("reason", reason),
+		line.Write(logging.RequestID(p.requestID), zap.String("attempt", p.attemptID), zap.String("reason", reason),
 			zap.String("instance", p.instance.id), zap.Int("running", load.running), zap.Int("waiting", load.waiting), zap.Int("slots", load.slots), zap.Float64("limit", i.gate.namedLimit()),
 			zap.Bool("returning", p.rejectedBefore), zap.String("route", p.route), zap.Uint64("version", p.version), zap.Duration("target", p.target), zap.Uint32("shard", p.shard), zap.Uint64("epoch", p.epoch), zap.Duration("waited", clock.Now()-p.arrived), zap.Duration("retry_after", retryAfter))
 	}
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -89,6 +89,7 @@
 		result.err, result.reason = errCallerGone, rejectCallerGone.reason
 		return result
 	}
+	conn.ReserveForID(request.displayID)
 	result.conn = conn
 	attemptID := request.nextAttemptID()
 	if err := r.write(request, conn, attemptID, node); err != nil {
--- a/router/proxy.go
+++ b/router/proxy.go
@@ -79,7 +79,7 @@
 		id = p.displayID
 	}
 	r.metrics.panics.Inc()
-	logging.LogPanic(r.logger, "handle request", request.RemoteAddr().String(), cause, zap.String("request", id))
+	logging.LogPanic(r.logger, "handle request", request.RemoteAddr().String(), cause, logging.RequestID(id))
 	request.SetConnectionClose()
 	r.metrics.count(wire.OutcomeUnknown, reasonPanicked)
 	r.writeOutcome(request, id, wire.OutcomeUnknown, reasonPanicked, fasthttp.StatusBadGateway,
@@ -356,7 +356,7 @@
 func (r *Router) logAttempt(p *proxiedRequest, node *wire.NodeView, result *attempt) {
 	if result.state == attemptUnknown || result.state == attemptNotSent {
 		r.logger.Info("attempt_failed", append(logging.ErrorFields("attempt", node.Name, result.err),
-			zap.String("request", p.displayID), zap.String("service", p.service.name), zap.String("reason", result.reason),
+			logging.RequestID(p.displayID), zap.String("service", p.service.name), zap.String("reason", result.reason),
 			zap.Bool("sent", result.state == attemptUnknown), zap.Int("attempt", p.attempts), zap.Stringer("identity", p.identity))...)
 	}
 }
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -58,7 +58,7 @@
 		r.logger.Info("trial_not_taken", logging.ErrorFields("take trial", conn.Peer.Name, err)...)
 		return 0
 	}
-	r.logger.Info("trial", zap.String("request", p.displayID), zap.Stringer("digest", history.Digest), zap.Uint64("number", trial.Number), zap.Bool("given", reply.Granted))
+	r.logger.Info("trial", logging.RequestID(p.displayID), zap.Stringer("digest", history.Digest), zap.Uint64("number", trial.Number), zap.Bool("given", reply.Granted))
 	if !reply.Granted {
 		return 0
 	}
--- a/router/request.go
+++ b/router/request.go
@@ -144,9 +144,6 @@
 	return p.id + "." + strconv.Itoa(p.attempts)
 }
 
-// maxRequestIDLength is the length in bytes up to which a caller's request ID is used.
-const maxRequestIDLength = 128
-
 // newRequestID returns a random request ID. Attempt IDs are derived from it rather than from the
 // caller's ID, because a caller may use its own ID twice.
 func newRequestID() string {
@@ -160,15 +157,27 @@
 	return hex.EncodeToString(random[:])
 }
 
-// requestIDOr returns the caller's request ID, or generated if it has none that is usable.
+// requestIDOr returns the caller's request ID as it was sent, or generated if it has none.
 func (r *Router) requestIDOr(request *fasthttp.RequestCtx, generated string) string {
 	own := request.Request.Header.Peek(r.options.Settings.Headers.RequestID)
-	if len(own) == 0 || len(own) > maxRequestIDLength {
+	if len(own) == 0 {
 		return generated
 	}
 	return string(own)
 }
 
+// checkRequestID rejects a request that does not have exactly one ID, unless it has none and the settings allow that.
+func (r *Router) checkRequestID(request *fasthttp.RequestCtx) rejection {
+	ids := request.Request.Header.PeekAll(r.options.Settings.Headers.RequestID)
+	switch {
+	case len(ids) > 1:
+		return rejectSeveralRequestIDs
+	case r.options.Settings.Router.RequireRequestID && (len(ids) == 0 || len(ids[0]) == 0):
+		return rejectNoRequestID
+	}
+	return rejection{}
+}
+
 // prepare determines service, route, key and deadline of a request, or rejects it.
 func (r *Router) prepare(request *fasthttp.RequestCtx) (*proxiedRequest, rejection) {
 	if early, rejected := earlyRejections[string(request.Request.Header.Peek(headerRejected))]; rejected {
@@ -207,6 +216,9 @@
 		p.callerDeadline = now + timeout
 		p.rejectedBefore = p.routed != nil && p.routed.stats.isReturning(timeout)
 	}
+	if rejected := r.checkRequestID(request); rejected.isSet() {
+		return nil, rejected
+	}
 	return p, r.assign(request, p, found, rest)
 }
 
--- a/router/response.go
+++ b/router/response.go
@@ -30,7 +30,7 @@
 	r.metrics.count(wire.OutcomeOK, "")
 	r.options.bodySent(max(0, result.response.Header.ContentLength()))
 	if entry := r.logger.Check(zap.InfoLevel, logging.EventRequestAnswered); entry != nil {
-		entry.Write(zap.String("request", p.displayID), zap.String("service", p.service.name), zap.String("route", p.routeName()),
+		entry.Write(logging.RequestID(p.displayID), zap.String("service", p.service.name), zap.String("route", p.routeName()),
 			zap.Uint64("version", p.tableVersion()), zap.Duration("view_age", p.viewAge), zap.Int("status", response.StatusCode()), zap.Int("attempts", p.attempts),
 			zap.Uint64("session", uint64(id)), zap.Duration("took", clock.Now()-p.started))
 	}
@@ -54,7 +54,7 @@
 	p.tracker.Track(result.conn)
 	// Transferring a body may take longer than the route's timeout.
 	if err := result.conn.ClearDeadline(); err != nil {
-		r.logger.Info("deadline_not_cleared", append(logging.ErrorFields("clear deadline", result.conn.Address, err), zap.String("request", p.displayID))...)
+		r.logger.Info("deadline_not_cleared", append(logging.ErrorFields("clear deadline", result.conn.Address, err), logging.RequestID(p.displayID))...)
 	}
 	status := response.StatusCode()
 	body := &responseBody{router: r, request: p, attempt: result, stream: result.response.BodyStream(), release: func(outcome admission.Outcome) {
@@ -111,7 +111,7 @@
 		service = p.service.name
 	}
 	if entry := r.logger.Check(zap.InfoLevel, "request_refused"); entry != nil {
-		entry.Write(zap.String("request", id), zap.String("service", service), zap.String("route", p.routeName()), zap.Uint64("version", p.tableVersion()),
+		entry.Write(logging.RequestID(id), zap.String("service", service), zap.String("route", p.routeName()), zap.Uint64("version", p.tableVersion()),
 			zap.Duration("view_age", p.viewAgeAtMatch()), zap.String("reason", rejected.reason), zap.Int("status", rejected.status), zap.Duration("retry_after", rejected.retryAfter),
 			zap.Int("attempts", p.attemptCount()), zap.Bool("returning", p != nil && p.rejectedBefore), zap.String("tenant", p.tenantName()))
 	}
@@ -123,7 +123,7 @@
 	r.writeOutcome(request, p.displayID, wire.OutcomeUnknown, reason, fasthttp.StatusBadGateway,
 		"the request was sent, and it is unknown whether it ran: look before you send it again")
 	setRevision(&request.Response, p)
-	r.logger.Info("request_unknown", zap.String("request", p.displayID), zap.String("service", p.service.name), zap.String("route", p.routeName()),
+	r.logger.Info("request_unknown", logging.RequestID(p.displayID), zap.String("service", p.service.name), zap.String("route", p.routeName()),
 		zap.Uint64("version", p.tableVersion()), zap.Duration("view_age", p.viewAge), zap.String("reason", reason), zap.Bool("repeatable", p.repeatable),
 		zap.Int("attempts", p.attempts), zap.Duration("took", clock.Now()-p.started), zap.Stringer("identity", p.identity))
 }
--- a/router/retry.go
+++ b/router/retry.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"limehold/clock"
+	"limehold/logging"
 	"limehold/wire"
 )
 
@@ -18,7 +19,7 @@
 	}
 	p.service.budget.charge()
 	r.metrics.repeatedCalls.WithLabelValues(p.service.name).Inc()
-	r.logger.Info("repeated_call", zap.String("request", p.displayID), zap.String("service", p.service.name), zap.Float64("credit", p.service.budget.credit()))
+	r.logger.Info("repeated_call", logging.RequestID(p.displayID), zap.String("service", p.service.name), zap.Float64("credit", p.service.budget.credit()))
 }
 
 // isRepeat reports whether the next attempt is a repeat.
@@ -105,7 +106,7 @@
 
 // logRetry logs the decision on a retry that is a repeat.
 func (r *Router) logRetry(event string, p *proxiedRequest, result *attempt, charged bool) {
-	r.logger.Info(event, zap.String("request", p.displayID), zap.String("service", p.service.name), zap.String("reason", result.reason),
+	r.logger.Info(event, logging.RequestID(p.displayID), zap.String("service", p.service.name), zap.String("reason", result.reason),
 		zap.Bool("reached", result.reachedBackend), zap.Int("attempt", p.attempts), zap.Bool("charged", charged), zap.Float64("credit", p.service.budget.credit()))
 }
 
--- a/router/supersede.go
+++ b/router/supersede.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"limehold/clock"
+	"limehold/logging"
 	"limehold/wire"
 )
 
@@ -72,7 +73,7 @@
 	former := p.routed
 	waitStart := clock.Now()
 	arrived := r.awaitRouteTable(p, version)
-	r.logger.Info("route_superseded", zap.String("request", p.displayID), zap.String("route", p.routeName()), zap.Uint64("version", p.tableVersion()),
+	r.logger.Info("route_superseded", logging.RequestID(p.displayID), zap.String("route", p.routeName()), zap.Uint64("version", p.tableVersion()),
 		zap.Uint64("by", version), zap.Bool("known", arrived), zap.Duration("waited", clock.Now()-waitStart), zap.Duration("view_age", p.viewAge))
 	if !arrived {
 		former.supersededBy.Store(version)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -201,6 +201,8 @@
 	// RetryRatio is how many retries of a service's requests all routers together may make for each request, if
 	// RetrySlack is set. What it exceeds the service's retry budget by can be saved in part. Default 0.
 	RetryRatio float64 `yaml:"retry_ratio"`
+	// RequireRequestID rejects requests without an ID. By default the router generates one for them. Default false.
+	RequireRequestID bool `yaml:"require_request_id"`
 	// LoadView makes the router learn the load of the instances of services that are not divided by key from other routers
 	// too: requests and answers carry load reports of other instances, up to 150 bytes each. Default false.
 	LoadView bool `yaml:"load_view"`
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -98,6 +98,19 @@
 	return conn, nil
 }
 
+// usualIDLength is the length of a request ID up to which the reader has room for a response header that repeats it.
+const usualIDLength = 1 << 10
+
+// ReserveForID makes room in the reader for a response header that repeats the ID of its request, which may take up the
+// whole header of a request. It has to be called before the request is sent.
+func (c *Conn) ReserveForID(id string) {
+	wanted := bufferSize + len(id)
+	if len(id) <= usualIDLength || c.Reader.Size() >= wanted || c.Reader.Buffered() > 0 {
+		return
+	}
+	c.Reader = bufio.NewReaderSize(c.Raw, wanted)
+}
+
 // takeIdle returns the connection used last, so that surplus connections expire.
 func (p *Pool) takeIdle(address string) *Conn {
 	p.mutex.Lock()
