--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -95,7 +95,7 @@
 		result.reason = wire.BackendReasonDeadline
 		return result
 	}
-	conn, err := i.upstreams.Get(i.options.Settings.Ingress.Instance, remaining)
+	conn, err := i.upstreams.GetFor(i.options.Settings.Ingress.Instance, p.requestID, p.deadline)
 	if err != nil {
 		i.instance.connectionFailed(err)
 		result.err, result.reason = err, reasonUnreachable
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -48,6 +49,8 @@
 	// only the pool's limit applies.
 	PeerIdleTimeout time.Duration
 	idleSince       time.Duration
+	// sent holds the requests that were sent over the connection; see Pool.GetFor.
+	sent sentIDs
 	// deadline is set while a request uses the connection.
 	deadline atomic.Pointer[clock.Deadline]
 }
@@ -72,8 +75,13 @@
 
 // Get returns an idle connection that is usable, or dials; timeout bounds only the dial.
 func (p *Pool) Get(address string, timeout time.Duration) (*Conn, error) {
+	return p.get(address, timeout, func(*Conn) bool { return true })
+}
+
+// get returns an idle connection that is usable and accepted, or dials.
+func (p *Pool) get(address string, timeout time.Duration, accepts func(*Conn) bool) (*Conn, error) {
 	for {
-		conn := p.takeIdle(address)
+		conn := p.takeIdle(address, accepts)
 		if conn == nil {
 			break
 		}
@@ -111,24 +119,24 @@
 	c.Reader = bufio.NewReaderSize(c.Raw, wanted)
 }
 
-// takeIdle returns the connection used last, so that surplus connections expire.
-func (p *Pool) takeIdle(address string) *Conn {
+// takeIdle returns the connection used last among those that are accepted, so that surplus connections expire.
+func (p *Pool) takeIdle(address string, accepts func(*Conn) bool) *Conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for at := len(list) - 1; at >= 0; at-- {
+		if conn := list[at]; accepts(conn) {
+			p.idle[address] = slices.Delete(list, at, at+1)
+			return conn
+		}
 	}
-	last := list[len(list)-1]
-	list[len(list)-1] = nil
-	p.idle[address] = list[:len(list)-1]
-	return last
+	return nil
 }
 
 // Put returns a connection to the pool after its response was read to its end. It closes the
-// connection if further bytes have been received or its deadline cannot be cleared.
+// connection if further bytes have been received, its deadline cannot be cleared, or it has no room for further IDs.
 func (p *Pool) Put(conn *Conn) {
-	if conn.Reader.Buffered() > 0 {
+	if conn.Reader.Buffered() > 0 || conn.sent.isFull() {
 		conn.Close()
 		return
 	}
