--- a/router/rejection.go
+++ b/router/rejection.go
@@ -39,6 +39,7 @@
 	rejectBadRequest        = rejection{"bad-request", fasthttp.StatusBadRequest, "the request is ambiguous or malformed", 0}
 	rejectNoRequestID       = rejection{"no-request-id", fasthttp.StatusBadRequest, "the request does not carry an ID: send one in the header field of the router's setting headers.request_id", 0}
 	rejectSeveralRequestIDs = rejection{"several-request-ids", fasthttp.StatusBadRequest, "the request carries its ID more than once: send exactly one", 0}
+	rejectIncompleteBody    = rejection{"incomplete-body", fasthttp.StatusBadRequest, "the connection ended before the whole body had arrived", 0}
 	rejectBodyTooLarge      = rejection{"body-too-large", fasthttp.StatusRequestEntityTooLarge, "the request's body exceeds the route's limit", 0}
 	rejectHeaderTooLarge    = rejection{"header-too-large", fasthttp.StatusRequestHeaderFieldsTooLarge, "the request's header exceeds the router's limit", 0}
 	rejectRetiring          = rejection{"retiring", fasthttp.StatusGone, "the service is being retired", 0}
--- a/router/request.go
+++ b/router/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/hex"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -71,7 +72,7 @@
 	outbound       *fasthttp.Request
 	bodyUsed       bool
 	// body is set when the request's body is streamed.
-	body *limitedBody
+	body *checkedBody
 	// bodyAhead is set when the body is read ahead.
 	bodyAhead *bodyAhead
 	caller    net.Conn
@@ -355,12 +356,16 @@
 // after a rejection; a longer one is streamed and sent once. It returns a rejection if
 // the body ends early or exceeds the limit before anything has been sent.
 func (r *Router) attachBody(request *fasthttp.RequestCtx, p *proxiedRequest) rejection {
+	length := request.Request.Header.ContentLength()
 	if !request.Request.IsBodyStream() {
-		p.outbound.SetBodyRaw(request.Request.Body())
+		body := request.Request.Body()
+		if len(body) < length {
+			return rejectIncompleteBody
+		}
+		p.outbound.SetBodyRaw(body)
 		return rejection{}
 	}
-	p.body = &limitedBody{source: request.RequestBodyStream(), remaining: p.route.MaxRequestBytes}
-	length := request.Request.Header.ContentLength()
+	p.body = newCheckedBody(request.RequestBodyStream(), p.route.MaxRequestBytes, length)
 	if length > bufferedBody {
 		p.outbound.SetBodyStream(r.readAhead(p, length), length)
 		return rejection{}
@@ -374,6 +379,8 @@
 		return rejection{}
 	case p.body.exceeded:
 		return rejectBodyTooLarge
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return rejectIncompleteBody
 	case err != nil:
 		return rejectBadRequest
 	}
