--- a/ingress/departures_test.go
+++ b/ingress/departures_test.go
@@ -99,6 +99,12 @@
 			i.Announce(announcementOf("i-1", 10, 6))
 			i.Announce(drainingOf("i-1", 10, 7))
 		}, after: []Announcement{announcementOf("i-1", 10, 6)}, want: noInstance},
+		"draining, of two whose order is unknown": {before: func(i *Instance) {
+			i.Announce(announcementOf("i-3", 0, 1))
+			i.Announce(drainingOf("i-2", 0, 5)) // accepted as a successor
+			i.Announce(announcementOf("i-4", 0, 1))
+			i.Announce(drainingOf("i-3", 0, 5)) // superseded, while another one keeps announcing
+		}, after: []Announcement{announcementOf("i-3", 0, 4)}, want: noInstance},
 		"it said in answers that it leaves": {before: func(i *Instance) { i.mutex.Lock(); i.setLeaving(clock.Now(), 0); i.mutex.Unlock() }, after: []Announcement{announcementOf("i-1", 10, 3)}, want: wire.BackendReasonDraining},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/ingress/instance.go
+++ b/ingress/instance.go
@@ -188,6 +188,9 @@
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	if !i.accepts(announced, now) {
+		if announced.Draining {
+			i.keepDrain(announced)
+		}
 		return false
 	}
 	before, isFirst := i.current, !i.isKnown
--- a/ingress/instancedeparture.go
+++ b/ingress/instancedeparture.go
@@ -33,6 +33,28 @@
 	i.requestCheck()
 }
 
+// keepDrain keeps an announcement of draining that was not accepted, unless it is older than what is known of its sender. If
+// the order of its sender and the current incarnation is unknown, the sender may be the one that runs, and relies on the
+// acknowledgement. The mutex is held.
+func (i *Instance) keepDrain(announced Announcement) {
+	sender, current := announced.From(), i.current.From()
+	if sender == current || i.hasDeparted(sender) || announced.Sequence <= i.drainedAt[sender] {
+		return
+	}
+	if earlier, known := current.Follows(sender); known && earlier {
+		return
+	}
+	if len(i.drainedAt) < maxFormerIncarnations {
+		i.drainedAt[sender] = announced.Sequence
+	}
+	i.departures.record(departure.Notice{Kind: departure.Draining, Incarnation: sender, Sequence: announced.Sequence})
+	if sender.ID == current.ID && i.drainingSince == 0 {
+		// Requests name the identity only.
+		i.drainingSince = clock.Now()
+	}
+	i.logger.Info("instance_draining", zap.Stringer("instance", sender), zap.Uint64("sequence", announced.Sequence), zap.Stringer("current", current))
+}
+
 // departFormer records the departure of an incarnation that is not the current one. If the
 // incarnation was never announced to this process, its start time is unknown, but it is before
 // now by the clock of this machine. The mutex is held.
