--- a/departure/departure.go
+++ b/departure/departure.go
@@ -30,17 +30,17 @@
 	Incarnation incarnation.ID
 	// Sequence is that of the announcement by which an incarnation began to drain; 0 for the other kinds.
 	Sequence uint64
-	// Earlier is set on a departure that named only an identity: it covers all incarnations of it that began no later than
+	// CoversEarlier is set on a departure that named only an identity: it covers all incarnations of it that began no later than
 	// Incarnation, and those that do not tell when they began.
-	Earlier bool
+	CoversEarlier bool
 }
 
 // includes reports whether a notice says all that another one says.
 func (n Notice) includes(other Notice) bool {
-	if n.Incarnation.ID != other.Incarnation.ID || n.Earlier != other.Earlier {
+	if n.Incarnation.ID != other.Incarnation.ID || n.CoversEarlier != other.CoversEarlier {
 		return false
 	}
-	if n.Earlier {
+	if n.CoversEarlier {
 		return n.Incarnation.StartedAt >= other.Incarnation.StartedAt
 	}
 	return n.Incarnation == other.Incarnation && (n.Kind > other.Kind || n.Kind == other.Kind && n.Sequence >= other.Sequence)
--- a/departure/departure_test.go
+++ b/departure/departure_test.go
@@ -28,7 +28,7 @@
 		"drained after departed": {List{{Kind: Departed, Incarnation: first}, {Kind: Draining, Incarnation: first, Sequence: 4}}, List{{Kind: Departed, Incarnation: first}}},
 		"another start":          {List{{Kind: Departed, Incarnation: first}, {Kind: Draining, Incarnation: second, Sequence: 1}}, List{{Kind: Departed, Incarnation: first}, {Kind: Draining, Incarnation: second, Sequence: 1}}},
 		"another identity":       {List{{Kind: Departed, Incarnation: first}, {Kind: Departed, Incarnation: other}}, List{{Kind: Departed, Incarnation: first}, {Kind: Departed, Incarnation: other}}},
-		"all up to a later time": {List{{Kind: Departed, Incarnation: first, Earlier: true}, {Kind: Departed, Incarnation: second, Earlier: true}}, List{{Kind: Departed, Incarnation: second, Earlier: true}}},
+		"all up to a later time": {List{{Kind: Departed, Incarnation: first, CoversEarlier: true}, {Kind: Departed, Incarnation: second, CoversEarlier: true}}, List{{Kind: Departed, Incarnation: second, CoversEarlier: true}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/ingress/instancedeparture.go
+++ b/ingress/instancedeparture.go
@@ -41,7 +41,7 @@
 	if sender == current || i.hasDeparted(sender) || announced.Sequence <= i.drainedAt[sender] {
 		return
 	}
-	if earlier, known := current.Follows(sender); known && earlier {
+	if isLater, known := current.Follows(sender); known && isLater {
 		return
 	}
 	if len(i.drainedAt) < maxFormerIncarnations {
@@ -67,7 +67,7 @@
 	last := incarnation.ID{ID: id, StartedAt: time.Now().UnixMilli()}
 	i.departedUnannounced.Add(incarnation.ID{ID: id})
 	i.departedUnannounced.Add(last)
-	i.departures.record(departure.Notice{Kind: departure.Departed, Incarnation: last, Earlier: true})
+	i.departures.record(departure.Notice{Kind: departure.Departed, Incarnation: last, CoversEarlier: true})
 }
 
 // hasDeparted reports whether an incarnation has departed. The mutex is held.
@@ -95,7 +95,7 @@
 // adoptDeparture adopts one notice. The mutex is held.
 func (i *Instance) adoptDeparture(notice departure.Notice) {
 	switch {
-	case notice.Kind == departure.Departed && notice.Earlier:
+	case notice.Kind == departure.Departed && notice.CoversEarlier:
 		i.departedUnannounced.Add(incarnation.ID{ID: notice.Incarnation.ID})
 		i.departedUnannounced.Add(notice.Incarnation)
 	case notice.Kind == departure.Departed:
