--- a/peerconn/peerconn.go
+++ b/peerconn/peerconn.go
@@ -122,13 +122,30 @@
 }
 
 // DoAlone makes one call over a connection to an incarnation that carries no other one, so that its answer is that of this
-// call. It returns ErrIncarnationGone, without having sent anything, if there is none.
+// call. It returns ErrIncarnationGone, without having sent anything, if there is none; Connect then connects anew.
 func (s *Set) DoAlone(incarnation uint64, call func(conn *upstream.Conn) error) error {
 	conn := s.acquire(incarnation, func(idle *upstream.Conn) bool { return !idle.HasCarried() })
+	if conn == nil {
+		s.closeIdle(incarnation)
+	}
 	_, err := s.callOver(conn, incarnation, func(conn *upstream.Conn) (bool, error) { return false, call(conn) })
 	return err
 }
 
+// closeIdle closes the idle connections to an incarnation. Those that have carried calls verify no others, so that Connect would
+// keep an incarnation to which no call could be made alone any more.
+func (s *Set) closeIdle(incarnation uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.incarnation != incarnation {
+		return
+	}
+	for _, conn := range s.idle {
+		conn.Close()
+	}
+	s.idle = nil
+}
+
 // callOver makes a call over a connection that acquire has returned.
 func (s *Set) callOver(conn *upstream.Conn, incarnation uint64, call func(conn *upstream.Conn) (keep bool, err error)) (isOwn bool, err error) {
 	if conn == nil {
--- a/peerconn/peerconn_test.go
+++ b/peerconn/peerconn_test.go
@@ -231,3 +231,29 @@
 	is.Equal(len(s.idle), verified-1)
 	is.Equal(len(s.unverified), 1)
 }
+
+// Guards against an incarnation to which no call can be made alone any more, because only connections that have carried calls
+// are left, which verify no others.
+func TestConnectsAnewWhenNoCallCanBeMadeAlone(t *testing.T) {
+	is := is.New(t)
+	e := listen(t, "127.0.0.1:0")
+	defer e.stop()
+	s := newSet(e.listener.Addr().String())
+	defer s.Close()
+	first, err := s.Connect(t.Context())
+	is.NoErr(err)
+	_, err = s.Do(first, echoCall)
+	is.NoErr(err)
+	unansweredAlone := func(*upstream.Conn) error { return errNoAnswer }
+	for err = errNoAnswer; errors.Is(err, errNoAnswer); {
+		err = s.DoAlone(first, unansweredAlone)
+	}
+	is.Equal(err, ErrIncarnationGone)
+	next, err := s.Connect(t.Context())
+	is.NoErr(err)
+	is.Equal(next, first+1)
+	is.NoErr(s.DoAlone(next, func(conn *upstream.Conn) error {
+		_, err := echoCall(conn)
+		return err
+	}))
+}
