--- a/control/admin.go
+++ b/control/admin.go
@@ -142,6 +142,9 @@
 func (m *Member) change(ctx context.Context, request *fasthttp.RequestCtx, command fleet.Command) (any, error) {
 	command.ID = commandID(request)
 	result, err := m.execute(ctx, command)
+	if command.SetZoneDraining != nil {
+		m.logZoneOrder(sourceOf(request), &command, result, err)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/control/zones.go
+++ b/control/zones.go
@@ -28,10 +28,10 @@
 	return "zone is " + `"` + u.Zone + `"` + ": use one of " + strings.Join(u.Known, ", ")
 }
 
-// SetZoneDraining starts or ends the draining of a zone. The change is durable if the
+// SetZoneDraining starts or ends the draining of a zone, as request asks. The change is durable if the
 // error is nil. After an error other than UnknownZone the change may or may not have
 // taken effect; it may be sent again, to any member.
-func (m *Member) SetZoneDraining(ctx context.Context, zone string, draining bool) error {
+func (m *Member) SetZoneDraining(ctx context.Context, request *fasthttp.RequestCtx, zone string, draining bool) error {
 	if !m.hasStarted() {
 		return m.notStarted("drain zone")
 	}
@@ -40,6 +40,7 @@
 		return err
 	}
 	result, err := m.execute(ctx, command)
+	m.logZoneOrder(sourceOf(request), &command, result, err)
 	if err != nil {
 		return err
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -159,6 +159,7 @@
 	r.table.retryLimit = admission.RetryLimit{Ratio: config.Router.RetryRatio, Slack: config.Router.RetrySlack}
 	r.table.retryDraw = rand.Float64()
 	r.table.crashReports, r.table.onReplaced = r.crashReports, r.instanceReplaced
+	r.table.onZoneChanged = r.logZone
 	r.follower, r.quotas, r.instanceStates = newFollower(r), newQuotas(r), newInstanceStates()
 	r.regionZones = zonesOfRegion(config.Regions, config.Zone)
 	r.registerMetrics()
--- a/router/table.go
+++ b/router/table.go
@@ -38,6 +38,9 @@
 	// onReplaced, if not nil, is called with a node that another process has replaced, while the
 	// mutex is held.
 	onReplaced func(former wire.NodeView)
+	// onZoneChanged, if not nil, is called with each zone that was drained or returned to service, while the
+	// mutex is held.
+	onZoneChanged func(view wire.ZoneView)
 	// removed holds, by name, nodes without an ingress that an update removed. An entry is dropped
 	// when a node of that name appears.
 	removed map[string]wire.NodeView
--- a/router/zones.go
+++ b/router/zones.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"limehold/clock"
 	"limehold/wire"
 )
@@ -23,12 +25,20 @@
 			continue
 		}
 		t.zones[view.Name] = zone{draining: view.Draining, since: clock.Now()}
+		if t.onZoneChanged != nil {
+			t.onZoneChanged(view)
+		}
 		for name := range t.pools {
 			changedPools[name] = true
 		}
 	}
 }
 
+// logZone logs that this router has learned of a drained or reopened zone.
+func (r *Router) logZone(view wire.ZoneView) {
+	r.logger.Info("zone_learned", zap.String("zone", view.Name), zap.Bool("draining", view.Draining), zap.Uint64("revision", view.Revision))
+}
+
 // ZoneDraining reports whether a zone is drained, and when this router learned of the last change;
 // since is 0 if this router has seen no change.
 func (r *Router) ZoneDraining(name string) (draining bool, since time.Duration) {
