control: orders on zones name the revision on which they are based

Cause: a member that stood still read an older order to return the zone to service when it went on. Its sender had given up on it after a second, sent it to another member, and drained the zone again since. The member based the order on the zone's newest revision, which it read when it handled the order; so the comparison of revisions, which protects orders that are delayed between members, always held.

Evidence: operator_order of the failing test shows the late order at basis=8, the revision of the newer drain, although it was sent before revision 7. Ruled out: a router that returns to an older view; zone_learned shows the same revision at both routers, and routers ignore updates of older revisions.

Fix: an order that names no revision is not carried out. It is answered with a redirect (307) to the same order with the zone's newest revision, which only a sender that still waits follows. An order that does name one takes effect only if no other order has taken effect since. No clock and no detection of a stall is involved, so that it does not matter for how long, where, or why an order was delayed.

--- a/adminapi/client.go
+++ b/adminapi/client.go
@@ -72,7 +72,14 @@
 	if err := c.http.DoTimeout(request, response, c.timeout); err != nil {
 		return eris.Wrapf(err, "%s %s at %s", call.Method, call.Path, address)
 	}
-	if response.StatusCode() >= fasthttp.StatusBadRequest {
+	if response.StatusCode() == fasthttp.StatusTemporaryRedirect {
+		// The member has named the revision on which the order is to be based.
+		request.SetRequestURIBytes(response.Header.Peek(fasthttp.HeaderLocation))
+		if err := c.http.DoTimeout(request, response, c.timeout); err != nil {
+			return eris.Wrapf(err, "%s %s at %s", call.Method, call.Path, address)
+		}
+	}
+	if response.StatusCode() >= fasthttp.StatusMultipleChoices {
 		return decodeError(address, call, response)
 	}
 	if answer == nil {
--- a/adminapi/types.go
+++ b/adminapi/types.go
@@ -15,6 +15,10 @@
 	HeaderAuthorization = "Authorization"
 )
 
+// QueryRevision is the query parameter of an order with the revision on which it is based. An order on a zone without
+// it is answered with status 307 and a Location that has it.
+const QueryRevision = "revision"
+
 // Error is the body of every answer that does not report success.
 type Error struct {
 	// Code is invalid, not_found, conflict, in_use, already_exists, read_only, not_leader, not_ready,
--- a/control/admin.go
+++ b/control/admin.go
@@ -142,8 +142,9 @@
 func (m *Member) change(ctx context.Context, request *fasthttp.RequestCtx, command fleet.Command) (any, error) {
 	command.ID = commandID(request)
 	result, err := m.execute(ctx, command)
-	if command.SetZoneDraining != nil {
-		m.logZoneOrder(sourceOf(request), &command, result, err)
+	if order := command.SetZoneDraining; order != nil {
+		zone := ZoneOrder{Zone: order.Zone, Draining: order.Draining, Basis: &order.Expected}
+		m.logOrder(request, zone.resource(), zone.action(), zone.Basis, result, err)
 	}
 	if err != nil {
 		return nil, err
@@ -178,6 +179,11 @@
 }
 
 func (m *Member) writeFailure(request *fasthttp.RequestCtx, err error) {
+	var missing *BasisMissing
+	if errors.As(err, &missing) {
+		redirectToBasis(request, missing)
+		return
+	}
 	var failure *catalog.Failure
 	if errors.As(err, &failure) {
 		writeError(request, statusOf(failure.Code), &adminapi.Error{Code: string(failure.Code), Message: failure.Message, Revision: failure.Revision})
--- a/control/zones.go
+++ b/control/zones.go
@@ -28,50 +28,71 @@
 	return "zone is " + `"` + u.Zone + `"` + ": use one of " + strings.Join(u.Known, ", ")
 }
 
-// SetZoneDraining starts or ends the draining of a zone, as request asks. The change is durable if the
-// error is nil. After an error other than UnknownZone the change may or may not have
-// taken effect; it may be sent again, to any member.
-func (m *Member) SetZoneDraining(ctx context.Context, request *fasthttp.RequestCtx, zone string, draining bool) error {
+// ZoneOrder is an operator's order to drain a zone or to return it to service.
+type ZoneOrder struct {
+	Zone     string
+	Draining bool
+	// Basis is the revision of the zone on which the order is based, nil if its sender does not name one. The order has
+	// no effect if the zone's revision is another one when it is applied.
+	Basis *uint64
+}
+
+func (z *ZoneOrder) resource() string { return "zone/" + z.Zone }
+
+func (z *ZoneOrder) action() string {
+	if z.Draining {
+		return "drain"
+	}
+	return "undrain"
+}
+
+// SetZoneDraining starts or ends the draining of a zone, as request asks. The change is durable if the error is nil.
+// The order has not taken effect after a BasisMissing or UnknownZone. After any other error it may or may not have;
+// it may be sent again, to any member, without a basis.
+func (m *Member) SetZoneDraining(ctx context.Context, request *fasthttp.RequestCtx, order ZoneOrder) error {
 	if !m.hasStarted() {
 		return m.notStarted("drain zone")
 	}
-	command, err := m.zoneCommand(ctx, zone, draining)
+	command, err := m.zoneCommand(ctx, &order)
 	if err != nil {
+		m.logOrder(request, order.resource(), order.action(), order.Basis, fleet.Result{}, err)
 		return err
 	}
 	result, err := m.execute(ctx, command)
-	m.logZoneOrder(sourceOf(request), &command, result, err)
+	m.logOrder(request, order.resource(), order.action(), order.Basis, result, err)
 	if err != nil {
 		return err
 	}
 	if result.Stale > 0 {
-		return m.zoneChanged(zone)
+		return m.zoneChanged(order.Zone)
 	}
 	return nil
 }
 
-// zoneCommand returns the command that sets whether a zone is draining. The command has no
-// effect if the zone's revision changes before it is applied.
-func (m *Member) zoneCommand(ctx context.Context, zone string, draining bool) (fleet.Command, error) {
+// zoneCommand returns the command that carries out an order on a zone.
+func (m *Member) zoneCommand(ctx context.Context, order *ZoneOrder) (fleet.Command, error) {
 	if err := m.linearize(ctx); err != nil {
 		return fleet.Command{}, err
 	}
-	change := &fleet.SetZoneDraining{Zone: zone, Draining: draining}
+	var revision uint64
 	var known []string
 	m.replica.view(func(state *fleet.State) {
-		change.Expected = state.Zones[zone].Revision
+		revision = state.Zones[order.Zone].Revision
 		known = m.knownZones(state)
 	})
-	if !slices.Contains(known, zone) {
-		return fleet.Command{}, &UnknownZone{Zone: zone, Known: known}
+	if !slices.Contains(known, order.Zone) {
+		return fleet.Command{}, &UnknownZone{Zone: order.Zone, Known: known}
 	}
-	return fleet.Command{SetZoneDraining: change}, nil
+	if order.Basis == nil {
+		return fleet.Command{}, &BasisMissing{Revision: revision}
+	}
+	return fleet.Command{SetZoneDraining: &fleet.SetZoneDraining{Zone: order.Zone, Draining: order.Draining, Expected: *order.Basis}}, nil
 }
 
 func (m *Member) zoneChanged(zone string) *wire.Error {
 	return &wire.Error{
 		Code: wire.CodeTimeout, Step: "drain zone " + zone, Peer: m.options.Settings.Name,
-		Message: "the zone was changed by another command in the meantime: send this one again if it still applies",
+		Message: "the zone was changed by another order in the meantime: send this one again if it still applies",
 	}
 }
 
@@ -112,7 +133,15 @@
 	if method != http.MethodPost || action != "drain" && action != "undrain" {
 		return nil, methodNotAllowed(method)
 	}
-	command, err := m.zoneCommand(ctx, name, action == "drain")
+	basis, err := basisOf(request)
+	if err != nil {
+		return nil, err
+	}
+	order := ZoneOrder{Zone: name, Draining: action == "drain", Basis: basis}
+	command, err := m.zoneCommand(ctx, &order)
+	if err != nil {
+		m.logOrder(request, order.resource(), order.action(), basis, fleet.Result{}, err)
+	}
 	if unknown, ok := err.(*UnknownZone); ok {
 		return nil, &catalog.Failure{Code: catalog.FailureNotFound, Message: unknown.Error()}
 	}
