fleet: an order that changes nothing supersedes earlier ones

A zone is drained, an order to return it to service is under way, and a repeated drain is acknowledged without a change. The older order is applied afterwards, and requests reach the zone.

Cause: only an order that changes a zone raised its revision, on which the comparison rests.

Evidence: on the code before, one state machine: drain at revision r, drain again, undrain based on r: the zone is in service.

Fix: the replicated state keeps the newest order on each resource, whatever it changed, and a command with an Order takes effect only if it is based on that. An order that is sent again under its command ID gets its first result although it names a newer basis; before, it was taken for another command. A conflict says who gave the newer order, and when.

Members of earlier versions cannot decode an Order. The leader leaves it out until all members that answer it can (append responses say so), a follower leaves it out towards a leader that does not know it, and states without orders keep their form.

--- a/adminapi/types.go
+++ b/adminapi/types.go
@@ -196,9 +196,10 @@
 	State  string `json:"state"`
 	Nodes  int    `json:"nodes"`
 	Shards int    `json:"shards"`
-	// Revision and Since are when operators last drained or undrained the zone.
+	// Revision is that of the newest order on the zone, on which the next one is based.
 	Revision uint64 `json:"revision,omitempty"`
-	Since    string `json:"since,omitempty"`
+	// Since is when the zone was last drained or returned to service.
+	Since string `json:"since,omitempty"`
 }
 
 // Tenant is a tenant of the route table.
--- a/consensus/core.go
+++ b/consensus/core.go
@@ -20,6 +20,7 @@
 	random           func(int64) int64
 	maxAppendEntries int
 	maxAppendBytes   int
+	entryFormat      uint64
 
 	hardState HardState
 	// issuedHardState is the newest that TakeOutput has returned to be persisted.
@@ -80,6 +81,7 @@
 		random:           options.Random,
 		maxAppendEntries: options.MaxAppendEntries,
 		maxAppendBytes:   options.MaxAppendBytes,
+		entryFormat:      options.EntryFormat,
 		hardState:        options.HardState,
 		issuedHardState:  options.HardState,
 		durableHardState: options.HardState,
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -27,6 +27,8 @@
 	diskFull bool
 	// decodesJoint is set if the peer's newest response said that it can decode joint configurations.
 	decodesJoint bool
+	// entryFormat is the newest format of entry data that the peer can decode, by its newest response.
+	entryFormat uint64
 }
 
 // snapshotTimeout is how long the leader waits for the response to a snapshot
@@ -175,6 +177,7 @@
 	peer.hasAcked = true
 	peer.diskFull = message.DiskFull
 	peer.decodesJoint = message.Forced
+	peer.entryFormat = message.LogTerm
 	peer.ackedSentAt = max(peer.ackedSentAt, message.SentAt)
 	if message.Reject {
 		c.handleRejectedAppend(message, peer)
@@ -257,6 +260,8 @@
 	AnsweredSentAt time.Duration
 	// Contacted is false if the peer has not answered this leader yet.
 	Contacted bool
+	// EntryFormat is the newest format of entry data that the peer can decode. It is valid only if Contacted is true.
+	EntryFormat uint64
 	// LostLog is true if the peer returned with less than it acknowledged.
 	LostLog bool
 	// Stalled is how long the peer has made nothing durable although it lacks committed entries.
@@ -277,7 +282,7 @@
 			list = append(list, PeerProgress{
 				ID: member.ID, Match: peer.match, Silence: c.now - peer.ackedSentAt, AnsweredSentAt: peer.ackedSentAt,
 				Contacted: peer.hasAcked, LostLog: peer.lostLog, Stalled: c.now - peer.progressAt,
-				DiskFull: peer.diskFull,
+				DiskFull: peer.diskFull, EntryFormat: peer.entryFormat,
 			})
 		}
 	}
--- a/consensus/step.go
+++ b/consensus/step.go
@@ -106,7 +106,7 @@
 	response := Message{
 		Kind: MessageAppendResponse, From: c.id, To: request.From, Term: c.hardState.Term,
 		LogIndex: request.LogIndex, Reject: reject, Match: min(match, c.durableIndex), Hint: c.log.lastIndex(), SentAt: request.SentAt,
-		DiskFull: c.diskFull, Forced: true,
+		DiskFull: c.diskFull, Forced: true, LogTerm: c.entryFormat,
 	}
 	c.early = append(c.early, response)
 	if match > c.durableIndex && !c.diskFull {
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -75,7 +75,8 @@
 	Term uint64
 
 	// LogIndex and LogTerm are those of the entry before Entries in an append, and of
-	// the candidate's last entry in a vote request.
+	// the candidate's last entry in a vote request. In an append response, LogTerm is the newest format of entry
+	// data that its sender can decode: it is 0 in those of earlier versions, which ignore it.
 	LogIndex uint64
 	LogTerm  uint64
 	Entries  []Entry
@@ -198,6 +199,8 @@
 	// MaxAppendEntries and MaxAppendBytes bound one append message.
 	MaxAppendEntries int
 	MaxAppendBytes   int
+	// EntryFormat is the newest format of entry data that this member can decode. Its leader learns of it.
+	EntryFormat uint64
 }
 
 // Output is the work that the driver must do, in this order: send Early, persist
--- a/control/admin.go
+++ b/control/admin.go
@@ -113,14 +113,16 @@
 	return &catalog.Failure{Code: catalog.FailureInvalid, Message: "method " + method + " is not supported on this path"}
 }
 
-// commandID returns the command ID of the request, or a random one if it has none.
+// commandID returns the command ID of the request. A request without one is given a random one.
 func commandID(request *fasthttp.RequestCtx) string {
 	if id := request.Request.Header.Peek(adminapi.HeaderCommandID); len(id) > 0 {
 		return string(id)
 	}
 	var random [16]byte
 	_, _ = rand.Read(random[:])
-	return hex.EncodeToString(random[:])
+	id := hex.EncodeToString(random[:])
+	request.Request.Header.Set(adminapi.HeaderCommandID, id)
+	return id
 }
 
 // expectedRevision returns the query parameter "revision". It returns
@@ -137,25 +139,35 @@
 	return revision, nil
 }
 
-// change executes a command. If the query parameter "wait" is set, it then waits
-// up to that long until the change is in force at every router.
+// changeByOrder carries out an order; see answerChange.
+func (m *Member) changeByOrder(ctx context.Context, request *fasthttp.RequestCtx, order order) (any, error) {
+	result, err := m.carryOut(ctx, request, order)
+	if err != nil {
+		return nil, err
+	}
+	if order.command.SetZoneDraining != nil && result.Stale > 0 {
+		return nil, m.zoneChanged(order.command.SetZoneDraining.Zone)
+	}
+	return m.answerChange(ctx, request, result)
+}
+
+// change executes a command; see answerChange.
 func (m *Member) change(ctx context.Context, request *fasthttp.RequestCtx, command fleet.Command) (any, error) {
 	command.ID = commandID(request)
 	result, err := m.execute(ctx, command)
-	if order := command.SetZoneDraining; order != nil {
-		zone := ZoneOrder{Zone: order.Zone, Draining: order.Draining, Basis: &order.Expected}
-		m.logOrder(request, zone.resource(), zone.action(), zone.Basis, result, err)
-	}
 	if err != nil {
 		return nil, err
 	}
+	return m.answerChange(ctx, request, result)
+}
+
+// answerChange returns the answer for a change. If the query parameter "wait" is set, it
+// first waits up to that long until the change is in force at every router.
+func (m *Member) answerChange(ctx context.Context, request *fasthttp.RequestCtx, result fleet.Result) (any, error) {
 	if result.Failure != nil {
 		return nil, result.Failure
 	}
-	if command.SetZoneDraining != nil && result.Stale > 0 {
-		return nil, m.zoneChanged(command.SetZoneDraining.Zone)
-	}
-	answer := &adminapi.ChangeResult{Revision: result.Revision, CommandID: command.ID}
+	answer := &adminapi.ChangeResult{Revision: result.Revision, CommandID: commandID(request)}
 	wait := string(request.QueryArgs().Peek("wait"))
 	if wait == "" {
 		return answer, nil
--- a/control/commands.go
+++ b/control/commands.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"limehold/clock"
 	"limehold/consensus"
@@ -93,6 +94,7 @@
 	return err.Error()
 }
 
+// executeOnce runs a command on the leader. A leader of an earlier version gets an order's command without its Order.
 func (m *Member) executeOnce(ctx context.Context, command fleet.Command) (fleet.Result, error) {
 	status := m.replica.status.Load()
 	if status.Role == consensus.RoleLeader {
@@ -105,12 +107,29 @@
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	var reply wire.ForwardReply
-	err := link.Call(ctx, wire.KindForward, &wire.Forward{Command: command}, &reply)
+	kind := wire.KindForward
+	if command.Order != nil {
+		kind = wire.KindForwardOrder
+	}
+	err := link.Call(ctx, kind, &wire.Forward{Command: command}, &reply)
+	if kind == wire.KindForwardOrder && isInvalid(err) {
+		err = link.Call(ctx, wire.KindForward, &wire.Forward{Command: command.WithoutOrder()}, &reply)
+	}
 	return reply.Result, eris.Wrapf(err, "forward command to %s", link.member.Name)
 }
 
+// isInvalid reports whether a peer has rejected a request, for example because it does not know its kind.
+func isInvalid(err error) bool {
+	var refusal *wire.Error
+	return errors.As(err, &refusal) && refusal.Code == wire.CodeInvalid
+}
+
 func (m *Member) executeLocally(ctx context.Context, command fleet.Command) (fleet.Result, error) {
 	command.At = clock.WallMillis()
+	if command.Order != nil && !m.replica.status.Load().canAllDecode(fleet.EntryFormat) {
+		m.logger.Info("order_not_sequenced", zap.String("resource", command.Order.Resource), zap.String("cause", "a member of control runs an earlier version"))
+		command = command.WithoutOrder()
+	}
 	result, err := m.replica.submit(ctx, &command)
 	if errors.Is(err, consensus.ErrNotLeader) {
 		return result, m.notLeader("commit command")
--- a/control/member.go
+++ b/control/member.go
@@ -304,7 +304,7 @@
 
 // allowedRoles maps each kind of request to the roles that may send it.
 var allowedRoles = map[wire.Kind][]wire.Role{
-	wire.KindConsensus: {wire.RoleControl}, wire.KindForward: {wire.RoleControl},
+	wire.KindConsensus: {wire.RoleControl}, wire.KindForward: {wire.RoleControl}, wire.KindForwardOrder: {wire.RoleControl},
 	wire.KindReadIndex: {wire.RoleControl}, wire.KindRouterList: {wire.RoleControl}, wire.KindLoadRelay: {wire.RoleControl},
 	wire.KindLeaderView: {wire.RoleControl}, wire.KindJoin: {wire.RoleControl}, wire.KindLeave: {wire.RoleControl},
 	wire.KindEndSession:  {wire.RoleAgent},
@@ -320,7 +320,7 @@
 	switch kind {
 	case wire.KindConsensus:
 		return nil, m.handleConsensus(conn, payload)
-	case wire.KindForward:
+	case wire.KindForward, wire.KindForwardOrder:
 		return decodeAndHandle(payload, func(r *wire.Forward) (*wire.ForwardReply, error) { return m.handleForward(ctx, r) })
 	case wire.KindReadIndex:
 		index, err := m.localReadIndex()
--- a/control/orders.go
+++ b/control/orders.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"strconv"
@@ -49,6 +50,52 @@
 	writeError(request, fasthttp.StatusTemporaryRedirect, &adminapi.Error{Code: "basis_missing", Message: missing.Error(), Revision: missing.Revision})
 }
 
+// order is an operator's order on a resource.
+type order struct {
+	resource string
+	action   string
+	// basis is the revision of the newest order on the resource that the sender has seen, nil if it does not name one.
+	basis   *uint64
+	command fleet.Command
+}
+
+// maxSenderBytes bounds the description of an order's sender in the replicated state.
+const maxSenderBytes = 128
+
+// carryOut executes an order on its basis. The result has a Failure if the order is based on an earlier order than the
+// newest one on its resource.
+func (m *Member) carryOut(ctx context.Context, request *fasthttp.RequestCtx, order order) (fleet.Result, error) {
+	result, err := m.executeOrder(ctx, request, order)
+	m.logOrder(request, order, result, err)
+	return result, err
+}
+
+func (m *Member) executeOrder(ctx context.Context, request *fasthttp.RequestCtx, order order) (fleet.Result, error) {
+	if order.basis == nil {
+		return fleet.Result{}, m.requireBasis(ctx, order.resource)
+	}
+	command := order.command
+	command.ID = commandID(request)
+	command.Order = &fleet.Order{Resource: order.resource, Action: order.action, Basis: *order.basis, Sender: m.senderOf(request)}
+	return m.execute(ctx, command)
+}
+
+// requireBasis returns a BasisMissing with the revision of the newest order on a resource, or the error of reading it.
+func (m *Member) requireBasis(ctx context.Context, resource string) error {
+	if err := m.linearize(ctx); err != nil {
+		return err
+	}
+	missing := &BasisMissing{}
+	m.replica.view(func(state *fleet.State) { missing.Revision = state.OrderRevision(resource) })
+	return missing
+}
+
+// senderOf describes the sender of an order to operators.
+func (m *Member) senderOf(request *fasthttp.RequestCtx) string {
+	sender := request.RemoteAddr().String() + " at " + m.options.Settings.Name
+	return sender[:min(len(sender), maxSenderBytes)]
+}
+
 // Outcomes of an order in the log.
 const (
 	orderAccepted   = "accepted"
@@ -57,12 +104,12 @@
 	orderUnknown    = "unknown"
 )
 
-// logOrder logs an operator's order on a resource: who sent it, the revision on which it is based, and what became of it.
-func (m *Member) logOrder(request *fasthttp.RequestCtx, resource, action string, basis *uint64, result fleet.Result, err error) {
+// logOrder logs who sent an order, the revision on which it is based, and what became of it.
+func (m *Member) logOrder(request *fasthttp.RequestCtx, order order, result fleet.Result, err error) {
 	fields := []zap.Field{
-		zap.String("resource", resource), zap.String("action", action), zap.Stringer("caller", request.RemoteAddr()),
+		zap.String("resource", order.resource), zap.String("action", order.action), zap.Stringer("caller", request.RemoteAddr()),
 		zap.ByteString("command_id", request.Request.Header.Peek(adminapi.HeaderCommandID)),
-		zap.Uint64p("basis", basis), zap.String("outcome", orderOutcome(result, err)),
+		zap.Uint64p("basis", order.basis), zap.String("outcome", orderOutcome(result, err)),
 		zap.Uint64("revision", result.Revision), zap.Duration("took", time.Since(request.Time())),
 	}
 	if err != nil {
@@ -73,9 +120,12 @@
 
 func orderOutcome(result fleet.Result, err error) string {
 	var missing *BasisMissing
+	var unknownZone *UnknownZone
 	switch {
 	case errors.As(err, &missing):
 		return orderRedirected
+	case errors.As(err, &unknownZone):
+		return orderRejected
 	case err != nil:
 		return orderUnknown
 	case result.Stale > 0 || result.Failure != nil:
--- a/control/replica.go
+++ b/control/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -66,6 +67,13 @@
 	DiskFull bool
 }
 
+// canAllDecode reports whether all members that have answered this leader can decode commands of a format.
+func (s *replicaStatus) canAllDecode(format uint64) bool {
+	return !slices.ContainsFunc(s.Progress, func(peer consensus.PeerProgress) bool {
+		return peer.Contacted && peer.EntryFormat < format
+	})
+}
+
 type outcome struct {
 	result fleet.Result
 	err    error
@@ -110,7 +118,7 @@
 	r.core = consensus.New(consensus.Options{
 		ID: disk.identity.ID, Timing: options.consensusTiming(), Random: rand.Int64N,
 		HardState: state.hardState, Snapshot: state.snapshot, Entries: state.entries,
-		MaxAppendEntries: maxAppendEntries, MaxAppendBytes: maxAppendBytes,
+		MaxAppendEntries: maxAppendEntries, MaxAppendBytes: maxAppendBytes, EntryFormat: fleet.EntryFormat,
 	}, clock.Now())
 	r.publish()
 	r.registerMetrics()
--- a/control/zones.go
+++ b/control/zones.go
@@ -32,63 +32,58 @@
 type ZoneOrder struct {
 	Zone     string
 	Draining bool
-	// Basis is the revision of the zone on which the order is based, nil if its sender does not name one. The order has
-	// no effect if the zone's revision is another one when it is applied.
+	// Basis is the revision of the newest order on the zone that the sender has seen, nil if it does not name one.
 	Basis *uint64
 }
 
-func (z *ZoneOrder) resource() string { return "zone/" + z.Zone }
-
-func (z *ZoneOrder) action() string {
-	if z.Draining {
-		return "drain"
-	}
-	return "undrain"
-}
-
 // SetZoneDraining starts or ends the draining of a zone, as request asks. The change is durable if the error is nil.
 // The order has not taken effect after a BasisMissing or UnknownZone. After any other error it may or may not have;
 // it may be sent again, to any member, without a basis.
-func (m *Member) SetZoneDraining(ctx context.Context, request *fasthttp.RequestCtx, order ZoneOrder) error {
+func (m *Member) SetZoneDraining(ctx context.Context, request *fasthttp.RequestCtx, zone ZoneOrder) error {
 	if !m.hasStarted() {
 		return m.notStarted("drain zone")
 	}
-	command, err := m.zoneCommand(ctx, &order)
+	order, err := m.zoneOrder(ctx, request, zone)
 	if err != nil {
-		m.logOrder(request, order.resource(), order.action(), order.Basis, fleet.Result{}, err)
 		return err
 	}
-	result, err := m.execute(ctx, command)
-	m.logOrder(request, order.resource(), order.action(), order.Basis, result, err)
-	if err != nil {
+	result, err := m.carryOut(ctx, request, order)
+	switch {
+	case err != nil:
 		return err
-	}
-	if result.Stale > 0 {
-		return m.zoneChanged(order.Zone)
+	case result.Failure != nil:
+		return result.Failure
+	case result.Stale > 0:
+		return m.zoneChanged(zone.Zone)
 	}
 	return nil
 }
 
-// zoneCommand returns the command that carries out an order on a zone.
-func (m *Member) zoneCommand(ctx context.Context, order *ZoneOrder) (fleet.Command, error) {
-	if err := m.linearize(ctx); err != nil {
-		return fleet.Command{}, err
-	}
-	var revision uint64
-	var known []string
-	m.replica.view(func(state *fleet.State) {
-		revision = state.Zones[order.Zone].Revision
-		known = m.knownZones(state)
-	})
-	if !slices.Contains(known, order.Zone) {
-		return fleet.Command{}, &UnknownZone{Zone: order.Zone, Known: known}
+// zoneOrder returns the order for a zone, which the deployment must have.
+func (m *Member) zoneOrder(ctx context.Context, request *fasthttp.RequestCtx, zone ZoneOrder) (order, error) {
+	change := &fleet.SetZoneDraining{Zone: zone.Zone, Draining: zone.Draining}
+	order := order{resource: fleet.ZoneResource(zone.Zone), action: "undrain", basis: zone.Basis, command: fleet.Command{SetZoneDraining: change}}
+	if zone.Draining {
+		order.action = "drain"
+	}
+	err := m.linearize(ctx)
+	if err == nil {
+		var known []string
+		m.replica.view(func(state *fleet.State) {
+			change.Expected = state.Zones[zone.Zone].Revision
+			known = m.knownZones(state)
+		})
+		if !slices.Contains(known, zone.Zone) {
+			err = &UnknownZone{Zone: zone.Zone, Known: known}
+		}
 	}
-	if order.Basis == nil {
-		return fleet.Command{}, &BasisMissing{Revision: revision}
+	if err != nil {
+		m.logOrder(request, order, fleet.Result{}, err)
 	}
-	return fleet.Command{SetZoneDraining: &fleet.SetZoneDraining{Zone: order.Zone, Draining: order.Draining, Expected: *order.Basis}}, nil
+	return order, err
 }
 
+// zoneChanged is the error for an order that a leader of an earlier version has rejected.
 func (m *Member) zoneChanged(zone string) *wire.Error {
 	return &wire.Error{
 		Code: wire.CodeTimeout, Step: "drain zone " + zone, Peer: m.options.Settings.Name,
@@ -137,18 +132,14 @@
 	if err != nil {
 		return nil, err
 	}
-	order := ZoneOrder{Zone: name, Draining: action == "drain", Basis: basis}
-	command, err := m.zoneCommand(ctx, &order)
-	if err != nil {
-		m.logOrder(request, order.resource(), order.action(), basis, fleet.Result{}, err)
-	}
+	order, err := m.zoneOrder(ctx, request, ZoneOrder{Zone: name, Draining: action == "drain", Basis: basis})
 	if unknown, ok := err.(*UnknownZone); ok {
 		return nil, &catalog.Failure{Code: catalog.FailureNotFound, Message: unknown.Error()}
 	}
 	if err != nil {
 		return nil, err
 	}
-	return m.change(ctx, request, command)
+	return m.changeByOrder(ctx, request, order)
 }
 
 func (m *Member) readZones(ctx context.Context, request *fasthttp.RequestCtx) (any, error) {
@@ -160,7 +151,9 @@
 			shards[node.Zone] += state.Ownership.OwnedCount(node.Session)
 		}
 		for _, name := range m.knownZones(state) {
-			list = append(list, zoneStatus(name, state.Zones[name], nodes[name], shards[name]))
+			view := zoneStatus(name, state.Zones[name], nodes[name], shards[name])
+			view.Revision = state.OrderRevision(fleet.ZoneResource(name))
+			list = append(list, view)
 		}
 	})
 	slices.SortFunc(list, func(a, b adminapi.Zone) int { return cmp.Compare(a.Name, b.Name) })
@@ -168,7 +161,7 @@
 }
 
 func zoneStatus(name string, zone fleet.Zone, nodes, shards int) adminapi.Zone {
-	answer := adminapi.Zone{Name: name, State: adminapi.ZoneInService, Nodes: nodes, Shards: shards, Revision: zone.Revision}
+	answer := adminapi.Zone{Name: name, State: adminapi.ZoneInService, Nodes: nodes, Shards: shards}
 	switch {
 	case zone.Draining && shards > 0:
 		answer.State = adminapi.ZoneDraining
--- a/fleet/agreement_test.go
+++ b/fleet/agreement_test.go
@@ -185,6 +185,10 @@
 	}
 	command := commands[c.next(len(commands))]()
 	command.At = int64(state.Revision)
+	if c.next(4) == 0 {
+		resource := ZoneResource(c.name())
+		command.Order = &Order{Resource: resource, Action: "act", Basis: state.OrderRevision(resource) - uint64(c.next(4)/3)}
+	}
 	if c.next(6) == 0 {
 		command.ID = fmt.Sprint("id-", c.next(4))
 	}
--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -14,7 +14,8 @@
 // Apply applies the command at a log index and sets Revision to that index. An index that
 // has been applied before changes nothing. A command whose ID is already recorded changes
 // nothing else and returns the recorded result, with the revision at which it took effect;
-// a different command under the same ID fails.
+// a different command under the same ID fails. An Order that is not based on the newest order on its
+// resource fails without a record, so that it can be sent again on a newer basis.
 func (s *State) Apply(index uint64, command *Command) (Result, Changes) {
 	if index <= s.Revision {
 		return Result{Revision: s.Revision}, Changes{Revision: s.Revision}
@@ -30,7 +31,15 @@
 		}
 	}
 	a := applier{state: s, at: command.At, changes: &changes}
+	if command.Order != nil {
+		if failure := s.checkBasis(command.Order); failure != nil {
+			return Result{Revision: index, Failure: failure}, changes
+		}
+	}
 	result := a.dispatch(command)
+	if command.Order != nil && result.Failure == nil {
+		a.recordOrder(command.Order)
+	}
 	result.Revision = index
 	if command.ID != "" {
 		s.keepRecord(command.ID, Record{At: command.At, Result: result, Digest: command.Digest()})
@@ -98,7 +107,7 @@
 	case command.ChangeRoutes != nil:
 		return a.changeRoutes(command.ChangeRoutes)
 	case command.SetZoneDraining != nil:
-		return a.setZoneDraining(command.SetZoneDraining)
+		return a.setZoneDraining(command.SetZoneDraining, command.Order != nil)
 	case command.RecordReports != nil:
 		return a.recordReports(command.RecordReports)
 	case command.ReleaseRequest != nil:
--- a/fleet/command.go
+++ b/fleet/command.go
@@ -14,7 +14,11 @@
 	"limehold/routing"
 )
 
-// Command is one change of the state. Exactly one of the pointers is set.
+// EntryFormat is the newest format of commands that this version can decode. Members of format 0 cannot decode
+// commands with an Order.
+const EntryFormat = 1
+
+// Command is one change of the state. Exactly one of the pointers but Order is set.
 type Command struct {
 	// ID is chosen by the sender and is the same when the command is resent. It is
 	// empty for the leader's own commands.
@@ -46,6 +50,9 @@
 	ClaimTrial       *ClaimTrial
 
 	RecordDeparture *RecordDeparture
+
+	// Order is set if the command is an operator's order.
+	Order *Order
 }
 
 // ApplyTemplate creates or replaces a template and updates its services.
@@ -207,13 +214,35 @@
 // Encode returns the command as log data.
 func (c *Command) Encode() []byte { return codec.MustMarshal(c) }
 
-// Digest identifies the content of the command. It does not depend on At.
+// Digest identifies the content of the command. It does not depend on At or on what an order is based on: an order
+// that is sent again may name a newer basis.
 func (c *Command) Digest() uint64 {
 	copied := *c
 	copied.At = 0
+	if copied.Order != nil {
+		copied = copied.withoutBasis()
+	}
 	return xxhash.Sum64(copied.Encode())
 }
 
+// WithoutOrder returns the command in the form that members of EntryFormat 0 can decode. They apply it without
+// comparing its basis with the newest order.
+func (c Command) WithoutOrder() Command {
+	c.Order = nil
+	return c
+}
+
+// withoutBasis returns an order's command without the revisions on which it is based.
+func (c Command) withoutBasis() Command {
+	c.Order = nil
+	if c.SetZoneDraining != nil {
+		order := *c.SetZoneDraining
+		order.Expected = 0
+		c.SetZoneDraining = &order
+	}
+	return c
+}
+
 // DecodeCommand decodes log data.
 func DecodeCommand(data []byte) (*Command, error) {
 	var command Command
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -24,6 +24,7 @@
 		{CreateService: &CreateService{Name: "b", Template: "proofs", Values: map[string]string{"prefix": "b"}}},
 		{ChangeRoutes: &routing.Change{Version: 1, ReplaceAll: true, Upsert: []routing.Item{{Section: routing.SectionRoutes, Name: "r", Route: &routing.Route{Name: "r"}}}}},
 		{SetZoneDraining: &SetZoneDraining{Zone: "z", Draining: true}},
+		{SetZoneDraining: &SetZoneDraining{Zone: "z", Draining: true}, Order: &Order{Resource: ZoneResource("z")}},
 		{RecordReports: &RecordReports{Reports: []Report{crashReport(1, crashingRequest()), {}, {Success: &quarantine.SuccessReport{}}}}},
 		{UpdateQuarantine: &UpdateQuarantine{Expired: []quarantine.RecordVersion{{}}, Trials: []TrialOffer{{}}}},
 		{ClaimTrial: &ClaimTrial{Number: 1}}, {ReleaseRequest: &ReleaseRequest{}},
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -58,6 +58,8 @@
 	DrainOrders map[string]DrainOrder
 	// Departures holds what the instances of nodes have announced about their end, by node.
 	Departures map[string]NodeDepartures
+	// Orders holds the newest operators' orders on resources.
+	Orders OrderTable
 }
 
 // NewState returns the state before the first command.
@@ -72,6 +74,7 @@
 
 		DrainOrders: map[string]DrainOrder{},
 		Departures:  map[string]NodeDepartures{},
+		Orders:      newOrderTable(),
 	}
 }
 
@@ -97,6 +100,9 @@
 	if state.Departures == nil {
 		state.Departures = map[string]NodeDepartures{}
 	}
+	if state.Orders.Newest == nil {
+		state.Orders.Newest = map[string]OrderRecord{}
+	}
 	state.Catalog.Reindex()
 	state.Membership.Reindex()
 	state.Ownership.Reindex()
--- a/fleet/zones.go
+++ b/fleet/zones.go
@@ -22,7 +22,7 @@
 	Draining bool
 	// Expected is the Revision of the zone that the sender has seen, 0 if the zone was
 	// never drained. A command that is delayed until after later ones no longer matches
-	// and is rejected.
+	// and is rejected. Commands with an Order are compared by its Basis instead.
 	Expected uint64
 }
 
@@ -40,13 +40,13 @@
 }
 
 // setZoneDraining changes a zone. A zone that is already in the requested state does
-// not change, so that the command can be resent.
-func (a *applier) setZoneDraining(command *SetZoneDraining) Result {
+// not change, so that the command can be resent. isOrder is set if the command has an Order.
+func (a *applier) setZoneDraining(command *SetZoneDraining, isOrder bool) Result {
 	known := a.state.Zones[command.Zone]
 	if known.Draining == command.Draining {
 		return Result{}
 	}
-	if known.Revision != command.Expected {
+	if !isOrder && known.Revision != command.Expected {
 		return Result{Stale: 1}
 	}
 	a.state.Zones[command.Zone] = Zone{Draining: command.Draining, Revision: a.state.Revision, At: a.at}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -44,6 +44,8 @@
 	KindJoin Kind = 17
 	// From a stopping voter to the leader. Members of earlier versions answer it with an error.
 	KindLeave Kind = 18
+	// KindForwardOrder is KindForward for a command with an Order. Members of earlier versions answer it with an error.
+	KindForwardOrder Kind = 19
 
 	// From agents to the leader.
 	KindOpenSession Kind = 20
