control: orders on nodes name the revision on which they are based

A node that was drained got requests again, or a node that was resumed was drained: a member that stood still carried out an older order when it went on.

Cause: a command to drain or resume a node was not compared with anything.

Fix: drain, resume and ended are orders on the resource of the node, as those on zones are. An order is based on the revision of the state that its sender has seen rather than on that of the newest order, so that no order can be taken for one on a resource without orders.

--- a/adminapi/client.go
+++ b/adminapi/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/url"
 	"strconv"
 	"time"
@@ -61,7 +62,22 @@
 	return lastErr
 }
 
+// sendTo sends the request to one member. An order that has to name its basis is sent again with the revision that the
+// member has answered.
 func (c *Client) sendTo(address string, call Request, answer any) error {
+	err := c.sendOnce(address, call, answer)
+	var apiError *Error
+	if !eris.As(err, &apiError) || apiError.Code != CodeBasisMissing {
+		return err
+	}
+	based := url.Values{}
+	maps.Copy(based, call.Query)
+	based.Set(QueryRevision, strconv.FormatUint(apiError.Revision, 10))
+	call.Query = based
+	return c.sendOnce(address, call, answer)
+}
+
+func (c *Client) sendOnce(address string, call Request, answer any) error {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	response := fasthttp.AcquireResponse()
@@ -72,14 +88,7 @@
 	if err := c.http.DoTimeout(request, response, c.timeout); err != nil {
 		return eris.Wrapf(err, "%s %s at %s", call.Method, call.Path, address)
 	}
-	if response.StatusCode() == fasthttp.StatusTemporaryRedirect {
-		// The member has named the revision on which the order is to be based.
-		request.SetRequestURIBytes(response.Header.Peek(fasthttp.HeaderLocation))
-		if err := c.http.DoTimeout(request, response, c.timeout); err != nil {
-			return eris.Wrapf(err, "%s %s at %s", call.Method, call.Path, address)
-		}
-	}
-	if response.StatusCode() >= fasthttp.StatusMultipleChoices {
+	if response.StatusCode() >= fasthttp.StatusBadRequest {
 		return decodeError(address, call, response)
 	}
 	if answer == nil {
--- a/adminapi/types.go
+++ b/adminapi/types.go
@@ -15,17 +15,21 @@
 	HeaderAuthorization = "Authorization"
 )
 
-// QueryRevision is the query parameter of an order with the revision on which it is based. An order on a zone without
-// it is answered with status 307 and a Location that has it.
+// QueryRevision is the query parameter of an order with the revision on which it is based: the order is rejected if there
+// was another one on its resource since. An order on a zone or a node without it is answered with status 428, CodeBasisMissing
+// and the newest revision, and is to be sent again with that if it still applies.
 const QueryRevision = "revision"
 
+// CodeBasisMissing is the code of the answer to an order that does not name the revision on which it is based.
+const CodeBasisMissing = "basis_missing"
+
 // Error is the body of every answer that does not report success.
 type Error struct {
 	// Code is invalid, not_found, conflict, in_use, already_exists, read_only, not_leader, not_ready,
-	// timeout, unauthorized or internal.
+	// timeout, unauthorized, basis_missing or internal.
 	Code    string `json:"code"`
 	Message string `json:"message"`
-	// Revision is the current revision, for conflict and already_exists.
+	// Revision is the current revision, for conflict, already_exists and basis_missing.
 	Revision uint64 `json:"revision,omitempty"`
 	// Step is the operation that failed, and Peer the process at which it failed.
 	Step string `json:"step,omitempty"`
@@ -99,7 +103,9 @@
 	Slots      int    `json:"slots"`
 	State      string `json:"state"`
 	DrainCause string `json:"drain_cause,omitempty"`
-	Shards     int    `json:"shards"`
+	// Revision is that of the newest order on the node, on which the next one can be based.
+	Revision uint64 `json:"revision,omitempty"`
+	Shards   int    `json:"shards"`
 	// SilenceMillis is the time since the leader received the last renewal, in
 	// milliseconds.
 	SilenceMillis int64 `json:"silence_ms"`
@@ -196,7 +202,7 @@
 	State  string `json:"state"`
 	Nodes  int    `json:"nodes"`
 	Shards int    `json:"shards"`
-	// Revision is that of the newest order on the zone, on which the next one is based.
+	// Revision is that of the newest order on the zone, on which the next one can be based.
 	Revision uint64 `json:"revision,omitempty"`
 	// Since is when the zone was last drained or returned to service.
 	Since string `json:"since,omitempty"`
--- a/cli/fleet.go
+++ b/cli/fleet.go
@@ -16,7 +16,7 @@
 func nodeCommand() *cli.Command {
 	nodeCommandFor := func(action, usage string) *cli.Command {
 		return &cli.Command{
-			Name: action, Usage: usage, ArgsUsage: "NAME", Flags: withFlags(clientFlags, changeFlags),
+			Name: action, Usage: usage, ArgsUsage: "NAME", Flags: withFlags(clientFlags, changeFlags, []cli.Flag{basisFlag}),
 			Action: func(_ context.Context, command *cli.Command) error {
 				name, err := argument(command, 0, "node")
 				if err != nil {
@@ -47,9 +47,9 @@
 }
 
 func nodeTable(list []adminapi.Node) *table {
-	rows := &table{header: []string{"NODE", "ZONE", "POOL", "STATE", "SHARDS", "SLOTS", "ADDRESS", "LAST RENEWAL"}}
+	rows := &table{header: []string{"NODE", "ZONE", "POOL", "STATE", "SHARDS", "SLOTS", "ADDRESS", "LAST RENEWAL", "REVISION"}}
 	for _, node := range list {
-		rows.add(node.Name, node.Zone, node.Pool, node.State, node.Shards, node.Slots, node.Address, lastRenewal(node))
+		rows.add(node.Name, node.Zone, node.Pool, node.State, node.Shards, node.Slots, node.Address, lastRenewal(node), node.Revision)
 	}
 	return rows
 }
--- a/cli/operator.go
+++ b/cli/operator.go
@@ -32,6 +32,8 @@
 
 var revisionFlag = &cli.StringFlag{Name: "revision", Usage: "change only what is at `REVISION` (as 'show' printed it); 0: only if it does not exist"}
 
+var basisFlag = &cli.StringFlag{Name: "revision", Usage: "carry the order out only if the newest one is at `REVISION` (as 'list' printed it); default: that when the order arrives"}
+
 var staleFlag = &cli.BoolFlag{Name: "stale", Usage: "read the member's local state, which may be outdated"}
 
 func withFlags(groups ...[]cli.Flag) []cli.Flag {
--- a/cli/zones.go
+++ b/cli/zones.go
@@ -12,7 +12,7 @@
 func zoneCommand() *cli.Command {
 	zoneCommandFor := func(action, usage string) *cli.Command {
 		return &cli.Command{
-			Name: action, Usage: usage, ArgsUsage: "NAME", Flags: withFlags(clientFlags, changeFlags),
+			Name: action, Usage: usage, ArgsUsage: "NAME", Flags: withFlags(clientFlags, changeFlags, []cli.Flag{basisFlag}),
 			Description: "Example:\n   limehold zone " + action + " sala-rocha",
 			Action: func(_ context.Context, command *cli.Command) error {
 				name, err := argument(command, 0, "zone")
--- a/control/admin.go
+++ b/control/admin.go
@@ -193,7 +193,7 @@
 func (m *Member) writeFailure(request *fasthttp.RequestCtx, err error) {
 	var missing *BasisMissing
 	if errors.As(err, &missing) {
-		redirectToBasis(request, missing)
+		writeError(request, fasthttp.StatusPreconditionRequired, &adminapi.Error{Code: adminapi.CodeBasisMissing, Message: missing.Error(), Revision: missing.Revision})
 		return
 	}
 	var failure *catalog.Failure
--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -176,12 +176,17 @@
 		err := m.read(ctx, request, func(state *fleet.State) { list = nodeViews(state, &leader) })
 		return list, err
 	}
-	if method == http.MethodPost && action == "ended" {
-		return m.endLostNode(ctx, request, name)
-	}
-	if method != http.MethodPost || action != "drain" && action != "resume" {
+	if method != http.MethodPost || action != "drain" && action != "resume" && action != "ended" {
 		return nil, methodNotAllowed(method)
 	}
+	basis, err := basisOf(request)
+	if err != nil {
+		return nil, err
+	}
+	order := order{resource: fleet.NodeResource(name), action: action, basis: basis}
+	if action == "ended" {
+		return m.endLostNode(ctx, request, order, name)
+	}
 	var session membership.SessionID
 	var ordered bool
 	if err := m.read(ctx, request, func(state *fleet.State) {
@@ -195,7 +200,8 @@
 	if session == 0 && !ordered {
 		return nil, notFound("node " + name)
 	}
-	answer, err := m.change(ctx, request, fleet.Command{SetDraining: &fleet.SetDraining{Session: session, Draining: action == "drain", Cause: membership.DrainCauseOperator, Node: name}})
+	order.command = fleet.Command{SetDraining: &fleet.SetDraining{Session: session, Draining: action == "drain", Cause: membership.DrainCauseOperator, Node: name}}
+	answer, err := m.changeByOrder(ctx, request, order)
 	if err == nil && action == "drain" {
 		err = m.checkDrainedByOperator(ctx, request, session)
 	}
@@ -227,7 +233,7 @@
 	for _, node := range state.Membership.Sorted() {
 		view := adminapi.Node{
 			Name: node.Name, Session: uint64(node.Session), Zone: node.Zone, Address: node.Address, Pool: node.Pool,
-			Slots: node.Slots, State: "live", DrainCause: node.DrainCause,
+			Slots: node.Slots, State: "live", DrainCause: node.DrainCause, Revision: state.OrderRevision(fleet.NodeResource(node.Name)),
 			Shards: state.Ownership.OwnedCount(node.Session), SilenceMillis: silences[node.Session].Milliseconds(), Leased: leader.Leader == "" || hasLease(leader, node.Session),
 		}
 		switch {
@@ -250,7 +256,7 @@
 	var away []adminapi.Node
 	for _, name := range slices.Sorted(maps.Keys(state.DrainOrders)) {
 		if state.Membership.Current(name) == nil {
-			away = append(away, adminapi.Node{Name: name, State: "drained", DrainCause: membership.DrainCauseOperator})
+			away = append(away, adminapi.Node{Name: name, State: "drained", DrainCause: membership.DrainCauseOperator, Revision: state.OrderRevision(fleet.NodeResource(name))})
 		}
 	}
 	return away
--- a/control/lostnodes.go
+++ b/control/lostnodes.go
@@ -40,7 +40,7 @@
 
 // endLostNode closes the lost sessions of a node whose machine is off by an operator's word, so that their keys
 // are free, and an operator's drain of it. A node with a lease is rejected: it has to expire first.
-func (m *Member) endLostNode(ctx context.Context, request *fasthttp.RequestCtx, name string) (any, error) {
+func (m *Member) endLostNode(ctx context.Context, request *fasthttp.RequestCtx, order order, name string) (any, error) {
 	var sessions []membership.SessionID
 	var inForce, ordered bool
 	leader := m.leaderView(ctx)
@@ -67,8 +67,13 @@
 	case len(sessions) == 0 && !ordered:
 		return nil, notFound("lost node " + name)
 	}
+	order.command = fleet.Command{CloseSessions: &fleet.CloseSessions{Sessions: sessions, EndedNode: name, Cause: "an operator has stated that the machine is off"}}
+	answer, err := m.changeByOrder(ctx, request, order)
+	if err != nil {
+		return nil, err
+	}
 	m.logger.Warn("lost_node_ended", zap.String("node", name), zap.Uint64s("sessions", sessionNumbers(sessions)), zap.String("proof", "an operator has stated that the machine is off"))
-	return m.change(ctx, request, fleet.Command{CloseSessions: &fleet.CloseSessions{Sessions: sessions, EndedNode: name, Cause: "an operator has stated that the machine is off"}})
+	return answer, nil
 }
 
 // hasLease reports whether the leader tracks a lease of a session.
--- a/control/orders.go
+++ b/control/orders.go
@@ -19,13 +19,13 @@
 // an order long after it was sent, when its sender has sent newer ones to other members. The sender is told the newest
 // revision and has to send the order again, which only happens if it still waits.
 type BasisMissing struct {
-	// Revision is that of the newest order on the resource, 0 if there was none.
+	// Revision is that of the state that reflects every order acknowledged before.
 	Revision uint64
 }
 
 // Error implements error.
 func (b *BasisMissing) Error() string {
-	return fmt.Sprintf("the order does not name the revision on which it is based: send it again with %s=%d if it still applies, as the header Location says", adminapi.QueryRevision, b.Revision)
+	return fmt.Sprintf("the order does not name the revision on which it is based: send it again with %s=%d if it still applies", adminapi.QueryRevision, b.Revision)
 }
 
 // basisOf returns the revision on which an order is based, or nil if the request does not name one.
@@ -41,20 +41,11 @@
 	return &revision, nil
 }
 
-// redirectToBasis answers an order with a redirect to itself that adds the revision on which it has to be based.
-func redirectToBasis(request *fasthttp.RequestCtx, missing *BasisMissing) {
-	var location fasthttp.URI
-	request.URI().CopyTo(&location)
-	location.QueryArgs().Set(adminapi.QueryRevision, strconv.FormatUint(missing.Revision, 10))
-	request.Response.Header.SetBytesV(fasthttp.HeaderLocation, location.FullURI())
-	writeError(request, fasthttp.StatusTemporaryRedirect, &adminapi.Error{Code: "basis_missing", Message: missing.Error(), Revision: missing.Revision})
-}
-
 // order is an operator's order on a resource.
 type order struct {
 	resource string
 	action   string
-	// basis is the revision of the newest order on the resource that the sender has seen, nil if it does not name one.
+	// basis is the revision of the state that the sender has seen, nil if it does not name one.
 	basis   *uint64
 	command fleet.Command
 }
@@ -72,7 +63,7 @@
 
 func (m *Member) executeOrder(ctx context.Context, request *fasthttp.RequestCtx, order order) (fleet.Result, error) {
 	if order.basis == nil {
-		return fleet.Result{}, m.requireBasis(ctx, order.resource)
+		return fleet.Result{}, m.requireBasis(ctx)
 	}
 	command := order.command
 	command.ID = commandID(request)
@@ -80,13 +71,13 @@
 	return m.execute(ctx, command)
 }
 
-// requireBasis returns a BasisMissing with the revision of the newest order on a resource, or the error of reading it.
-func (m *Member) requireBasis(ctx context.Context, resource string) error {
+// requireBasis returns a BasisMissing with the newest revision, or the error of reading that.
+func (m *Member) requireBasis(ctx context.Context) error {
 	if err := m.linearize(ctx); err != nil {
 		return err
 	}
 	missing := &BasisMissing{}
-	m.replica.view(func(state *fleet.State) { missing.Revision = state.OrderRevision(resource) })
+	m.replica.view(func(state *fleet.State) { missing.Revision = state.Revision })
 	return missing
 }
 
@@ -98,10 +89,10 @@
 
 // Outcomes of an order in the log.
 const (
-	orderAccepted   = "accepted"
-	orderRejected   = "rejected"
-	orderRedirected = "redirected"
-	orderUnknown    = "unknown"
+	orderAccepted     = "accepted"
+	orderRejected     = "rejected"
+	orderBasisMissing = "basis_missing"
+	orderUnknown      = "unknown"
 )
 
 // logOrder logs who sent an order, the revision on which it is based, and what became of it.
@@ -123,7 +114,7 @@
 	var unknownZone *UnknownZone
 	switch {
 	case errors.As(err, &missing):
-		return orderRedirected
+		return orderBasisMissing
 	case errors.As(err, &unknownZone):
 		return orderRejected
 	case err != nil:
--- a/control/zones.go
+++ b/control/zones.go
@@ -32,7 +32,7 @@
 type ZoneOrder struct {
 	Zone     string
 	Draining bool
-	// Basis is the revision of the newest order on the zone that the sender has seen, nil if it does not name one.
+	// Basis is the revision of the state that the sender has seen, nil if it does not name one.
 	Basis *uint64
 }
 
@@ -71,6 +71,9 @@
 		var known []string
 		m.replica.view(func(state *fleet.State) {
 			change.Expected = state.Zones[zone.Zone].Revision
+			if zone.Basis != nil {
+				change.Expected = min(change.Expected, *zone.Basis)
+			}
 			known = m.knownZones(state)
 		})
 		if !slices.Contains(known, zone.Zone) {
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -19,7 +19,7 @@
 	Resource string
 	// Action is what is to be done, for example "drain".
 	Action string
-	// Basis is the revision of the newest order on the resource that the sender has seen, 0 if there was none.
+	// Basis is the revision of the state that the sender has seen.
 	Basis uint64
 	// Sender tells operators where the order came from.
 	Sender string
@@ -46,14 +46,20 @@
 
 func (t *OrderTable) isEmpty() bool { return len(t.Newest) == 0 && t.Floor == 0 }
 
-// zoneKind precedes the name of a zone in the resource of orders on it.
-const zoneKind = "zone/"
+// Kinds of resources, which precede their names.
+const (
+	zoneKind = "zone/"
+	nodeKind = "node/"
+)
 
 // ZoneResource returns the resource of orders on a zone.
 func ZoneResource(name string) string { return zoneKind + name }
 
-// OrderRevision returns the revision of the newest order on a resource, on which the next one has to be based. It is 0
-// if there was none.
+// NodeResource returns the resource of orders on a node.
+func NodeResource(name string) string { return nodeKind + name }
+
+// OrderRevision returns the revision of the newest order on a resource, 0 if there was none. The next one has to be
+// based on that revision or on a later one.
 func (s *State) OrderRevision(resource string) uint64 {
 	record, known := s.Orders.Newest[resource]
 	if !known {
@@ -67,13 +73,20 @@
 	if name, isZone := strings.CutPrefix(resource, zoneKind); isZone {
 		return s.Zones[name].Revision
 	}
+	if name, isNode := strings.CutPrefix(resource, nodeKind); isNode {
+		return s.DrainOrders[name].Revision
+	}
 	return 0
 }
 
-// checkBasis returns a failure if an order is based on an earlier order than the newest one on its resource.
+// checkBasis returns a failure if there was another order on a resource since the state on which an order is based.
 func (s *State) checkBasis(order *Order) *catalog.Failure {
+	if order.Basis >= s.Revision {
+		return &catalog.Failure{Code: catalog.FailureInvalid, Revision: s.Revision, Message: fmt.Sprintf(
+			"%s of %s is based on revision %d, which does not exist yet: name the one that you have seen, %d at most", order.Action, order.Resource, order.Basis, s.Revision-1)}
+	}
 	newest := s.OrderRevision(order.Resource)
-	if newest == order.Basis {
+	if newest <= order.Basis {
 		return nil
 	}
 	message := fmt.Sprintf("%s of %s is based on revision %d, but there was another order at revision %d", order.Action, order.Resource, order.Basis, newest)
