control: orders on the catalog and on quarantined requests name their basis

A template or a service that was changed reverted to an older order, and a request that was quarantined anew ran again, when a member that stood still carried out an older order.

Fix: every change of the admin API that is a command goes through one function, which takes an order: its resource, its action, its basis. There is no other way to commit an operator's command any more, so that a further kind cannot be added without a basis.

--- a/adminapi/types.go
+++ b/adminapi/types.go
@@ -16,8 +16,9 @@
 )
 
 // QueryRevision is the query parameter of an order with the revision on which it is based: the order is rejected if there
-// was another one on its resource since. An order on a zone or a node without it is answered with status 428, CodeBasisMissing
-// and the newest revision, and is to be sent again with that if it still applies.
+// was another one on its resource since. An order without it is answered with status 428, CodeBasisMissing and the newest
+// revision, and is to be sent again with that if it still applies. For templates and services, 0 requires that the object
+// does not exist.
 const QueryRevision = "revision"
 
 // CodeBasisMissing is the code of the answer to an order that does not name the revision on which it is based.
--- a/control/admin.go
+++ b/control/admin.go
@@ -125,22 +125,8 @@
 	return id
 }
 
-// expectedRevision returns the query parameter "revision". It returns
-// catalog.AnyRevision, which matches every revision, if the parameter is missing.
-func expectedRevision(request *fasthttp.RequestCtx) (uint64, error) {
-	text := string(request.QueryArgs().Peek("revision"))
-	if text == "" {
-		return catalog.AnyRevision, nil
-	}
-	revision, err := strconv.ParseUint(text, 10, 64)
-	if err != nil {
-		return 0, &catalog.Failure{Code: catalog.FailureInvalid, Message: "revision is " + strconv.Quote(text) + ": use the number that 'show' printed"}
-	}
-	return revision, nil
-}
-
-// changeByOrder carries out an order; see answerChange.
-func (m *Member) changeByOrder(ctx context.Context, request *fasthttp.RequestCtx, order order) (any, error) {
+// change carries out an order; see answerChange.
+func (m *Member) change(ctx context.Context, request *fasthttp.RequestCtx, order order) (any, error) {
 	result, err := m.carryOut(ctx, request, order)
 	if err != nil {
 		return nil, err
@@ -151,16 +137,6 @@
 	return m.answerChange(ctx, request, result)
 }
 
-// change executes a command; see answerChange.
-func (m *Member) change(ctx context.Context, request *fasthttp.RequestCtx, command fleet.Command) (any, error) {
-	command.ID = commandID(request)
-	result, err := m.execute(ctx, command)
-	if err != nil {
-		return nil, err
-	}
-	return m.answerChange(ctx, request, result)
-}
-
 // answerChange returns the answer for a change. If the query parameter "wait" is set, it
 // first waits up to that long until the change is in force at every router.
 func (m *Member) answerChange(ctx context.Context, request *fasthttp.RequestCtx, result fleet.Result) (any, error) {
--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -41,21 +41,22 @@
 }
 
 func (m *Member) routeTemplates(ctx context.Context, request *fasthttp.RequestCtx, method, name string) (any, error) {
-	expected, err := expectedRevision(request)
+	if method == http.MethodGet {
+		return m.readTemplates(ctx, request, name)
+	}
+	basis, err := basisOf(request)
 	if err != nil {
 		return nil, err
 	}
 	switch method {
-	case http.MethodGet:
-		return m.readTemplates(ctx, request, name)
 	case http.MethodPost, http.MethodPut:
 		template, err := catalog.ParseTemplate(request.PostBody())
 		if err != nil {
 			return nil, &catalog.Failure{Code: catalog.FailureInvalid, Message: err.Error()}
 		}
-		return m.change(ctx, request, fleet.Command{ApplyTemplate: &fleet.ApplyTemplate{Template: template, Expected: expected}})
+		return m.change(ctx, request, order{fleet.TemplateResource(template.Name), "apply", basis, fleet.Command{ApplyTemplate: &fleet.ApplyTemplate{Template: template}}})
 	case http.MethodDelete:
-		return m.change(ctx, request, fleet.Command{RetireTemplate: &fleet.RetireTemplate{Name: name, Expected: expected}})
+		return m.change(ctx, request, order{fleet.TemplateResource(name), "retire", basis, fleet.Command{RetireTemplate: &fleet.RetireTemplate{Name: name}}})
 	}
 	return nil, methodNotAllowed(method)
 }
@@ -90,30 +91,31 @@
 }
 
 func (m *Member) routeServices(ctx context.Context, request *fasthttp.RequestCtx, method, name string) (any, error) {
-	expected, err := expectedRevision(request)
+	if method == http.MethodGet {
+		return m.readServices(ctx, request, name)
+	}
+	basis, err := basisOf(request)
 	if err != nil {
 		return nil, err
 	}
 	switch method {
-	case http.MethodGet:
-		return m.readServices(ctx, request, name)
 	case http.MethodPost:
 		var body adminapi.CreateServiceRequest
 		if err := decodeBody(request, &body); err != nil {
 			return nil, err
 		}
-		return m.change(ctx, request, fleet.Command{CreateService: &fleet.CreateService{Name: body.Name, Template: body.Template, Values: body.Values}})
+		return m.change(ctx, request, order{fleet.ServiceResource(body.Name), "create", basis, fleet.Command{CreateService: &fleet.CreateService{Name: body.Name, Template: body.Template, Values: body.Values}}})
 	case http.MethodPatch:
 		var body adminapi.UpdateServiceRequest
 		if err := decodeBody(request, &body); err != nil {
 			return nil, err
 		}
-		return m.change(ctx, request, fleet.Command{UpdateService: &fleet.UpdateService{Name: name, Values: body.Values, Expected: expected}})
+		return m.change(ctx, request, order{fleet.ServiceResource(name), "update", basis, fleet.Command{UpdateService: &fleet.UpdateService{Name: name, Values: body.Values}}})
 	case http.MethodDelete:
 		if err := m.checkNotRouted(ctx, request, name); err != nil {
 			return nil, err
 		}
-		return m.change(ctx, request, fleet.Command{RetireService: &fleet.RetireService{Name: name, Expected: expected}})
+		return m.change(ctx, request, order{fleet.ServiceResource(name), "retire", basis, fleet.Command{RetireService: &fleet.RetireService{Name: name}}})
 	}
 	return nil, methodNotAllowed(method)
 }
@@ -201,7 +203,7 @@
 		return nil, notFound("node " + name)
 	}
 	order.command = fleet.Command{SetDraining: &fleet.SetDraining{Session: session, Draining: action == "drain", Cause: membership.DrainCauseOperator, Node: name}}
-	answer, err := m.changeByOrder(ctx, request, order)
+	answer, err := m.change(ctx, request, order)
 	if err == nil && action == "drain" {
 		err = m.checkDrainedByOperator(ctx, request, session)
 	}
--- a/control/lostnodes.go
+++ b/control/lostnodes.go
@@ -68,7 +68,7 @@
 		return nil, notFound("lost node " + name)
 	}
 	order.command = fleet.Command{CloseSessions: &fleet.CloseSessions{Sessions: sessions, EndedNode: name, Cause: "an operator has stated that the machine is off"}}
-	answer, err := m.changeByOrder(ctx, request, order)
+	answer, err := m.change(ctx, request, order)
 	if err != nil {
 		return nil, err
 	}
--- a/control/orders.go
+++ b/control/orders.go
@@ -65,7 +65,9 @@
 	if order.basis == nil {
 		return fleet.Result{}, m.requireBasis(ctx)
 	}
-	command := order.command
+	var expected uint64
+	m.replica.view(func(state *fleet.State) { expected = state.ExpectedByEarlierVersions(order.resource, *order.basis) })
+	command := order.command.WithExpected(expected)
 	command.ID = commandID(request)
 	command.Order = &fleet.Order{Resource: order.resource, Action: order.action, Basis: *order.basis, Sender: m.senderOf(request)}
 	return m.execute(ctx, command)
--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -118,6 +118,10 @@
 	if method != http.MethodPost || action != "release" {
 		return nil, methodNotAllowed(method)
 	}
+	basis, err := basisOf(request)
+	if err != nil {
+		return nil, err
+	}
 	reason := strings.TrimSpace(string(request.QueryArgs().Peek("reason")))
 	if reason == "" {
 		return nil, &catalog.Failure{Code: catalog.FailureInvalid, Message: "reason is empty: state why the request may run again (reason=...)"}
@@ -131,7 +135,7 @@
 	if failure != nil {
 		return nil, failure
 	}
-	return m.change(ctx, request, fleet.Command{ReleaseRequest: &fleet.ReleaseRequest{Digest: digest, Reason: reason}})
+	return m.change(ctx, request, order{fleet.RequestResource(digest), "release", basis, fleet.Command{ReleaseRequest: &fleet.ReleaseRequest{Digest: digest, Reason: reason}}})
 }
 
 // findDigest returns the digest that begins with the given hexadecimal prefix. It fails if there
--- a/control/zones.go
+++ b/control/zones.go
@@ -69,13 +69,7 @@
 	err := m.linearize(ctx)
 	if err == nil {
 		var known []string
-		m.replica.view(func(state *fleet.State) {
-			change.Expected = state.Zones[zone.Zone].Revision
-			if zone.Basis != nil {
-				change.Expected = min(change.Expected, *zone.Basis)
-			}
-			known = m.knownZones(state)
-		})
+		m.replica.view(func(state *fleet.State) { known = m.knownZones(state) })
 		if !slices.Contains(known, zone.Zone) {
 			err = &UnknownZone{Zone: zone.Zone, Known: known}
 		}
@@ -142,7 +136,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return m.changeByOrder(ctx, request, order)
+	return m.change(ctx, request, order)
 }
 
 func (m *Member) readZones(ctx context.Context, request *fasthttp.RequestCtx) (any, error) {
--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -30,7 +30,7 @@
 			return record.Result, changes
 		}
 	}
-	a := applier{state: s, at: command.At, changes: &changes}
+	a := applier{state: s, at: command.At, order: command.Order, changes: &changes}
 	if command.Order != nil {
 		if failure := s.checkBasis(command.Order); failure != nil {
 			return Result{Revision: index, Failure: failure}, changes
@@ -71,8 +71,10 @@
 
 // applier holds the context of one command while it is applied.
 type applier struct {
-	state   *State
-	at      int64
+	state *State
+	at    int64
+	// order is the Order of the command, nil if it has none.
+	order   *Order
 	changes *Changes
 }
 
@@ -107,7 +109,7 @@
 	case command.ChangeRoutes != nil:
 		return a.changeRoutes(command.ChangeRoutes)
 	case command.SetZoneDraining != nil:
-		return a.setZoneDraining(command.SetZoneDraining, command.Order != nil)
+		return a.setZoneDraining(command.SetZoneDraining)
 	case command.RecordReports != nil:
 		return a.recordReports(command.RecordReports)
 	case command.ReleaseRequest != nil:
@@ -129,7 +131,7 @@
 }
 
 func (a *applier) applyTemplate(command *ApplyTemplate) Result {
-	services, failure := a.state.Catalog.ApplyTemplate(command.Template, command.Expected, a.state.Revision)
+	services, failure := a.state.Catalog.ApplyTemplate(command.Template, a.expectedRevision(command.Expected), a.state.Revision)
 	if failure != nil {
 		return Result{Failure: failure}
 	}
@@ -140,7 +142,7 @@
 }
 
 func (a *applier) retireTemplate(command *RetireTemplate) Result {
-	if failure := a.state.Catalog.RetireTemplate(command.Name, command.Expected); failure != nil {
+	if failure := a.state.Catalog.RetireTemplate(command.Name, a.expectedRevision(command.Expected)); failure != nil {
 		return Result{Failure: failure}
 	}
 	a.changes.Templates = true
@@ -163,7 +165,7 @@
 }
 
 func (a *applier) updateService(command *UpdateService) Result {
-	failure := a.state.Catalog.UpdateService(command.Name, command.Values, command.Expected, a.state.Revision)
+	failure := a.state.Catalog.UpdateService(command.Name, command.Values, a.expectedRevision(command.Expected), a.state.Revision)
 	if failure != nil {
 		return Result{Failure: failure}
 	}
@@ -173,7 +175,7 @@
 }
 
 func (a *applier) retireService(command *RetireService) Result {
-	failure := a.state.Catalog.RetireService(command.Name, command.Expected, a.state.Revision)
+	failure := a.state.Catalog.RetireService(command.Name, a.expectedRevision(command.Expected), a.state.Revision)
 	if failure != nil {
 		return Result{Failure: failure}
 	}
--- a/fleet/command.go
+++ b/fleet/command.go
@@ -220,25 +220,41 @@
 	copied := *c
 	copied.At = 0
 	if copied.Order != nil {
-		copied = copied.withoutBasis()
+		copied = copied.WithoutOrder().WithExpected(0)
 	}
 	return xxhash.Sum64(copied.Encode())
 }
 
-// WithoutOrder returns the command in the form that members of EntryFormat 0 can decode. They apply it without
-// comparing its basis with the newest order.
+// WithoutOrder returns the command in the form that members of EntryFormat 0 can decode. They compare only Expected, if
+// the command has it.
 func (c Command) WithoutOrder() Command {
 	c.Order = nil
 	return c
 }
 
-// withoutBasis returns an order's command without the revisions on which it is based.
-func (c Command) withoutBasis() Command {
-	c.Order = nil
-	if c.SetZoneDraining != nil {
-		order := *c.SetZoneDraining
-		order.Expected = 0
-		c.SetZoneDraining = &order
+// WithExpected returns the command with the revision that its object must have, if commands of its kind have that field.
+func (c Command) WithExpected(revision uint64) Command {
+	switch {
+	case c.ApplyTemplate != nil:
+		change := *c.ApplyTemplate
+		change.Expected = revision
+		c.ApplyTemplate = &change
+	case c.RetireTemplate != nil:
+		change := *c.RetireTemplate
+		change.Expected = revision
+		c.RetireTemplate = &change
+	case c.UpdateService != nil:
+		change := *c.UpdateService
+		change.Expected = revision
+		c.UpdateService = &change
+	case c.RetireService != nil:
+		change := *c.RetireService
+		change.Expected = revision
+		c.RetireService = &change
+	case c.SetZoneDraining != nil:
+		change := *c.SetZoneDraining
+		change.Expected = revision
+		c.SetZoneDraining = &change
 	}
 	return c
 }
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"limehold/catalog"
+	"limehold/quarantine"
 )
 
 // maxOrderRecords bounds the resources whose newest order is kept.
@@ -48,8 +49,11 @@
 
 // Kinds of resources, which precede their names.
 const (
-	zoneKind = "zone/"
-	nodeKind = "node/"
+	zoneKind     = "zone/"
+	nodeKind     = "node/"
+	templateKind = "template/"
+	serviceKind  = "service/"
+	requestKind  = "request/"
 )
 
 // ZoneResource returns the resource of orders on a zone.
@@ -58,6 +62,15 @@
 // NodeResource returns the resource of orders on a node.
 func NodeResource(name string) string { return nodeKind + name }
 
+// TemplateResource returns the resource of orders on a template.
+func TemplateResource(name string) string { return templateKind + name }
+
+// ServiceResource returns the resource of orders on a service.
+func ServiceResource(name string) string { return serviceKind + name }
+
+// RequestResource returns the resource of orders on a request that instances crashed under.
+func RequestResource(digest quarantine.Digest) string { return requestKind + digest.Hex() }
+
 // OrderRevision returns the revision of the newest order on a resource, 0 if there was none. The next one has to be
 // based on that revision or on a later one.
 func (s *State) OrderRevision(resource string) uint64 {
@@ -68,13 +81,29 @@
 	return max(record.Revision, s.unsequencedRevision(resource))
 }
 
-// unsequencedRevision returns the revision at which a resource last changed by a command without an Order.
+// unsequencedRevision returns the revision at which a resource last changed other than by an Order: by a command of an
+// earlier version, or without an operator. An order that is based on an earlier state is rejected as well.
 func (s *State) unsequencedRevision(resource string) uint64 {
-	if name, isZone := strings.CutPrefix(resource, zoneKind); isZone {
+	kind, name, _ := strings.Cut(resource, "/")
+	switch kind + "/" {
+	case zoneKind:
 		return s.Zones[name].Revision
-	}
-	if name, isNode := strings.CutPrefix(resource, nodeKind); isNode {
+	case nodeKind:
 		return s.DrainOrders[name].Revision
+	case templateKind:
+		if template := s.Catalog.Templates[name]; template != nil {
+			return template.Revision
+		}
+	case serviceKind:
+		if service := s.Catalog.Services[name]; service != nil {
+			return service.Revision
+		}
+	case requestKind:
+		for _, record := range s.Quarantine.Records {
+			if record.Digest.Hex() == name {
+				return record.Changed
+			}
+		}
 	}
 	return 0
 }
@@ -86,7 +115,7 @@
 			"%s of %s is based on revision %d, which does not exist yet: name the one that you have seen, %d at most", order.Action, order.Resource, order.Basis, s.Revision-1)}
 	}
 	newest := s.OrderRevision(order.Resource)
-	if newest <= order.Basis {
+	if newest <= order.Basis || order.requiresAbsence() {
 		return nil
 	}
 	message := fmt.Sprintf("%s of %s is based on revision %d, but there was another order at revision %d", order.Action, order.Resource, order.Basis, newest)
@@ -96,6 +125,35 @@
 	return &catalog.Failure{Code: catalog.FailureConflict, Revision: newest, Message: message + "; look at it, and give the order again if it still applies"}
 }
 
+// requiresAbsence reports whether the order applies only to an object of the catalog that does not exist, whatever orders
+// there were on an earlier one. The catalog itself checks that.
+func (o *Order) requiresAbsence() bool {
+	return o.Basis == 0 && (strings.HasPrefix(o.Resource, templateKind) || strings.HasPrefix(o.Resource, serviceKind))
+}
+
+// expectedRevision returns the revision at which the catalog has to hold an object: any if a command has an Order, whose
+// basis has been checked, except that a basis of 0 requires that the object does not exist.
+func (a *applier) expectedRevision(command uint64) uint64 {
+	switch {
+	case a.order == nil:
+		return command
+	case a.order.Basis == 0:
+		return 0
+	}
+	return catalog.AnyRevision
+}
+
+// ExpectedByEarlierVersions returns the revision that members of EntryFormat 0 are to compare for an order, as they do not
+// know its basis: they require that the object has changed at exactly this revision.
+func (s *State) ExpectedByEarlierVersions(resource string, basis uint64) uint64 {
+	revision := s.unsequencedRevision(resource)
+	inCatalog := strings.HasPrefix(resource, templateKind) || strings.HasPrefix(resource, serviceKind)
+	if inCatalog && revision == 0 && basis > 0 {
+		return catalog.AnyRevision
+	}
+	return min(revision, basis)
+}
+
 // recordOrder makes an order the newest one on its resource.
 func (a *applier) recordOrder(order *Order) {
 	orders := &a.state.Orders
--- a/fleet/orders_test.go
+++ b/fleet/orders_test.go
@@ -129,3 +129,50 @@
 	earlier := zone("z", false, 0)
 	is.Equal(stripped.Encode(), earlier.Encode())
 }
+
+// Guards against a quarantined request that runs: a release that was sent before instances ended under it again was
+// carried out late.
+func TestLateReleaseLeavesANewQuarantineInForce(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(t)
+	identity := crashingRequest()
+	crash := func(from int) {
+		for number := range 3 {
+			m.must(Command{RecordReports: &RecordReports{Reports: []Report{crashReport(from+number, identity)}}})
+		}
+	}
+	release := func(basis uint64) Command {
+		return Command{
+			ReleaseRequest: &ReleaseRequest{Digest: identity.Any, Reason: "fixed"},
+			Order:          &Order{Resource: RequestResource(identity.Any), Action: "release", Basis: basis},
+		}
+	}
+	crash(1)
+	late := release(m.state.Revision)
+	m.must(release(m.state.Revision))
+	crash(4)
+	result, _ := m.state.Apply(m.state.Revision+1, &late)
+	is.Equal(result.Failure.Code, catalog.FailureConflict)
+	record, _ := m.state.Quarantine.Get(identity.Any)
+	is.True(record.Quarantined)
+	is.Equal(m.must(release(m.state.Revision)).Failure, nil)
+}
+
+// A basis of 0 requires that a template or a service does not exist, also if there was one under its name.
+func TestBasisOfZeroCreates(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(t)
+	order := func(basis uint64) Command {
+		return Command{
+			ApplyTemplate: &ApplyTemplate{Template: catalog.Template{Name: "new", SpecText: spec, Parameters: []catalog.Parameter{{Name: "prefix", Type: catalog.ParameterName}}}},
+			Order:         &Order{Resource: TemplateResource("new"), Action: "apply", Basis: basis},
+		}
+	}
+	is.Equal(m.must(order(0)).Failure, nil)
+	again := order(0)
+	result, _ := m.state.Apply(m.state.Revision+1, &again)
+	is.True(result.Failure != nil)
+	m.must(Command{RetireTemplate: &RetireTemplate{Name: "new"}, Order: &Order{Resource: TemplateResource("new"), Action: "retire", Basis: m.state.Revision}})
+	is.Equal(m.must(order(0)).Failure, nil)
+	is.Equal(m.must(order(m.state.Revision)).Failure, nil)
+}
--- a/fleet/zones.go
+++ b/fleet/zones.go
@@ -40,13 +40,13 @@
 }
 
 // setZoneDraining changes a zone. A zone that is already in the requested state does
-// not change, so that the command can be resent. isOrder is set if the command has an Order.
-func (a *applier) setZoneDraining(command *SetZoneDraining, isOrder bool) Result {
+// not change, so that the command can be resent.
+func (a *applier) setZoneDraining(command *SetZoneDraining) Result {
 	known := a.state.Zones[command.Zone]
 	if known.Draining == command.Draining {
 		return Result{}
 	}
-	if !isOrder && known.Revision != command.Expected {
+	if a.order == nil && known.Revision != command.Expected {
 		return Result{Stale: 1}
 	}
 	a.state.Zones[command.Zone] = Zone{Draining: command.Draining, Revision: a.state.Revision, At: a.at}
