control: orders on members name the configuration on which they are based

One that arrived late removed the member that had been admitted under the name since. Members that do not lead reject orders on members, so a stall alone does not show it; an order that is delayed on its way to the leader does. Not reproduced with processes.

An order on a member is now based on the log index of the members that its sender has seen, and is rejected with 409 if they have changed since. TestLateOrderOnAMemberIsRejected; without the comparison, its late order removes the member.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -119,6 +119,9 @@
 // LastIndex returns the index of the last entry in the log.
 func (c *Core) LastIndex() uint64 { return c.log.lastIndex() }
 
+// ConfigurationIndex returns the index of the newest configuration in the log.
+func (c *Core) ConfigurationIndex() uint64 { return c.log.latestConfiguration().index }
+
 // FirstIndex returns the lowest index that the log has not compacted. It may precede that of the
 // newest snapshot.
 func (c *Core) FirstIndex() uint64 { return c.log.snapshotIndex + 1 }
--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -277,17 +277,13 @@
 	if err := decodeBody(request, &body); err != nil {
 		return nil, err
 	}
-	var err error
-	switch action {
-	case "add":
-		err = m.AddMember(ctx, body.Name, body.Address)
-	case "replace":
-		err = m.ReplaceMember(ctx, body.Name, body.Address)
-	case "remove":
-		err = m.RemoveMember(ctx, body.Name)
-	default:
-		return nil, notFound("action " + action)
+	basis, err := basisOf(request)
+	if err != nil {
+		return nil, err
 	}
+	order := order{resource: "member/" + body.Name, action: action, basis: basis}
+	err = m.changeMembersByOrder(ctx, order, body)
+	m.logOrder(request, order, fleet.Result{}, err)
 	if err != nil {
 		return nil, err
 	}
@@ -295,6 +291,28 @@
 	return m.memberViews(&leader), nil
 }
 
+// changeMembersByOrder carries out an order on a member. An order is based on a configuration of the members, identified
+// by its log index.
+func (m *Member) changeMembersByOrder(ctx context.Context, order order, body adminapi.MemberChangeRequest) error {
+	newest := m.replica.status.Load().ConfigurationIndex
+	if order.basis == nil {
+		return &BasisMissing{Revision: newest}
+	}
+	if *order.basis < newest {
+		return &catalog.Failure{Code: catalog.FailureConflict, Revision: newest, Message: fmt.Sprintf(
+			"%s of %s is based on revision %d, but the members have changed at revision %d; look at them, and give the order again if it still applies", order.action, order.resource, *order.basis, newest)}
+	}
+	switch order.action {
+	case "add":
+		return m.AddMember(ctx, body.Name, body.Address)
+	case "replace":
+		return m.ReplaceMember(ctx, body.Name, body.Address)
+	case "remove":
+		return m.RemoveMember(ctx, body.Name)
+	}
+	return notFound("action " + order.action)
+}
+
 // memberViews lists the members of the newest configuration with their health as the
 // leader observes it.
 func (m *Member) memberViews(leader *wire.LeaderView) []adminapi.Member {
--- a/control/orders.go
+++ b/control/orders.go
@@ -114,10 +114,11 @@
 func orderOutcome(result fleet.Result, err error) string {
 	var missing *BasisMissing
 	var unknownZone *UnknownZone
+	var failure *catalog.Failure
 	switch {
 	case errors.As(err, &missing):
 		return orderBasisMissing
-	case errors.As(err, &unknownZone):
+	case errors.As(err, &unknownZone), errors.As(err, &failure):
 		return orderRejected
 	case err != nil:
 		return orderUnknown
--- a/control/orders_test.go
+++ b/control/orders_test.go
@@ -1,10 +1,14 @@
 package control
 
 import (
+	"context"
+	"errors"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"limehold/adminapi"
+	"limehold/catalog"
 	"limehold/consensus"
 )
 
@@ -30,3 +34,34 @@
 		})
 	}
 }
+
+// Guards against a member that is removed although it was admitted again: an order that arrived late was based on the
+// members of its arrival.
+func TestLateOrderOnAMemberIsRejected(t *testing.T) {
+	is := is.New(t)
+	g := newDiskGroup(t)
+	g.mustDrain()
+	ctx, cancel := context.WithTimeout(context.Background(), eventually)
+	defer cancel()
+	spare := g.newSpare()
+	body := adminapi.MemberChangeRequest{Name: spare.options.Settings.Name, Address: spare.Address()}
+	order := func(action string, basis *uint64) error {
+		return g.leader().changeMembersByOrder(ctx, order{resource: "member/" + body.Name, action: action, basis: basis}, body)
+	}
+	basisOf := func(action string) uint64 {
+		missing := &BasisMissing{}
+		is.True(errors.As(order(action, nil), &missing))
+		return missing.Revision
+	}
+	late := basisOf("add")
+	is.NoErr(order("add", &late))
+
+	var failure *catalog.Failure
+	is.True(errors.As(order("remove", &late), &failure))
+	is.Equal(failure.Code, catalog.FailureConflict)
+	_, admitted := g.leader().replica.status.Load().Configuration.FindName(body.Name)
+	is.True(admitted)
+
+	newest := basisOf("remove")
+	is.NoErr(order("remove", &newest))
+}
--- a/control/replica.go
+++ b/control/replica.go
@@ -56,7 +56,9 @@
 	LastIndex     uint64
 	FirstIndex    uint64
 	Configuration consensus.Configuration
-	Progress      []consensus.PeerProgress
+	// ConfigurationIndex is the log index of Configuration.
+	ConfigurationIndex uint64
+	Progress           []consensus.PeerProgress
 	// Ready is true on a leader that has applied the first entry of its term.
 	Ready bool
 	// LeaderContact is the time of the last message from a leader, or of this member's start if there was none.
@@ -285,7 +287,7 @@
 		Role: r.core.Role(), Term: r.core.Term(), Leader: r.core.Leader(),
 		Commit: r.core.CommitIndex(), Applied: r.appliedIndex(),
 		LastIndex: r.core.LastIndex(), FirstIndex: r.core.FirstIndex(),
-		Configuration: r.core.Configuration(), Progress: r.core.Progress(), LeaderContact: r.core.LeaderContact(),
+		Configuration: r.core.Configuration(), ConfigurationIndex: r.core.ConfigurationIndex(), Progress: r.core.Progress(), LeaderContact: r.core.LeaderContact(),
 		DiskFull: r.core.DiskFull(),
 	}
 	if status.Leader == 0 {
