--- a/control/orders.go
+++ b/control/orders.go
@@ -63,26 +63,24 @@
 
 func (m *Member) executeOrder(ctx context.Context, request *fasthttp.RequestCtx, order order) (fleet.Result, error) {
 	if order.basis == nil {
-		return fleet.Result{}, m.requireBasis(ctx)
+		if err := m.linearize(ctx); err != nil {
+			return fleet.Result{}, err
+		}
+	}
+	var command fleet.Command
+	var hasBasis bool
+	missing := &BasisMissing{}
+	m.replica.view(func(state *fleet.State) {
+		command, hasBasis = state.Sequence(order.command, fleet.Order{Resource: order.resource, Action: order.action, Sender: m.senderOf(request)}, order.basis)
+		missing.Revision = state.Revision
+	})
+	if !hasBasis {
+		return fleet.Result{}, missing
 	}
-	var expected uint64
-	m.replica.view(func(state *fleet.State) { expected = state.ExpectedByEarlierVersions(order.resource, *order.basis) })
-	command := order.command.WithExpected(expected)
 	command.ID = commandID(request)
-	command.Order = &fleet.Order{Resource: order.resource, Action: order.action, Basis: *order.basis, Sender: m.senderOf(request)}
 	return m.execute(ctx, command)
 }
 
-// requireBasis returns a BasisMissing with the newest revision, or the error of reading that.
-func (m *Member) requireBasis(ctx context.Context) error {
-	if err := m.linearize(ctx); err != nil {
-		return err
-	}
-	missing := &BasisMissing{}
-	m.replica.view(func(state *fleet.State) { missing.Revision = state.Revision })
-	return missing
-}
-
 // senderOf describes the sender of an order to operators.
 func (m *Member) senderOf(request *fasthttp.RequestCtx) string {
 	sender := request.RemoteAddr().String() + " at " + m.options.Settings.Name
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -108,6 +108,19 @@
 	return 0
 }
 
+// Sequence returns the command that carries out an order based on the state that its sender has seen. Without a basis,
+// nothing is to be carried out: the sender has to be told the revision of this state, which must reflect all orders
+// that were acknowledged before the order was received.
+func (s *State) Sequence(command Command, order Order, basis *uint64) (sequenced Command, hasBasis bool) {
+	if basis == nil {
+		return Command{}, false
+	}
+	order.Basis = *basis
+	sequenced = command.WithExpected(s.expectedByEarlierVersions(order.Resource, order.Basis))
+	sequenced.Order = &order
+	return sequenced, true
+}
+
 // checkBasis returns a failure if there was another order on a resource since the state on which an order is based.
 func (s *State) checkBasis(order *Order) *catalog.Failure {
 	if order.Basis >= s.Revision {
@@ -143,9 +156,9 @@
 	return catalog.AnyRevision
 }
 
-// ExpectedByEarlierVersions returns the revision that members of EntryFormat 0 are to compare for an order, as they do not
+// expectedByEarlierVersions returns the revision that members of EntryFormat 0 are to compare for an order, as they do not
 // know its basis: they require that the object has changed at exactly this revision.
-func (s *State) ExpectedByEarlierVersions(resource string, basis uint64) uint64 {
+func (s *State) expectedByEarlierVersions(resource string, basis uint64) uint64 {
 	revision := s.unsequencedRevision(resource)
 	inCatalog := strings.HasPrefix(resource, templateKind) || strings.HasPrefix(resource, serviceKind)
 	if inCatalog && revision == 0 && basis > 0 {
