--- a/adminapi/types.go
+++ b/adminapi/types.go
@@ -187,6 +187,31 @@
 	EventsDropped bool `json:"events_dropped"`
 }
 
+// Order is an operator's order.
+type Order struct {
+	Revision uint64 `json:"revision"`
+	At       string `json:"at"`
+	Action   string `json:"action"`
+	// Sender is the address that the order came from, and the member that it was sent to.
+	Sender string `json:"sender"`
+}
+
+// DrainExplanation reports whether a zone or a node is drained, and why.
+type DrainExplanation struct {
+	// Resource is zone/NAME or node/NAME.
+	Resource string `json:"resource"`
+	State    string `json:"state"`
+	// Revision is that of the newest order, on which the next one can be based.
+	Revision uint64 `json:"revision"`
+	// Newest is the newest order; absent if there is none, or if the newest were those of earlier versions.
+	Newest *Order `json:"newest,omitempty"`
+	// Reason is one sentence.
+	Reason string  `json:"reason"`
+	Events []Event `json:"events"`
+	// EventsDropped is true if older events were removed from the journal.
+	EventsDropped bool `json:"events_dropped"`
+}
+
 // States of a zone.
 const (
 	// ZoneInService means that the nodes of the zone receive work.
--- a/cli/fleet.go
+++ b/cli/fleet.go
@@ -31,6 +31,7 @@
 		Commands: []*cli.Command{
 			nodeCommandFor("drain", "move all shards off a node and send it no new requests"),
 			nodeCommandFor("resume", "return a drained node to service"),
+			explainDrainCommand("node", adminapi.PathNodes),
 			nodeCommandFor("ended", "state that the machine of a lost node is off: its keys are free at once"),
 			{
 				Name: "list", Usage: "list nodes", Flags: withFlags(clientFlags, []cli.Flag{staleFlag}),
@@ -164,6 +165,26 @@
 	}
 }
 
+// explainDrainCommand returns the command that explains the state of a zone or a node.
+func explainDrainCommand(kind, path string) *cli.Command {
+	return &cli.Command{
+		Name: "explain", Usage: "show who drained a " + kind + " or returned it to service, and when", ArgsUsage: "NAME", Flags: withFlags(clientFlags, []cli.Flag{staleFlag}),
+		Action: func(_ context.Context, command *cli.Command) error {
+			name, err := argument(command, 0, kind)
+			if err != nil {
+				return err
+			}
+			var answer adminapi.DrainExplanation
+			if err := get(command, path+"/"+name, nil, &answer); err != nil {
+				return err
+			}
+			summary := &table{header: []string{"RESOURCE", "STATE", "REVISION", "REASON"}}
+			summary.add(answer.Resource, answer.State, answer.Revision, answer.Reason)
+			return show(command, answer, summary, eventTable(answer.Events))
+		},
+	}
+}
+
 func eventTable(events []adminapi.Event) *table {
 	rows := &table{header: []string{"REVISION", "AT", "EVENT", "SERVICE", "SHARDS", "FROM", "TO", "CAUSE"}}
 	for _, event := range events {
--- a/cli/zones.go
+++ b/cli/zones.go
@@ -28,6 +28,7 @@
 		Commands: []*cli.Command{
 			zoneCommandFor("drain", "move all shards off a zone's nodes and send them no new requests"),
 			zoneCommandFor("undrain", "return a drained zone to service"),
+			explainDrainCommand("zone", adminapi.PathZones),
 			{
 				Name: "list", Usage: "list zones", Flags: withFlags(clientFlags, []cli.Flag{staleFlag}),
 				Action: func(_ context.Context, command *cli.Command) error {
--- a/control/admin_resources.go
+++ b/control/admin_resources.go
@@ -172,6 +172,9 @@
 }
 
 func (m *Member) routeNodes(ctx context.Context, request *fasthttp.RequestCtx, method, name, action string) (any, error) {
+	if method == http.MethodGet && name != "" {
+		return m.explainDrain(ctx, request, fleet.NodeResource(name), name, decisions.KindNodeDraining, decisions.KindNodeResumed)
+	}
 	if method == http.MethodGet {
 		var list []adminapi.Node
 		leader := m.leaderView(ctx)
--- a/control/member.go
+++ b/control/member.go
@@ -62,6 +62,8 @@
 
 	renewals prometheus.Counter
 	moves    *prometheus.CounterVec
+	// orders counts operators' orders by outcome.
+	orders *prometheus.CounterVec
 	// busiest is the utilization of the busiest node over the mean, by pool.
 	busiest *prometheus.GaugeVec
 	// failedConfirmations counts the confirmation requests of routers that failed, by step.
@@ -97,6 +99,7 @@
 	m.disk = newDiskMonitor(options)
 	m.renewals = options.Metrics.Counter("control", "lease_renewals_total", "Lease renewals that reached this member while it led.")
 	m.moves = options.Metrics.CounterVec("control", "shard_moves_total", "Shards that this member proposed to move, by kind of decision.", "kind")
+	m.orders = options.Metrics.CounterVec("control", "operator_orders_total", "Operators' orders that this member received, by outcome: basis_missing, accepted, rejected or unknown.", "outcome")
 	m.busiest = options.Metrics.GaugeVec("control", "pool_busiest_ratio", "Utilization of the busiest node of a pool over the mean, by the newest placement round of this member.", "pool")
 	m.registerRouterMetrics()
 	m.registerQuarantineMetrics()
--- a/control/orders.go
+++ b/control/orders.go
@@ -95,18 +95,20 @@
 	orderUnknown      = "unknown"
 )
 
-// logOrder logs who sent an order, the revision on which it is based, and what became of it.
+// logOrder logs and counts who sent an order, the revision on which it is based, and what became of it.
 func (m *Member) logOrder(request *fasthttp.RequestCtx, order order, result fleet.Result, err error) {
+	outcome := orderOutcome(result, err)
 	fields := []zap.Field{
 		zap.String("resource", order.resource), zap.String("action", order.action), zap.Stringer("caller", request.RemoteAddr()),
 		zap.ByteString("command_id", request.Request.Header.Peek(adminapi.HeaderCommandID)),
-		zap.Uint64p("basis", order.basis), zap.String("outcome", orderOutcome(result, err)),
+		zap.Uint64p("basis", order.basis), zap.String("outcome", outcome),
 		zap.Uint64("revision", result.Revision), zap.Duration("took", time.Since(request.Time())),
 	}
 	if err != nil {
 		fields = append(fields, zap.Error(err))
 	}
 	m.logger.Info("operator_order", fields...)
+	m.orders.WithLabelValues(outcome).Inc()
 }
 
 func orderOutcome(result fleet.Result, err error) string {
--- a/control/zones.go
+++ b/control/zones.go
@@ -12,6 +12,7 @@
 
 	"limehold/adminapi"
 	"limehold/catalog"
+	"limehold/decisions"
 	"limehold/fleet"
 	"limehold/wire"
 )
@@ -119,6 +120,9 @@
 
 // routeZones serves the operators' requests on zones.
 func (m *Member) routeZones(ctx context.Context, request *fasthttp.RequestCtx, method, name, action string) (any, error) {
+	if method == http.MethodGet && name != "" {
+		return m.explainDrain(ctx, request, fleet.ZoneResource(name), name, decisions.KindZoneDraining, decisions.KindZoneResumed)
+	}
 	if method == http.MethodGet {
 		return m.readZones(ctx, request)
 	}
--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -328,7 +328,7 @@
 	if command.Draining {
 		kind = decisions.KindNodeDraining
 	}
-	a.addEvent(decisions.Event{Kind: kind, From: node.Name, Cause: command.Cause})
+	a.addEvent(decisions.Event{Kind: kind, From: node.Name, Cause: a.orderCause(command.Cause)})
 	return Result{}
 }
 
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -167,6 +167,14 @@
 	return min(revision, basis)
 }
 
+// orderCause adds to the cause of a decision which order it follows.
+func (a *applier) orderCause(cause string) string {
+	if a.order == nil {
+		return cause
+	}
+	return fmt.Sprintf("%s, from %s, based on revision %d", cause, a.order.Sender, a.order.Basis)
+}
+
 // recordOrder makes an order the newest one on its resource.
 func (a *applier) recordOrder(order *Order) {
 	orders := &a.state.Orders
--- a/fleet/zones.go
+++ b/fleet/zones.go
@@ -55,6 +55,6 @@
 	if command.Draining {
 		kind = decisions.KindZoneDraining
 	}
-	a.addEvent(decisions.Event{Kind: kind, From: command.Zone, Cause: "operator"})
+	a.addEvent(decisions.Event{Kind: kind, From: command.Zone, Cause: a.orderCause("operator")})
 	return Result{}
 }
