control: decisions on a drain undo no newer order

A node that an operator had drained would get requests, or one that was resumed would get none, if the order was committed between a decision of control on the node's drain and its commit: when a session opens, when the platform's list keeps the machine after all, when an agent's drain ends.

Cause: these decisions were read from a state and committed without a comparison.

Fix: such a command names the revision of the state from which it was decided, and has no effect if there was an order on the node since. It is not recorded as an order. A session that opens decides anew.

--- a/control/drains.go
+++ b/control/drains.go
@@ -78,39 +78,62 @@
 }
 
 // alignOperatorsDrain makes a session that has just been opened drain exactly if an operator has drained its node: the
-// operator's command may have been applied between keepOperatorsDrain and the opening.
+// operator's command may have been applied between keepOperatorsDrain and the opening, or may be while this runs.
 func (m *Member) alignOperatorsDrain(ctx context.Context, session membership.SessionID, name string) error {
-	var ordered, aligned bool
+	for {
+		command, needed := m.drainAlignment(session, name)
+		if !needed {
+			return nil
+		}
+		result, err := m.executeLocally(ctx, command)
+		if err != nil || result.Failure == nil {
+			return err
+		}
+	}
+}
+
+// drainAlignment returns the command that makes a session drain exactly if an operator has drained its node.
+func (m *Member) drainAlignment(session membership.SessionID, name string) (command fleet.Command, needed bool) {
 	m.replica.view(func(state *fleet.State) {
-		ordered = state.IsDrainOrdered(name)
+		ordered := state.IsDrainOrdered(name)
 		node := state.Membership.Sessions[session]
-		aligned = node == nil || node.Draining == ordered || node.Draining && node.DrainCause != membership.DrainCauseOperator
+		aligned := node == nil || node.Draining == ordered || node.Draining && node.DrainCause != membership.DrainCauseOperator
+		needed = !aligned
+		command = fleet.Command{SetDraining: &fleet.SetDraining{Session: session, Draining: ordered, Cause: membership.DrainCauseOperator}}
+		command = state.WithoutNewerOrder(command, fleet.NodeResource(name))
 	})
-	if aligned {
-		return nil
-	}
-	_, err := m.executeLocally(ctx, fleet.Command{SetDraining: &fleet.SetDraining{Session: session, Draining: ordered, Cause: membership.DrainCauseOperator}})
-	return err
+	return command, needed
 }
 
 // endAgentDrain returns a node to service whose agent has requested its drain. Drains by operators and by the
 // platform go on.
 func (m *Member) endAgentDrain(ctx context.Context, session membership.SessionID) error {
-	var drained bool
-	var name, cause string
-	m.replica.view(func(state *fleet.State) {
-		if node := state.Membership.Sessions[session]; node != nil {
-			drained, name, cause = node.DrainedByAgent(), node.Name, node.DrainCause
-		}
-	})
-	if !drained {
+	command, name, needed := m.agentDrainEnd(session)
+	if !needed {
 		return nil
 	}
-	m.logger.Info("agent_drain_ended", zap.String("node", name), zap.Uint64("session", uint64(session)), zap.String("drain_cause", cause))
-	_, err := m.executeLocally(ctx, fleet.Command{SetDraining: &fleet.SetDraining{Session: session, Cause: "its agent no longer requests the drain: " + cause}})
+	m.logger.Info("agent_drain_ended", zap.String("node", name), zap.Uint64("session", uint64(session)), zap.String("drain_cause", command.SetDraining.Cause))
+	result, err := m.executeLocally(ctx, command)
+	if err == nil && result.Failure != nil {
+		m.logger.Info("drain_decision_superseded", zap.String("node", name), zap.String("cause", result.Failure.Message))
+	}
 	return err
 }
 
+// agentDrainEnd returns the command that ends a drain on behalf of a session's agent, and the name of the node.
+func (m *Member) agentDrainEnd(session membership.SessionID) (command fleet.Command, name string, needed bool) {
+	m.replica.view(func(state *fleet.State) {
+		node := state.Membership.Sessions[session]
+		if node == nil || !node.DrainedByAgent() {
+			return
+		}
+		name, needed = node.Name, true
+		command = fleet.Command{SetDraining: &fleet.SetDraining{Session: session, Cause: "its agent no longer requests the drain: " + node.DrainCause}}
+		command = state.WithoutNewerOrder(command, fleet.NodeResource(name))
+	})
+	return command, name, needed
+}
+
 // isConn reports whether conn is the connection over which a session was opened or renewed last.
 func (s *sessions) isConn(session membership.SessionID, conn *transport.Conn) bool {
 	s.mutex.Lock()
--- a/control/drains_test.go
+++ b/control/drains_test.go
@@ -77,3 +77,63 @@
 		})
 	}
 }
+
+// Guards against a node that gets requests although an operator has drained it, or none although it was resumed: a
+// decision of control on its drain was committed after an operator's order that it did not know.
+func TestDecisionOnADrainUndoesNoNewerOrder(t *testing.T) {
+	leavingList := PlatformList{Machines: []PlatformMachine{{Name: "node-1", State: MachineLeaving}}}
+	type decide func(is *is.I, m *diskMember, session membership.SessionID) fleet.Command
+	for name, c := range map[string]struct {
+		opened membership.Node
+		// before are operators' orders before the decision, newer is the one after it.
+		before  []bool
+		newer   bool
+		decide  decide
+		drained bool
+	}{
+		"a session opens beside an order to drain, then the node is resumed": {
+			before: []bool{true}, newer: false, drained: false,
+			decide: func(is *is.I, m *diskMember, session membership.SessionID) fleet.Command {
+				command, needed := m.drainAlignment(session, "node-1")
+				is.True(needed)
+				return command
+			},
+		},
+		"the platform keeps the machine, then the node is drained": {
+			newer: true, drained: true,
+			decide: func(is *is.I, m *diskMember, _ membership.SessionID) fleet.Command {
+				m.applyPlatform(context.Background(), leavingList)
+				changes := m.platformChanges(PlatformList{})
+				is.Equal(len(changes), 1)
+				return changes[0].command
+			},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := newDiskGroup(t).leader()
+			do := func(command fleet.Command) fleet.Result {
+				result, err := m.execute(context.Background(), command)
+				is.NoErr(err)
+				return result
+			}
+			order := func(draining bool) {
+				command := fleet.Command{SetDraining: &fleet.SetDraining{Draining: draining, Cause: membership.DrainCauseOperator, Node: "node-1"}}
+				m.replica.view(func(state *fleet.State) {
+					command, _ = state.Sequence(command, fleet.Order{Resource: fleet.NodeResource("node-1"), Action: "act"}, &state.Revision)
+				})
+				is.Equal(do(command).Failure, nil)
+			}
+			for _, draining := range c.before {
+				order(draining)
+			}
+			session := do(fleet.Command{OpenSession: &fleet.OpenSession{Node: membership.Node{Name: "node-1", Incarnation: "1"}}}).Session
+			decision := c.decide(is, m, session)
+			order(c.newer)
+			do(decision)
+			m.replica.view(func(state *fleet.State) {
+				is.Equal(state.Membership.Sessions[session].Draining, c.drained)
+			})
+		})
+	}
+}
--- a/control/platform.go
+++ b/control/platform.go
@@ -79,23 +79,32 @@
 }
 
 func (m *Member) applyPlatform(ctx context.Context, list PlatformList) {
+	for _, change := range m.platformChanges(list) {
+		m.logger.Info("platform_change", zap.String("node", change.node), zap.Bool("leaving", change.command.SetDraining.Draining))
+		m.propose(ctx, "drain node "+change.node, change.command)
+	}
+}
+
+// platformChange is a command that drains a node as the machine list says, or ends such a drain.
+type platformChange struct {
+	node    string
+	command fleet.Command
+}
+
+func (m *Member) platformChanges(list PlatformList) []platformChange {
 	leaving := map[string]bool{}
 	for _, machine := range list.Machines {
 		leaving[machine.Name] = machine.State == MachineLeaving
 	}
-	var changes []membership.Node
+	var changes []platformChange
 	m.replica.view(func(state *fleet.State) {
 		for _, node := range state.Membership.Sorted() {
 			wanted := leaving[node.Name]
 			if wanted && !node.Draining || !wanted && node.Draining && node.DrainCause == membership.DrainCausePlatform && !state.IsDrainOrdered(node.Name) {
-				changes = append(changes, *node)
+				command := fleet.Command{SetDraining: &fleet.SetDraining{Session: node.Session, Draining: !node.Draining, Cause: membership.DrainCausePlatform}}
+				changes = append(changes, platformChange{node.Name, state.WithoutNewerOrder(command, fleet.NodeResource(node.Name))})
 			}
 		}
 	})
-	for _, node := range changes {
-		m.logger.Info("platform_change", zap.String("node", node.Name), zap.Bool("leaving", !node.Draining))
-		m.propose(ctx, "drain node "+node.Name, fleet.Command{SetDraining: &fleet.SetDraining{
-			Session: node.Session, Draining: !node.Draining, Cause: membership.DrainCausePlatform,
-		}})
-	}
+	return changes
 }
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -18,7 +18,8 @@
 type Order struct {
 	// Resource is the kind and the name of what the order is about, for example "zone/b".
 	Resource string
-	// Action is what is to be done, for example "drain".
+	// Action is what is to be done, for example "drain". It is empty for a decision of control, which takes effect
+	// only if no order has taken effect since, but is none itself.
 	Action string
 	// Basis is the revision of the state that the sender has seen.
 	Basis uint64
@@ -121,6 +122,13 @@
 	return sequenced, true
 }
 
+// WithoutNewerOrder returns a command of control that takes effect only if there is no order on a resource after this
+// state, from which it was decided.
+func (s *State) WithoutNewerOrder(command Command, resource string) Command {
+	command.Order = &Order{Resource: resource, Basis: s.Revision}
+	return command
+}
+
 // checkBasis returns a failure if there was another order on a resource since the state on which an order is based.
 func (s *State) checkBasis(order *Order) *catalog.Failure {
 	if order.Basis >= s.Revision {
@@ -169,7 +177,7 @@
 
 // orderCause adds to the cause of a decision which order it follows.
 func (a *applier) orderCause(cause string) string {
-	if a.order == nil {
+	if a.order == nil || a.order.Action == "" {
 		return cause
 	}
 	return fmt.Sprintf("%s, from %s, based on revision %d", cause, a.order.Sender, a.order.Basis)
@@ -177,6 +185,9 @@
 
 // recordOrder makes an order the newest one on its resource.
 func (a *applier) recordOrder(order *Order) {
+	if order.Action == "" {
+		return
+	}
 	orders := &a.state.Orders
 	orders.Newest[order.Resource] = OrderRecord{Revision: a.state.Revision, At: a.at, Action: order.Action, Sender: order.Sender}
 	if len(orders.Newest) > maxOrderRecords {
