--- a/control/orders.go
+++ b/control/orders.go
@@ -50,6 +50,14 @@
 	command fleet.Command
 }
 
+// basisText returns the basis for the log, "none" if the order does not name one.
+func (o *order) basisText() string {
+	if o.basis == nil {
+		return "none"
+	}
+	return strconv.FormatUint(*o.basis, 10)
+}
+
 // maxSenderBytes bounds the description of an order's sender in the replicated state.
 const maxSenderBytes = 128
 
@@ -101,10 +109,10 @@
 	fields := []zap.Field{
 		zap.String("resource", order.resource), zap.String("action", order.action), zap.Stringer("caller", request.RemoteAddr()),
 		zap.ByteString("command_id", request.Request.Header.Peek(adminapi.HeaderCommandID)),
-		zap.Uint64p("basis", order.basis), zap.String("outcome", outcome),
+		zap.String("basis", order.basisText()), zap.String("outcome", outcome),
 		zap.Uint64("revision", result.Revision), zap.Duration("took", time.Since(request.Time())),
 	}
-	if err != nil {
+	if err != nil && outcome != orderBasisMissing {
 		fields = append(fields, zap.Error(err))
 	}
 	m.logger.Info("operator_order", fields...)
