ingress: responses without a length take bounded memory together

Cause: such a response is read whole before it is passed on; each one was bounded (16 MiB), all of them together were not.

A response that finds no room is broken off, as one that is not complete.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -69,9 +69,6 @@
 	// bufferLimit is the size in bytes up to which a response is read completely before any of it
 	// is sent on.
 	bufferLimit = 64 << 10
-	// maxUnframedBytes bounds the bytes of a response that ends with its connection. Such a response
-	// is read completely, as only its end shows whether it is complete.
-	maxUnframedBytes = 16 << 20
 	// identityLength is what the HTTP library reports as the length of such a response.
 	identityLength = -2
 	// minimumRemaining is the shortest time before its deadline in which a request is still sent.
@@ -232,7 +229,7 @@
 		result.bodyRead = true
 		i.releaseConn(p, result, response)
 	case length == identityLength:
-		if err := readUnframed(response); err != nil {
+		if err := i.readUnframed(p, response); err != nil {
 			fail(reasonBrokenAnswer, eris.Wrapf(err, "read response body of instance %s to the end of its connection", p.instance.id))
 			return
 		}
@@ -307,20 +304,6 @@
 	return nil
 }
 
-// readUnframed reads a response up to the orderly end of its connection.
-func readUnframed(response *fasthttp.Response) error {
-	body, err := io.ReadAll(io.LimitReader(response.BodyStream(), maxUnframedBytes+1))
-	if err != nil {
-		return err
-	}
-	if len(body) > maxUnframedBytes {
-		return eris.Errorf("response without a length is longer than %d bytes", maxUnframedBytes)
-	}
-	_ = response.CloseBodyStream()
-	response.SetBodyRaw(body)
-	return nil
-}
-
 // keepAlive returns how long an idle connection may still be used according to the response's
 // Keep-Alive header; 0 if that contains no timeout.
 func keepAlive(response *fasthttp.Response) time.Duration {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -79,6 +79,7 @@
 	gate         *slotGate
 	link         *link
 	inbound      *inbound
+	unframed     unframedMemory
 	upstreams    *upstream.Pool
 	disconnects  *disconnect.Watcher
 	crashReports *crashreport.Exchange
--- a/ingress/proxyrequest.go
+++ b/ingress/proxyrequest.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"strconv"
 	"time"
 
@@ -62,6 +63,8 @@
 	sent          time.Duration
 	// reservedBytes is the response size that is reserved on the link; see link.reserve.
 	reservedBytes float64
+	// unframedBytes is the memory that a response without a length takes.
+	unframedBytes int
 	// upload is the transfer of the request's body if that was announced.
 	upload *upload
 	// body is the announced body.
@@ -465,6 +468,8 @@
 // releaseRequest stops watching whether the caller disconnects, and releases the outgoing request.
 func (i *Ingress) releaseRequest(p *proxyRequest) {
 	i.disconnects.Remove(p.watched)
+	i.unframed.release(p.unframedBytes)
+	p.unframedBytes = 0
 	i.releaseUpload(p)
 	if p.outgoing != nil && p.upload == nil {
 		// A request with an announced body may still be sent; it is left to the garbage collector.
@@ -550,6 +555,11 @@
 // and is sent at the link's rate. body was allocated by readBody or readUnframed and belongs to no pool.
 func (i *Ingress) sendBuffered(response *fasthttp.Response, p *proxyRequest, body []byte) {
 	if p.isHead || !i.link.canHold(len(body)) {
+		if p.unframedBytes > 0 && !p.isHead {
+			i.RecordSent(len(body))
+			response.SetBodyStream(&unframedBody{bytes.NewReader(body), func() { i.releaseRequest(p) }}, len(body))
+			return
+		}
 		if !p.isHead {
 			response.SetBodyRaw(body)
 		}
