fleet: decisions of control are told from orders by a field

An order without an action counted as a decision of control and was not recorded, so that it superseded nothing. A further kind of order without an action would have passed unnoticed.

--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -18,13 +18,14 @@
 type Order struct {
 	// Resource is the kind and the name of what the order is about, for example "zone/b".
 	Resource string
-	// Action is what is to be done, for example "drain". It is empty for a decision of control, which takes effect
-	// only if no order has taken effect since, but is none itself.
+	// Action is what is to be done, for example "drain".
 	Action string
 	// Basis is the revision of the state that the sender has seen.
 	Basis uint64
 	// Sender tells operators where the order came from.
 	Sender string
+	// Decision is set for a decision of control, which takes effect only if there was no order since, but is none itself.
+	Decision bool
 }
 
 // OrderRecord is the newest order on a resource.
@@ -125,7 +126,7 @@
 // WithoutNewerOrder returns a command of control that takes effect only if there is no order on a resource after this
 // state, from which it was decided.
 func (s *State) WithoutNewerOrder(command Command, resource string) Command {
-	command.Order = &Order{Resource: resource, Basis: s.Revision}
+	command.Order = &Order{Resource: resource, Action: "decision", Basis: s.Revision, Sender: "control", Decision: true}
 	return command
 }
 
@@ -177,7 +178,7 @@
 
 // orderCause adds to the cause of a decision which order it follows.
 func (a *applier) orderCause(cause string) string {
-	if a.order == nil || a.order.Action == "" {
+	if a.order == nil || a.order.Decision {
 		return cause
 	}
 	return fmt.Sprintf("%s, from %s, based on revision %d", cause, a.order.Sender, a.order.Basis)
@@ -185,7 +186,7 @@
 
 // recordOrder makes an order the newest one on its resource.
 func (a *applier) recordOrder(order *Order) {
-	if order.Action == "" {
+	if order.Decision {
 		return
 	}
 	orders := &a.state.Orders
