upstream: routers have room for what an ingress adds to an answer's header

Cause: ingress and router had equal room for an answer's header, and the ingress adds fields to it, of varying size.

Evidence: attempt_failed 'small read buffer ... buffer size=32384'.

Fix: connections to ingresses have 8 KiB more room.

--- a/router/router.go
+++ b/router/router.go
@@ -152,7 +152,7 @@
 // New opens the listeners. Run serves them.
 func New(options Options) (*Router, error) {
 	config := options.Settings
-	r := &Router{options: options, logger: options.Logger, upstreams: upstream.NewPool(upstream.DefaultIdleTimeout), disconnects: disconnect.NewWatcher(), work: newWorkTable(), crashes: newCrashLog()}
+	r := &Router{options: options, logger: options.Logger, upstreams: upstream.NewProxyPool(upstream.DefaultIdleTimeout), disconnects: disconnect.NewWatcher(), work: newWorkTable(), crashes: newCrashLog()}
 	r.crashReports = crashreport.New(config.Name, options.Logger, options.Metrics)
 	pools := poolOptions{policy: policyOf(config.Router.Balance), fixedLimits: config.Router.Limits == settings.LimitsFixed, loadView: config.Router.LoadView}
 	r.table = newTable(func(name string) *pool { return newPool(name, pools) })
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -21,6 +21,8 @@
 const (
 	dialTimeout = 500 * time.Millisecond
 	bufferSize  = 16 << 10
+	// proxyHeaderBytes exceeds the header fields that a proxy adds to a response.
+	proxyHeaderBytes = 8 << 10
 	// SweepInterval is the interval at which Pool.Sweep must be called.
 	SweepInterval = time.Second
 	// DefaultIdleTimeout is how long an idle connection is kept unless its peer announces a
@@ -31,8 +33,11 @@
 // Pool keeps idle connections by address.
 type Pool struct {
 	idleTimeout time.Duration
-	mutex       sync.Mutex
-	idle        map[string][]*Conn
+	// bufferSize is the size in bytes of a connection's reader, and thereby of the largest response header that does
+	// not repeat a long ID.
+	bufferSize int
+	mutex      sync.Mutex
+	idle       map[string][]*Conn
 }
 
 // Conn is a connection to an HTTP server, with its buffers.
@@ -40,6 +45,8 @@
 	Raw    net.Conn
 	Reader *bufio.Reader
 	Writer *bufio.Writer
+	// readerSize is the size in bytes of Reader without room for a long ID.
+	readerSize int
 	// Written counts the bytes written to Raw.
 	Written CountingWriter
 	Address string
@@ -70,7 +77,15 @@
 
 // NewPool returns a pool that keeps connections idle for up to idleTimeout.
 func NewPool(idleTimeout time.Duration) *Pool {
-	return &Pool{idleTimeout: idleTimeout, idle: map[string][]*Conn{}}
+	return &Pool{idleTimeout: idleTimeout, bufferSize: bufferSize, idle: map[string][]*Conn{}}
+}
+
+// NewProxyPool is NewPool for connections to proxies, which add header fields to the responses that they receive over
+// connections of a pool of their own. A response that a proxy has room for has room here, too.
+func NewProxyPool(idleTimeout time.Duration) *Pool {
+	pool := NewPool(idleTimeout)
+	pool.bufferSize += proxyHeaderBytes
+	return pool
 }
 
 // Get returns an idle connection that is usable, or dials; timeout bounds only the dial.
@@ -91,16 +106,20 @@
 		}
 		conn.Close()
 	}
-	return Dial(address, timeout)
+	return dial(address, timeout, p.bufferSize)
 }
 
 // Dial opens a connection that does not belong to a pool yet.
 func Dial(address string, timeout time.Duration) (*Conn, error) {
+	return dial(address, timeout, bufferSize)
+}
+
+func dial(address string, timeout time.Duration, readerSize int) (*Conn, error) {
 	raw, err := net.DialTimeout("tcp", address, min(timeout, dialTimeout))
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial %s", address)
 	}
-	conn := &Conn{Raw: raw, Address: address, Reader: bufio.NewReaderSize(raw, bufferSize)}
+	conn := &Conn{Raw: raw, Address: address, Reader: bufio.NewReaderSize(raw, readerSize), readerSize: readerSize}
 	conn.Written.Inner = raw
 	conn.Writer = bufio.NewWriterSize(&conn.Written, bufferSize)
 	return conn, nil
@@ -112,7 +131,7 @@
 // ReserveForID makes room in the reader for a response header that repeats the ID of its request, which may take up the
 // whole header of a request. It has to be called before the request is sent.
 func (c *Conn) ReserveForID(id string) {
-	wanted := bufferSize + len(id)
+	wanted := c.readerSize + len(id)
 	if len(id) <= usualIDLength || c.Reader.Size() >= wanted || c.Reader.Buffered() > 0 {
 		return
 	}
