upstream: responses with an invalid status line are refused

Callers saw: an instance answered with status 000, and its caller got that as a 200. With the mark "not run" it was believed as a refusal. The same status in the answer to a grant counted as an acknowledgement, and in the answer to a release the keys counted as free, with the token that it named.

Cause: the HTTP library keeps the digits as a number and returns 200 for 0, the value of a status that was not set. Nothing checked what it had parsed: three readers called it directly.

Evidence, with ReadResponse replaced by the library's reader: TestMalformedResponsesAreUnknown fails for status 000 and 099, another major version, control bytes in the reason (passed on) and an unasked switch of the protocol; TestMalformedAnswersToKeyCallsCountForNothing for all four cases: with status 000 a grant and both releases returned no error.

Fix: Conn.ReadResponse is the only reader of a connection, as its buffer is private now. It checks the status line, of interim responses too, before the library parses it. Refused are what RFC 9112, 4 and RFC 9110, 15 exclude: no HTTP/1.x, a status that is not within 100 to 599, control bytes in the reason, and a 101, which no request here asks for. 000 can't reach the library any more, so no reader can mistake it. Requests end as unknown with broken-answer, never as run or not run; calls return a MalformedError, which quotes 60 bytes at most. TestUnusualResponsesAreRead keeps what is valid but unusual.

A malformed answer to an announced body is left to be read, so that it ends as unknown, as before.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -197,7 +197,7 @@
 		return
 	}
 	defer p.tracker.Untrack()
-	if err := response.ReadLimitBody(conn.Reader, 0); err != nil {
+	if err := conn.ReadResponse(response, 0); err != nil {
 		fail(readFailureReason(err), eris.Wrapf(err, "read response of instance %s", p.instance.id))
 		return
 	}
@@ -247,7 +247,10 @@
 
 func readFailureReason(err error) string {
 	var timeout net.Error
-	if errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout() {
+	switch {
+	case upstream.IsMalformed(err):
+		return reasonBrokenAnswer
+	case errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout():
 		return reasonLateAnswer
 	}
 	return reasonNoAnswer
--- /dev/null
+++ b/ingress/malformed_test.go
@@ -0,0 +1,46 @@
+package ingress
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"limehold/wire"
+)
+
+// Guards against responses that are no HTTP and reach the caller as a response, or as the statement that its request did
+// not run.
+func TestMalformedResponsesAreUnknown(t *testing.T) {
+	for name, c := range map[string]struct {
+		statusLine string
+		// fields stand between the ID and the empty line.
+		fields string
+	}{
+		"status 000":             {"HTTP/1.1 000 OK", ""},
+		"status 000, not run":    {"HTTP/1.1 000 OK", "X-Not-Run: 1\r\n"},
+		"status 099":             {"HTTP/1.1 099 OK", ""},
+		"status of two digits":   {"HTTP/1.1 20 OK", ""},
+		"status of four digits":  {"HTTP/1.1 2000 OK", ""},
+		"status with a sign":     {"HTTP/1.1 +20 OK", ""},
+		"no status":              {"HTTP/1.1 OK", ""},
+		"switch of the protocol": {"HTTP/1.1 101 Switching Protocols", "Upgrade: x\r\nConnection: upgrade\r\n"},
+		"control byte in reason": {"HTTP/1.1 200 O\x01K", ""},
+		"CR in reason":           {"HTTP/1.1 200 OK\rX-Other: 1", ""},
+		"another major version":  {"HTTP/3.1 200 OK", ""},
+	} {
+		for framing, body := range map[string]string{"length": "Content-Length: 5\r\n\r\nhello", "chunks": "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "end of the connection": "\r\nhello"} {
+			t.Run(name+"/"+framing, func(t *testing.T) {
+				is := is.New(t)
+				instance := startInstance(t, func(id string) string {
+					return fmt.Sprintf("%s\r\nX-Request-Id: %s\r\n%s%s", c.statusLine, id, c.fields, body)
+				}, true)
+				response := ask(t, startIngress(t, instance), nil)
+				is.Equal(response.Header.Get(wire.HeaderOutcome), wire.OutcomeUnknown)
+				is.Equal(response.StatusCode, http.StatusBadGateway)
+				is.Equal(instance.received.Load(), int64(1)) // not sent again by the ingress
+			})
+		}
+	}
+}
--- a/peerconn/peerconn_test.go
+++ b/peerconn/peerconn_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -70,7 +71,7 @@
 	if _, err := conn.Raw.Write([]byte{1}); err != nil {
 		return false, err
 	}
-	_, err := conn.Reader.ReadByte()
+	_, err := io.ReadFull(conn.Raw, make([]byte, 1))
 	return err == nil, err
 }
 
--- a/router/announced.go
+++ b/router/announced.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"bytes"
 	"errors"
 	"io"
 
@@ -16,9 +15,6 @@
 // sent to another instance.
 const announcedBody = 16 << 10
 
-// continueHead is how an interim response begins that asks for the body.
-var continueHead = []byte("HTTP/1.1 100 ")
-
 // announcesBody reports whether the request's body is announced.
 func (p *proxiedRequest) announcesBody() bool {
 	if p.outbound.IsBodyStream() {
@@ -41,21 +37,17 @@
 	if err == nil {
 		err = conn.Writer.Flush()
 	}
-	var start []byte
+	isAsked := false
 	if err == nil {
-		start, err = conn.Reader.Peek(len(continueHead))
+		isAsked, err = conn.IsAskedForBody()
 	}
 	if err != nil {
 		// A request is not run without its body.
 		return errors.Join(errNothingSent, eris.Wrap(err, "announce the body"))
 	}
-	if !bytes.Equal(start, continueHead) {
+	if !isAsked {
 		return nil
 	}
-	var interim fasthttp.ResponseHeader
-	if err := interim.Read(conn.Reader); err != nil {
-		return eris.Wrap(err, "read the interim response")
-	}
 	if p.isAbandoned() {
 		return errors.Join(errNothingSent, errCallerGone) // of the body, without which nothing is run
 	}
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -189,13 +189,8 @@
 		return
 	}
 	defer request.tracker.Untrack()
-	if err := response.ReadLimitBody(conn.Reader, 0); err != nil {
-		reason := reasonNoAnswer
-		var timeout net.Error
-		if errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout() {
-			reason = reasonLateAnswer
-		}
-		fail(reason, eris.Wrapf(err, "read response from %s", conn.Address))
+	if err := conn.ReadResponse(response, 0); err != nil {
+		fail(readFailureReason(err), eris.Wrapf(err, "read response from %s", conn.Address))
 		return
 	}
 	if isClosedNotice(&response.Header) {
@@ -240,6 +235,17 @@
 	}
 }
 
+func readFailureReason(err error) string {
+	var timeout net.Error
+	switch {
+	case upstream.IsMalformed(err):
+		return reasonBrokenAnswer
+	case errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout():
+		return reasonLateAnswer
+	}
+	return reasonNoAnswer
+}
+
 // isClosedNotice reports whether a response is the notice that an ingress writes when it closes a kept connection.
 // It names no attempt: it is the response to whichever request crosses the close.
 func isClosedNotice(header *fasthttp.ResponseHeader) bool {
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -42,7 +42,7 @@
 		}
 		return false, err
 	}
-	if err != nil || response.ConnectionClose() || c.Reader.Buffered() > 0 {
+	if err != nil || response.ConnectionClose() || c.reader.Buffered() > 0 {
 		return false, err
 	}
 	// An idle connection whose deadline has expired would appear to be closed.
@@ -63,5 +63,5 @@
 	if err := c.Writer.Flush(); err != nil {
 		return err
 	}
-	return response.ReadLimitBody(c.Reader, maxCallBody)
+	return c.ReadResponse(response, maxCallBody)
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -43,9 +43,10 @@
 // Conn is a connection to an HTTP server, with its buffers.
 type Conn struct {
 	Raw    net.Conn
-	Reader *bufio.Reader
 	Writer *bufio.Writer
-	// readerSize is the size in bytes of Reader without room for a long ID.
+	// reader is read by ReadResponse and IsAskedForBody only, which check what they read.
+	reader *bufio.Reader
+	// readerSize is the size in bytes of reader without room for a long ID.
 	readerSize int
 	// Written counts the bytes written to Raw.
 	Written CountingWriter
@@ -119,10 +120,14 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial %s", address)
 	}
-	conn := &Conn{Raw: raw, Address: address, Reader: bufio.NewReaderSize(raw, readerSize), readerSize: readerSize}
+	return newConn(raw, address, readerSize), nil
+}
+
+func newConn(raw net.Conn, address string, readerSize int) *Conn {
+	conn := &Conn{Raw: raw, Address: address, reader: bufio.NewReaderSize(raw, readerSize), readerSize: readerSize}
 	conn.Written.Inner = raw
 	conn.Writer = bufio.NewWriterSize(&conn.Written, bufferSize)
-	return conn, nil
+	return conn
 }
 
 // usualIDLength is the length of a request ID up to which the reader has room for a response header that repeats it.
@@ -132,10 +137,10 @@
 // whole header of a request. It has to be called before the request is sent.
 func (c *Conn) ReserveForID(id string) {
 	wanted := c.readerSize + len(id)
-	if len(id) <= usualIDLength || c.Reader.Size() >= wanted || c.Reader.Buffered() > 0 {
+	if len(id) <= usualIDLength || c.reader.Size() >= wanted || c.reader.Buffered() > 0 {
 		return
 	}
-	c.Reader = bufio.NewReaderSize(c.Raw, wanted)
+	c.reader = bufio.NewReaderSize(c.Raw, wanted)
 }
 
 // takeIdle returns the connection used last among those that are accepted, so that surplus connections expire.
@@ -155,7 +160,7 @@
 // Put returns a connection to the pool after its response was read to its end. It closes the
 // connection if further bytes have been received, its deadline cannot be cleared, or it has no room for further IDs.
 func (p *Pool) Put(conn *Conn) {
-	if conn.Reader.Buffered() > 0 || conn.sent.isFull() {
+	if conn.reader.Buffered() > 0 || conn.sent.isFull() {
 		conn.Close()
 		return
 	}
