upstream: responses with a malformed header are refused

Callers saw: an answer in whose header a field's name held a blank, with that line passed on; where the name began with Content-Length or Transfer-Encoding, a body that was not the instance's, such as its raw chunks. "X-Not-Run : 1" was believed as a refusal, and a 409 beside such a name as the refusal of a grant, by which control assigns the keys anew.

Cause: the HTTP library trims blanks behind a name, keeps names with blanks inside as they are, ends a header at a bare LF where a CRLF CRLF follows, and ignores Transfer-Encoding in HTTP/1.0. Each is read differently by other implementations: what the field means, or where header and body end.

Fix: ReadResponse checks each line of a header, of interim responses too, before the library parses it, as routers do for the headers of requests: lines end in CRLF, names are tokens followed by the colon, values hold no control byte but tabs, Transfer-Encoding needs HTTP/1.1 (RFC 9112, 2.2, 5.1, 6.1). After that the two can't read it differently. Refused as unknown, or as a MalformedError. Folded values, empty ones and bytes beyond ASCII stay valid (TestUnusualResponsesAreRead). RFC 9112, 2.2 leaves a recipient the choice to accept a bare LF; responses without any CRLF CRLF have never been read here.

--- a/upstream/response.go
+++ b/upstream/response.go
@@ -76,6 +76,9 @@
 	size      int
 	status    int
 	hasStatus bool
+	// isHTTP11 is set for versions that have chunked encoding.
+	isHTTP11 bool
+	hasField bool
 }
 
 // peekHeader waits for the header of a response, checks it and leaves it to be read.
@@ -108,13 +111,17 @@
 			return false, nil
 		}
 		h.size += len(line) + 1
-		line = bytes.TrimSuffix(line, []byte("\r"))
+		line, hasCR := bytes.CutSuffix(line, []byte("\r"))
 		switch {
+		case !hasCR:
+			return false, malformed("line ends without CR", line)
 		case len(line) == 0 && h.hasStatus:
 			return true, nil
 		case len(line) == 0: // left from the body of the response before
 		case !h.hasStatus:
 			err = h.checkStatusLine(line)
+		default:
+			err = h.checkField(line)
 		}
 		if err != nil {
 			return false, err
--- a/upstream/response_test.go
+++ b/upstream/response_test.go
@@ -49,6 +49,23 @@
 		"control byte in the reason":       "HTTP/1.1 200 O\x01K\r\nContent-Length: 5\r\n",
 		"CR in the reason":                 "HTTP/1.1 200 OK\rX-Other: 1\r\nContent-Length: 5\r\n",
 		"interim response without end":     strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", maxInterimResponses+1) + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n",
+		"blank in a name":                  "HTTP/1.1 200 OK\r\nX Other: 1\r\nContent-Length: 5\r\n",
+		"blank behind a name":              "HTTP/1.1 200 OK\r\nX-Other : 1\r\nContent-Length: 5\r\n",
+		"blank behind Content-Length":      "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n",
+		"blank in Content-Length":          "HTTP/1.1 200 OK\r\nContent- Length: 5\r\n",
+		"blank behind Transfer-Encoding":   "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
+		"blank before the first name":      "HTTP/1.1 200 OK\r\n X-Other: 1\r\nContent-Length: 5\r\n",
+		"blank in an interim response":     "HTTP/1.1 103 Early Hints\r\nX Other: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n",
+		"byte beyond ASCII in a name":      "HTTP/1.1 200 OK\r\nX-\xc3\x9c: 1\r\nContent-Length: 5\r\n",
+		"empty name":                       "HTTP/1.1 200 OK\r\n: 1\r\nContent-Length: 5\r\n",
+		"no colon":                         "HTTP/1.1 200 OK\r\nX-Other\r\nContent-Length: 5\r\n",
+		"LF before a name":                 "HTTP/1.1 200 OK\r\n\nX-Other: 1\r\nContent-Length: 5\r\n",
+		"LF in a name":                     "HTTP/1.1 200 OK\r\nX: 1\nX-Other: 1\r\nContent-Length: 5\r\n",
+		"LF behind the status line":        "HTTP/1.1 200 OK\nContent-Length: 5\r\n",
+		"control byte in a value":          "HTTP/1.1 200 OK\r\nX-Other: a\x00b\r\nContent-Length: 5\r\n",
+		"control byte in a folded value":   "HTTP/1.1 200 OK\r\nX-Other: a\r\n \x1b\r\nContent-Length: 5\r\n",
+		"Transfer-Encoding in HTTP/1.0":    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+		"long line without a colon":        "HTTP/1.1 200 OK\r\n" + strings.Repeat("x", 10_000) + " \r\nContent-Length: 5\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/upstream/responsesyntax.go
+++ b/upstream/responsesyntax.go
@@ -35,10 +35,53 @@
 	case !isFieldValue(reason):
 		return malformed("control byte in the reason phrase", line)
 	}
-	h.hasStatus = true
+	h.hasStatus, h.isHTTP11 = true, bytes.Equal(version, versionHTTP11)
 	return nil
 }
 
+// checkField checks a field, or the continuation of one (RFC 9112, sections 5 and 6.1).
+func (h *responseHeader) checkField(line []byte) error {
+	if isContinuation := line[0] == ' ' || line[0] == '\t'; isContinuation && h.hasField {
+		return checkValue(line, line)
+	}
+	name, value, found := bytes.Cut(line, []byte(":"))
+	switch {
+	case !found:
+		return malformed("field without a colon", line)
+	case !isToken(name):
+		return malformed("invalid field name", line)
+	case !h.isHTTP11 && bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)):
+		return malformed("transfer encoding in HTTP/1.0", line)
+	}
+	h.hasField = true
+	return checkValue(value, line)
+}
+
+func checkValue(value, line []byte) error {
+	if !isFieldValue(value) {
+		return malformed("control byte in a field", line)
+	}
+	return nil
+}
+
+// isToken reports whether text may be the name of a field (RFC 9110, section 5.6.2).
+func isToken(text []byte) bool {
+	for _, char := range text {
+		if !isTokenByte[char] {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
+// isTokenByte holds the bytes of which tokens consist.
+var isTokenByte = func() (table [256]bool) {
+	for _, char := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
+		table[char] = true
+	}
+	return table
+}()
+
 // parseStatus returns 0 if a status is invalid.
 func parseStatus(text []byte) int {
 	if len(text) != statusDigits {
