ingress: a reset during an upload breaks a response without a length

Callers saw: a part of a response as a complete one. The instance answered an upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: uploads are written by one goroutine while another reads the response. The kernel reports a reset once, to whoever reads or writes next. If the writer gets ECONNRESET, the reader then gets an end of the stream that looks orderly, and takes what has arrived for the whole.

Fix: a response that ends with its connection is whole only if the writing did not break either. The connection is closed at the end of the response, which ends the writing, and its result is looked at: any error but that of the close itself, the deadline, and EPIPE, by which the kernel reports a reset behind an orderly end, breaks the response. So the one report counts whoever gets it.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -41,8 +41,8 @@
 	response *fasthttp.Response
 	// bodyRead is set if the body has already been read into the response.
 	bodyRead bool
-	// writing receives the result of sending the request if that goes on while the response is read; nil otherwise.
-	writing <-chan error
+	// sending is set if the request is sent while the response is read.
+	sending *sending
 }
 
 // connectionBroke reports whether the connection to the instance broke during the request.
@@ -140,15 +140,13 @@
 // exchangeUpload sends a request with a large body and reads the response meanwhile: instances may respond before they
 // have read the body, and read the rest of it later.
 func (i *Ingress) exchangeUpload(p *proxyRequest, result *exchange) {
-	writing := make(chan error, 1)
-	go func() { writing <- p.write(result.conn) }()
-	result.writing = writing
+	result.sending = startSending(func() error { return p.write(result.conn) })
 	i.receive(p, result)
 	if result.state != exchangeUnknown {
 		return
 	}
-	// receive has closed the connection, which ends the writing.
-	if err := <-writing; errors.Is(err, errNothingSent) {
+	// receive has closed the connection, which ends the sending.
+	if errors.Is(result.sending.wait(), errNothingSent) {
 		result.state = exchangeNotSent
 	}
 }
@@ -233,8 +231,12 @@
 			fail(reasonBrokenAnswer, eris.Wrapf(err, "read response body of instance %s to the end of its connection", p.instance.id))
 			return
 		}
-		result.bodyRead = true
 		conn.Close()
+		if err := result.brokenBySending(); err != nil {
+			fail(reasonBrokenAnswer, eris.Wrapf(err, "read response body of instance %s to the end of its connection", p.instance.id))
+			return
+		}
+		result.bodyRead = true
 	case length >= 0 && (length <= bufferLimit || i.link.canHold(length)):
 		if err := readBody(response, length); err != nil {
 			fail(reasonBrokenAnswer, eris.Wrapf(err, "read response body of instance %s", p.instance.id))
@@ -331,13 +333,13 @@
 		result.conn.Close()
 		return
 	}
-	if result.writing == nil {
+	if result.sending == nil {
 		i.upstreams.Put(result.conn)
 		return
 	}
-	conn, writing := result.conn, result.writing
+	conn, sending := result.conn, result.sending
 	go func() {
-		if err := <-writing; err != nil {
+		if err := sending.wait(); err != nil {
 			conn.Close() // the instance has not read the whole body
 			return
 		}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -4,8 +4,10 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -253,6 +255,16 @@
 	c.Close()
 }
 
+// IsBroken reports whether an error of a write means that the connection broke before the end of what its peer sent. The
+// kernel reports that once, to whoever reads or writes next; further reads return io.EOF as if the peer had ended its side.
+// A connection that breaks after the peer has ended its side is reported as EPIPE.
+func IsBroken(err error) bool {
+	if err == nil {
+		return false
+	}
+	return !errors.Is(err, syscall.EPIPE) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // isUsable reports whether an idle connection is open and has nothing to read: a late
 // or second response, or a close by the peer, makes it unusable.
 func (c *Conn) isUsable() bool {
