agent: malformed answers of a back end count for nothing

What could be seen: a lease, a list of grants and a probe of health count as answered by status 000, or by a header with a blank in, or behind, a field's name. The back end may have run none of them.

Only releases went through upstream.

Fix: upstream.Client makes calls over a pool, and so through ReadResponse; the agent uses it.

--- a/agent/backend.go
+++ b/agent/backend.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"sync"
 	"syscall"
 	"time"
@@ -32,6 +33,10 @@
 	grantsTimeout = 2 * time.Second
 	// releaseTimeout bounds the time in which the back end completes requests on shards that it releases.
 	releaseTimeout = 5 * time.Second
+	// idleTimeout is how long a connection to the back end is kept idle.
+	idleTimeout = time.Second
+	// maxAnswerBytes bounds the body of an answer.
+	maxAnswerBytes = 1 << 20
 )
 
 // Description holds what a back end reports about itself.
@@ -112,7 +117,7 @@
 type backend struct {
 	address string
 	config  settings.Agent
-	client  *fasthttp.HostClient
+	client  *upstream.Client
 
 	mutex       sync.Mutex
 	lastHealth  wire.BackendHealth
@@ -124,14 +129,9 @@
 
 func newBackend(config settings.Settings) *backend {
 	address := config.Agent.Backend
-	return &backend{address: address, config: config.Agent, client: &fasthttp.HostClient{
-		Addr: address, MaxIdemponentCallAttempts: 1, RetryIfErr: neverRetry, MaxConns: 16,
-		NoDefaultUserAgentHeader: true, MaxIdleConnDuration: time.Second,
-	}}
+	return &backend{address: address, config: config.Agent, client: upstream.NewClient(idleTimeout, maxAnswerBytes)}
 }
 
-func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
-
 // Run probes the back end's health until ctx ends.
 func (b *backend) Run(ctx context.Context) error {
 	ticker := time.NewTicker(b.config.ProbeEvery)
@@ -150,7 +150,7 @@
 	sentAt := clock.Now()
 	var health wire.BackendHealth
 	err := b.call(fasthttp.MethodGet, wire.BackendPathHealth, nil, &health, probeTimeout)
-	if errors.Is(err, fasthttp.ErrConnectionClosed) {
+	if errors.Is(err, io.EOF) {
 		// An idle connection was closed; a new one shows whether the back end still runs.
 		err = b.call(fasthttp.MethodGet, wire.BackendPathHealth, nil, &health, probeTimeout)
 	}
@@ -240,12 +240,12 @@
 
 // send makes a call. That of a release is made alone: its answer frees shards, and does not name its call.
 func (b *backend) send(path string, request *fasthttp.Request, response *fasthttp.Response, timeout time.Duration) error {
+	request.Header.SetHost(b.address)
 	if path != wire.BackendPathRelease {
-		return b.client.DoTimeout(request, response, timeout)
+		return b.client.Do(b.address, request, response, timeout)
 	}
 	ctx, cancel := clock.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	request.Header.SetHost(b.address)
 	return upstream.CallAlone(ctx, b.address, request, response)
 }
 
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -34,8 +34,13 @@
 // Call makes one call over the connection, which ends with ctx. isReusable is set if the connection may carry another one. The
 // answer to that may then be a surplus copy of this one's.
 func (c *Conn) Call(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) (isReusable bool, err error) {
+	return c.call(ctx, request, response, maxCallBody)
+}
+
+// call is Call for a response whose body has maxBody bytes at most, or any size if that is 0.
+func (c *Conn) call(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, maxBody int) (isReusable bool, err error) {
 	stop := context.AfterFunc(ctx, c.Close)
-	err = c.exchange(ctx, request, response)
+	err = c.exchange(ctx, request, response, maxBody)
 	if !stop() {
 		if err != nil {
 			err = ctx.Err()
@@ -50,7 +55,7 @@
 }
 
 // exchange sends the request and reads the whole answer.
-func (c *Conn) exchange(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) error {
+func (c *Conn) exchange(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, maxBody int) error {
 	if deadline, isSet := ctx.Deadline(); isSet {
 		now := clock.Now()
 		if err := c.SetDeadline(now, now+time.Until(deadline)); err != nil {
@@ -63,5 +68,5 @@
 	if err := c.Writer.Flush(); err != nil {
 		return err
 	}
-	return c.ReadResponse(response, maxCallBody)
+	return c.ReadResponse(response, maxBody)
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -38,10 +38,14 @@
 	// bufferSize is the size in bytes of a connection's reader, and thereby of the largest response header that does
 	// not repeat a long ID.
 	bufferSize int
+	dial       dialFunc
 	mutex      sync.Mutex
 	idle       map[string][]*Conn
 }
 
+// dialFunc connects to an address; timeout bounds that.
+type dialFunc func(address string, timeout time.Duration) (net.Conn, error)
+
 // Conn is a connection to an HTTP server, with its buffers.
 type Conn struct {
 	Raw    net.Conn
@@ -80,7 +84,7 @@
 
 // NewPool returns a pool that keeps connections idle for up to idleTimeout.
 func NewPool(idleTimeout time.Duration) *Pool {
-	return &Pool{idleTimeout: idleTimeout, bufferSize: bufferSize, idle: map[string][]*Conn{}}
+	return &Pool{idleTimeout: idleTimeout, bufferSize: bufferSize, dial: dialTCP, idle: map[string][]*Conn{}}
 }
 
 // NewProxyPool is NewPool for connections to proxies, which add header fields to the responses that they receive over
@@ -109,20 +113,25 @@
 		}
 		conn.Close()
 	}
-	return dial(address, timeout, p.bufferSize)
+	raw, err := p.dial(address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(raw, address, p.bufferSize), nil
 }
 
 // Dial opens a connection that does not belong to a pool yet.
 func Dial(address string, timeout time.Duration) (*Conn, error) {
-	return dial(address, timeout, bufferSize)
+	raw, err := dialTCP(address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(raw, address, bufferSize), nil
 }
 
-func dial(address string, timeout time.Duration, readerSize int) (*Conn, error) {
+func dialTCP(address string, timeout time.Duration) (net.Conn, error) {
 	raw, err := net.DialTimeout("tcp", address, min(timeout, dialTimeout))
-	if err != nil {
-		return nil, eris.Wrapf(err, "dial %s", address)
-	}
-	return newConn(raw, address, readerSize), nil
+	return raw, eris.Wrapf(err, "dial %s", address)
 }
 
 func newConn(raw net.Conn, address string, readerSize int) *Conn {
