adminapi: malformed answers of a member accept no order

What an operator could see: an order that counts as accepted by a response with status 000, or with a blank in, or behind, a field's name.

Cause: the client's requests went through the HTTP library's own client, which takes status 000 for 200 and trims or keeps blanks in names.

Fix: the client makes its calls through upstream.Client, and so through ReadResponse. Such an answer is an error, and the order goes to the next member under the same command ID, as after any lost answer. Timeouts, the limit of 256 MiB for an answer and the 3 s for a connection are as before.

--- a/adminapi/client.go
+++ b/adminapi/client.go
@@ -3,12 +3,15 @@
 import (
 	"encoding/json"
 	"maps"
+	"net"
 	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"limehold/upstream"
 )
 
 // Client sends requests to the control members in turn until one answers.
@@ -16,7 +19,7 @@
 	addresses []string
 	token     string
 	timeout   time.Duration
-	http      *fasthttp.Client
+	calls     *upstream.Client
 }
 
 // NewClient returns a client for the admin addresses (host:port). timeout
@@ -24,13 +27,20 @@
 func NewClient(addresses []string, token string, timeout time.Duration) *Client {
 	return &Client{
 		addresses: addresses, token: token, timeout: timeout,
-		// Disable retries of the HTTP client: Do sends a request again itself, under the
-		// same command ID.
-		http: &fasthttp.Client{MaxIdemponentCallAttempts: 1, RetryIfErr: neverRetry, MaxResponseBodySize: 256 << 20},
+		calls: upstream.NewClient(idleTimeout, maxAnswerBytes).WithDial(dial),
 	}
 }
 
-func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
+const (
+	dialTimeout = 3 * time.Second
+	idleTimeout = 10 * time.Second
+	// maxAnswerBytes bounds the body of an answer.
+	maxAnswerBytes = 256 << 20
+)
+
+func dial(address string, timeout time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", address, min(timeout, dialTimeout))
+}
 
 // Request is one request to the admin interface.
 type Request struct {
@@ -85,7 +95,7 @@
 	if err := c.prepare(request, address, call); err != nil {
 		return err
 	}
-	if err := c.http.DoTimeout(request, response, c.timeout); err != nil {
+	if err := c.calls.Do(address, request, response, c.timeout); err != nil {
 		return eris.Wrapf(err, "%s %s at %s", call.Method, call.Path, address)
 	}
 	if response.StatusCode() >= fasthttp.StatusBadRequest {
