control: a malformed machine list drains no node

What could be seen: a list with status 000, or with a blank in, or behind, a field's name in its header, counts as the platform's: nodes are drained, or resumed, by it.

Cause: the list was read by the HTTP library's own client.

Fix: net/http reads the list, as its URL may be one of HTTPS and may redirect, which upstream does not do. It reports the status as received, so that only 200 passes, and refuses other control bytes; names with blanks, which it keeps, are refused by upstream.CheckHeader. A body with wrong framing is no JSON. A refused list counts as one that is not available: the nodes stay as they are, and control logs platform_list_unavailable once. No proxy of the environment is used, as before.

--- a/control/platform.go
+++ b/control/platform.go
@@ -3,15 +3,17 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"limehold/fleet"
 	"limehold/logging"
 	"limehold/membership"
+	"limehold/upstream"
 )
 
 // PlatformMachine is an entry of the platform's machine list.
@@ -40,7 +42,7 @@
 	if url == "" {
 		return nil
 	}
-	client := &fasthttp.Client{MaxIdemponentCallAttempts: 1, ReadTimeout: platformTimeout, WriteTimeout: platformTimeout}
+	client := newPlatformClient()
 	ticker := time.NewTicker(m.options.Settings.Control.PlatformEvery)
 	defer ticker.Stop()
 	failing := false
@@ -66,13 +68,27 @@
 	}
 }
 
-func fetchPlatform(client *fasthttp.Client, url string) (PlatformList, error) {
-	status, body, err := client.GetTimeout(nil, url, platformTimeout)
+// newPlatformClient returns a client of net/http, as the list's URL may be one of HTTPS and may redirect.
+// It uses no proxy.
+func newPlatformClient() *http.Client {
+	return &http.Client{Timeout: platformTimeout, Transport: &http.Transport{DisableCompression: true}}
+}
+
+func fetchPlatform(client *http.Client, url string) (PlatformList, error) {
+	response, err := client.Get(url)
 	if err != nil {
 		return PlatformList{}, eris.Wrap(err, "get the machine list")
 	}
-	if status != fasthttp.StatusOK {
-		return PlatformList{}, eris.Errorf("get the machine list: status %d", status)
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return PlatformList{}, eris.Errorf("get the machine list: status %d", response.StatusCode)
+	}
+	if err := upstream.CheckHeader(response.Header); err != nil {
+		return PlatformList{}, eris.Wrap(err, "get the machine list")
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return PlatformList{}, eris.Wrap(err, "read the machine list")
 	}
 	var list PlatformList
 	return list, eris.Wrap(json.Unmarshal(body, &list), "decode the machine list")
