transport: a malformed answer to CONNECT opens no tunnel

What could be seen: an answer with a blank in, or behind, a field's name opens a tunnel through whatever has sent it. Status 000 was refused before.

Cause: net/http, which reads the answer, keeps such names.

Fix: upstream.CheckHeader refuses them. The dialer goes on to the next relay and reports the cause, as for any failure of a relay.

--- a/transport/dial.go
+++ b/transport/dial.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"limehold/upstream"
 )
 
 const (
@@ -178,5 +180,8 @@
 	if response.StatusCode != http.StatusOK {
 		return eris.Errorf("unexpected status %d", response.StatusCode)
 	}
+	if err := upstream.CheckHeader(response.Header); err != nil {
+		return err
+	}
 	return raw.SetDeadline(time.Time{})
 }
--- a/transport/relay_test.go
+++ b/transport/relay_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"limehold/bench/rawserver"
 	"limehold/wire"
 )
 
@@ -126,3 +127,25 @@
 		})
 	}
 }
+
+// Guards against a connection through something that is no relay and answers in malformed HTTP.
+func TestMalformedAnswersOpenNoTunnel(t *testing.T) {
+	request := func(answer string) error {
+		conn, err := net.Dial("tcp", rawserver.Start(t, answer))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		return requestTunnel(conn, unreachableAddress)
+	}
+	if err := request(rawserver.Response("")); err != nil {
+		t.Fatal(err)
+	}
+	for name, answer := range rawserver.Malformed("") {
+		t.Run(name, func(t *testing.T) {
+			if request(answer) == nil {
+				t.Error("the tunnel counts as open")
+			}
+		})
+	}
+}
