limebench: malformed answers are no answers

What could be seen: limebench counts an answer with status 000 as one with 200, and takes headers with blanks in, or behind, a field's name. A verdict then hides that a router passes such answers on.

Cause: its callers and probers used the HTTP library's own client.

Fix: they make their calls through upstream.Client, and so through ReadResponse; calls to back ends' knobs go through CallAlone, and the reader of large answers, which reads by net/http, checks names by CheckHeader. The limit of 4,096 connections of a caller is gone with the library's client; the number of requests under way bounds them.

--- a/bench/cost/streaming.go
+++ b/bench/cost/streaming.go
@@ -15,6 +15,7 @@
 
 	"limehold/bench/load"
 	"limehold/bench/standin"
+	"limehold/upstream"
 )
 
 const (
@@ -112,6 +113,9 @@
 	if response.StatusCode != http.StatusOK {
 		return eris.Errorf("request %s was answered with status %d", run, response.StatusCode)
 	}
+	if err := upstream.CheckHeader(response.Header); err != nil {
+		return err
+	}
 	return compareSlowly(response.Body, run)
 }
 
--- a/bench/experiment/operators.go
+++ b/bench/experiment/operators.go
@@ -17,6 +17,7 @@
 	"limehold/bench/judge"
 	"limehold/bench/shape"
 	"limehold/clock"
+	"limehold/upstream"
 	"limehold/wire"
 )
 
@@ -214,13 +215,11 @@
 
 // prober requests a path without a key from a router. The router rejects the
 // request and names the revision that it used.
-type prober struct{ client *fasthttp.HostClient }
+type prober struct{ client *upstream.Client }
 
 func newProber(dial func() (net.Conn, error)) *prober {
-	return &prober{client: &fasthttp.HostClient{
-		Addr: "router:80", Dial: func(string) (net.Conn, error) { return dial() }, MaxIdemponentCallAttempts: 1,
-		MaxIdleConnDuration: probeTimeout / 2,
-	}}
+	client := upstream.NewClient(probeTimeout/2, 0)
+	return &prober{client: client.WithDial(func(string, time.Duration) (net.Conn, error) { return dial() })}
 }
 
 func (p *prober) inForce(prefix string, revision uint64) bool {
@@ -228,7 +227,7 @@
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://fleet" + prefix)
-	if p.client.DoTimeout(request, response, probeTimeout) != nil {
+	if p.client.Do("router", request, response, probeTimeout) != nil {
 		// A router that does not answer does not serve requests under an old revision.
 		// If it does so later, the results of its callers show it.
 		return true
--- a/bench/fleet/knobs.go
+++ b/bench/fleet/knobs.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"limehold/bench/standin"
+	"limehold/upstream"
 	"limehold/wire"
 )
 
@@ -47,9 +49,10 @@
 	request.SetRequestURI("http://" + n.Backend.Field("address") + path)
 	request.Header.SetMethod(method)
 	request.SetBody(body)
+	ctx, cancel := context.WithTimeout(context.Background(), backendTimeout)
+	defer cancel()
 	// A kept-alive connection may belong to an earlier process at the same address.
-	request.SetConnectionClose()
-	if err := fasthttp.DoTimeout(request, response, backendTimeout); err != nil {
+	if err := upstream.CallAlone(ctx, n.Backend.Field("address"), request, response); err != nil {
 		return nil, eris.Wrapf(err, "%s %s at back end %s", method, path, n.Name)
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
--- a/bench/load/caller.go
+++ b/bench/load/caller.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"time"
@@ -13,6 +14,7 @@
 	"limehold/bench/shape"
 	"limehold/bench/standin"
 	"limehold/clock"
+	"limehold/upstream"
 	"limehold/wire"
 )
 
@@ -20,8 +22,7 @@
 	callTimeout = 12 * time.Second
 	// idleTimeout is shorter than the drain notice of a stopping router, so that no
 	// request is sent on a connection that the router is about to close.
-	idleTimeout    = 500 * time.Millisecond
-	maxConnections = 4096
+	idleTimeout = 500 * time.Millisecond
 )
 
 // Target is a router, or a back end that is called directly for comparison.
@@ -36,27 +37,21 @@
 // caller sends requests to one target.
 type caller struct {
 	target Target
-	client *fasthttp.HostClient
+	client *upstream.Client
 }
 
 // errDial marks a request that was not sent because no connection was made.
 var errDial = errors.New("no connection")
 
 func newCaller(target Target) *caller {
-	return &caller{target: target, client: &fasthttp.HostClient{
-		Addr: target.Name + ":80",
-		Dial: func(string) (net.Conn, error) {
-			conn, err := target.Dial()
-			if err != nil {
-				return nil, errors.Join(errDial, err)
-			}
-			return conn, nil
-		},
-		MaxConns: maxConnections, MaxIdleConnDuration: idleTimeout,
-		// The client never retries, since the check counts executions of each request.
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}}
+	dial := func(string, time.Duration) (net.Conn, error) {
+		conn, err := target.Dial()
+		if err != nil {
+			return nil, errors.Join(errDial, err)
+		}
+		return conn, nil
+	}
+	return &caller{target: target, client: upstream.NewClient(idleTimeout, 0).WithDial(dial)}
 }
 
 // requestSpec describes one request to be sent.
@@ -102,7 +97,7 @@
 		Run: spec.run, Stream: spec.stream.Name, Prefix: spec.prefix, Key: spec.key,
 		Repeatable: spec.stream.Repeatable, Router: c.target.Name, Sent: clock.Now(),
 	}
-	err := c.client.DoTimeout(request, response, callTimeout)
+	err := c.client.Do(c.target.Name, request, response, callTimeout)
 	result.Done = clock.Now()
 	c.classify(spec, response, err, &result)
 	return result
@@ -153,7 +148,7 @@
 	switch {
 	case errors.Is(err, errDial):
 		return OutcomeNotSent
-	case errors.Is(err, fasthttp.ErrTimeout), errors.Is(err, fasthttp.ErrConnectionClosed):
+	case errors.Is(err, upstream.ErrTimeout), errors.Is(err, io.EOF):
 		return OutcomeNoAnswer
 	case len(response.Header.Peek(wire.HeaderOutcome)) > 0:
 		return OutcomeCut
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -15,6 +16,8 @@
 type Client struct {
 	pool    *Pool
 	maxBody int
+	// sweptAt is when the pool was swept last, by clock.Now.
+	sweptAt atomic.Int64
 }
 
 // ErrTimeout is returned for a call that has no complete response within its timeout.
@@ -35,7 +38,7 @@
 
 // Do makes a call and reads the whole response. An error says nothing about whether the call was carried out.
 func (c *Client) Do(address string, request *fasthttp.Request, response *fasthttp.Response, timeout time.Duration) error {
-	c.pool.Sweep()
+	c.sweep()
 	ctx, cancel := clock.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	conn, err := c.pool.Get(address, timeout)
@@ -53,3 +56,11 @@
 	}
 	return err
 }
+
+// sweep closes connections that have been idle for too long, once in SweepInterval.
+func (c *Client) sweep() {
+	now, swept := clock.Now(), c.sweptAt.Load()
+	if now-time.Duration(swept) >= SweepInterval && c.sweptAt.CompareAndSwap(swept, int64(now)) {
+		c.pool.Sweep()
+	}
+}
