--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 	$(GO) test ./wal -run XXX -fuzz FuzzRecover -fuzztime $(FUZZ_TIME)
 	$(GO) test ./transport -run XXX -fuzz FuzzReadFrame -fuzztime $(FUZZ_TIME)
 	$(GO) test ./settings -run XXX -fuzz FuzzLoad -fuzztime $(FUZZ_TIME)
+	$(GO) test ./upstream -run XXX -fuzz FuzzResponseHeader -fuzztime $(FUZZ_TIME)
 	$(GO) test ./router -run XXX -fuzz FuzzUnambiguous -fuzztime $(FUZZ_TIME)
 	$(GO) test ./router -run XXX -fuzz FuzzUpdate -fuzztime $(FUZZ_TIME)
 	$(GO) test ./fleet -run XXX -fuzz FuzzApply -fuzztime $(FUZZ_TIME)
