--- a/bench/load/caller.go
+++ b/bench/load/caller.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"strconv"
 	"time"
@@ -148,7 +147,7 @@
 	switch {
 	case errors.Is(err, errDial):
 		return OutcomeNotSent
-	case errors.Is(err, upstream.ErrTimeout), errors.Is(err, io.EOF):
+	case errors.Is(err, upstream.ErrTimeout):
 		return OutcomeNoAnswer
 	case len(response.Header.Peek(wire.HeaderOutcome)) > 0:
 		return OutcomeCut
