Tests: probes of health, and callers that read strictly

TestMalformedHealthAnswersAreNone: a probe of a cold or limited instance is not answered by a malformed response.

The callers of the tests with real processes refuse names that are no tokens, which net/http accepts: a router that passed them on would have been missed.

--- a/ingress/malformed_test.go
+++ b/ingress/malformed_test.go
@@ -6,7 +6,10 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 
+	"limehold/bench/rawserver"
+	"limehold/upstream"
 	"limehold/wire"
 )
 
@@ -63,3 +66,19 @@
 		}
 	}
 }
+
+// Guards against probes of an instance's health that count as answered by a malformed response.
+func TestMalformedHealthAnswersAreNone(t *testing.T) {
+	probe := func(answer string) error {
+		request, response := &fasthttp.Request{}, &fasthttp.Response{}
+		return queryHealth(rawserver.Start(t, answer), "/health", request, response)
+	}
+	if err := probe(rawserver.Response("ok")); err != nil {
+		t.Fatal(err)
+	}
+	for name, answer := range rawserver.Malformed("ok") {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).True(upstream.IsMalformed(probe(answer)))
+		})
+	}
+}
--- a/integration/http_test.go
+++ b/integration/http_test.go
@@ -13,6 +13,7 @@
 
 	"limehold/bench/fleet"
 	"limehold/bench/standin"
+	"limehold/upstream"
 	"limehold/wire"
 )
 
@@ -53,6 +54,9 @@
 	if err != nil {
 		t.Fatalf("read answer: %v", err)
 	}
+	if err := upstream.CheckHeader(response.Header); err != nil {
+		t.Fatalf("read answer: %v", err)
+	}
 	body, bodyErr := io.ReadAll(response.Body)
 	return &reply{Response: response, body: body, bodyErr: bodyErr}
 }
