--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -227,12 +227,12 @@
 		result.bodyRead = true
 		i.releaseConn(p, result, response)
 	case length == identityLength:
-		if err := i.readUnframed(p, response); err != nil {
-			fail(reasonBrokenAnswer, eris.Wrapf(err, "read response body of instance %s to the end of its connection", p.instance.id))
-			return
-		}
+		err := i.readUnframed(p, response)
 		conn.Close()
-		if err := result.brokenBySending(); err != nil {
+		if err == nil {
+			err = result.brokenBySending()
+		}
+		if err != nil {
 			fail(reasonBrokenAnswer, eris.Wrapf(err, "read response body of instance %s to the end of its connection", p.instance.id))
 			return
 		}
