agent, ingress: failing probes are logged, within a bound

A back end whose probes are answered in malformed HTTP counted as unhealthy while nothing said why, and the failed probes of an instance that may be cold were logged for debugging only.

The agent logs the first of several failing probes (probe_failed), with the back end's address and the error, which quotes 200 bytes of an answer at most; the ingress logs at most one failing probe a second (cold_probe_failed).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -101,7 +101,7 @@
 		backend: options.Backend, shards: newShardSet(), process: rand.Uint64() | 1, drain: newDrainState(),
 	}
 	if a.backend == nil {
-		a.backend = newBackend(config)
+		a.backend = newBackend(config, options.Logger)
 	}
 	a.renewals = options.Metrics.Counter("agent", "lease_renewals_total", "Lease renewals that control granted.")
 	a.failures = options.Metrics.Counter("agent", "lease_renewal_failures_total", "Lease renewals without an answer, or refused.")
--- a/agent/backend.go
+++ b/agent/backend.go
@@ -11,10 +11,12 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
 
 	"limehold/clock"
 	"limehold/fleet"
 	"limehold/loadview"
+	"limehold/logging"
 	"limehold/membership"
 	"limehold/ownership"
 	"limehold/quiescence"
@@ -37,6 +39,8 @@
 	idleTimeout = time.Second
 	// maxAnswerBytes bounds the body of an answer.
 	maxAnswerBytes = 1 << 20
+	// maxQuotedBytes bounds what an error quotes of an answer.
+	maxQuotedBytes = 200
 )
 
 // Description holds what a back end reports about itself.
@@ -118,6 +122,9 @@
 	address string
 	config  settings.Agent
 	client  *upstream.Client
+	logger  *zap.Logger
+	// probeFails is set from a probe without a usable answer to the next one with it. Only probe uses it.
+	probeFails bool
 
 	mutex       sync.Mutex
 	lastHealth  wire.BackendHealth
@@ -127,9 +134,9 @@
 	connectionRefused bool
 }
 
-func newBackend(config settings.Settings) *backend {
+func newBackend(config settings.Settings, logger *zap.Logger) *backend {
 	address := config.Agent.Backend
-	return &backend{address: address, config: config.Agent, client: upstream.NewClient(idleTimeout, maxAnswerBytes)}
+	return &backend{address: address, config: config.Agent, logger: logger, client: upstream.NewClient(idleTimeout, maxAnswerBytes)}
 }
 
 // Run probes the back end's health until ctx ends.
@@ -154,6 +161,7 @@
 		// An idle connection was closed; a new one shows whether the back end still runs.
 		err = b.call(fasthttp.MethodGet, wire.BackendPathHealth, nil, &health, probeTimeout)
 	}
+	b.logProbe(err)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	// A refused connection indicates an ended process sooner than silence does. The
@@ -164,6 +172,14 @@
 	}
 }
 
+// logProbe logs the first of several probes that fail.
+func (b *backend) logProbe(err error) {
+	if err != nil && !b.probeFails {
+		b.logger.Warn("probe_failed", logging.ErrorFields("probe health", b.address, err)...)
+	}
+	b.probeFails = err != nil
+}
+
 // CurrentIncarnation implements Backend. The back end is healthy if it has answered a probe that was sent
 // within unhealthyAfter, does not refuse connections and is not starting; a starting back end
 // has no session yet.
@@ -230,7 +246,7 @@
 		return eris.Wrapf(err, "%s %s at back end %s", method, path, b.address)
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
-		return eris.Errorf("%s %s at back end %s: status %d: %s", method, path, b.address, response.StatusCode(), response.Body())
+		return eris.Errorf("%s %s at back end %s: status %d: %.*s", method, path, b.address, response.StatusCode(), maxQuotedBytes, response.Body())
 	}
 	if answer == nil {
 		return nil
--- a/agent/backend_test.go
+++ b/agent/backend_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
 	"limehold/clock"
 	"limehold/settings"
@@ -19,7 +20,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		_, _ = writer.Write([]byte(`{"status": "ok", "incarnation": "a"}`))
 	}))
-	probed := newBackend(settings.Settings{Agent: settings.Agent{Backend: server.Listener.Addr().String()}})
+	probed := newBackend(settings.Settings{Agent: settings.Agent{Backend: server.Listener.Addr().String()}}, zap.NewNop())
 	probed.probe()
 	incarnation, healthy := probed.CurrentIncarnation(clock.Now())
 	is.True(healthy)
@@ -33,7 +34,7 @@
 
 func TestSilentBackEndBecomesUnhealthy(t *testing.T) {
 	is := is.New(t)
-	probed := newBackend(settings.Settings{Agent: settings.Agent{Backend: "127.0.0.1:1"}})
+	probed := newBackend(settings.Settings{Agent: settings.Agent{Backend: "127.0.0.1:1"}}, zap.NewNop())
 	_, healthy := probed.CurrentIncarnation(0)
 	is.Equal(healthy, false) // it has never answered
 	probed.hasAnswered, probed.lastSeen = true, time.Second
--- a/ingress/coldprobe.go
+++ b/ingress/coldprobe.go
@@ -28,6 +28,7 @@
 type coldProbe struct {
 	instance *Instance
 	wake     chan struct{}
+	failures logThrottle
 }
 
 func newColdProbe(instance *Instance) *coldProbe {
@@ -86,7 +87,9 @@
 	sent := clock.Now()
 	remaining, err := p.query(id, path)
 	if err != nil {
-		p.instance.logger.Debug("cold_probe_failed", logging.ErrorFields("probe cold start", id, err)...)
+		if suppressed, due := p.failures.allow(clock.Now()); due {
+			p.instance.logger.Info("cold_probe_failed", append(logging.ErrorFields("probe cold start", id, err), zap.Int("suppressed", suppressed))...)
+		}
 		return
 	}
 	p.instance.gate.updateCold(func(c *coldStart) { c.updateFromProbe(remaining, sent, clock.Now()) })
